--- /dev/null
+++ b/cli/src/commands/show.rs
@@ -0,0 +1,106 @@
+//! `copperweir show`
+
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use copperweir_lib::daemon::operators::Status;
+use copperweir_lib::protocol::config::document::Document;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+
+use super::serve::address;
+use crate::client;
+use crate::error::CommandError;
+use crate::output::Format;
+use crate::output::table;
+
+pub const HELP: &str = "\
+Show what a box knows
+
+Usage: copperweir show --box <operators' address> [status|configuration|counters]
+
+Options:
+  --box <address>       The operators' port of a box
+  --key <key>           The operators' key, where the box asks for one
+  --format <text|json>  Form of the output
+";
+
+/// Runs the command.
+pub fn run(mut parser: Parser) -> Result<(), CommandError> {
+    let mut target: Option<SocketAddr> = None;
+    let mut key = None;
+    let mut format = Format::Text;
+    let mut what = "status".to_owned();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("box") => target = Some(address(&mut parser)?),
+            Arg::Long("key") => key = Some(parser.value()?.string()?),
+            Arg::Long("format") => format = parser.value()?.parse()?,
+            Arg::Value(value) => what = value.string()?,
+            Arg::Short('h') | Arg::Long("help") => return super::print_help(HELP),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let target = target.ok_or_else(|| CommandError::Usage("--box is missing".to_owned()))?;
+    let path = match what.as_str() {
+        "status" | "configuration" | "counters" => format!("/{what}"),
+        other => return Err(CommandError::Usage(format!("cannot show \"{other}\""))),
+    };
+    let body = client::runtime()?.block_on(client::get(target, &path, key.as_deref()))?;
+    if format == Format::Json || what == "counters" {
+        println!("{}", String::from_utf8_lossy(&body).trim_end());
+        return Ok(());
+    }
+    match what.as_str() {
+        "configuration" => print_configuration(&body),
+        _ => print_status(&body),
+    }
+}
+
+fn print_configuration(body: &[u8]) -> Result<(), CommandError> {
+    if body.is_empty() {
+        println!("no configuration yet");
+        return Ok(());
+    }
+    let document = Document::decode(body)?;
+    println!("// version {}", document.version);
+    for (name, text) in &document.files {
+        println!("// file {name}\n{}", text.trim_end());
+    }
+    Ok(())
+}
+
+fn print_status(body: &[u8]) -> Result<(), CommandError> {
+    let status: Status = serde_json::from_slice(body).context("the box's answer cannot be read")?;
+    println!(
+        "{} in {}: {}, version {}, up {} s, {} requests in progress, {} keys",
+        status.name,
+        status.region,
+        if status.ready { status.stage.as_str() } else { "not ready" },
+        status.version,
+        status.uptime_s,
+        status.in_flight,
+        status.keys,
+    );
+    let boxes: Vec<Vec<String>> = status
+        .boxes
+        .into_iter()
+        .map(|row| vec![row.name, row.region, row.callers, row.phase, row.version.to_string()])
+        .collect();
+    println!("\n{}", table(&["box", "region", "callers", "phase", "version"], &boxes));
+    let pools: Vec<Vec<String>> = status
+        .pools
+        .into_iter()
+        .map(|row| {
+            let numbers =
+                [row.in_flight.to_string(), row.waiting.to_string(), row.spare.to_string()];
+            std::iter::once(row.name).chain(numbers).collect()
+        })
+        .collect();
+    println!("\n{}", table(&["pool", "in flight", "waiting", "spare"], &pools));
+    for (invariant, count) in status.breaches {
+        println!("\nBROKEN INVARIANT {invariant}: {count} times");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/lib/src/coordination/mod.rs
@@ -0,0 +1,22 @@
+//! The decisions.
+//!
+//! Nothing in this layer does I/O, reads a clock or draws from a random source
+//! of its own. Each part takes events and an instant, and returns actions, so
+//! the same code runs behind sockets, in virtual time under a property test,
+//! and inside other programs.
+
+pub mod bucket;
+pub mod drain;
+pub mod health;
+pub mod invariant;
+pub mod lease;
+pub mod ledger;
+pub mod lending;
+pub mod limit;
+pub mod membership;
+pub mod policy;
+pub mod pool;
+pub mod queue;
+pub mod rendezvous;
+pub mod rollout;
+pub mod ticket;
--- /dev/null
+++ b/lib/src/coordination/policy.rs
@@ -0,0 +1,165 @@
+//! Which backend server of a pool gets a request.
+//!
+//! [`Estimate`] is what the daemon uses. The others are the baselines that it
+//! is measured against, kept behind the same trait.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::rendezvous;
+
+/// A backend server that could take the request now.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub server: &'a str,
+    /// Requests on it, its queue included, as far as known.
+    pub load: f64,
+    /// Requests of this box on it.
+    pub own: u32,
+    /// Requests it runs at once.
+    pub slots: f64,
+    /// Smoothed time to its first byte; `None` before the first answer.
+    pub first_byte: Option<Duration>,
+}
+
+/// What a policy knows of the request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Request {
+    /// Hash of the beginning of its prompt, if it has one.
+    pub prefix: Option<u64>,
+}
+
+/// A way to choose. Gives the index of a candidate; `None` only where there are none.
+pub trait Policy: Send {
+    /// Chooses among the candidates.
+    fn choose(
+        &mut self,
+        request: Request,
+        candidates: &[Candidate<'_>],
+        rng: &mut impl Rng,
+    ) -> Option<usize>;
+}
+
+/// Any candidate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Random;
+
+impl Policy for Random {
+    fn choose(
+        &mut self,
+        _request: Request,
+        candidates: &[Candidate<'_>],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        (!candidates.is_empty()).then(|| rng.random_range(0..candidates.len()))
+    }
+}
+
+/// Each candidate in turn.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Policy for RoundRobin {
+    fn choose(
+        &mut self,
+        _request: Request,
+        candidates: &[Candidate<'_>],
+        _rng: &mut impl Rng,
+    ) -> Option<usize> {
+        self.next = self.next.wrapping_add(1);
+        (!candidates.is_empty()).then(|| self.next % candidates.len())
+    }
+}
+
+/// The candidate with fewest requests of this box.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastInFlight;
+
+impl Policy for LeastInFlight {
+    fn choose(
+        &mut self,
+        _request: Request,
+        candidates: &[Candidate<'_>],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let least = candidates.iter().map(|candidate| candidate.own).min()?;
+        let equal = candidates.iter().enumerate().filter(|(_, candidate)| candidate.own == least);
+        rand::seq::IteratorRandom::choose(equal.map(|(index, _)| index), rng)
+    }
+}
+
+/// The server that a prefix hashes to, however loaded.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PrefixSticky;
+
+impl Policy for PrefixSticky {
+    fn choose(
+        &mut self,
+        request: Request,
+        candidates: &[Candidate<'_>],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        match request.prefix {
+            None => Random.choose(request, candidates, rng),
+            Some(prefix) => preferred(prefix, candidates),
+        }
+    }
+}
+
+/// The server that a prefix hashes to unless it is loaded well over the
+/// average; otherwise the better of two drawn at random, by estimated time to
+/// the first byte. Drawing two keeps boxes that act on the same old report
+/// from all choosing the same server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Estimate;
+
+/// Load over the average, as a factor, at which a prefix goes elsewhere.
+const BOUNDED_LOAD: f64 = 1.25;
+
+impl Policy for Estimate {
+    fn choose(
+        &mut self,
+        request: Request,
+        candidates: &[Candidate<'_>],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        if candidates.is_empty() {
+            return None;
+        }
+        if let Some(prefix) = request.prefix {
+            let index = preferred(prefix, candidates)?;
+            if fill(&candidates[index]) <= bound(candidates) {
+                return Some(index);
+            }
+        }
+        let first = rng.random_range(0..candidates.len());
+        let second = rng.random_range(0..candidates.len());
+        let better = cost(&candidates[second]) < cost(&candidates[first]);
+        Some(if better { second } else { first })
+    }
+}
+
+fn preferred(prefix: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
+    let duty = prefix.to_string();
+    let weight = |index: &usize| rendezvous::weight(candidates[*index].server, &duty);
+    (0..candidates.len()).max_by_key(weight)
+}
+
+fn fill(candidate: &Candidate<'_>) -> f64 {
+    candidate.load / candidate.slots.max(1.0)
+}
+
+fn bound(candidates: &[Candidate<'_>]) -> f64 {
+    let total: f64 = candidates.iter().map(|candidate| candidate.load + 1.0).sum();
+    let slots: f64 = candidates.iter().map(|candidate| candidate.slots.max(1.0)).sum();
+    BOUNDED_LOAD * total / slots
+}
+
+fn cost(candidate: &Candidate<'_>) -> f64 {
+    let first_byte = candidate.first_byte.map_or(0.0, |time| time.as_secs_f64());
+    (1.0 + fill(candidate)) * (0.001 + first_byte)
+}
--- /dev/null
+++ b/lib/src/coordination/pool.rs
@@ -0,0 +1,478 @@
+//! A pool of backend servers on one box: who runs now, where, and who waits.
+//!
+//! A request arrives and is placed on a server, queued, sent to a region that
+//! lends, or refused at once. A slot that comes free places the next waiting
+//! requests. The pool counts its own requests per server exactly; what other
+//! boxes do it knows from load reports, which lag, and trusts less as they age.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+
+use super::bucket::Bucket;
+use super::health::Health;
+use super::invariant;
+use super::invariant::Invariant;
+use super::lending::Borrower;
+use super::policy::Candidate;
+use super::policy::Policy;
+use super::policy::Request;
+use super::queue::Queue;
+use super::queue::RequestId;
+use super::queue::Waiting;
+use crate::error::Kind;
+use crate::protocol::RegionId;
+use crate::protocol::ServerId;
+use crate::protocol::config::Priority;
+
+/// Age at which a load report says nothing any more.
+const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Share of a pool's servers that may be out for failing.
+const MOST_EJECTED: f64 = 0.5;
+/// Retries allowed per request, over time.
+const RETRY_SHARE: f64 = 0.1;
+/// Retries that may be saved up.
+const RETRY_BURST: f64 = 10.0;
+/// Weight of the latest observation in smoothed times.
+const SMOOTHING: f64 = 0.1;
+/// Time by which a remote answer must be expected earlier than a local one.
+const LENDING_MARGIN: Duration = Duration::from_millis(100);
+
+/// A request to place.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Which.
+    pub id: RequestId,
+    /// Priority.
+    pub priority: Priority,
+    /// When its answer is of no use any more.
+    pub deadline: Instant,
+    /// Bytes it holds while it waits.
+    pub bytes: usize,
+    /// Whether this region may run it.
+    pub here: bool,
+    /// Other regions that may run it.
+    pub elsewhere: Vec<RegionId>,
+    /// Hash of the beginning of its prompt.
+    pub prefix: Option<u64>,
+    /// Servers that it was tried on already.
+    pub tried: Vec<ServerId>,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Placement {
+    /// To this backend server; a slot is taken.
+    Server(ServerId, SocketAddr),
+    /// To this region; a credit is used, or the region is the only one with servers.
+    Region(RegionId),
+    /// Nowhere; the final answer.
+    Refused(Kind, Duration),
+}
+
+/// What becomes of an arrival.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Placed or refused at once.
+    Now(Placement),
+    /// It waits; a [`Wake`] will come.
+    Wait,
+}
+
+/// A request that waited has been placed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Wake {
+    /// Which.
+    pub id: RequestId,
+    /// Where it goes.
+    pub placement: Placement,
+}
+
+/// How an attempt on a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It answered.
+    Answered {
+        /// From dispatch to the first byte.
+        first_byte: Duration,
+        /// From dispatch to the end.
+        total: Duration,
+    },
+    /// It failed.
+    Failed,
+    /// The caller went away, or the server was not to blame.
+    Withdrawn,
+}
+
+/// A backend server as the configuration and the observations give it.
+#[derive(Clone, Debug)]
+pub struct Lane {
+    /// Address.
+    pub address: SocketAddr,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether probes reach it; true before the first probe.
+    pub reachable: bool,
+    /// Load in the latest report, its queue included, and when it was true.
+    pub report: Option<(u32, Instant)>,
+}
+
+struct Server {
+    lane: Lane,
+    in_flight: u32,
+    others: f64,
+    others_at: Option<Instant>,
+    health: Health,
+    first_byte: Option<Duration>,
+}
+
+impl Server {
+    fn new(lane: Lane) -> Server {
+        Server {
+            lane,
+            in_flight: 0,
+            others: 0.0,
+            others_at: None,
+            health: Health::default(),
+            first_byte: None,
+        }
+    }
+
+    fn load(&self, now: Instant) -> f64 {
+        let age = self.others_at.map_or(REPORT_LIFE, |at| now.saturating_duration_since(at));
+        let trust = 1.0 - age.as_secs_f64() / REPORT_LIFE.as_secs_f64();
+        f64::from(self.in_flight) + self.others * trust.max(0.0)
+    }
+
+    fn usable_slots(&self, now: Instant) -> f64 {
+        (f64::from(self.lane.slots) * self.health.share(now)).max(1.0)
+    }
+
+    fn up(&self) -> bool {
+        !self.lane.leaving && self.lane.reachable
+    }
+}
+
+/// The pool.
+pub struct Pool<P> {
+    policy: P,
+    servers: BTreeMap<ServerId, Server>,
+    departed: BTreeMap<ServerId, u32>,
+    queue: Queue<Arrival>,
+    borrower: Borrower,
+    regions_with_servers: BTreeSet<RegionId>,
+    service_time: Option<Duration>,
+    retries: Bucket,
+}
+
+/// What the configuration says of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Requests that may wait.
+    pub queue: usize,
+    /// Bytes that may wait.
+    pub bytes: usize,
+}
+
+impl<P: Policy> Pool<P> {
+    /// An empty pool.
+    pub fn new(policy: P, limits: Limits, now: Instant) -> Pool<P> {
+        Pool {
+            policy,
+            servers: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            queue: Queue::new(limits.queue, limits.bytes),
+            borrower: Borrower::default(),
+            regions_with_servers: BTreeSet::new(),
+            service_time: None,
+            retries: Bucket::new(0.0, RETRY_BURST, now),
+        }
+    }
+
+    /// Takes in the configuration and the latest observations of this
+    /// region's servers; what runs on a server that is gone runs on.
+    pub fn update(
+        &mut self,
+        limits: Limits,
+        lanes: BTreeMap<ServerId, Lane>,
+        regions_with_servers: BTreeSet<RegionId>,
+    ) {
+        self.queue.set_limits(limits.queue, limits.bytes);
+        self.regions_with_servers = regions_with_servers;
+        let mut previous = std::mem::take(&mut self.servers);
+        for (id, lane) in lanes {
+            let mut server = previous.remove(&id).unwrap_or_else(|| Server::new(lane.clone()));
+            server.in_flight += self.departed.remove(&id).unwrap_or(0);
+            observe(&mut server, lane);
+            self.servers.insert(id, server);
+        }
+        for (id, server) in previous.into_iter().filter(|(_, server)| server.in_flight > 0) {
+            *self.departed.entry(id).or_default() += server.in_flight;
+        }
+    }
+
+    /// A region lends slots.
+    pub fn credit(&mut self, region: RegionId, slots: u32, life: Duration, now: Instant) {
+        self.borrower.receive(region, slots, life, now);
+    }
+
+    /// Slots of this region that are free, as far as this box knows.
+    pub fn spare(&self, now: Instant) -> u32 {
+        if !self.queue.is_empty() {
+            return 0;
+        }
+        let free = |server: &Server| (server.usable_slots(now) - server.load(now)).max(0.0);
+        self.servers.values().filter(|server| server.up()).map(free).sum::<f64>() as u32
+    }
+
+    /// Requests waiting.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Requests of this box on servers of the pool.
+    pub fn in_flight(&self) -> u32 {
+        let here: u32 = self.servers.values().map(|server| server.in_flight).sum();
+        here + self.departed.values().sum::<u32>()
+    }
+
+    /// Places, queues or refuses a request.
+    pub fn arrive(
+        &mut self,
+        arrival: Arrival,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> (Decision, Vec<Wake>) {
+        if arrival.tried.is_empty() {
+            self.retries.add(RETRY_SHARE);
+        }
+        if now >= arrival.deadline {
+            return (refused(Kind::WouldBeLate, Duration::ZERO), Vec::new());
+        }
+        if !arrival.here {
+            return (self.without_local_server(&arrival), Vec::new());
+        }
+        let behind = self.queue.ahead(arrival.priority, arrival.deadline);
+        if behind == 0
+            && let Some(placement) = self.place(&arrival, now, rng)
+        {
+            return (Decision::Now(placement), Vec::new());
+        }
+        let wait = self.expected_wait(behind, now);
+        if let Some(region) = self.borrow(&arrival, wait, now) {
+            return (Decision::Now(Placement::Region(region)), Vec::new());
+        }
+        if !self.servers.values().any(Server::up) {
+            return (self.without_local_server(&arrival), Vec::new());
+        }
+        if now + wait + self.service_time.unwrap_or_default() > arrival.deadline {
+            return (refused(Kind::WouldBeLate, wait), Vec::new());
+        }
+        self.enqueue(arrival, wait)
+    }
+
+    fn enqueue(&mut self, arrival: Arrival, wait: Duration) -> (Decision, Vec<Wake>) {
+        let id = arrival.id;
+        let displaced = self.queue.push(Waiting {
+            id,
+            priority: arrival.priority,
+            deadline: arrival.deadline,
+            bytes: arrival.bytes,
+            detail: arrival,
+        });
+        let mut decision = Decision::Wait;
+        let mut wakes = Vec::new();
+        for waiting in displaced {
+            if waiting.id == id {
+                decision = refused(Kind::QueueFull, wait);
+            } else {
+                let placement = Placement::Refused(Kind::QueueFull, wait);
+                wakes.push(Wake { id: waiting.id, placement });
+            }
+        }
+        (decision, wakes)
+    }
+
+    fn without_local_server(&self, arrival: &Arrival) -> Decision {
+        let region =
+            arrival.elsewhere.iter().find(|region| self.regions_with_servers.contains(*region));
+        match region {
+            Some(region) => Decision::Now(Placement::Region(region.clone())),
+            None => refused(Kind::NoServer, Duration::from_secs(5)),
+        }
+    }
+
+    fn borrow(&mut self, arrival: &Arrival, wait: Duration, now: Instant) -> Option<RegionId> {
+        if wait < LENDING_MARGIN || arrival.elsewhere.is_empty() {
+            return None;
+        }
+        let regions = &self.regions_with_servers;
+        let allowed = arrival.elsewhere.iter().filter(|region| regions.contains(*region));
+        self.borrower.take(allowed, now)
+    }
+
+    /// Time until a request with this many before it would be placed.
+    pub fn expected_wait(&self, ahead: usize, now: Instant) -> Duration {
+        let slots: f64 = self
+            .servers
+            .values()
+            .filter(|server| server.up() && !server.health.ejected(now))
+            .map(|server| server.usable_slots(now))
+            .sum();
+        let service_time = self.service_time.unwrap_or_default();
+        service_time.mul_f64((ahead as f64 + 1.0) / slots.max(1.0))
+    }
+
+    fn place(&mut self, arrival: &Arrival, now: Instant, rng: &mut impl Rng) -> Option<Placement> {
+        let mut candidates = Vec::with_capacity(self.servers.len());
+        for (id, server) in &self.servers {
+            if !server.up() || server.health.ejected(now) || arrival.tried.contains(id) {
+                continue;
+            }
+            let candidate = Candidate {
+                server: id,
+                load: server.load(now),
+                own: server.in_flight,
+                slots: server.usable_slots(now),
+                first_byte: server.first_byte,
+            };
+            if candidate.load < candidate.slots {
+                candidates.push(candidate);
+            }
+        }
+        let request = Request { prefix: arrival.prefix };
+        let chosen = self.policy.choose(request, &candidates, rng)?;
+        let id = candidates[chosen].server.to_owned();
+        let server = self.servers.get_mut(&id)?;
+        invariant::check(Invariant::NoWorkToLeaving, !server.lane.leaving, || {
+            format!("server={id}")
+        });
+        server.in_flight += 1;
+        let address = server.lane.address;
+        Some(Placement::Server(id, address))
+    }
+
+    /// An attempt ended; its slot is free.
+    pub fn finish(
+        &mut self,
+        id: &ServerId,
+        outcome: Outcome,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Vec<Wake> {
+        if let Some(server) = self.servers.get_mut(id) {
+            invariant::check(Invariant::SlotsBalance, server.in_flight > 0, || {
+                format!("server={id}")
+            });
+            server.in_flight = server.in_flight.saturating_sub(1);
+            self.learn(id, outcome, now);
+        } else if let Some(left) = self.departed.get_mut(id) {
+            *left -= 1;
+            if *left == 0 {
+                self.departed.remove(id);
+            }
+        } else {
+            invariant::check(Invariant::SlotsBalance, false, || format!("server={id} unknown"));
+        }
+        self.pump(now, rng)
+    }
+
+    fn learn(&mut self, id: &ServerId, outcome: Outcome, now: Instant) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        match outcome {
+            Outcome::Answered { first_byte, total } => {
+                server.health.succeeded(now);
+                server.first_byte = Some(smooth(server.first_byte, first_byte));
+                self.service_time = Some(smooth(self.service_time, total));
+            }
+            Outcome::Failed => {
+                if server.health.failed() && self.may_eject(now) {
+                    self.eject(id, now);
+                }
+            }
+            Outcome::Withdrawn => {}
+        }
+    }
+
+    fn may_eject(&self, now: Instant) -> bool {
+        let out = self.servers.values().filter(|server| server.health.ejected(now)).count();
+        (out + 1) as f64 <= (self.servers.len() as f64 * MOST_EJECTED).max(1.0)
+    }
+
+    fn eject(&mut self, id: &ServerId, now: Instant) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.health.eject(now);
+            log::warn!("event=server_ejected server={id}");
+        }
+    }
+
+    /// Whether one more attempt fits the retry budget.
+    pub fn may_retry(&mut self, now: Instant) -> bool {
+        self.retries.take(1.0, now).is_ok()
+    }
+
+    /// A caller that waited went away.
+    pub fn withdraw(&mut self, id: RequestId, priority: Priority, deadline: Instant) -> bool {
+        self.queue.remove(id, priority, deadline)
+    }
+
+    /// Refuses what is too late and places what waits and fits.
+    pub fn pump(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<Wake> {
+        let late = self.queue.expired(now).into_iter().map(|waiting| Wake {
+            id: waiting.id,
+            placement: Placement::Refused(Kind::WouldBeLate, Duration::ZERO),
+        });
+        let mut wakes: Vec<Wake> = late.collect();
+        while let Some(waiting) = self.queue.pop() {
+            match self.place(&waiting.detail, now, rng) {
+                Some(placement) => wakes.push(Wake { id: waiting.id, placement }),
+                None => {
+                    self.queue.put_back(waiting);
+                    break;
+                }
+            }
+        }
+        if !self.servers.values().any(Server::up) {
+            wakes.extend(self.turn_away());
+        }
+        wakes
+    }
+
+    /// No server is left here: what waits goes elsewhere or gets its answer.
+    fn turn_away(&mut self) -> Vec<Wake> {
+        let mut wakes = Vec::new();
+        while let Some(waiting) = self.queue.pop() {
+            if let Decision::Now(placement) = self.without_local_server(&waiting.detail) {
+                wakes.push(Wake { id: waiting.id, placement });
+            }
+        }
+        wakes
+    }
+}
+
+fn refused(kind: Kind, after: Duration) -> Decision {
+    Decision::Now(Placement::Refused(kind, after.max(Duration::from_secs(1))))
+}
+
+fn observe(server: &mut Server, lane: Lane) {
+    if let Some((load, at)) = lane.report
+        && server.others_at.is_none_or(|known| at > known)
+    {
+        server.others = (f64::from(load) - f64::from(server.in_flight)).max(0.0);
+        server.others_at = Some(at);
+    }
+    server.lane = lane;
+}
+
+fn smooth(known: Option<Duration>, latest: Duration) -> Duration {
+    match known {
+        None => latest,
+        Some(known) => known.mul_f64(1.0 - SMOOTHING) + latest.mul_f64(SMOOTHING),
+    }
+}
--- /dev/null
+++ b/lib/src/daemon/control/heartbeats.rs
@@ -0,0 +1,200 @@
+//! Heartbeats: who is told what, and what is made of what others tell.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use prost::Message;
+use tokio::sync::oneshot;
+
+use super::Control;
+use super::Event;
+use crate::coordination::membership;
+use crate::daemon::shared::lock;
+use crate::protocol::RegionId;
+use crate::protocol::peer::Credit;
+use crate::protocol::peer::Heartbeat;
+use crate::protocol::peer::Phase;
+use crate::protocol::peer::wire;
+use crate::protocol::platform::Directory;
+use crate::protocol::platform::Listing;
+use crate::state::counters::Counter;
+
+/// Time between announcements in the directory.
+pub(super) const ANNOUNCE_PERIOD: Duration = Duration::from_secs(10);
+/// Life of an announcement.
+const ANNOUNCE_LIFE: Duration = Duration::from_secs(35);
+/// Server reports in one heartbeat.
+const REPORTS: usize = 48;
+/// Boxes that are told at once of what cannot wait for the next period.
+const TOLD_AT_ONCE: usize = 4;
+/// Boxes that are told at once that this box is leaving.
+const TOLD_OF_LEAVING: usize = 16;
+
+impl Control {
+    /// One period of heartbeats.
+    pub(super) fn beat(&mut self, now: Instant, late: Duration) {
+        self.membership.tick(now, late);
+        self.choose_watchers(now);
+        lock(&self.shared.limiter).tick(membership::Tuning::default().period, now);
+        self.log_members(now);
+        self.publish();
+        for target in self.membership.targets(now, &mut self.rng) {
+            self.send_heartbeat(target, now);
+        }
+    }
+
+    /// Tells a few boxes at once.
+    pub(super) fn spread(&mut self) {
+        let now = Instant::now();
+        let mut targets = Vec::new();
+        while targets.len() < TOLD_AT_ONCE {
+            let more = self.membership.targets(now, &mut self.rng);
+            if more.is_empty() {
+                break;
+            }
+            targets.extend(more);
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        self.membership.update_own(|own| own.beat += 1);
+        for target in targets {
+            self.send_heartbeat(target, now);
+        }
+    }
+
+    /// Tells the boxes of the region that this one is leaving.
+    pub(super) fn tell_region(&mut self) {
+        let now = Instant::now();
+        self.membership.update_own(|own| own.beat += 1);
+        let region = self.shared.settings.region.clone();
+        let members = self.membership.live_in(&region, now).map(|member| member.peers);
+        let targets: Vec<SocketAddr> = members.take(TOLD_OF_LEAVING).collect();
+        for target in targets {
+            self.send_heartbeat(target, now);
+        }
+        self.spread();
+    }
+
+    fn send_heartbeat(&mut self, target: SocketAddr, now: Instant) {
+        let member = self.membership.live(now).find(|member| member.peers == target);
+        let region = member.map(|member| member.region.clone());
+        let heartbeat = wire::Heartbeat::from(&self.compose(region.as_ref(), now));
+        let counters = Arc::clone(&self.shared.counters);
+        counters.count(Counter::HeartbeatsSent);
+        counters.add(Counter::HeartbeatBytes, heartbeat.encoded_len() as u64);
+        let peers = Arc::clone(&self.peers);
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let answer = match peers.exchange(target, heartbeat).await {
+                Ok(answer) => answer,
+                Err(_) => return counters.count(Counter::HeartbeatsFailed),
+            };
+            counters.add(Counter::HeartbeatBytes, answer.encoded_len() as u64);
+            if let Ok(heartbeat) = Heartbeat::try_from(answer) {
+                let _ = events.send(Event::Heartbeat(Box::new(heartbeat), None)).await;
+            }
+        });
+    }
+
+    fn compose(&mut self, receiver: Option<&RegionId>, now: Instant) -> Heartbeat {
+        let elsewhere = receiver.filter(|region| **region != self.shared.settings.region);
+        let credits = match elsewhere {
+            Some(_) => self.lend(now),
+            None => Vec::new(),
+        };
+        let reports = match elsewhere {
+            // Load of this region's servers is of no use elsewhere.
+            Some(_) => Vec::new(),
+            None => self.load.news(REPORTS, now, &mut self.rng),
+        };
+        Heartbeat {
+            sender: self.membership.own().clone(),
+            members: self.membership.news(now, &mut self.rng),
+            reports,
+            credits,
+            demands: lock(&self.shared.limiter).demands(),
+        }
+    }
+
+    /// Lends this box's share of what is spare in its region.
+    fn lend(&mut self, now: Instant) -> Vec<Credit> {
+        if self.membership.own().phase != Phase::Serving {
+            return Vec::new();
+        }
+        let region = self.shared.settings.region.clone();
+        let boxes = self.membership.live_in(&region, now).count() as f64 + 1.0;
+        let mut credits = Vec::new();
+        for (id, pool) in &self.configuration.pools {
+            let Some(shared) = self.shared.pools.get(id) else { continue };
+            let spare = f64::from(shared.with(|pool| pool.spare(now)));
+            let share = (spare * pool.lend_share / boxes) as u32;
+            let lender = self.lenders.entry(id.clone()).or_default();
+            let slots = lender.lend(share, share.div_ceil(2), now);
+            if slots > 0 {
+                let life = crate::coordination::lending::LIFE;
+                credits.push(Credit { pool: id.clone(), slots, life });
+            }
+        }
+        credits
+    }
+
+    /// A heartbeat or the answer to one came in.
+    pub(super) fn hear(
+        &mut self,
+        heartbeat: Heartbeat,
+        answer: Option<oneshot::Sender<Heartbeat>>,
+    ) {
+        let now = Instant::now();
+        let sender = heartbeat.sender;
+        let mut changed = self.membership.hear(sender.clone(), now);
+        for member in heartbeat.members {
+            changed |= self.membership.hear(member, now);
+        }
+        if sender.region == self.shared.settings.region {
+            self.hear_reports(&heartbeat.reports, now);
+        } else {
+            self.hear_credits(&sender.region, &heartbeat.credits, now);
+        }
+        lock(&self.shared.limiter).hear(&sender.name, &heartbeat.demands);
+        if sender.version > self.rollout.version() {
+            self.fetch_from(sender.peers);
+        }
+        if changed {
+            self.log_members(now);
+            self.publish();
+        }
+        if let Some(answer) = answer {
+            let _ = answer.send(self.compose(Some(&sender.region), now));
+        }
+    }
+
+    fn hear_credits(&mut self, from: &RegionId, credits: &[Credit], now: Instant) {
+        for credit in credits {
+            if let Some(pool) = self.shared.pools.get(&credit.pool) {
+                pool.with(|pool| pool.credit(from.clone(), credit.slots, credit.life, now));
+            }
+        }
+    }
+
+    /// Tells the directory of this box.
+    pub(super) fn announce(&self) {
+        let own = self.membership.own();
+        if own.phase == Phase::Starting {
+            return;
+        }
+        let listing = Listing {
+            name: own.name.clone(),
+            region: own.region.clone(),
+            failure_domain: own.failure_domain.clone(),
+            callers: own.callers.to_string(),
+            peers: own.peers.to_string(),
+            leaving: own.phase == Phase::Leaving,
+        };
+        let platform = self.platform.clone();
+        tokio::spawn(async move {
+            let _ = platform.announce(&listing, ANNOUNCE_LIFE).await;
+        });
+    }
+}
--- /dev/null
+++ b/lib/src/daemon/control/servers.rs
@@ -0,0 +1,185 @@
+//! Backend servers: probes, the platform's list, and the pools made from them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Control;
+use super::Event;
+use crate::coordination::pool;
+use crate::coordination::pool::Lane;
+use crate::coordination::rendezvous;
+use crate::protocol::ServerId;
+use crate::protocol::config;
+use crate::protocol::peer::Report;
+use crate::protocol::platform::BoxList;
+use crate::protocol::platform::Listed;
+use crate::protocol::platform::ListedState;
+use crate::state::counters::Counter;
+use crate::transport::backend;
+use crate::transport::engine::Engine;
+use crate::transport::engine::Load;
+
+/// Time between probes of a server by one box.
+pub(super) const PROBE_PERIOD: Duration = Duration::from_millis(500);
+/// Time between refreshes of the pools.
+pub(super) const POOLS_PERIOD: Duration = Duration::from_millis(100);
+/// Time between looks at the platform's list.
+pub(super) const LIST_PERIOD: Duration = Duration::from_secs(2);
+/// Boxes that probe a server.
+const PROBERS: usize = 2;
+/// Longest wait for a plain service to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Control {
+    /// Makes the pools that the configuration declares.
+    pub(super) fn set_pools(&mut self) {
+        let pools = self.configuration.pools.iter().map(|(id, pool)| (id, limits(pool)));
+        self.shared.pools.set(pools, self.shared.incarnation);
+        self.pools_dirty = true;
+        self.refresh_pools(Instant::now());
+    }
+
+    /// Puts the latest observations into the pools and places what waits.
+    pub(super) fn refresh_pools(&mut self, now: Instant) {
+        let dirty = std::mem::take(&mut self.pools_dirty);
+        for (id, shared) in self.shared.pools.all().iter() {
+            if dirty && let Some(pool) = self.configuration.pools.get(id) {
+                let lanes = self.lanes(pool);
+                let regions = pool.servers.values().map(|server| server.region.clone()).collect();
+                shared.with(|shared| shared.update(limits(pool), lanes, regions));
+            }
+            shared.pump(now);
+        }
+    }
+
+    fn lanes(&self, pool: &config::Pool) -> BTreeMap<ServerId, Lane> {
+        let region = &self.shared.settings.region;
+        let here = pool.servers.iter().filter(|(_, server)| server.region == *region);
+        let lane = |id: &ServerId, server: &config::Server| {
+            let observed = self.load.get(id);
+            Lane {
+                address: server.address,
+                slots: server.slots,
+                leaving: server.leaving || self.load.leaving(id),
+                reachable: observed.is_none_or(|observed| observed.reachable),
+                report: observed.map(|observed| (observed.load, observed.at)),
+            }
+        };
+        here.map(|(id, server)| (id.clone(), lane(id, server))).collect()
+    }
+
+    /// Probes the servers of this region that are this box's to probe.
+    pub(super) fn probe(&mut self, now: Instant) {
+        let region = &self.shared.settings.region;
+        let own = &self.shared.settings.name;
+        let peers: Vec<&str> =
+            self.membership.live_in(region, now).map(|member| member.name.as_str()).collect();
+        for (pool_id, pool) in &self.configuration.pools {
+            let is_service = self.configuration.services.contains_key(pool_id);
+            for (id, server) in pool.servers.iter().filter(|(_, server)| server.region == *region) {
+                if rendezvous::holds(own, peers.iter().copied(), id, PROBERS) {
+                    self.count(Counter::Probes);
+                    self.spawn_probe(id.clone(), server.address, is_service);
+                }
+            }
+        }
+    }
+
+    fn spawn_probe(&self, server: ServerId, address: SocketAddr, is_service: bool) {
+        let backend = self.backend.clone();
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let asked_at = Instant::now();
+            let load = match is_service {
+                true => connects(address).await,
+                false => backend.load(address).await,
+            };
+            let (reachable, load) = (load.is_some(), load.unwrap_or_default());
+            let report = Report {
+                server,
+                running: load.running,
+                queued: load.queued,
+                reachable,
+                leaving: load.leaving,
+                age: asked_at.elapsed(),
+            };
+            let _ = events.send(Event::Probed(report)).await;
+        });
+    }
+
+    /// A probe ended.
+    pub(super) fn probed(&mut self, report: &Report) {
+        self.pools_dirty = true;
+        if self.load.observe(report, Instant::now()) {
+            log::info!(
+                "event=server_changed server={} reachable={} leaving={}",
+                report.server,
+                report.reachable,
+                report.leaving
+            );
+            self.refresh_pools(Instant::now());
+            self.spread();
+        }
+    }
+
+    /// Other boxes of this region told of servers.
+    pub(super) fn hear_reports(&mut self, reports: &[Report], now: Instant) {
+        self.pools_dirty |= !reports.is_empty();
+        let mut news = false;
+        for report in reports {
+            news |= self.load.observe(report, now);
+        }
+        if news {
+            self.refresh_pools(now);
+            self.spread();
+        }
+    }
+
+    /// Reads the platform's list; `at_start` where a fresh box waits for it.
+    pub(super) fn read_list(&self, at_start: bool) {
+        let platform = self.platform.clone();
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            if let Ok(listed) = platform.list().await {
+                let _ = events.send(Event::Listed(listed)).await;
+            }
+            if at_start {
+                let _ = events.send(Event::SourceDone).await;
+            }
+        });
+    }
+
+    /// The platform's list came in: peers to meet, and servers that are leaving.
+    pub(super) fn listed(&mut self, listed: &[Listed]) {
+        let region = self.shared.settings.region.clone();
+        let fresh = !self.shared.snapshot.load().ready;
+        let mut addresses = BTreeSet::new();
+        for row in listed {
+            let Some(address) = row.peers.as_ref().and_then(|text| text.parse().ok()) else {
+                continue;
+            };
+            addresses.insert(address);
+            if fresh && row.region.as_ref() == Some(&region) {
+                self.ask_peer_at_start(address);
+            }
+        }
+        self.membership.learn_addresses(addresses);
+        let leaving = listed.iter().filter(|row| row.state == ListedState::Leaving);
+        let leaving = leaving.map(|row| row.name.clone()).collect();
+        if self.load.list_leaving(leaving) {
+            self.pools_dirty = true;
+            self.refresh_pools(Instant::now());
+        }
+    }
+}
+
+fn limits(pool: &config::Pool) -> pool::Limits {
+    pool::Limits { queue: pool.queue_limit, bytes: pool.queue_bytes }
+}
+
+async fn connects(address: SocketAddr) -> Option<Load> {
+    backend::reachable(address, CONNECT_TIMEOUT).await.then(Load::default)
+}
--- /dev/null
+++ b/lib/src/operators/mod.rs
@@ -0,0 +1,3 @@
+//! What operators' commands do, without a terminal.
+
+pub mod apply;
--- /dev/null
+++ b/lib/src/protocol/config/check.rs
@@ -0,0 +1,375 @@
+//! From the files to a checked [`Configuration`], with every problem at once.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Configuration;
+use super::Limits;
+use super::Model;
+use super::Objective;
+use super::Pool;
+use super::Priority;
+use super::Route;
+use super::Server;
+use super::Service;
+use super::Team;
+use super::raw;
+use super::shape;
+use crate::protocol::jsonc::Document;
+use crate::protocol::jsonc::Problem;
+use crate::protocol::jsonc::Problems;
+use crate::protocol::schema::nearest;
+
+const DEFAULT_SLOTS: u32 = 8;
+const DEFAULT_QUEUE_LIMIT: usize = 256;
+const DEFAULT_QUEUE_BYTES: usize = 32 << 20;
+const DEFAULT_LEND_SHARE: f64 = 0.25;
+const DEFAULT_RATE: f64 = 1_000_000.0;
+const SHA256_HEX: usize = 64;
+
+/// Text of each file by its name.
+pub type Files = BTreeMap<String, String>;
+
+impl TryFrom<&Files> for Configuration {
+    type Error = Problems;
+
+    fn try_from(files: &Files) -> Result<Configuration, Problems> {
+        let mut checker = Checker::default();
+        let mut parsed = Vec::new();
+        for (name, text) in files {
+            match Document::parse(name, text) {
+                Err(problem) => checker.problems.push(problem),
+                Ok(document) => parsed.push(document),
+            }
+        }
+        let mut raws = Vec::new();
+        for document in &parsed {
+            let problems = shape::FILE.check(document);
+            if !problems.is_empty() {
+                checker.problems.extend(problems);
+                continue;
+            }
+            match serde_json::from_value::<raw::File>(document.to_json()) {
+                Ok(raw) => raws.push((document, raw)),
+                Err(error) => checker.problems.push(document.problem(&[], error.to_string(), None)),
+            }
+        }
+        if checker.problems.is_empty() {
+            checker.check(&raws);
+        }
+        if checker.problems.is_empty() {
+            Ok(checker.configuration)
+        } else {
+            Err(Problems(checker.problems))
+        }
+    }
+}
+
+type Parsed<'a> = (&'a Document<'a>, raw::File);
+
+#[derive(Default)]
+struct Checker {
+    configuration: Configuration,
+    server_names: BTreeSet<String>,
+    limits_seen: bool,
+    problems: Vec<Problem>,
+}
+
+impl Checker {
+    fn check(&mut self, files: &[Parsed<'_>]) {
+        for (document, raw) in files {
+            self.regions(document, raw);
+        }
+        for (document, raw) in files {
+            self.residency(document, raw);
+        }
+        for (document, raw) in files {
+            self.pools(document, raw);
+            self.services(document, raw);
+            self.limits(document, raw);
+        }
+        for (document, raw) in files {
+            self.models(document, raw);
+            self.objectives(document, raw);
+        }
+        for (document, raw) in files {
+            self.teams(document, raw);
+        }
+    }
+
+    fn problem(&mut self, document: &Document<'_>, path: &[&str], message: impl Into<String>) {
+        self.problems.push(document.problem(path, message, None));
+    }
+
+    fn twice(&mut self, document: &Document<'_>, path: &[&str]) {
+        self.problem(document, path, "the name stands in another place too");
+    }
+
+    fn unknown<'a>(
+        &mut self,
+        document: &Document<'_>,
+        path: &[&str],
+        what: &str,
+        name: &str,
+        known: impl Iterator<Item = &'a str>,
+    ) {
+        let hint = nearest(name, known);
+        let message = format!("{what} \"{name}\" is not declared");
+        self.problems.push(document.problem(path, message, hint));
+    }
+
+    fn regions(&mut self, document: &Document<'_>, raw: &raw::File) {
+        for (name, region) in &raw.regions {
+            let domains = region.failure_domains.iter().cloned().collect::<BTreeSet<_>>();
+            if domains.is_empty() {
+                self.problem(
+                    document,
+                    &["regions", name, "failure_domains"],
+                    "expected at least one failure domain",
+                );
+            }
+            if self.configuration.regions.insert(name.clone(), domains).is_some() {
+                self.twice(document, &["regions", name]);
+            }
+        }
+    }
+
+    fn residency(&mut self, document: &Document<'_>, raw: &raw::File) {
+        for (name, rule) in &raw.residency {
+            let path = ["residency", name.as_str(), "regions"];
+            if rule.regions.is_empty() {
+                self.problem(document, &path, "expected at least one region");
+            }
+            for region in &rule.regions {
+                self.known_region(document, &path, region);
+            }
+            let regions = rule.regions.iter().cloned().collect();
+            if self.configuration.residency.insert(name.clone(), regions).is_some() {
+                self.twice(document, &["residency", name]);
+            }
+        }
+    }
+
+    fn known_region(&mut self, document: &Document<'_>, path: &[&str], region: &str) {
+        if !self.configuration.regions.contains_key(region) {
+            let known: Vec<String> = self.configuration.regions.keys().cloned().collect();
+            self.unknown(document, path, "region", region, known.iter().map(String::as_str));
+        }
+    }
+
+    fn known_rule(&mut self, document: &Document<'_>, path: &[&str], rule: Option<&String>) {
+        let Some(rule) = rule else { return };
+        if !self.configuration.residency.contains_key(rule) {
+            let known: Vec<String> = self.configuration.residency.keys().cloned().collect();
+            self.unknown(document, path, "residency rule", rule, known.iter().map(String::as_str));
+        }
+    }
+
+    fn pools(&mut self, document: &Document<'_>, raw: &raw::File) {
+        for (name, pool) in &raw.pools {
+            let lend_share = pool.lend_share.unwrap_or(DEFAULT_LEND_SHARE);
+            if !(0.0..=1.0).contains(&lend_share) {
+                self.problem(document, &["pools", name, "lend_share"], "expected 0 to 1");
+            }
+            let checked = Pool {
+                servers: self.servers(document, ["pools", name, "servers"], &pool.servers),
+                queue_limit: pool.queue_limit.unwrap_or(DEFAULT_QUEUE_LIMIT),
+                queue_bytes: pool.queue_bytes.unwrap_or(DEFAULT_QUEUE_BYTES),
+                lend_share,
+            };
+            if self.configuration.pools.insert(name.clone(), checked).is_some() {
+                self.twice(document, &["pools", name]);
+            }
+        }
+    }
+
+    fn services(&mut self, document: &Document<'_>, raw: &raw::File) {
+        for (name, service) in &raw.services {
+            self.known_rule(document, &["services", name, "residency"], service.residency.as_ref());
+            let pool = Pool {
+                servers: self.servers(document, ["services", name, "servers"], &service.servers),
+                queue_limit: service.queue_limit.unwrap_or(DEFAULT_QUEUE_LIMIT),
+                queue_bytes: DEFAULT_QUEUE_BYTES,
+                lend_share: 1.0,
+            };
+            let routes = service
+                .not_repeatable
+                .iter()
+                .map(|route| Route { method: route.method.clone(), path: route.path.clone() });
+            let checked =
+                Service { not_repeatable: routes.collect(), residency: service.residency.clone() };
+            if self.configuration.pools.insert(name.clone(), pool).is_some() {
+                self.twice(document, &["services", name]);
+            }
+            self.configuration.services.insert(name.clone(), checked);
+        }
+    }
+
+    fn servers(
+        &mut self,
+        document: &Document<'_>,
+        path: [&str; 3],
+        servers: &BTreeMap<String, raw::Server>,
+    ) -> BTreeMap<String, Server> {
+        let mut checked = BTreeMap::new();
+        for (name, server) in servers {
+            let at = |field| [path[0], path[1], path[2], name.as_str(), field];
+            if !self.server_names.insert(name.clone()) {
+                self.twice(document, &at("region")[..4]);
+            }
+            self.known_region(document, &at("region"), &server.region);
+            let domains = self.configuration.regions.get(&server.region);
+            if domains.is_some_and(|domains| !domains.contains(&server.failure_domain)) {
+                let message = format!(
+                    "region \"{}\" has no failure domain \"{}\"",
+                    server.region, server.failure_domain
+                );
+                self.problem(document, &at("failure_domain"), message);
+            }
+            if server.slots == Some(0) {
+                self.problem(document, &at("slots"), "expected a whole number from 1");
+            }
+            let Ok(address) = server.address.parse::<SocketAddr>() else {
+                self.problem(
+                    document,
+                    &at("address"),
+                    "expected an IP number and port, such as \"127.0.0.1:9000\"",
+                );
+                continue;
+            };
+            let server = Server {
+                region: server.region.clone(),
+                failure_domain: server.failure_domain.clone(),
+                address,
+                slots: server.slots.unwrap_or(DEFAULT_SLOTS),
+                checks_epochs: server.checks_epochs,
+                leaving: server.leaving,
+            };
+            checked.insert(name.clone(), server);
+        }
+        checked
+    }
+
+    fn models(&mut self, document: &Document<'_>, raw: &raw::File) {
+        for (name, model) in &raw.models {
+            self.known_pool(document, &["models", name, "pool"], &model.pool);
+            self.known_rule(document, &["models", name, "residency"], model.residency.as_ref());
+            let checked = Model {
+                pool: model.pool.clone(),
+                version: model.version.clone(),
+                residency: model.residency.clone(),
+            };
+            if self.configuration.models.insert(name.clone(), checked).is_some() {
+                self.twice(document, &["models", name]);
+            }
+        }
+    }
+
+    fn known_pool(&mut self, document: &Document<'_>, path: &[&str], pool: &str) {
+        if !self.configuration.pools.contains_key(pool) {
+            let known: Vec<String> = self.configuration.pools.keys().cloned().collect();
+            self.unknown(document, path, "pool", pool, known.iter().map(String::as_str));
+        }
+    }
+
+    fn objectives(&mut self, document: &Document<'_>, raw: &raw::File) {
+        for (name, objective) in &raw.objectives {
+            self.known_pool(document, &["objectives", name, "pool"], &objective.pool);
+            if !(0.0..1.0).contains(&objective.target) {
+                let message = "expected a share from 0 to below 1, such as 0.95";
+                self.problem(document, &["objectives", name, "target"], message);
+            }
+            let checked = Objective {
+                pool: objective.pool.clone(),
+                target: objective.target,
+                first_byte: Duration::from_millis(objective.first_byte_ms),
+            };
+            if self.configuration.objectives.insert(name.clone(), checked).is_some() {
+                self.twice(document, &["objectives", name]);
+            }
+        }
+    }
+
+    fn limits(&mut self, document: &Document<'_>, raw: &raw::File) {
+        let Some(limits) = &raw.limits else { return };
+        if std::mem::replace(&mut self.limits_seen, true) {
+            self.problem(document, &["limits"], "limits stand in another file too");
+        }
+        let millis = |value: Option<u64>, default| value.map_or(default, Duration::from_millis);
+        let defaults = Limits::default();
+        let checked = Limits {
+            body_bytes: limits.body_bytes.unwrap_or(defaults.body_bytes),
+            default_timeout: millis(limits.default_timeout_ms, defaults.default_timeout),
+            max_timeout: millis(limits.max_timeout_ms, defaults.max_timeout),
+            stream_idle: millis(limits.stream_idle_ms, defaults.stream_idle),
+            ticket_life: millis(limits.ticket_life_ms, defaults.ticket_life),
+        };
+        if checked.default_timeout > checked.max_timeout {
+            let message = "default_timeout_ms is over max_timeout_ms";
+            self.problem(document, &["limits", "default_timeout_ms"], message);
+        }
+        if checked.ticket_life < checked.max_timeout {
+            let message =
+                "ticket_life_ms is under max_timeout_ms; a ticket must outlive its request";
+            self.problem(document, &["limits", "ticket_life_ms"], message);
+        }
+        self.configuration.limits = checked;
+    }
+
+    fn teams(&mut self, document: &Document<'_>, raw: &raw::File) {
+        for (name, team) in &raw.teams {
+            self.team_names(document, name, team);
+            self.team_keys(document, name, team);
+            self.known_rule(document, &["teams", name, "residency"], team.residency.as_ref());
+            let rate = team.requests_per_second.unwrap_or(DEFAULT_RATE);
+            if !(rate > 0.0 && rate.is_finite()) {
+                let path = ["teams", name, "requests_per_second"];
+                self.problem(document, &path, "expected a number over 0");
+            }
+            let priority = team.max_priority.as_deref().and_then(Priority::parse);
+            let checked = Team {
+                models: team.models.iter().cloned().collect(),
+                services: team.services.iter().cloned().collect(),
+                max_priority: priority.unwrap_or_default(),
+                requests_per_second: rate,
+                residency: team.residency.clone(),
+            };
+            if self.configuration.teams.insert(name.clone(), checked).is_some() {
+                self.twice(document, &["teams", name]);
+            }
+        }
+    }
+
+    fn team_names(&mut self, document: &Document<'_>, name: &str, team: &raw::Team) {
+        let models: Vec<String> = self.configuration.models.keys().cloned().collect();
+        for model in team.models.iter().filter(|model| *model != "*" && !models.contains(model)) {
+            let known = models.iter().map(String::as_str);
+            self.unknown(document, &["teams", name, "models"], "model", model, known);
+        }
+        let services: Vec<String> = self.configuration.services.keys().cloned().collect();
+        let absent = |service: &&String| *service != "*" && !services.contains(service);
+        for service in team.services.iter().filter(absent) {
+            let known = services.iter().map(String::as_str);
+            self.unknown(document, &["teams", name, "services"], "service", service, known);
+        }
+    }
+
+    fn team_keys(&mut self, document: &Document<'_>, name: &str, team: &raw::Team) {
+        let path = ["teams", name, "keys_sha256"];
+        for key in &team.keys_sha256 {
+            let hex = key.chars().all(|c| matches!(c, '0'..='9' | 'a'..='f'));
+            if key.len() != SHA256_HEX || !hex {
+                self.problem(document, &path, "expected 64 lower-case hex digits");
+            }
+            if self.configuration.keys.insert(key.clone(), name.to_owned()).is_some() {
+                self.problem(document, &path, "the key belongs to another team too");
+            }
+        }
+        if team.anonymous && self.configuration.anonymous.replace(name.to_owned()).is_some() {
+            let message = "another team takes requests without a key already";
+            self.problem(document, &["teams", name, "anonymous"], message);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/protocol/config/shape.rs
@@ -0,0 +1,142 @@
+//! The shape of a configuration file; also the source of its reference page.
+
+use crate::protocol::schema::Field;
+use crate::protocol::schema::Shape;
+
+const PRIORITY: Shape = Shape::Word(&["low", "normal", "high"]);
+const TEXTS: Shape = Shape::List(&Shape::Text);
+
+const REGION: Shape = Shape::Object(&[Field::required(
+    "failure_domains",
+    TEXTS,
+    "Names of the region's failure domains.",
+)]);
+
+const MODEL: Shape = Shape::Object(&[
+    Field::required("pool", Shape::Text, "Pool whose backend servers run the model."),
+    Field::optional("version", Shape::Text, "Version that the engines load. Default: empty."),
+    Field::optional("residency", Shape::Text, "Residency rule for every request to the model."),
+]);
+
+const SERVER: Shape = Shape::Object(&[
+    Field::required("region", Shape::Text, "Region that the backend server stands in."),
+    Field::required("failure_domain", Shape::Text, "Failure domain that it stands in."),
+    Field::required("address", Shape::Text, "IP number and port, such as \"127.0.0.1:9000\"."),
+    Field::optional("slots", Shape::Whole, "Requests it runs at once. Default: 8."),
+    Field::optional(
+        "checks_epochs",
+        Shape::Flag,
+        "Whether it refuses orders of an old epoch. Default: false.",
+    ),
+    Field::optional("leaving", Shape::Flag, "Takes it out of service. Default: false."),
+]);
+
+const POOL: Shape = Shape::Object(&[
+    Field::required("servers", Shape::Map(&SERVER), "Backend servers by name."),
+    Field::optional(
+        "queue_limit",
+        Shape::Whole,
+        "Requests that may wait on one box. Default: 256.",
+    ),
+    Field::optional(
+        "queue_bytes",
+        Shape::Whole,
+        "Bytes of bodies that may wait on one box. Default: 33554432.",
+    ),
+    Field::optional(
+        "lend_share",
+        Shape::Number,
+        "Share of a region's slots that other regions may use. Default: 0.25.",
+    ),
+]);
+
+const ROUTE: Shape = Shape::Object(&[
+    Field::required("method", Shape::Text, "Method, or \"*\"."),
+    Field::required("path", Shape::Text, "Beginning of the path, such as \"/filings\"."),
+]);
+
+const SERVICE: Shape = Shape::Object(&[
+    Field::required("servers", Shape::Map(&SERVER), "Backend servers by name."),
+    Field::optional(
+        "queue_limit",
+        Shape::Whole,
+        "Requests that may wait on one box. Default: 256.",
+    ),
+    Field::optional(
+        "not_repeatable",
+        Shape::List(&ROUTE),
+        "Calls that run at most once. Default: none.",
+    ),
+    Field::optional("residency", Shape::Text, "Residency rule for every request to the service."),
+]);
+
+const RESIDENCY: Shape =
+    Shape::Object(&[Field::required("regions", TEXTS, "Regions that the rule allows.")]);
+
+const TEAM: Shape = Shape::Object(&[
+    Field::optional("keys_sha256", TEXTS, "SHA-256 of each of the team's keys, in hex."),
+    Field::optional(
+        "anonymous",
+        Shape::Flag,
+        "Whether requests without a key belong to this team. Default: false.",
+    ),
+    Field::optional("models", TEXTS, "Models it may use; \"*\" for all. Default: none."),
+    Field::optional("services", TEXTS, "Services it may use; \"*\" for all. Default: none."),
+    Field::optional(
+        "max_priority",
+        PRIORITY,
+        "Highest priority it may ask for. Default: \"normal\".",
+    ),
+    Field::optional(
+        "requests_per_second",
+        Shape::Number,
+        "Limit over all boxes. Default: 1000000.",
+    ),
+    Field::optional("residency", Shape::Text, "Residency rule for every request of the team."),
+]);
+
+const LIMITS: Shape = Shape::Object(&[
+    Field::optional("body_bytes", Shape::Whole, "Largest body, bytes. Default: 1048576."),
+    Field::optional(
+        "default_timeout_ms",
+        Shape::Whole,
+        "Deadline where a request names none. Default: 60000.",
+    ),
+    Field::optional(
+        "max_timeout_ms",
+        Shape::Whole,
+        "Longest deadline a request may name. Default: 600000.",
+    ),
+    Field::optional(
+        "stream_idle_ms",
+        Shape::Whole,
+        "Longest silence of an answer. Default: 30000.",
+    ),
+    Field::optional(
+        "ticket_life_ms",
+        Shape::Whole,
+        "Life of a ticket and of the answer kept for it. Default: 900000.",
+    ),
+]);
+
+const OBJECTIVE: Shape = Shape::Object(&[
+    Field::required("pool", Shape::Text, "Pool or service whose requests count."),
+    Field::required(
+        "target",
+        Shape::Number,
+        "Share of requests that should be good, such as 0.95.",
+    ),
+    Field::required("first_byte_ms", Shape::Whole, "Time to the first byte of a good request."),
+]);
+
+/// The shape of a configuration file.
+pub const FILE: Shape = Shape::Object(&[
+    Field::optional("regions", Shape::Map(&REGION), "Regions by name."),
+    Field::optional("models", Shape::Map(&MODEL), "Models by the name that callers use."),
+    Field::optional("pools", Shape::Map(&POOL), "Pools of backend servers by name."),
+    Field::optional("services", Shape::Map(&SERVICE), "Plain services by name."),
+    Field::optional("residency", Shape::Map(&RESIDENCY), "Residency rules by name."),
+    Field::optional("teams", Shape::Map(&TEAM), "Teams by name."),
+    Field::optional("limits", LIMITS, "Limits on all requests; in one file only."),
+    Field::optional("objectives", Shape::Map(&OBJECTIVE), "Service-level objectives by name."),
+]);
--- /dev/null
+++ b/lib/src/protocol/jsonc.rs
@@ -0,0 +1,144 @@
+//! JSON with comments, with the place of every value.
+//!
+//! Parsing is the library's. This module adds what a good error needs: from
+//! the path of a value to its line and column.
+
+use std::fmt;
+
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast;
+use jsonc_parser::common::Ranged;
+
+/// One thing wrong with a file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Problem {
+    /// File name as the user gave it.
+    pub file: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// Path of the value, such as `pools.logs.servers`; empty for the file.
+    pub path: String,
+    /// What is wrong and what was expected.
+    pub message: String,
+    /// What to do about it.
+    pub hint: Option<String>,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}: ", self.file, self.line, self.column)?;
+        if !self.path.is_empty() {
+            write!(f, "{}: ", self.path)?;
+        }
+        write!(f, "{}", self.message)?;
+        if let Some(hint) = &self.hint {
+            write!(f, "\n  hint: {hint}")?;
+        }
+        Ok(())
+    }
+}
+
+/// All that is wrong with a set of files.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+pub struct Problems(pub Vec<Problem>);
+
+/// A parsed file.
+pub struct Document<'a> {
+    /// File name as the user gave it.
+    pub file: &'a str,
+    text: &'a str,
+    root: ast::Value<'a>,
+}
+
+impl<'a> Document<'a> {
+    /// Parses `text`.
+    pub fn parse(file: &'a str, text: &'a str) -> Result<Document<'a>, Problem> {
+        let options = ParseOptions {
+            allow_comments: true,
+            allow_loose_object_property_names: false,
+            allow_trailing_commas: true,
+        };
+        let parsed = jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options);
+        let (offset, message) = match parsed {
+            Ok(result) => match result.value {
+                Some(root) => return Ok(Document { file, text, root }),
+                None => (0, "the file is empty; expected an object".to_owned()),
+            },
+            Err(error) => (error.range().start, error.kind().to_string()),
+        };
+        let (line, column) = position(text, offset);
+        Err(Problem {
+            file: file.to_owned(),
+            line,
+            column,
+            path: String::new(),
+            message: format!("not valid JSON with comments: {message}"),
+            hint: None,
+        })
+    }
+
+    /// The root value.
+    pub fn root(&self) -> &ast::Value<'a> {
+        &self.root
+    }
+
+    /// The file as plain JSON.
+    pub fn to_json(&self) -> serde_json::Value {
+        self.root.clone().into()
+    }
+
+    /// A problem at a value of the tree.
+    pub fn problem_at(
+        &self,
+        start: usize,
+        path: &str,
+        message: impl Into<String>,
+        hint: Option<String>,
+    ) -> Problem {
+        let (line, column) = position(self.text, start);
+        Problem {
+            file: self.file.to_owned(),
+            line,
+            column,
+            path: path.to_owned(),
+            message: message.into(),
+            hint,
+        }
+    }
+
+    /// A problem at a path; where the path is absent, at its nearest ancestor.
+    pub fn problem(
+        &self,
+        path: &[&str],
+        message: impl Into<String>,
+        hint: Option<String>,
+    ) -> Problem {
+        let mut value = &self.root;
+        for part in path {
+            match child(value, part) {
+                Some(next) => value = next,
+                None => break,
+            }
+        }
+        self.problem_at(value.start(), &path.join("."), message, hint)
+    }
+}
+
+fn child<'a, 'b>(value: &'b ast::Value<'a>, part: &str) -> Option<&'b ast::Value<'a>> {
+    match value {
+        ast::Value::Object(object) => object.get(part).map(|property| &property.value),
+        ast::Value::Array(array) => array.elements.get(part.parse::<usize>().ok()?),
+        _ => None,
+    }
+}
+
+fn position(text: &str, offset: usize) -> (usize, usize) {
+    let before = text.get(..offset).unwrap_or(text);
+    let line = before.matches('\n').count() + 1;
+    let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+    (line, column)
+}
--- /dev/null
+++ b/lib/src/protocol/mod.rs
@@ -0,0 +1,24 @@
+//! What is said on the wire and in files: codecs and checked types.
+
+pub mod caller;
+pub mod config;
+pub mod jsonc;
+pub mod peer;
+pub mod platform;
+pub mod schema;
+pub mod settings;
+
+/// Name of a box.
+pub type BoxId = String;
+/// Name of a region.
+pub type RegionId = String;
+/// Name of a backend server.
+pub type ServerId = String;
+/// Name of a pool of backend servers. A plain service is its own pool.
+pub type PoolId = String;
+/// Name of a team.
+pub type TeamId = String;
+/// Random number that a box draws at each start.
+pub type Incarnation = u64;
+/// Version of the configuration; grows by one with each applied file.
+pub type Version = u64;
--- /dev/null
+++ b/lib/src/protocol/settings.rs
@@ -0,0 +1,202 @@
+//! Settings of one box: its names, addresses and what it talks to.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use super::BoxId;
+use super::RegionId;
+use super::jsonc::Document;
+use super::jsonc::Problem;
+use super::jsonc::Problems;
+use super::schema::Field;
+use super::schema::Shape;
+
+/// Shape of a settings file; also the source of its reference page.
+pub const SHAPE: Shape = Shape::Object(&[
+    Field::required("box", Shape::Text, "Name of this box; unique in the installation."),
+    Field::required("region", Shape::Text, "Region that the box stands in."),
+    Field::required("failure_domain", Shape::Text, "Failure domain that the box stands in."),
+    Field::required("callers", Shape::Text, "IP number and port for callers."),
+    Field::required("peers", Shape::Text, "IP number and port for other boxes."),
+    Field::required("operators", Shape::Text, "IP number and port for operators."),
+    Field::required("platform", Shape::Text, "IP number and port of the platform's service."),
+    Field::required(
+        "peer_secret",
+        Shape::Text,
+        "Secret that all boxes share; 16 characters or more.",
+    ),
+    Field::optional(
+        "operator_key_sha256",
+        Shape::Text,
+        "SHA-256 of the operators' key in hex. Default: no key, and the operators' port must be on a loopback address.",
+    ),
+    Field::optional(
+        "seeds",
+        Shape::List(&Shape::Text),
+        "Peer addresses to ask when the platform is out. Default: none.",
+    ),
+    Field::optional("traffic_threads", Shape::Whole, "Threads for traffic. Default: 2."),
+    Field::optional(
+        "stop_limit_ms",
+        Shape::Whole,
+        "Longest time that a planned stop waits for requests in progress. Default: 600000.",
+    ),
+    Field::optional(
+        "stop_grace_ms",
+        Shape::Whole,
+        "Time that a leaving box still accepts requests, so that no caller is still told of it. Default: 3000.",
+    ),
+    Field::optional(
+        "log",
+        Shape::Text,
+        "Log levels in the logger's form, such as \"info\". Default: \"info\".",
+    ),
+    Field::optional(
+        "statsd",
+        Shape::Text,
+        "IP number and port that counters are sent to. Default: none.",
+    ),
+]);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    r#box: String,
+    region: String,
+    failure_domain: String,
+    callers: String,
+    peers: String,
+    operators: String,
+    platform: String,
+    peer_secret: String,
+    operator_key_sha256: Option<String>,
+    #[serde(default)]
+    seeds: Vec<String>,
+    traffic_threads: Option<usize>,
+    stop_limit_ms: Option<u64>,
+    stop_grace_ms: Option<u64>,
+    log: Option<String>,
+    statsd: Option<String>,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this box.
+    pub name: BoxId,
+    /// Its region.
+    pub region: RegionId,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other boxes.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Address of the platform's service.
+    pub platform: SocketAddr,
+    /// Secret that all boxes share.
+    pub peer_secret: String,
+    /// SHA-256 of the operators' key in hex.
+    pub operator_key_sha256: Option<String>,
+    /// Peers to ask when the platform is out.
+    pub seeds: Vec<SocketAddr>,
+    /// Threads for traffic.
+    pub traffic_threads: usize,
+    /// Longest wait of a planned stop.
+    pub stop_limit: Duration,
+    /// Time that a leaving box still accepts requests.
+    pub stop_grace: Duration,
+    /// Log levels.
+    pub log: String,
+    /// Where counters go.
+    pub statsd: Option<SocketAddr>,
+}
+
+const DEFAULT_THREADS: usize = 2;
+const MAX_THREADS: usize = 256;
+const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(600);
+const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(3);
+const MIN_SECRET: usize = 16;
+
+impl Settings {
+    /// Reads and checks a file; all problems at once.
+    pub fn parse(file: &str, text: &str) -> Result<Settings, Problems> {
+        let document = Document::parse(file, text).map_err(|problem| Problems(vec![problem]))?;
+        let problems = SHAPE.check(&document);
+        if !problems.is_empty() {
+            return Err(Problems(problems));
+        }
+        let raw: Raw = serde_json::from_value(document.to_json())
+            .map_err(|error| Problems(vec![document.problem(&[], error.to_string(), None)]))?;
+        check(&document, raw)
+    }
+}
+
+fn check(document: &Document<'_>, raw: Raw) -> Result<Settings, Problems> {
+    let mut problems = Vec::new();
+    for (field, text) in
+        [("box", &raw.r#box), ("region", &raw.region), ("failure_domain", &raw.failure_domain)]
+    {
+        if text.is_empty() {
+            problems.push(document.problem(&[field], "expected a name", None));
+        }
+    }
+    let callers = address(document, "callers", &raw.callers, &mut problems);
+    let peers = address(document, "peers", &raw.peers, &mut problems);
+    let operators = address(document, "operators", &raw.operators, &mut problems);
+    let platform = address(document, "platform", &raw.platform, &mut problems);
+    let statsd = raw.statsd.as_deref().map(|text| address(document, "statsd", text, &mut problems));
+    let seeds =
+        raw.seeds.iter().map(|text| address(document, "seeds", text, &mut problems)).collect();
+    if raw.peer_secret.len() < MIN_SECRET {
+        let message = format!("expected {MIN_SECRET} characters or more");
+        problems.push(document.problem(&["peer_secret"], message, None));
+    }
+    if raw.operator_key_sha256.is_none() && !operators.ip().is_loopback() {
+        let hint = "set operator_key_sha256, or listen on a loopback address".to_owned();
+        let message = "the operators' port is open to others and has no key";
+        problems.push(document.problem(&["operators"], message, Some(hint)));
+    }
+    let threads = raw.traffic_threads.unwrap_or(DEFAULT_THREADS);
+    if !(1..=MAX_THREADS).contains(&threads) {
+        let message = format!("expected 1 to {MAX_THREADS}");
+        problems.push(document.problem(&["traffic_threads"], message, None));
+    }
+    if !problems.is_empty() {
+        return Err(Problems(problems));
+    }
+    Ok(Settings {
+        name: raw.r#box,
+        region: raw.region,
+        failure_domain: raw.failure_domain,
+        callers,
+        peers,
+        operators,
+        platform,
+        peer_secret: raw.peer_secret,
+        operator_key_sha256: raw.operator_key_sha256,
+        seeds,
+        traffic_threads: threads,
+        stop_limit: raw.stop_limit_ms.map_or(DEFAULT_STOP_LIMIT, Duration::from_millis),
+        stop_grace: raw.stop_grace_ms.map_or(DEFAULT_STOP_GRACE, Duration::from_millis),
+        log: raw.log.unwrap_or_else(|| "info".to_owned()),
+        statsd,
+    })
+}
+
+fn address(
+    document: &Document<'_>,
+    field: &str,
+    text: &str,
+    problems: &mut Vec<Problem>,
+) -> SocketAddr {
+    text.parse().unwrap_or_else(|_| {
+        let message = "expected an IP number and port, such as \"127.0.0.1:8080\"";
+        problems.push(document.problem(&[field], message, None));
+        SocketAddr::from(([0, 0, 0, 0], 0))
+    })
+}
--- /dev/null
+++ b/lib/src/state/burn.rs
@@ -0,0 +1,162 @@
+//! How fast the error budget of each objective burns.
+//!
+//! A burn rate of 1 spends exactly the budget; over 1, the objective will be
+//! missed if it goes on. Two windows, so that a short burst and a slow leak
+//! both show. Counts are kept in slices of time that this box's memory holds;
+//! a replaced box starts anew, which the report says.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::protocol::config::Configuration;
+
+/// Length of a slice.
+const SLICE: Duration = Duration::from_secs(10);
+/// Windows of the report.
+pub const WINDOWS: [Duration; 3] =
+    [Duration::from_secs(300), Duration::from_secs(3600), Duration::from_secs(6 * 3600)];
+
+/// Requests of a slice or window.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Count {
+    /// All.
+    pub total: u64,
+    /// Those that missed the objective.
+    pub bad: u64,
+}
+
+impl Count {
+    fn add(&mut self, other: Count) {
+        self.total += other.total;
+        self.bad += other.bad;
+    }
+
+    /// Burn rate for an objective with this target share.
+    pub fn burn(&self, target: f64) -> f64 {
+        if self.total == 0 {
+            return 0.0;
+        }
+        (self.bad as f64 / self.total as f64) / (1.0 - target)
+    }
+}
+
+/// One row of a report: an objective over each window.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Row {
+    /// Objective.
+    pub objective: String,
+    /// Pool.
+    pub pool: String,
+    /// Target share.
+    pub target: f64,
+    /// Counts in the order of [`WINDOWS`].
+    pub windows: Vec<Count>,
+}
+
+/// What one box reports.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Box.
+    pub name: String,
+    /// How long it has counted, seconds.
+    pub since_s: u64,
+    /// Rows by objective.
+    pub rows: Vec<Row>,
+}
+
+impl Report {
+    /// Adds the counts of another box's report.
+    pub fn merge(&mut self, other: &Report) {
+        for row in &other.rows {
+            let own = self.rows.iter_mut().find(|own| own.objective == row.objective);
+            match own {
+                None => self.rows.push(row.clone()),
+                Some(own) => {
+                    for (count, more) in own.windows.iter_mut().zip(&row.windows) {
+                        count.add(*more);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The counts of one box.
+#[derive(Debug)]
+pub struct Burn {
+    started_at: Instant,
+    slices: BTreeMap<String, VecDeque<(Instant, Count)>>,
+}
+
+impl Burn {
+    /// Nothing counted yet.
+    pub fn new(now: Instant) -> Burn {
+        Burn { started_at: now, slices: BTreeMap::new() }
+    }
+
+    /// A request of a pool ended. `first_byte` is `None` where it failed.
+    pub fn record(
+        &mut self,
+        configuration: &Configuration,
+        pool: &str,
+        first_byte: Option<Duration>,
+        now: Instant,
+    ) {
+        for (name, objective) in &configuration.objectives {
+            if objective.pool != pool {
+                continue;
+            }
+            let good = first_byte.is_some_and(|time| time <= objective.first_byte);
+            let count = Count { total: 1, bad: u64::from(!good) };
+            self.slice(name, now).add(count);
+        }
+    }
+
+    fn slice(&mut self, objective: &str, now: Instant) -> &mut Count {
+        if !self.slices.contains_key(objective) {
+            self.slices.insert(objective.to_owned(), VecDeque::new());
+        }
+        let slices = self.slices.entry(objective.to_owned()).or_default();
+        let longest = WINDOWS[WINDOWS.len() - 1];
+        while slices.front().is_some_and(|(at, _)| now.saturating_duration_since(*at) > longest) {
+            slices.pop_front();
+        }
+        let fresh = slices.back().is_none_or(|(at, _)| now.saturating_duration_since(*at) >= SLICE);
+        if fresh {
+            slices.push_back((now, Count::default()));
+        }
+        let last = slices.len() - 1;
+        &mut slices[last].1
+    }
+
+    /// The report of this box.
+    pub fn report(&self, name: &str, configuration: &Configuration, now: Instant) -> Report {
+        let rows = configuration.objectives.iter().map(|(objective, detail)| Row {
+            objective: objective.clone(),
+            pool: detail.pool.clone(),
+            target: detail.target,
+            windows: WINDOWS.iter().map(|window| self.window(objective, *window, now)).collect(),
+        });
+        Report {
+            name: name.to_owned(),
+            since_s: now.saturating_duration_since(self.started_at).as_secs(),
+            rows: rows.collect(),
+        }
+    }
+
+    fn window(&self, objective: &str, window: Duration, now: Instant) -> Count {
+        let mut sum = Count::default();
+        let slices = self.slices.get(objective).into_iter().flatten();
+        for (at, count) in slices {
+            if now.saturating_duration_since(*at) <= window {
+                sum.add(*count);
+            }
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/lib/src/state/mod.rs
@@ -0,0 +1,6 @@
+//! What the decisions are made from.
+
+pub mod burn;
+pub mod counters;
+pub mod load;
+pub mod snapshot;
--- /dev/null
+++ b/lib/src/transport/mod.rs
@@ -0,0 +1,10 @@
+//! Sockets: HTTP for callers, backend servers and the platform; gRPC between boxes.
+
+pub mod backend;
+pub mod body;
+pub mod engine;
+pub mod listen;
+pub mod metrics;
+pub mod peer;
+pub mod platform;
+pub mod timer;
--- /dev/null
+++ b/lib/src/transport/peer.rs
@@ -0,0 +1,148 @@
+//! gRPC between boxes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use subtle::ConstantTimeEq;
+use tonic::Request;
+use tonic::Status;
+use tonic::Streaming;
+use tonic::metadata::Ascii;
+use tonic::metadata::MetadataValue;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+use crate::protocol::Version;
+use crate::protocol::peer::SECRET_HEADER;
+use crate::protocol::peer::wire;
+use crate::protocol::peer::wire::peer_client::PeerClient;
+
+/// Largest message between boxes.
+pub const MAX_MESSAGE: usize = 32 << 20;
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to a heartbeat or a query.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// A connection that does not answer pings for this long is closed.
+const KEEPALIVE: Duration = Duration::from_secs(5);
+
+/// A failed call to another box.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// The box was not reached; nothing was sent.
+    #[error("box not reached: {0}")]
+    Unsent(String),
+    /// The call may have arrived.
+    #[error("call failed: {0}")]
+    Lost(Box<Status>),
+}
+
+/// Connections to other boxes.
+pub struct Client {
+    secret: MetadataValue<Ascii>,
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+impl Client {
+    /// A client that shows the shared secret; `None` if the secret is not plain ASCII.
+    pub fn new(secret: &str) -> Option<Client> {
+        let mut secret: MetadataValue<Ascii> = secret.parse().ok()?;
+        secret.set_sensitive(true);
+        Some(Client { secret, channels: Mutex::default() })
+    }
+
+    async fn peer(&self, address: SocketAddr) -> Result<PeerClient<Channel>, CallError> {
+        let known = self.lock().get(&address).cloned();
+        let channel = match known {
+            Some(channel) => channel,
+            None => {
+                let channel = connect(address).await.map_err(CallError::Unsent)?;
+                self.lock().insert(address, channel.clone());
+                channel
+            }
+        };
+        Ok(PeerClient::new(channel)
+            .max_decoding_message_size(MAX_MESSAGE)
+            .max_encoding_message_size(MAX_MESSAGE))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Channel>> {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn request<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        request.metadata_mut().insert(SECRET_HEADER, self.secret.clone());
+        request
+    }
+
+    fn lost(&self, address: SocketAddr, status: Status) -> CallError {
+        if status.code() == tonic::Code::Unavailable {
+            self.lock().remove(&address);
+        }
+        CallError::Lost(Box::new(status))
+    }
+
+    /// Exchanges heartbeats.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        heartbeat: wire::Heartbeat,
+    ) -> Result<wire::Heartbeat, CallError> {
+        let mut peer = self.peer(address).await?;
+        let mut request = self.request(heartbeat);
+        request.set_timeout(CALL_TIMEOUT);
+        let answer = peer.exchange(request).await;
+        answer.map(tonic::Response::into_inner).map_err(|status| self.lost(address, status))
+    }
+
+    /// Asks for the configuration if it is newer than ours.
+    pub async fn fetch_configuration(
+        &self,
+        address: SocketAddr,
+        newer_than: Version,
+    ) -> Result<Option<Bytes>, CallError> {
+        let mut peer = self.peer(address).await?;
+        let mut request = self.request(wire::ConfigurationQuery { newer_than });
+        request.set_timeout(CALL_TIMEOUT);
+        let answer = peer.fetch_configuration(request).await;
+        let document = answer.map_err(|status| self.lost(address, status))?.into_inner().document;
+        Ok(Some(document).filter(|document| !document.is_empty()))
+    }
+
+    /// Has a request run on another box.
+    pub async fn forward(
+        &self,
+        address: SocketAddr,
+        forward: wire::ForwardRequest,
+    ) -> Result<Streaming<wire::ForwardFrame>, CallError> {
+        let mut peer = self.peer(address).await?;
+        let answer = peer.forward(self.request(forward)).await;
+        answer.map(tonic::Response::into_inner).map_err(|status| self.lost(address, status))
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Channel, String> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| error.to_string())?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(KEEPALIVE)
+        .keep_alive_timeout(KEEPALIVE)
+        .tcp_nodelay(true);
+    endpoint.connect().await.map_err(|error| format!("{address}: {error}"))
+}
+
+/// Lets in only callers that show the shared secret.
+pub fn authorize<T>(request: &Request<T>, secret: &str) -> Result<(), Status> {
+    let shown = request.metadata().get(SECRET_HEADER).map(MetadataValue::as_bytes);
+    let equal = shown.is_some_and(|shown| bool::from(shown.ct_eq(secret.as_bytes())));
+    if equal {
+        Ok(())
+    } else {
+        Err(Status::unauthenticated("the shared secret is missing or wrong"))
+    }
+}
--- /dev/null
+++ b/lib/src/transport/platform.rs
@@ -0,0 +1,186 @@
+//! The platform over HTTP and JSON.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::Full;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use super::backend::Attempt;
+use super::backend::Client;
+use crate::protocol::platform::BoxList;
+use crate::protocol::platform::Directory;
+use crate::protocol::platform::Entry;
+use crate::protocol::platform::LeaseId;
+use crate::protocol::platform::Listed;
+use crate::protocol::platform::Listing;
+use crate::protocol::platform::PlatformError;
+use crate::protocol::platform::Put;
+use crate::protocol::platform::Revision;
+use crate::protocol::platform::Store;
+use crate::state::counters::Counter;
+use crate::state::counters::Counters;
+
+/// Longest wait for an answer, beyond the time that a watch itself may wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The platform at one address.
+#[derive(Clone)]
+pub struct Platform {
+    address: SocketAddr,
+    client: Client,
+    counters: Arc<Counters>,
+}
+
+#[derive(Deserialize)]
+struct RevisionAnswer {
+    revision: Revision,
+}
+
+#[derive(Deserialize)]
+struct LeaseAnswer {
+    lease: LeaseId,
+}
+
+struct Call {
+    method: Method,
+    path: String,
+    body: Option<serde_json::Value>,
+    wait: Duration,
+}
+
+impl Call {
+    fn new(method: Method, path: String) -> Call {
+        Call { method, path, body: None, wait: Duration::ZERO }
+    }
+
+    fn with_body(mut self, body: serde_json::Value) -> Call {
+        self.body = Some(body);
+        self
+    }
+}
+
+impl Platform {
+    /// A platform; its calls are counted.
+    pub fn new(address: SocketAddr, counters: Arc<Counters>) -> Platform {
+        Platform { address, client: Client::default(), counters }
+    }
+
+    async fn call(&self, call: Call) -> Result<(StatusCode, Bytes), PlatformError> {
+        let read = call.method == Method::GET;
+        self.counters.count(if read { Counter::StoreReads } else { Counter::StoreWrites });
+        let result = self.send(call).await;
+        if result.is_err() {
+            self.counters.count(Counter::StoreFailures);
+        }
+        result
+    }
+
+    async fn send(&self, call: Call) -> Result<(StatusCode, Bytes), PlatformError> {
+        let body = call.body.map(|body| body.to_string()).unwrap_or_default();
+        let request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let timeout = call.wait + CALL_TIMEOUT;
+        let answer = tokio::time::timeout(timeout, self.client.fetch(self.address, request)).await;
+        let response = match answer {
+            Err(_) => return Err(PlatformError::Lost("no answer in time".to_owned())),
+            Ok(Err(Attempt::Unsent(text))) => return Err(PlatformError::Unreachable(text)),
+            Ok(Err(Attempt::Lost(text))) => return Err(PlatformError::Lost(text)),
+            Ok(Ok(response)) => response,
+        };
+        match response.status() {
+            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Limited),
+            StatusCode::SERVICE_UNAVAILABLE => {
+                Err(PlatformError::Unreachable("the platform is out of service".to_owned()))
+            }
+            status if status.is_server_error() => Err(PlatformError::Lost(status.to_string())),
+            status => Ok((status, response.into_body())),
+        }
+    }
+
+    async fn find(&self, call: Call) -> Result<Option<Entry>, PlatformError> {
+        let (status, body) = self.call(call).await?;
+        match status {
+            StatusCode::NOT_FOUND | StatusCode::NO_CONTENT => Ok(None),
+            _ => read(&body).map(Some),
+        }
+    }
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
+
+impl Store for Platform {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
+        self.find(Call::new(Method::GET, format!("/kv/{key}"))).await
+    }
+
+    async fn put(&self, key: &str, put: Put) -> Result<Revision, PlatformError> {
+        let call = Call::new(Method::PUT, format!("/kv/{key}")).with_body(json!(put));
+        let (status, body) = self.call(call).await?;
+        match status {
+            StatusCode::CONFLICT => {
+                Err(PlatformError::Conflict(read::<RevisionAnswer>(&body)?.revision))
+            }
+            StatusCode::GONE => Err(PlatformError::LeaseOver),
+            status if status.is_success() => Ok(read::<RevisionAnswer>(&body)?.revision),
+            status => Err(PlatformError::Malformed(format!("status {status}"))),
+        }
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Option<Entry>, PlatformError> {
+        let path = format!("/watch/{key}?after={after}&wait_ms={}", wait.as_millis());
+        let mut call = Call::new(Method::GET, path);
+        call.wait = wait;
+        self.find(call).await
+    }
+
+    async fn grant(&self, life: Duration) -> Result<LeaseId, PlatformError> {
+        let body = json!({"life_ms": life.as_millis() as u64});
+        let call = Call::new(Method::POST, "/leases".to_owned()).with_body(body);
+        let (_, body) = self.call(call).await?;
+        Ok(read::<LeaseAnswer>(&body)?.lease)
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<(), PlatformError> {
+        let (status, _) = self.call(Call::new(Method::POST, format!("/leases/{lease}"))).await?;
+        match status {
+            StatusCode::GONE => Err(PlatformError::LeaseOver),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Directory for Platform {
+    async fn announce(&self, listing: &Listing, life: Duration) -> Result<(), PlatformError> {
+        let body = json!({"listing": listing, "life_ms": life.as_millis() as u64});
+        let path = format!("/directory/{}", listing.name);
+        self.call(Call::new(Method::PUT, path).with_body(body)).await.map(|_| ())
+    }
+}
+
+impl BoxList for Platform {
+    async fn list(&self) -> Result<Vec<Listed>, PlatformError> {
+        let (_, body) = self.call(Call::new(Method::GET, "/boxes".to_owned())).await?;
+        read(&body)
+    }
+}
--- /dev/null
+++ b/standin/src/http1.rs
@@ -0,0 +1,145 @@
+//! The HTTP server that the stand-ins share.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body::Body;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// A request with its whole body.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Query, without the question mark.
+    pub query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// A number from the query.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+    }
+}
+
+/// A body sent in parts; an error part breaks the connection off.
+#[derive(Debug)]
+pub enum Reply {
+    /// All at once.
+    Whole(Option<Bytes>),
+    /// Part by part.
+    Parts(mpsc::Receiver<Result<Bytes, std::io::Error>>),
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match &mut *self {
+            Reply::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Reply::Parts(parts) => {
+                parts.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        match self {
+            Reply::Whole(bytes) => {
+                http_body::SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Reply::Parts(_) => http_body::SizeHint::default(),
+        }
+    }
+}
+
+/// An answer.
+pub type Answer = Response<Reply>;
+
+/// A JSON answer.
+pub fn json(status: StatusCode, value: &serde_json::Value) -> Answer {
+    let mut response = Response::new(Reply::Whole(Some(Bytes::from(value.to_string()))));
+    *response.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+/// An answer without a body.
+pub fn empty(status: StatusCode) -> Answer {
+    let mut response = Response::new(Reply::Whole(None));
+    *response.status_mut() = status;
+    response
+}
+
+/// A listening socket; its address is known before anything is served.
+pub async fn bind(address: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+/// Serves for ever. A handler that gives `None` breaks the connection off without an answer.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Call) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<Answer>> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request| answer(handler.clone(), request));
+        let connection = hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+    }
+}
+
+async fn answer<H, F>(handler: H, request: Request<Incoming>) -> Result<Answer, std::io::Error>
+where
+    H: Fn(Call) -> F,
+    F: Future<Output = Option<Answer>>,
+{
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
+    let call = Call {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers,
+        body,
+    };
+    handler(call).await.ok_or_else(|| std::io::Error::other("told to break off"))
+}
