relay: the error event of a cut stream reaches its caller

Cause: the HTTP server drops what it has buffered when a body ends with an error, and the relay gave the error right after the event. Ruled out: the stand-in (its chunks arrive) and the tail check (it saw the cut). Now the relay lets the server write once between the two.

Before: a_stream_that_breaks_off_ends_with_an_error failed, the event never came. After: it passes for a broken connection and for a missing end mark.

--- a/lib/src/daemon/relay.rs
+++ b/lib/src/daemon/relay.rs
@@ -73,6 +73,12 @@
     pub progress: Progress,
 }
 
+/// The end of a stream that was cut, after its error event.
+struct Ending {
+    cut: Cut,
+    flushed: bool,
+}
+
 /// The body of an answer in progress.
 pub struct Relay {
     source: Source,
@@ -84,7 +90,7 @@
     idle_limit: Duration,
     active_at: Instant,
     idle: Pin<Box<Sleep>>,
-    cut: Option<Cut>,
+    ending: Option<Ending>,
     ended: bool,
 }
 
@@ -103,7 +109,7 @@
             idle_limit,
             active_at: now,
             idle: Box::pin(tokio::time::sleep_until((now + idle_limit).into())),
-            cut: None,
+            ending: None,
             ended: false,
         }
     }
@@ -185,7 +191,7 @@
             return Poll::Ready(Some(Err(cut)));
         }
         let event = error_event(&cut);
-        self.cut = Some(cut);
+        self.ending = Some(Ending { cut, flushed: false });
         Poll::Ready(Some(Ok(Frame::data(event))))
     }
 }
@@ -198,9 +204,17 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        if let Some(cut) = self.cut.take() {
+        if let Some(ending) = self.ending.as_mut() {
+            // An error makes the server drop what it has not written yet: give
+            // it one turn to write the error event.
+            if !std::mem::replace(&mut ending.flushed, true) {
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+        }
+        if let Some(ending) = self.ending.take() {
             self.ended = true;
-            return Poll::Ready(Some(Err(cut)));
+            return Poll::Ready(Some(Err(ending.cut)));
         }
         if self.ended {
             return Poll::Ready(None);
@@ -222,7 +236,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.ended && self.cut.is_none()
+        self.ended && self.ending.is_none()
     }
 }
 
