pool: a request that has no server left is answered at once

Cause: a retry excludes the servers it was tried on, and was queued for them all the same, until its deadline (10 s in the test); and the only server of a pool could be ejected. Ruled out: the ledger (the key was free again). Now an arrival without hope is refused or sent to another region at once, also when hope ends while it waits, and half of a pool's servers, rounded down, may be out for failing.

Before: a_refusal_by_the_service_frees_the_key failed after 30 s of tries that took 10 s each. After: the whole of test_once takes 2.1 s.

--- a/lib/src/coordination/pool.rs
+++ b/lib/src/coordination/pool.rs
@@ -39,6 +39,8 @@
 const RETRY_BURST: f64 = 10.0;
 /// Weight of the latest observation in smoothed times.
 const SMOOTHING: f64 = 0.1;
+/// When to come back where no server can run the request.
+const NO_SERVER_RETRY: Duration = Duration::from_secs(5);
 /// Time by which a remote answer must be expected earlier than a local one.
 const LENDING_MARGIN: Duration = Duration::from_millis(100);
 
@@ -256,7 +258,7 @@
             return (refused(Kind::WouldBeLate, Duration::ZERO), Vec::new());
         }
         if !arrival.here {
-            return (self.without_local_server(&arrival), Vec::new());
+            return (Decision::Now(self.without_local_server(&arrival)), Vec::new());
         }
         let behind = self.queue.ahead(arrival.priority, arrival.deadline);
         if behind == 0
@@ -268,8 +270,8 @@
         if let Some(region) = self.borrow(&arrival, wait, now) {
             return (Decision::Now(Placement::Region(region)), Vec::new());
         }
-        if !self.servers.values().any(Server::up) {
-            return (self.without_local_server(&arrival), Vec::new());
+        if !self.has_hope(&arrival) {
+            return (Decision::Now(self.without_local_server(&arrival)), Vec::new());
         }
         if now + wait + self.service_time.unwrap_or_default() > arrival.deadline {
             return (refused(Kind::WouldBeLate, wait), Vec::new());
@@ -299,12 +301,16 @@
         (decision, wakes)
     }
 
-    fn without_local_server(&self, arrival: &Arrival) -> Decision {
-        let region =
-            arrival.elsewhere.iter().find(|region| self.regions_with_servers.contains(*region));
-        match region {
-            Some(region) => Decision::Now(Placement::Region(region.clone())),
-            None => refused(Kind::NoServer, Duration::from_secs(5)),
+    /// Whether a server that could take the request may come free.
+    fn has_hope(&self, arrival: &Arrival) -> bool {
+        self.servers.iter().any(|(id, server)| server.up() && !arrival.tried.contains(id))
+    }
+
+    fn without_local_server(&self, arrival: &Arrival) -> Placement {
+        let regions = &self.regions_with_servers;
+        match arrival.elsewhere.iter().find(|region| regions.contains(*region)) {
+            Some(region) => Placement::Region(region.clone()),
+            None => Placement::Refused(Kind::NoServer, NO_SERVER_RETRY),
         }
     }
 
@@ -402,7 +408,7 @@
 
     fn may_eject(&self, now: Instant) -> bool {
         let out = self.servers.values().filter(|server| server.health.ejected(now)).count();
-        (out + 1) as f64 <= (self.servers.len() as f64 * MOST_EJECTED).max(1.0)
+        (out + 1) as f64 <= self.servers.len() as f64 * MOST_EJECTED
     }
 
     fn eject(&mut self, id: &ServerId, now: Instant) {
@@ -432,26 +438,17 @@
         while let Some(waiting) = self.queue.pop() {
             match self.place(&waiting.detail, now, rng) {
                 Some(placement) => wakes.push(Wake { id: waiting.id, placement }),
+                // No server is left for it here: it goes elsewhere or gets its answer.
+                None if !self.has_hope(&waiting.detail) => {
+                    let placement = self.without_local_server(&waiting.detail);
+                    wakes.push(Wake { id: waiting.id, placement });
+                }
                 None => {
                     self.queue.put_back(waiting);
                     break;
                 }
             }
         }
-        if !self.servers.values().any(Server::up) {
-            wakes.extend(self.turn_away());
-        }
-        wakes
-    }
-
-    /// No server is left here: what waits goes elsewhere or gets its answer.
-    fn turn_away(&mut self) -> Vec<Wake> {
-        let mut wakes = Vec::new();
-        while let Some(waiting) = self.queue.pop() {
-            if let Decision::Now(placement) = self.without_local_server(&waiting.detail) {
-                wakes.push(Wake { id: waiting.id, placement });
-            }
-        }
         wakes
     }
 }
