caller: the answer to a body over the limit is not lost

Cause: the connection was closed on unread bytes, and the reset overtook the answer. Ruled out: the limit itself (the refusal was made). Now the rest of a refused body is read for 2 s or 16 MiB at most while the answer goes out.

Before: bad_input_gets_a_clear_answer failed in one of two runs. After: it passed in each of three runs.

--- a/lib/src/daemon/caller.rs
+++ b/lib/src/daemon/caller.rs
@@ -51,6 +51,10 @@
 
 /// Longest wait for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Most bytes of a refused body that are read and thrown away.
+const DISCARD_LIMIT: usize = 16 << 20;
+/// Longest time for that.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long the answer to "which box" holds; shorter than a leaving box's grace.
 const BOXES_VALID: Duration = Duration::from_secs(2);
 /// Most boxes in the answer to "which box".
@@ -191,17 +195,38 @@
     let too_large = || Failure::new(Kind::BodyTooLarge, format!("the body is over {limit} bytes"));
     let announced = http_body::Body::size_hint(&body).lower();
     if announced > limit as u64 {
+        tokio::spawn(discard(body));
         return Err(too_large());
     }
-    let whole = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    match whole {
+    let mut body = body;
+    let whole = Limited::new(&mut body, limit).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, whole).await {
         Err(_) => Err(Failure::new(Kind::BodyTimeout, "the body did not arrive in time")),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            tokio::spawn(discard(body));
+            Err(too_large())
+        }
         Ok(Err(error)) => Err(Failure::new(Kind::BadRequest, format!("the body: {error}"))),
     }
 }
 
+/// Reads on for a moment: a connection that is closed on unread bytes may lose
+/// the answer that is on its way.
+async fn discard(mut body: RequestBody) {
+    let mut left = DISCARD_LIMIT;
+    let reading = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            match left.checked_sub(length) {
+                Some(rest) => left = rest,
+                None => return,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
+}
+
 fn models(configuration: &Configuration, team: &str) -> Result<Reply, Failure> {
     let models = configuration.teams.get(team).map(|team| &team.models);
     let may_use =
