tests: the callers' API, keyed requests and regions, on real sockets

Stand-ins, links between regions that can be cut, and boxes in one process, each test on loopback addresses of its own. A box's settings may translate peer addresses (peer_routes), which is how the links are put between regions.

--- a/lib/src/daemon/mod.rs
+++ b/lib/src/daemon/mod.rs
@@ -210,7 +210,7 @@
         stage: Stage::Serving,
     };
     Ok(Shared {
-        peers: peer_transport::Client::new(&settings.peer_secret).ok_or(StartError::Secret)?,
+        peers: peer_client(&settings)?,
         platform: Platform::new(settings.platform, Arc::clone(&counters)),
         settings,
         addresses,
@@ -230,6 +230,11 @@
     })
 }
 
+fn peer_client(settings: &Settings) -> Result<peer_transport::Client, StartError> {
+    let routes = settings.peer_routes.clone();
+    peer_transport::Client::new(&settings.peer_secret, routes).ok_or(StartError::Secret)
+}
+
 fn own_member(settings: &Settings, addresses: &Addresses, incarnation: Incarnation) -> Member {
     Member {
         name: settings.name.clone(),
@@ -251,8 +256,7 @@
     receiver: mpsc::Receiver<control::Event>,
     stop: watch::Sender<bool>,
 ) -> Result<JoinHandle<Stage>, StartError> {
-    let peers =
-        peer_transport::Client::new(&shared.settings.peer_secret).ok_or(StartError::Secret)?;
+    let peers = peer_client(&shared.settings)?;
     let own = shared.now_in_force().own.clone();
     let control = Control::new(Arc::clone(shared), events, stop, own, peers);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one box: its names, addresses and what it talks to.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,6 +38,11 @@
         Shape::List(&Shape::Text),
         "Peer addresses to ask when the platform is out. Default: none.",
     ),
+    Field::optional(
+        "peer_routes",
+        Shape::Map(&Shape::Text),
+        "Addresses to use in place of other boxes' peer addresses, where the network translates them. Default: none.",
+    ),
     Field::optional("traffic_threads", Shape::Whole, "Threads for traffic. Default: 2."),
     Field::optional(
         "stop_limit_ms",
@@ -74,6 +80,8 @@
     operator_key_sha256: Option<String>,
     #[serde(default)]
     seeds: Vec<String>,
+    #[serde(default)]
+    peer_routes: BTreeMap<String, String>,
     traffic_threads: Option<usize>,
     stop_limit_ms: Option<u64>,
     stop_grace_ms: Option<u64>,
@@ -104,6 +112,8 @@
     pub operator_key_sha256: Option<String>,
     /// Peers to ask when the platform is out.
     pub seeds: Vec<SocketAddr>,
+    /// Addresses to use in place of other boxes' peer addresses.
+    pub peer_routes: BTreeMap<SocketAddr, SocketAddr>,
     /// Threads for traffic.
     pub traffic_threads: usize,
     /// Longest wait of a planned stop.
@@ -152,6 +162,11 @@
     let statsd = raw.statsd.as_deref().map(|text| address(document, "statsd", text, &mut problems));
     let seeds =
         raw.seeds.iter().map(|text| address(document, "seeds", text, &mut problems)).collect();
+    let mut route = |(from, to): (&String, &String)| {
+        let from = address(document, "peer_routes", from, &mut problems);
+        (from, address(document, "peer_routes", to, &mut problems))
+    };
+    let peer_routes = raw.peer_routes.iter().map(&mut route).collect();
     if raw.peer_secret.len() < MIN_SECRET {
         let message = format!("expected {MIN_SECRET} characters or more");
         problems.push(document.problem(&["peer_secret"], message, None));
@@ -180,6 +195,7 @@
         peer_secret: raw.peer_secret,
         operator_key_sha256: raw.operator_key_sha256,
         seeds,
+        peer_routes,
         traffic_threads: threads,
         stop_limit: raw.stop_limit_ms.map_or(DEFAULT_STOP_LIMIT, Duration::from_millis),
         stop_grace: raw.stop_grace_ms.map_or(DEFAULT_STOP_GRACE, Duration::from_millis),
--- a/lib/src/transport/peer.rs
+++ b/lib/src/transport/peer.rs
@@ -1,5 +1,6 @@
 //! gRPC between boxes.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -44,15 +45,17 @@
 /// Connections to other boxes.
 pub struct Client {
     secret: MetadataValue<Ascii>,
+    routes: BTreeMap<SocketAddr, SocketAddr>,
     channels: Mutex<HashMap<SocketAddr, Channel>>,
 }
 
 impl Client {
-    /// A client that shows the shared secret; `None` if the secret is not plain ASCII.
-    pub fn new(secret: &str) -> Option<Client> {
+    /// A client that shows the shared secret; `None` if the secret is not plain
+    /// ASCII. `routes` has the addresses to use in place of others.
+    pub fn new(secret: &str, routes: BTreeMap<SocketAddr, SocketAddr>) -> Option<Client> {
         let mut secret: MetadataValue<Ascii> = secret.parse().ok()?;
         secret.set_sensitive(true);
-        Some(Client { secret, channels: Mutex::default() })
+        Some(Client { secret, routes, channels: Mutex::default() })
     }
 
     async fn peer(&self, address: SocketAddr) -> Result<PeerClient<Channel>, CallError> {
@@ -60,7 +63,8 @@
         let channel = match known {
             Some(channel) => channel,
             None => {
-                let channel = connect(address).await.map_err(CallError::Unsent)?;
+                let route = self.routes.get(&address).copied().unwrap_or(address);
+                let channel = connect(route).await.map_err(CallError::Unsent)?;
                 self.lock().insert(address, channel.clone());
                 channel
             }
--- /dev/null
+++ b/lib/tests/test_gateway.rs
@@ -0,0 +1,285 @@
+//! The callers' API of one box.
+
+mod common;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use common::Fleet;
+use common::Plan;
+use common::Reply;
+use common::eventually;
+use common::send;
+use copperweir_lib::error::TABLE;
+use copperweir_standin::engine;
+use http::Method;
+use http::StatusCode;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+
+fn fails(reply: &Reply, code: &str, ran: &str) {
+    assert_eq!(reply.code(), code, "{reply:?}");
+    assert_eq!(reply.header("copperweir-ran"), ran, "{reply:?}");
+    let row = TABLE.iter().find(|row| row.code == code).expect("a known code");
+    assert_eq!(reply.status.as_u16(), row.status);
+    assert_eq!(reply.json()["error"]["type"], row.class);
+    assert!(!reply.header("copperweir-request-id").is_empty());
+}
+
+fn raw(to: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a timeout");
+    stream.write_all(request.as_bytes()).expect("a request");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn completions_pass_through_whole() {
+    let fleet = Fleet::start(Plan::new(10));
+    let at = fleet.plan.callers(0, 0);
+    let body =
+        json!({"model": "log", "max_tokens": 5, "messages": [{"role": "user", "content": "17"}]});
+    let prompt = engine::hash(body.to_string().as_bytes());
+    let expected: String = (0..5).map(|index| engine::token(prompt, index)).collect();
+    let reply = fleet.complete(at, &[], &body);
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.json()["choices"][0]["message"]["content"], expected);
+    assert_eq!(reply.header("copperweir-region"), "north");
+    assert_eq!(reply.header("copperweir-box"), "north-0");
+    assert_eq!(reply.header("copperweir-config-version"), "1");
+
+    let body = json!({"model": "log", "max_tokens": 200, "stream": true});
+    let prompt = engine::hash(body.to_string().as_bytes());
+    let reply = fleet.complete(at, &[], &body);
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    for index in 0..200 {
+        assert!(text.contains(&engine::token(prompt, index)), "token {index} is missing");
+    }
+    assert!(text.ends_with("data: [DONE]\n\n"));
+}
+
+#[test]
+fn models_health_and_readiness_are_told() {
+    let fleet = Fleet::start(Plan::new(11));
+    let at = fleet.plan.callers(0, 0);
+    assert_eq!(fleet.get(at, "/v1/models").json()["data"][0]["id"], "log");
+    assert_eq!(fleet.get(at, "/healthz").status, StatusCode::OK);
+    assert_eq!(fleet.get(at, "/readyz").status, StatusCode::OK);
+    let echoed = fleet.send(at, Method::PUT, "/services/intake/echo?x=1", &[], "as it is");
+    assert_eq!(echoed.body, "as it is");
+    assert_eq!(fleet.get(at, "/services/intake/nothing").status, StatusCode::NOT_FOUND);
+}
+
+#[test]
+fn bad_input_gets_a_clear_answer() {
+    let fleet = Fleet::start(Plan::new(12));
+    let at = fleet.plan.callers(0, 0);
+    let post = |headers: &[(&str, &str)], body: &str| {
+        fleet.send(at, Method::POST, "/v1/chat/completions", headers, body)
+    };
+    let malformed = post(&[], "{\"model\": \"log\",\n  nonsense}");
+    fails(&malformed, "bad_request", "no");
+    let message = malformed.json()["error"]["message"].to_string();
+    assert!(message.contains("line 2, column 3"), "{message}");
+    fails(&post(&[], "{\"model\":\"none\"}"), "unknown_model", "no");
+    fails(&fleet.get(at, "/services/none/x"), "unknown_service", "no");
+    fails(&fleet.get(at, "/nowhere"), "not_found", "no");
+    fails(&fleet.get(at, "/v1/chat/completions"), "method_not_allowed", "no");
+    let well = "{\"model\":\"log\"}";
+    for timeout in ["0", "-1", "soon", "99999999999999999999"] {
+        fails(&post(&[("copperweir-timeout-ms", timeout)], well), "bad_request", "no");
+    }
+    fails(&post(&[("copperweir-priority", "urgent")], well), "bad_request", "no");
+    fails(&post(&[("copperweir-not-repeatable", "yes")], well), "bad_request", "no");
+    fails(&post(&[("idempotency-key", "")], well), "bad_request", "no");
+    fails(&post(&[("idempotency-key", &"k".repeat(256))], well), "bad_request", "no");
+    fails(&post(&[("idempotency-key", "cw1.nonsense")], well), "bad_request", "no");
+    fails(&post(&[("authorization", "Basic abc")], well), "unauthorized", "no");
+    for path in ["/services/intake/x/../filings", "/services/intake/%2e%2e/filings"] {
+        fails(&fleet.get(at, path), "bad_request", "no");
+    }
+    fails(&post(&[], &"x".repeat(1_100_000)), "body_too_large", "no");
+    assert_eq!(fleet.engines[0][0].completions(), 0);
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused_before_it_is_read() {
+    let fleet = Fleet::start(Plan::new(13));
+    let at = fleet.plan.callers(0, 0);
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 999999999\r\n\r\n";
+    let answer = raw(at, head);
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+}
+
+#[test]
+fn ambiguous_framing_never_reaches_a_backend_server() {
+    let fleet = Fleet::start(Plan::new(14));
+    let at = fleet.plan.callers(0, 0);
+    let start = "POST /services/intake/filings HTTP/1.1\r\nhost: x\r\nconnection: close\r\n";
+    let two =
+        format!("{start}content-length: 5\r\ncontent-length: 16\r\n\r\n{{\"id\":\"smuggled\"}}");
+    assert!(raw(at, &two).starts_with("HTTP/1.1 400"));
+    let odd = format!("{start}transfer-encoding: xchunked\r\n\r\n0\r\n\r\n");
+    assert!(raw(at, &odd).starts_with("HTTP/1.1 400"));
+    // Chunks win over a length, and what follows them is not read as a request of the backend's.
+    let inner =
+        "POST /filings HTTP/1.1\r\nhost: x\r\ncontent-length: 17\r\n\r\n{\"id\":\"smuggled\"}";
+    let both =
+        format!("{start}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n{inner}");
+    raw(at, &both);
+    assert_eq!(fleet.runs("smuggled"), 0);
+}
+
+#[test]
+fn keys_teams_and_priorities_are_checked() {
+    let fleet = Fleet::start(Plan::new(15));
+    let at = fleet.plan.callers(0, 0);
+    let mut configuration = fleet.plan.configuration();
+    configuration["teams"] = json!({
+        "few": {"keys_sha256": [sha256("a-key")], "models": ["log"], "requests_per_second": 1000},
+    });
+    fleet.apply("main", &configuration).expect("applied");
+    fleet.wait_for_version(2);
+    let complete = |headers: &[(&str, &str)], model: &str| {
+        fleet.complete(at, headers, &json!({"model": model, "max_tokens": 1}))
+    };
+    fails(&complete(&[], "log"), "unauthorized", "no");
+    fails(&complete(&[("authorization", "Bearer b-key")], "log"), "unauthorized", "no");
+    let key = ("authorization", "Bearer a-key");
+    assert_eq!(complete(&[key], "log").status, StatusCode::OK);
+    fails(&complete(&[key], "log-first"), "forbidden", "no");
+    fails(&complete(&[key, ("copperweir-priority", "high")], "log"), "forbidden", "no");
+    let service = fleet.send(at, Method::GET, "/services/intake/filings/x", &[key], "");
+    fails(&service, "forbidden", "no");
+}
+
+fn sha256(text: &str) -> String {
+    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+#[test]
+fn a_stream_that_breaks_off_ends_with_an_error() {
+    let fleet = Fleet::start(Plan::new(16));
+    let at = fleet.plan.callers(0, 0);
+    let body = json!({"model": "log", "max_tokens": 50, "stream": true}).to_string();
+    for faults in [
+        engine::Faults { cut_after: 5, ..engine::Faults::default() },
+        engine::Faults { end_after: 5, ..engine::Faults::default() },
+    ] {
+        fleet.engines[0][0].set_faults(faults);
+        let answer = raw(
+            at,
+            &format!(
+                "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            ),
+        );
+        assert!(answer.contains("\"code\":\"backend_failed\""), "{answer}");
+        assert!(!answer.contains("[DONE]"), "{answer}");
+        assert!(!answer.ends_with("\r\n0\r\n\r\n"), "the end looks clean: {answer}");
+        let whole = fleet.block_on(send(
+            &fleet.client,
+            at,
+            Method::POST,
+            "/v1/chat/completions",
+            &[],
+            &body,
+        ));
+        assert!(whole.is_err(), "a cut answer was taken for a whole one");
+    }
+}
+
+#[test]
+fn an_engine_that_hangs_is_answered_for_at_the_deadline() {
+    let fleet = Fleet::start(Plan::new(17));
+    let at = fleet.plan.callers(0, 0);
+    fleet.engines[0][0].set_faults(engine::Faults { hang: true, ..engine::Faults::default() });
+    let reply = fleet.complete(at, &[("copperweir-timeout-ms", "300")], &json!({"model": "log"}));
+    fails(&reply, "backend_timeout", "unknown");
+    assert_eq!(reply.header("retry-after"), "");
+}
+
+#[test]
+fn no_backend_server_means_an_answer_at_once_with_when_to_come_back() {
+    let fleet = Fleet::start(Plan::new(18));
+    let at = fleet.plan.callers(0, 0);
+    fleet.engines[0][0].set_faults(engine::Faults { leaving: true, ..engine::Faults::default() });
+    eventually("the leaving server is known", || {
+        fleet.complete(at, &[], &json!({"model": "log", "max_tokens": 1})).code() == "no_server"
+    });
+    let reply = fleet.complete(at, &[], &json!({"model": "log"}));
+    fails(&reply, "no_server", "no");
+    assert_eq!(reply.header("retry-after"), "5");
+    fleet.engines[0][0].set_faults(engine::Faults::default());
+    eventually("the server is back", || {
+        fleet.complete(at, &[], &json!({"model": "log", "max_tokens": 1})).status == StatusCode::OK
+    });
+}
+
+#[test]
+fn a_team_over_its_limit_is_told_when_to_come_back() {
+    let fleet = Fleet::start(Plan::new(19));
+    let at = fleet.plan.callers(0, 0);
+    let mut configuration = fleet.plan.configuration();
+    configuration["teams"]["anyone"]["requests_per_second"] = json!(5);
+    fleet.apply("main", &configuration).expect("applied");
+    fleet.wait_for_version(2);
+    let replies: Vec<Reply> = (0..40)
+        .map(|_| fleet.complete(at, &[], &json!({"model": "log", "max_tokens": 0})))
+        .collect();
+    let limited: Vec<&Reply> =
+        replies.iter().filter(|reply| reply.status == StatusCode::TOO_MANY_REQUESTS).collect();
+    assert!(!limited.is_empty());
+    for reply in limited {
+        fails(reply, "rate_limited", "no");
+        assert_eq!(reply.header("retry-after"), "1");
+    }
+}
+
+#[test]
+fn a_full_queue_sheds_the_least_urgent() {
+    let mut plan = Plan::new(20);
+    plan.speed.slots = 1;
+    plan.speed.token = Duration::from_millis(20);
+    let fleet = Fleet::start(plan);
+    let at = fleet.plan.callers(0, 0);
+    let mut configuration = fleet.plan.configuration();
+    configuration["pools"]["logs"]["queue_limit"] = json!(2);
+    fleet.apply("main", &configuration).expect("applied");
+    fleet.wait_for_version(2);
+    let body = json!({"model": "log", "max_tokens": 20}).to_string();
+    let replies = fleet.block_on(async {
+        let ask = |priority: &'static str| {
+            let (client, body) = (fleet.client.clone(), body.clone());
+            tokio::spawn(async move {
+                let headers = [("copperweir-priority", priority)];
+                send(&client, at, Method::POST, "/v1/chat/completions", &headers, &body).await
+            })
+        };
+        let mut asked = Vec::new();
+        for priority in ["low", "low", "low", "high", "high"] {
+            asked.push((priority, ask(priority)));
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        let mut replies = Vec::new();
+        for (priority, reply) in asked {
+            replies.push((priority, reply.await.expect("a task").expect("an answer")));
+        }
+        replies
+    });
+    let served = |wanted: &str| {
+        let of = replies.iter().filter(|(priority, _)| *priority == wanted);
+        of.filter(|(_, reply)| reply.status == StatusCode::OK).count()
+    };
+    assert_eq!(served("high"), 2, "{replies:?}");
+    assert_eq!(served("low"), 1, "{replies:?}");
+    for (_, reply) in replies.iter().filter(|(_, reply)| reply.status != StatusCode::OK) {
+        fails(reply, "queue_full", "no");
+    }
+}
--- /dev/null
+++ b/lib/tests/test_once.rs
@@ -0,0 +1,192 @@
+//! Requests that may not be repeated run at most once.
+
+mod common;
+
+use std::time::Duration;
+
+use common::Fleet;
+use common::Plan;
+use common::Reply;
+use common::eventually;
+use common::send;
+use copperweir_standin::platform;
+use copperweir_standin::service;
+use http::Method;
+use http::StatusCode;
+use serde_json::json;
+
+fn ran(reply: &Reply) -> &str {
+    reply.header("copperweir-ran")
+}
+
+#[test]
+fn the_same_key_gives_the_same_answer() {
+    let fleet = Fleet::start(Plan::new(30));
+    let at = fleet.plan.callers(0, 0);
+    for key in ["a key", &fleet.ticket(at)] {
+        let id = format!("filing-{}", key.len());
+        let first = fleet.file(at, &[("idempotency-key", key)], &id);
+        let second = fleet.file(at, &[("idempotency-key", key)], &id);
+        assert_eq!(first.status, StatusCode::CREATED, "{first:?}");
+        assert_eq!(second.body, first.body);
+        assert_eq!(second.status, first.status);
+        assert_eq!(fleet.runs(&id), 1);
+        let other = fleet.file(at, &[("idempotency-key", key)], "another");
+        assert_eq!((other.code().as_str(), ran(&other)), ("key_reused", "no"));
+        assert_eq!(fleet.runs("another"), 0);
+    }
+}
+
+#[test]
+fn duplicates_at_the_same_time_run_once() {
+    let mut plan = Plan::new(31);
+    plan.boxes = 3;
+    let fleet = Fleet::start(plan);
+    fleet.service.set_faults(service::Faults { slow_ms: 100, ..Default::default() });
+    let ticket = fleet.ticket(plan.callers(0, 1));
+    for key in ["one key", &ticket] {
+        let id = format!("filing-{}", key.len());
+        let replies = fleet.block_on(async {
+            let mut sent = Vec::new();
+            for attempt in 0..12 {
+                let (client, key) = (fleet.client.clone(), key.to_owned());
+                let (at, body) = (plan.callers(0, attempt % 3), json!({"id": id}).to_string());
+                sent.push(tokio::spawn(async move {
+                    let headers = [("idempotency-key", key.as_str())];
+                    let path = "/services/intake/filings";
+                    send(&client, at, Method::POST, path, &headers, &body).await
+                }));
+            }
+            let mut replies = Vec::new();
+            for reply in sent {
+                replies.push(reply.await.expect("a task").expect("an answer"));
+            }
+            replies
+        });
+        assert_eq!(fleet.runs(&id), 1, "{replies:?}");
+        for reply in &replies {
+            assert_eq!(reply.status, StatusCode::CREATED, "{reply:?}");
+        }
+    }
+}
+
+#[test]
+fn a_lost_answer_of_the_service_is_not_tried_again() {
+    let fleet = Fleet::start(Plan::new(32));
+    let at = fleet.plan.callers(0, 0);
+    fleet.service.set_faults(service::Faults { lose_answers: 1, ..Default::default() });
+    let ticket = fleet.ticket(at);
+    let first = fleet.file(at, &[("idempotency-key", &ticket)], "lost");
+    assert_eq!((first.code().as_str(), ran(&first)), ("backend_failed", "unknown"));
+    let second = fleet.file(at, &[("idempotency-key", &ticket)], "lost");
+    assert_eq!(ran(&second), "unknown");
+    assert_eq!(fleet.runs("lost"), 1);
+    // Without a key it is not tried again either.
+    fleet.service.set_faults(service::Faults { lose_answers: 1, ..Default::default() });
+    assert_eq!(ran(&fleet.file(at, &[], "keyless")), "unknown");
+    assert_eq!(fleet.runs("keyless"), 1);
+}
+
+#[test]
+fn a_refusal_by_the_service_frees_the_key() {
+    let fleet = Fleet::start(Plan::new(33));
+    let at = fleet.plan.callers(0, 0);
+    for key in ["a key", &fleet.ticket(at)] {
+        let id = format!("filing-{}", key.len());
+        fleet.service.set_faults(service::Faults { refuse: true, ..Default::default() });
+        let refused = fleet.file(at, &[("idempotency-key", key)], &id);
+        assert_eq!(ran(&refused), "no", "{refused:?}");
+        assert_eq!(fleet.runs(&id), 0);
+        fleet.service.set_faults(service::Faults::default());
+        eventually("the service takes filings again", || {
+            fleet.file(at, &[("idempotency-key", key)], &id).status == StatusCode::CREATED
+        });
+        assert_eq!(fleet.runs(&id), 1);
+    }
+}
+
+#[test]
+fn a_ticket_needs_no_store_and_a_bare_key_says_so() {
+    let fleet = Fleet::start(Plan::new(34));
+    let at = fleet.plan.callers(0, 0);
+    fleet.platform.set_faults(platform::Faults { down: true, ..Default::default() });
+    let bare = fleet.file(at, &[("idempotency-key", "bare")], "bare");
+    assert_eq!((bare.code().as_str(), ran(&bare)), ("store_unavailable", "no"));
+    assert_eq!(bare.header("retry-after"), "5");
+    assert_eq!(fleet.runs("bare"), 0);
+    let ticket = fleet.ticket(at);
+    let reply = fleet.file(at, &[("idempotency-key", &ticket)], "with ticket");
+    assert_eq!(reply.status, StatusCode::CREATED);
+}
+
+#[test]
+fn a_claim_whose_answer_is_lost_is_read_back() {
+    let fleet = Fleet::start(Plan::new(35));
+    let at = fleet.plan.callers(0, 0);
+    // Announcements are writes too: lose enough answers that the claim's is among them.
+    fleet.platform.set_faults(platform::Faults { lose_answers: 1000, ..Default::default() });
+    let reply = fleet.file(at, &[("idempotency-key", "lost claim")], "claimed");
+    assert_eq!(reply.status, StatusCode::CREATED, "{reply:?}");
+    fleet.platform.set_faults(platform::Faults::default());
+    let again = fleet.file(at, &[("idempotency-key", "lost claim")], "claimed");
+    assert_eq!(again.body, reply.body);
+    assert_eq!(fleet.runs("claimed"), 1);
+}
+
+#[test]
+fn the_owner_of_a_key_answers_through_any_box() {
+    let mut plan = Plan::new(36);
+    plan.regions = 2;
+    plan.boxes = 2;
+    let fleet = Fleet::start(plan);
+    eventually("the boxes know each other", || fleet.boxes_at(plan.callers(0, 0)).boxes.len() == 4);
+    for (key, id) in [("bare", "f1"), (fleet.ticket(plan.callers(0, 0)).as_str(), "f2")] {
+        let first = fleet.file(plan.callers(0, 0), &[("idempotency-key", key)], id);
+        assert_eq!(first.status, StatusCode::CREATED, "{first:?}");
+        for at in [plan.callers(0, 1), plan.callers(1, 0), plan.callers(1, 1)] {
+            let again = fleet.file(at, &[("idempotency-key", key)], id);
+            assert_eq!(again.body, first.body, "{again:?}");
+        }
+        assert_eq!(fleet.runs(id), 1);
+    }
+}
+
+#[test]
+fn a_key_whose_owner_was_replaced_is_never_run_again() {
+    let mut plan = Plan::new(37);
+    plan.boxes = 2;
+    let mut fleet = Fleet::start(plan);
+    let (owner, other) = (plan.callers(0, 0), plan.callers(0, 1));
+    let (used, unused) = (fleet.ticket(owner), fleet.ticket(owner));
+    assert_eq!(fleet.file(owner, &[("idempotency-key", &used)], "f1").status, StatusCode::CREATED);
+    assert_eq!(fleet.file(owner, &[("idempotency-key", "bare")], "f2").status, StatusCode::CREATED);
+    fleet.kill_box(0, 0);
+    fleet.start_box(0, 0);
+    fleet.wait_for_version(1);
+    for at in [owner, other] {
+        for (key, id) in [(used.as_str(), "f1"), ("bare", "f2"), (unused.as_str(), "f3")] {
+            let reply = fleet.file(at, &[("idempotency-key", key)], id);
+            assert_eq!(ran(&reply), "unknown", "{id}: {reply:?}");
+        }
+    }
+    assert_eq!((fleet.runs("f1"), fleet.runs("f2"), fleet.runs("f3")), (1, 1, 0));
+}
+
+#[test]
+fn a_caller_that_gives_up_finds_the_answer_later() {
+    let fleet = Fleet::start(Plan::new(38));
+    let at = fleet.plan.callers(0, 0);
+    fleet.service.set_faults(service::Faults { slow_ms: 300, ..Default::default() });
+    let ticket = fleet.ticket(at);
+    fleet.block_on(async {
+        let headers = [("idempotency-key", ticket.as_str())];
+        let body = json!({"id": "slow"}).to_string();
+        let path = "/services/intake/filings";
+        let sending = send(&fleet.client, at, Method::POST, path, &headers, &body);
+        let gone = tokio::time::timeout(Duration::from_millis(100), sending).await;
+        assert!(gone.is_err());
+    });
+    let reply = fleet.file(at, &[("idempotency-key", &ticket)], "slow");
+    assert_eq!(reply.status, StatusCode::CREATED, "{reply:?}");
+    assert_eq!(fleet.runs("slow"), 1);
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod engine;
 pub mod http1;
+pub mod link;
 pub mod platform;
 pub mod service;
