--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod burn;
 mod check;
 mod demo;
+mod load;
 mod serve;
 mod show;
 mod stand_in;
@@ -39,6 +40,12 @@
     Command { name: "show", about: "Show what a box knows", help: show::HELP, run: show::run },
     Command { name: "boxes", about: "Ask which box to use", help: boxes::HELP, run: boxes::run },
     Command { name: "burn", about: "Report service-level burn", help: burn::HELP, run: burn::run },
+    Command {
+        name: "load",
+        about: "Put load on boxes and report",
+        help: load::HELP,
+        run: load::run,
+    },
     Command {
         name: "stand-in",
         about: "Run a stand-in of what copperweir meets",
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod commands;
 mod error;
+mod load;
 mod output;
 
 use std::process::ExitCode;
