threads: a connection stays on the thread that accepted it

Cause of the added latency and of half the processor time at 64 concurrent: the shared runtime woke another thread for nearly every step of a request; then, with a runtime per thread and a shared port, one thread accepted nearly all connections of a burst; and a connection just read to its end was not yet ready, so a new one was opened. Ruled out: the decisions (under 5% of the profile's difference; c=1 was slow too) and the engine's timers (it now sleeps only where it has to).

--- a/cli/src/commands/stand_in.rs
+++ b/cli/src/commands/stand_in.rs
@@ -60,7 +60,7 @@
 async fn serve(kind: &str, listen: &[SocketAddr], speed: Speed) -> Result<(), CommandError> {
     let mut listeners = Vec::new();
     for address in listen {
-        listeners.push(bind(*address).await?);
+        listeners.push(bind(*address)?);
     }
     let (platform, service) = (Platform::default(), Service::default());
     for listener in listeners {
@@ -78,8 +78,8 @@
 }
 
 /// Opens a port for a stand-in.
-pub async fn bind(address: SocketAddr) -> Result<TcpListener, CommandError> {
-    let bound = http1::bind(address).await;
+pub fn bind(address: SocketAddr) -> Result<TcpListener, CommandError> {
+    let bound = http1::bind(address);
     let (listener, _) = bound
         .map_err(|error| CommandError::Listen(format!("cannot listen on {address}: {error}")))?;
     Ok(listener)
--- a/lib/src/daemon/mod.rs
+++ b/lib/src/daemon/mod.rs
@@ -17,22 +17,22 @@
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
-use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use rand::Rng;
-use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use self::control::Control;
 use self::shared::Addresses;
@@ -52,11 +52,10 @@
 use crate::transport::listen;
 use crate::transport::peer as peer_transport;
 use crate::transport::platform::Platform;
+use crate::transport::worker;
 
 /// Low bits of an incarnation that are random; the rest is the time of the start.
 const RANDOM_BITS: u32 = 20;
-/// Longest wait at the end for tasks that have nothing to finish.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Why a box could not start.
 #[derive(Debug, thiserror::Error)]
@@ -92,8 +91,7 @@
 pub struct Daemon {
     shared: Arc<Shared>,
     control: JoinHandle<Stage>,
-    traffic: Runtime,
-    servers: Vec<tokio::task::JoinHandle<()>>,
+    traffic: Vec<JoinHandle<()>>,
 }
 
 impl Daemon {
@@ -107,19 +105,14 @@
             peers: peers.local_addr()?,
             operators: operators.local_addr()?,
         };
-        let traffic = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(settings.traffic_threads)
-            .thread_name("traffic")
-            .enable_all()
-            .build()?;
         let (events, receiver) = mpsc::channel(control::EVENTS);
         let (stop, stopping) = watch::channel(false);
         let shared = Arc::new(shared(settings, addresses, events.clone())?);
         let control = start_control(&shared, events, receiver, stop)?;
-        let servers = serve(&shared, &traffic, [callers, peers, operators], stopping)?;
+        let traffic = start_traffic(&shared, [callers, peers, operators], stopping)?;
         let Addresses { callers, peers, operators } = addresses;
         log::info!("event=started callers={callers} peers={peers} operators={operators}");
-        Ok(Daemon { shared, control, traffic, servers })
+        Ok(Daemon { shared, control, traffic })
     }
 
     /// Addresses that it listens on.
@@ -146,15 +139,12 @@
     pub fn wait(self) -> Ending {
         let stage = self.control.join().unwrap_or(Stage::Cut);
         let in_flight = self.shared.in_flight.load(Ordering::Acquire);
+        // The threads end once their answers are written; a cut does not wait for them.
         if stage == Stage::Done {
-            let servers = self.servers;
-            self.traffic.block_on(async {
-                for server in servers {
-                    let _ = server.await;
-                }
-            });
+            for thread in self.traffic {
+                let _ = thread.join();
+            }
         }
-        self.traffic.shutdown_timeout(SHUTDOWN_TIMEOUT);
         match stage {
             Stage::Done => Ending::Done,
             _ => Ending::Cut(in_flight),
@@ -181,10 +171,7 @@
 }
 
 fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    let listen = |source| StartError::Listen { port, address, source };
-    let listener = TcpListener::bind(address).map_err(listen)?;
-    listener.set_nonblocking(true).map_err(listen)?;
-    Ok(listener)
+    listen::bind(address).map_err(|source| StartError::Listen { port, address, source })
 }
 
 /// Ordered by the time of the start, so that a replaced box supersedes the one before.
@@ -264,37 +251,86 @@
     Ok(std::thread::Builder::new().name("control".to_owned()).spawn(run)?)
 }
 
-fn serve(
+/// Ports that a box serves, in the order of [`Daemon::start`].
+const PORTS: usize = 3;
+
+/// What the traffic threads are given.
+struct Thread {
+    accepted: [listen::Accepted; PORTS],
+}
+
+fn start_traffic(
     shared: &Arc<Shared>,
-    traffic: &Runtime,
-    [callers, peers, operators]: [TcpListener; 3],
+    listeners: [TcpListener; PORTS],
+    stopping: watch::Receiver<bool>,
+) -> Result<Vec<JoinHandle<()>>, StartError> {
+    let mut senders: [Vec<mpsc::Sender<TcpStream>>; PORTS] = Default::default();
+    let mut threads = Vec::new();
+    for index in 0..shared.settings.traffic_threads {
+        let accepted = senders.each_mut().map(|senders| {
+            let (sender, accepted) = mpsc::channel(listen::HANDED_OVER);
+            senders.push(sender);
+            accepted
+        });
+        let thread = Thread { accepted };
+        let (shared, stopping) = (Arc::clone(shared), stopping.clone());
+        threads.push(spawn_thread(index, move || serve(shared, thread, stopping))?);
+    }
+    let accepting = listeners.into_iter().zip(senders).collect();
+    threads.push(spawn_thread(threads.len(), move || accept(accepting, stopping))?);
+    Ok(threads)
+}
+
+/// Starts a thread with a runtime of its own.
+fn spawn_thread<F>(
+    index: usize,
+    work: impl FnOnce() -> F + Send + 'static,
+) -> Result<JoinHandle<()>, StartError>
+where
+    F: Future<Output = Result<(), StartError>>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let run = move || {
+        worker::set_index(index);
+        if let Err(error) = runtime.block_on(work()) {
+            log::error!("event=traffic_failed thread={index} error=\"{error}\"");
+        }
+    };
+    Ok(std::thread::Builder::new().name(format!("traffic-{index}")).spawn(run)?)
+}
+
+/// Accepts on all ports until the stop has ended.
+async fn accept(
+    ports: Vec<(TcpListener, Vec<mpsc::Sender<TcpStream>>)>,
+    stopping: watch::Receiver<bool>,
+) -> Result<(), StartError> {
+    let mut accepting = JoinSet::new();
+    for (listener, threads) in ports {
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        accepting.spawn(listen::accept(listener, threads, stopping.clone()));
+    }
+    accepting.join_all().await;
+    Ok(())
+}
+
+/// One thread's share of the traffic, until the stop has ended.
+async fn serve(
+    shared: Arc<Shared>,
+    thread: Thread,
     stopping: watch::Receiver<bool>,
-) -> Result<Vec<tokio::task::JoinHandle<()>>, StartError> {
-    let _guard = traffic.enter();
-    let callers = tokio::net::TcpListener::from_std(callers)?;
-    let operators = tokio::net::TcpListener::from_std(operators)?;
-    let peers = tokio::net::TcpListener::from_std(peers)?;
-    let state = Arc::clone(shared);
+) -> Result<(), StartError> {
+    let [callers, peers, operators] = thread.accepted;
+    let state = Arc::clone(&shared);
     let for_callers = move |request| caller::handle(Arc::clone(&state), request);
-    let state = Arc::clone(shared);
+    let state = Arc::clone(&shared);
     let for_operators = move |request| operators::handle(Arc::clone(&state), request);
-    let service = PeerServer::new(peer::Service::new(Arc::clone(shared)))
+    let service = PeerServer::new(peer::Service::new(shared))
         .max_decoding_message_size(peer_transport::MAX_MESSAGE)
         .max_encoding_message_size(peer_transport::MAX_MESSAGE);
-    let mut stopped = stopping.clone();
-    let peer_server = async move {
-        let incoming = tonic::transport::server::TcpIncoming::from(peers).with_nodelay(Some(true));
-        let ended = async move {
-            let _ = stopped.wait_for(|stop| *stop).await;
-        };
-        let server = tonic::transport::Server::builder().add_service(service);
-        if let Err(error) = server.serve_with_incoming_shutdown(incoming, ended).await {
-            log::error!("event=peer_port_failed error=\"{error}\"");
-        }
-    };
-    traffic.spawn(peer_server);
-    Ok(vec![
-        traffic.spawn(listen::serve(callers, for_callers, stopping.clone())),
-        traffic.spawn(listen::serve(operators, for_operators, stopping)),
-    ])
+    tokio::spawn(peer_transport::serve(peers, service, stopping.clone()));
+    tokio::join!(
+        listen::serve(callers, for_callers, stopping.clone()),
+        listen::serve(operators, for_operators, stopping),
+    );
+    Ok(())
 }
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -24,8 +24,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-/// Idle connections kept per backend server.
-const IDLE_PER_SERVER: usize = 64;
+use super::worker;
+
+/// Idle connections that a thread keeps per backend server.
+const IDLE_PER_SERVER: usize = 1024;
+/// Longest wait for an idle connection to become ready.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest body that [`Client::fetch`] takes.
@@ -43,7 +47,8 @@
 }
 
 type Sender = SendRequest<Full<Bytes>>;
-type Idle = Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>;
+/// Idle connections of each thread by address.
+type Idle = Arc<Mutex<HashMap<(usize, SocketAddr), Vec<Sender>>>>;
 
 /// Connections to backend servers.
 #[derive(Clone, Default)]
@@ -70,7 +75,7 @@
             return;
         }
         let mut idle = idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let senders = idle.entry(address).or_default();
+        let senders = idle.entry((worker::index(), address)).or_default();
         if senders.len() < IDLE_PER_SERVER {
             senders.push(sender);
         }
@@ -86,6 +91,11 @@
         fresh: bool,
     ) -> Result<Response<Exchange>, Attempt> {
         while !fresh && let Some(mut sender) = self.take_idle(address) {
+            // Right after an answer, the connection's own task has yet to see its end.
+            match tokio::time::timeout(READY_TIMEOUT, sender.ready()).await {
+                Ok(Ok(())) => {}
+                _ => continue,
+            }
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.answered(response, sender, address)),
                 Err(mut error) => match error.take_message() {
@@ -117,16 +127,17 @@
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let senders = idle.get_mut(&address)?;
+        let senders = idle.get_mut(&(worker::index(), address))?;
         senders.retain(|sender| !sender.is_closed());
-        let ready = senders.iter().rposition(Sender::is_ready)?;
-        Some(senders.swap_remove(ready))
+        let ready = senders.iter().rposition(Sender::is_ready);
+        let index = ready.or(senders.len().checked_sub(1))?;
+        Some(senders.swap_remove(index))
     }
 
     /// Closes the idle connections to servers that are no longer wanted.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|address, _| keep(address));
+        idle.retain(|(_, address), _| keep(address));
     }
 
     /// Sends a small request and reads the whole answer.
--- a/lib/src/transport/listen.rs
+++ b/lib/src/transport/listen.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +18,10 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 /// Longest wait for the headers of a request.
@@ -26,14 +30,56 @@
 const MAX_HEADERS: usize = 100;
 /// Most streams on one HTTP/2 connection.
 const MAX_STREAMS: u32 = 1024;
-/// Most connections on one port.
+/// Most connections of one port on one thread.
 pub const MAX_CONNECTIONS: usize = 8192;
 /// Longest wait at the end for answers that are already written to reach their callers.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Serves until `stop` turns true, then ends idle connections at once and the
-/// others after their answer.
-pub async fn serve<H, F, B>(listener: TcpListener, handler: H, mut stop: watch::Receiver<bool>)
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 4096;
+
+/// Accepted connections that wait for a thread.
+pub const HANDED_OVER: usize = 256;
+
+/// Opens a port.
+pub fn bind(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
+    let _guard = runtime.enter();
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.into_std()
+}
+
+/// Accepted connections on their way to the thread that serves them.
+pub type Accepted = mpsc::Receiver<std::net::TcpStream>;
+
+/// Accepts until `stop` turns true, and hands the connections to the threads in turn.
+pub async fn accept(
+    listener: TcpListener,
+    threads: Vec<mpsc::Sender<std::net::TcpStream>>,
+    mut stop: watch::Receiver<bool>,
+) {
+    for thread in threads.iter().cycle() {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of file descriptors, most likely: let some be given back.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(stream) = stream.into_std() else { continue };
+        if thread.send(stream).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Serves what is accepted until `stop` turns true, then ends idle connections
+/// at once and the others after their answer.
+pub async fn serve<H, F, B>(mut accepted: Accepted, handler: H, mut stop: watch::Receiver<bool>)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -42,18 +88,15 @@
 {
     let graceful = GracefulShutdown::new();
     let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    let builder = Arc::new(builder());
+    let builder = builder();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = accepted.recv() => stream,
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        let Ok((stream, _)) = accepted else {
-            // Out of file descriptors, most likely: let some be given back.
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
+        let Some(stream) = stream else { break };
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else { continue };
+        let Ok(stream) = TcpStream::from_std(stream) else { continue };
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let service = service_fn(move |request| {
@@ -67,7 +110,7 @@
             drop(place);
         });
     }
-    drop(listener);
+    drop(accepted);
     let _ = tokio::time::timeout(FLUSH_TIMEOUT, graceful.shutdown()).await;
 }
 
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -8,3 +8,4 @@
 pub mod peer;
 pub mod platform;
 pub mod timer;
+pub mod worker;
--- a/lib/src/transport/peer.rs
+++ b/lib/src/transport/peer.rs
@@ -9,6 +9,10 @@
 
 use bytes::Bytes;
 use subtle::ConstantTimeEq;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::Request;
 use tonic::Status;
 use tonic::Streaming;
@@ -17,10 +21,14 @@
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
+use super::listen::Accepted;
+use super::worker;
 use crate::protocol::Version;
 use crate::protocol::peer::SECRET_HEADER;
 use crate::protocol::peer::wire;
 use crate::protocol::peer::wire::peer_client::PeerClient;
+use crate::protocol::peer::wire::peer_server::Peer;
+use crate::protocol::peer::wire::peer_server::PeerServer;
 
 /// Largest message between boxes.
 pub const MAX_MESSAGE: usize = 32 << 20;
@@ -46,7 +54,7 @@
 pub struct Client {
     secret: MetadataValue<Ascii>,
     routes: BTreeMap<SocketAddr, SocketAddr>,
-    channels: Mutex<HashMap<SocketAddr, Channel>>,
+    channels: Mutex<HashMap<(usize, SocketAddr), Channel>>,
 }
 
 impl Client {
@@ -59,13 +67,13 @@
     }
 
     async fn peer(&self, address: SocketAddr) -> Result<PeerClient<Channel>, CallError> {
-        let known = self.lock().get(&address).cloned();
+        let known = self.lock().get(&(worker::index(), address)).cloned();
         let channel = match known {
             Some(channel) => channel,
             None => {
                 let route = self.routes.get(&address).copied().unwrap_or(address);
                 let channel = connect(route).await.map_err(CallError::Unsent)?;
-                self.lock().insert(address, channel.clone());
+                self.lock().insert((worker::index(), address), channel.clone());
                 channel
             }
         };
@@ -74,7 +82,7 @@
             .max_encoding_message_size(MAX_MESSAGE))
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Channel>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<(usize, SocketAddr), Channel>> {
         self.channels.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -86,7 +94,7 @@
 
     fn lost(&self, address: SocketAddr, status: Status) -> CallError {
         if status.code() == tonic::Code::Unavailable {
-            self.lock().remove(&address);
+            self.lock().remove(&(worker::index(), address));
         }
         CallError::Lost(Box::new(status))
     }
@@ -150,3 +158,23 @@
         Err(Status::unauthenticated("the shared secret is missing or wrong"))
     }
 }
+
+/// Serves other boxes on accepted connections until `stop` turns true.
+pub async fn serve<P: Peer>(
+    accepted: Accepted,
+    service: PeerServer<P>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let ended = async move {
+        let _ = stop.wait_for(|stop| *stop).await;
+    };
+    let incoming = ReceiverStream::new(accepted).map(|stream| {
+        let stream = TcpStream::from_std(stream)?;
+        stream.set_nodelay(true)?;
+        Ok::<_, std::io::Error>(stream)
+    });
+    let server = tonic::transport::Server::builder().add_service(service);
+    if let Err(error) = server.serve_with_incoming_shutdown(incoming, ended).await {
+        log::error!("event=peer_port_failed error=\"{error}\"");
+    }
+}
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -230,11 +230,11 @@
         drop(waiting);
         let running = Count::new(&self.running);
         let prompt = hash(&call.body);
-        tokio::time::sleep(self.prefill(prompt, call.body.len())).await;
+        pause(self.prefill(prompt, call.body.len())).await;
         let tokens = request.max_tokens.unwrap_or(DEFAULT_TOKENS);
         if !request.stream {
             for _ in 0..tokens {
-                tokio::time::sleep(self.token_time()).await;
+                pause(self.token_time()).await;
             }
             let text: String = (0..tokens).map(|index| token(prompt, index)).collect();
             return Some(whole(&request.model, &text, tokens));
@@ -259,7 +259,7 @@
         sender: &mpsc::Sender<Result<Bytes, std::io::Error>>,
     ) {
         for index in 0..tokens {
-            tokio::time::sleep(self.token_time()).await;
+            pause(self.token_time()).await;
             let faults = self.lock().faults.clone();
             if faults.cut_after > 0 && index >= faults.cut_after {
                 let _ = sender.send(Err(std::io::Error::other("told to break off"))).await;
@@ -299,6 +299,13 @@
     }
 }
 
+/// Sleeps; no time at all takes none, where a timer would take a millisecond.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 fn whole(model: &str, text: &str, tokens: u64) -> Answer {
     let body = json!({
         "id": "cmpl",
--- a/standin/src/http1.rs
+++ b/standin/src/http1.rs
@@ -19,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::mpsc;
 
 /// A request with its whole body.
@@ -101,9 +102,15 @@
     response
 }
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 4096;
+
 /// A listening socket; its address is known before anything is served.
-pub async fn bind(address: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(address).await?;
+pub fn bind(address: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(BACKLOG)?;
     let address = listener.local_addr()?;
     Ok((listener, address))
 }
