--- a/lib/src/coordination/limit.rs
+++ b/lib/src/coordination/limit.rs
@@ -13,7 +13,9 @@
 
 use super::bucket::Bucket;
 use crate::protocol::BoxId;
+use crate::protocol::NameHash;
 use crate::protocol::TeamId;
+use crate::protocol::name_hash;
 use crate::protocol::peer::Demand;
 
 /// Part of a rate that is split evenly, whatever the demand.
@@ -36,7 +38,7 @@
 #[derive(Default)]
 pub struct Limiter {
     teams: HashMap<TeamId, TeamState>,
-    others: HashMap<BoxId, HashMap<TeamId, u32>>,
+    others: HashMap<BoxId, HashMap<NameHash, u32>>,
 }
 
 impl Limiter {
@@ -60,7 +62,7 @@
 
     /// A box said what demand it sees.
     pub fn hear(&mut self, from: &BoxId, demands: &[Demand]) {
-        let demands = demands.iter().map(|demand| (demand.team.clone(), demand.per_minute));
+        let demands = demands.iter().map(|demand| (demand.team, demand.per_minute));
         self.others.insert(from.clone(), demands.collect());
     }
 
@@ -91,10 +93,11 @@
     }
 
     fn share(&self, team: &TeamId, own: f64) -> f64 {
+        let hash = name_hash(team);
         let others: f64 = self
             .others
             .values()
-            .filter_map(|demands| demands.get(team))
+            .filter_map(|demands| demands.get(&hash))
             .map(|per_minute| f64::from(*per_minute))
             .sum();
         let boxes = self.others.len() as f64 + 1.0;
@@ -110,11 +113,11 @@
             .teams
             .iter()
             .map(|(team, state)| Demand {
-                team: team.clone(),
+                team: name_hash(team),
                 per_minute: state.per_minute.ceil() as u32,
             })
             .collect();
-        demands.sort_by(|a, b| b.per_minute.cmp(&a.per_minute).then_with(|| a.team.cmp(&b.team)));
+        demands.sort_by(|a, b| (b.per_minute, a.team).cmp(&(a.per_minute, b.team)));
         demands.truncate(REPORTED_TEAMS);
         demands
     }
--- a/lib/src/coordination/membership.rs
+++ b/lib/src/coordination/membership.rs
@@ -1,17 +1,17 @@
 //! Which boxes there are, and which of them are alive.
 //!
-//! Each period a box exchanges heartbeats with a few random boxes of its own
-//! region and with one of each other region. A heartbeat carries a bounded
-//! number of members that its sender heard of lately, each with a counter that
-//! only that member advances. A member whose counter stands still for too long
-//! is dead to this box. Cost per box is set by the fan-out and the bound, not
-//! by the size of the fleet.
+//! Every member has a counter that only it advances. A member whose counter
+//! stands still for too long, as far as this box hears, is dead to this box.
+//! Counters travel as [`Beat`]s, a few bytes each; whole records travel only
+//! when they are new or asked for. Of its own region a box knows every member,
+//! of each other region a bounded number of contacts.
 //!
 //! A box that was itself frozen sees every counter stand still. Its own timer
 //! tells it so: lateness of the tick is added to everyone's allowance.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,8 +22,10 @@
 
 use crate::protocol::BoxId;
 use crate::protocol::RegionId;
+use crate::protocol::peer::Beat;
 use crate::protocol::peer::MAX_MEMBERS;
 use crate::protocol::peer::Member;
+use crate::protocol::peer::MemberId;
 
 /// How members are watched.
 #[derive(Clone, Debug)]
@@ -36,10 +38,18 @@
     pub dead_after: Duration,
     /// Silence after which a member is forgotten.
     pub forget_after: Duration,
-    /// Members in one heartbeat.
-    pub piggyback: usize,
+    /// Counters of the own region in one heartbeat.
+    pub near_beats: usize,
+    /// Counters of other regions in one heartbeat.
+    pub far_beats: usize,
     /// Members kept of each other region.
     pub contacts: usize,
+    /// Time for which a record that changed is passed on unasked.
+    pub news_for: Duration,
+    /// Records in one heartbeat that are passed on unasked.
+    pub news: usize,
+    /// Share of heartbeats that also try an address at which nobody is known.
+    pub stranger_share: f64,
 }
 
 impl Default for Tuning {
@@ -49,15 +59,23 @@
             fan_out: 2,
             dead_after: Duration::from_secs(5),
             forget_after: Duration::from_secs(120),
-            piggyback: 16,
+            near_beats: 96,
+            far_beats: 12,
             contacts: 12,
+            news_for: Duration::from_secs(4),
+            news: 3,
+            stranger_share: 0.5,
         }
     }
 }
 
+/// Addresses that a box calls at once while it knows nobody.
+const FIRST_CALLS: usize = 4;
+
 struct Known {
     member: Member,
     advanced_at: Instant,
+    changed_at: Instant,
 }
 
 /// The members that one box knows.
@@ -65,13 +83,25 @@
     tuning: Tuning,
     own: Member,
     others: BTreeMap<BoxId, Known>,
+    by_id: HashMap<MemberId, BoxId>,
     addresses: BTreeSet<SocketAddr>,
 }
 
 impl Membership {
     /// A box that knows only itself.
     pub fn new(own: Member, tuning: Tuning) -> Membership {
-        Membership { tuning, own, others: BTreeMap::new(), addresses: BTreeSet::new() }
+        Membership {
+            tuning,
+            own,
+            others: BTreeMap::new(),
+            by_id: HashMap::new(),
+            addresses: BTreeSet::new(),
+        }
+    }
+
+    /// How members are watched.
+    pub fn tuning(&self) -> &Tuning {
+        &self.tuning
     }
 
     /// This box.
@@ -90,36 +120,57 @@
         self.addresses.extend(addresses.into_iter().filter(|address| *address != own));
     }
 
-    /// Takes in what a heartbeat says of a member; true where it changed who is live or leaving.
+    /// Takes in a record; true where it changed who is live or leaving.
     pub fn hear(&mut self, member: Member, now: Instant) -> bool {
         if member.name == self.own.name {
             return false;
         }
-        let dead_after = self.tuning.dead_after;
-        match self.others.get_mut(&member.name) {
-            Some(known) => {
-                let silent = now.saturating_duration_since(known.advanced_at) > dead_after;
-                if !supersedes(&member, &known.member, silent) {
-                    return false;
-                }
-                let changed = silent
-                    || known.member.phase != member.phase
-                    || known.member.incarnation != member.incarnation;
-                *known = Known { member, advanced_at: now };
-                changed
-            }
-            None => {
-                if !self.has_room(&member.region, now) {
-                    return false;
-                }
-                self.others.insert(member.name.clone(), Known { member, advanced_at: now });
-                true
-            }
+        let Some(known) = self.others.get(&member.name) else {
+            return self.meet(member, now);
+        };
+        let silent = now.saturating_duration_since(known.advanced_at) > self.tuning.dead_after;
+        if !supersedes(&member, &known.member, silent) {
+            return false;
         }
+        let turned =
+            known.member.phase != member.phase || known.member.incarnation != member.incarnation;
+        let changed_at = if turned { now } else { known.changed_at };
+        self.by_id.remove(&known.member.id());
+        self.insert(member, now, changed_at);
+        silent || turned
     }
 
-    fn has_room(&self, region: &RegionId, now: Instant) -> bool {
-        *region == self.own.region || self.live_in(region, now).count() < self.tuning.contacts
+    fn meet(&mut self, member: Member, now: Instant) -> bool {
+        let near = member.region == self.own.region;
+        if !near && self.live_in(&member.region, now).count() >= self.tuning.contacts {
+            return false;
+        }
+        self.insert(member, now, now);
+        true
+    }
+
+    fn insert(&mut self, member: Member, now: Instant, changed_at: Instant) {
+        self.by_id.insert(member.id(), member.name.clone());
+        let known = Known { advanced_at: now, changed_at, member };
+        self.others.insert(known.member.name.clone(), known);
+    }
+
+    /// Takes in counters; gives those whose members are not known.
+    pub fn hear_beats(&mut self, beats: &[Beat], now: Instant) -> Vec<MemberId> {
+        let own = self.own.id();
+        let mut unknown = Vec::new();
+        for beat in beats.iter().filter(|beat| beat.member != own) {
+            let name = self.by_id.get(&beat.member);
+            match name.and_then(|name| self.others.get_mut(name)) {
+                None => unknown.push(beat.member),
+                Some(known) if beat.beat > known.member.beat => {
+                    known.member.beat = beat.beat;
+                    known.advanced_at = now;
+                }
+                Some(_) => {}
+            }
+        }
+        unknown
     }
 
     /// Forgets members long silent. `late` is how much later than planned the
@@ -133,16 +184,23 @@
         let forget_after = self.tuning.forget_after;
         self.others
             .retain(|_, known| now.saturating_duration_since(known.advanced_at) < forget_after);
+        let others = &self.others;
+        self.by_id.retain(|_, name| others.contains_key(name));
         self.own.beat += 1;
+        self.own.region_boxes = self.live_in(&self.own.region, now).count() as u32 + 1;
+    }
+
+    fn is_live(&self, known: &Known, now: Instant) -> bool {
+        now.saturating_duration_since(known.advanced_at) <= self.tuning.dead_after
+    }
+
+    fn live_known(&self, now: Instant) -> impl Iterator<Item = &Known> {
+        self.others.values().filter(move |known| self.is_live(known, now))
     }
 
     /// Members other than this box that are alive.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Member> {
-        let dead_after = self.tuning.dead_after;
-        self.others
-            .values()
-            .filter(move |known| now.saturating_duration_since(known.advanced_at) <= dead_after)
-            .map(|known| &known.member)
+        self.live_known(now).map(|known| &known.member)
     }
 
     /// Live members of a region other than this box.
@@ -159,39 +217,83 @@
         self.others.len()
     }
 
+    /// Records of members, as far as known.
+    pub fn records(&self, wanted: &[MemberId]) -> Vec<Member> {
+        let names = wanted.iter().filter_map(|id| self.by_id.get(id));
+        let known = names.filter_map(|name| self.others.get(name));
+        known.take(MAX_MEMBERS).map(|known| known.member.clone()).collect()
+    }
+
     /// Where this period's heartbeats go.
     pub fn targets(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let near = self.live_in(&self.own.region, now).map(|member| member.peers);
         let mut targets = near.choose_multiple(rng, self.tuning.fan_out);
-        let mut regions: BTreeMap<&RegionId, Vec<SocketAddr>> = BTreeMap::new();
+        targets.extend(self.far_targets(now, rng));
+        let strangers = match targets.is_empty() {
+            true => FIRST_CALLS,
+            false => usize::from(rng.random_bool(self.tuning.stranger_share)),
+        };
+        targets.extend(self.strangers(now).choose_multiple(rng, strangers));
+        targets
+    }
+
+    /// One contact in each other region, or less often where that region is
+    /// the smaller one, so that its boxes are not called by all of a large one.
+    fn far_targets(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let mut regions: BTreeMap<&RegionId, Vec<&Member>> = BTreeMap::new();
         for member in self.live(now).filter(|member| member.region != self.own.region) {
-            regions.entry(&member.region).or_default().push(member.peers);
+            regions.entry(&member.region).or_default().push(member);
+        }
+        let own_size = f64::from(self.own.region_boxes.max(1));
+        let mut targets = Vec::new();
+        for members in regions.values() {
+            let size = members.iter().map(|member| member.region_boxes).max().unwrap_or(1);
+            let share = (f64::from(size.max(1)) / own_size).min(1.0);
+            if rng.random_bool(share) {
+                targets.extend(members.iter().choose(rng).map(|member| member.peers));
+            }
         }
-        targets.extend(regions.values().filter_map(|peers| peers.iter().choose(rng).copied()));
-        targets.extend(self.stranger(now, rng));
         targets
     }
 
-    /// An address at which no live member is known: a box not met yet, or one that may be back.
-    fn stranger(&self, now: Instant, rng: &mut impl Rng) -> Option<SocketAddr> {
+    /// Addresses at which no live member is known: boxes not met yet, or ones that may be back.
+    fn strangers(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
         let live: BTreeSet<SocketAddr> = self.live(now).map(|member| member.peers).collect();
         let silent = self.others.values().map(|known| known.member.peers);
-        self.addresses.iter().copied().chain(silent).filter(|peer| !live.contains(peer)).choose(rng)
+        let all: BTreeSet<SocketAddr> = self.addresses.iter().copied().chain(silent).collect();
+        all.into_iter().filter(move |peer| !live.contains(peer))
     }
 
-    /// Members to pass on: the ones heard of latest, so that news travels first.
-    pub fn news(&self, now: Instant, rng: &mut impl Rng) -> Vec<Member> {
-        let mut live: Vec<&Known> = self
-            .others
-            .values()
-            .filter(|known| {
-                now.saturating_duration_since(known.advanced_at) <= self.tuning.dead_after
-            })
-            .collect();
+    /// Counters to pass on, of the own region and of others, the latest first.
+    pub fn beats(&self, now: Instant, rng: &mut impl Rng) -> (Vec<Beat>, Vec<Beat>) {
+        let mut live: Vec<&Known> = self.live_known(now).collect();
         live.shuffle(rng);
         live.sort_by_key(|known| std::cmp::Reverse(known.advanced_at));
-        let most = self.tuning.piggyback.min(MAX_MEMBERS);
-        live.into_iter().take(most).map(|known| known.member.clone()).collect()
+        let (near, far): (Vec<&Known>, Vec<&Known>) =
+            live.into_iter().partition(|known| known.member.region == self.own.region);
+        let beat = |known: &&Known| Beat { member: known.member.id(), beat: known.member.beat };
+        let near = near.iter().take(self.tuning.near_beats).map(beat).collect();
+        (near, far.iter().take(self.tuning.far_beats).map(beat).collect())
+    }
+
+    /// Records to pass on unasked within the region: those that changed lately,
+    /// and one contact in another region.
+    pub fn news(&self, now: Instant, rng: &mut impl Rng) -> Vec<Member> {
+        let mut news: Vec<&Known> = self
+            .live_known(now)
+            .filter(|known| now.saturating_duration_since(known.changed_at) < self.tuning.news_for)
+            .collect();
+        news.shuffle(rng);
+        news.truncate(self.tuning.news);
+        let far = self.live_known(now).filter(|known| known.member.region != self.own.region);
+        news.extend(far.choose(rng));
+        news.into_iter().map(|known| known.member.clone()).collect()
+    }
+
+    /// Records to pass on to another region: some members of this one.
+    pub fn introductions(&self, now: Instant, rng: &mut impl Rng) -> Vec<Member> {
+        let near = self.live_in(&self.own.region, now);
+        near.cloned().choose_multiple(rng, self.tuning.news)
     }
 }
 
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod bucket;
 pub mod drain;
+pub mod exchange;
 pub mod health;
 pub mod invariant;
 pub mod lease;
--- a/lib/src/daemon/control/configuration.rs
+++ b/lib/src/daemon/control/configuration.rs
@@ -105,7 +105,8 @@
     /// Works out anew whether this box is one of the watchers.
     pub(super) fn choose_watchers(&mut self, now: Instant) {
         let region = &self.shared.settings.region;
-        let names = self.membership.live_in(region, now).map(|member| member.name.as_str());
+        let names =
+            self.exchange.membership.live_in(region, now).map(|member| member.name.as_str());
         let watches = rendezvous::holds(&self.shared.settings.name, names, "watch", WATCHERS);
         self.watching.store(watches, Ordering::Relaxed);
     }
@@ -132,7 +133,7 @@
             return;
         }
         let now = Instant::now();
-        let holder = self.membership.live(now).find(|member| member.version >= version);
+        let holder = self.exchange.membership.live(now).find(|member| member.version >= version);
         if let Some(address) = holder.map(|member| member.peers) {
             self.fetch_from(address);
         }
--- a/lib/src/daemon/control/heartbeats.rs
+++ b/lib/src/daemon/control/heartbeats.rs
@@ -10,7 +10,7 @@
 
 use super::Control;
 use super::Event;
-use crate::coordination::membership;
+use crate::coordination::exchange::Extra;
 use crate::daemon::shared::lock;
 use crate::protocol::RegionId;
 use crate::protocol::peer::Credit;
@@ -25,8 +25,6 @@
 pub(super) const ANNOUNCE_PERIOD: Duration = Duration::from_secs(10);
 /// Life of an announcement.
 const ANNOUNCE_LIFE: Duration = Duration::from_secs(35);
-/// Server reports in one heartbeat.
-const REPORTS: usize = 48;
 /// Boxes that are told at once of what cannot wait for the next period.
 const TOLD_AT_ONCE: usize = 4;
 /// Boxes that are told at once that this box is leaving.
@@ -35,12 +33,13 @@
 impl Control {
     /// One period of heartbeats.
     pub(super) fn beat(&mut self, now: Instant, late: Duration) {
-        self.membership.tick(now, late);
+        self.exchange.membership.tick(now, late);
         self.choose_watchers(now);
-        lock(&self.shared.limiter).tick(membership::Tuning::default().period, now);
+        let period = self.exchange.membership.tuning().period;
+        lock(&self.shared.limiter).tick(period, now);
         self.log_members(now);
         self.publish();
-        for target in self.membership.targets(now, &mut self.rng) {
+        for target in self.exchange.membership.targets(now, &mut self.rng) {
             self.send_heartbeat(target, now);
         }
     }
@@ -50,7 +49,7 @@
         let now = Instant::now();
         let mut targets = Vec::new();
         while targets.len() < TOLD_AT_ONCE {
-            let more = self.membership.targets(now, &mut self.rng);
+            let more = self.exchange.membership.targets(now, &mut self.rng);
             if more.is_empty() {
                 break;
             }
@@ -58,7 +57,7 @@
         }
         targets.sort_unstable();
         targets.dedup();
-        self.membership.update_own(|own| own.beat += 1);
+        self.exchange.membership.update_own(|own| own.beat += 1);
         for target in targets {
             self.send_heartbeat(target, now);
         }
@@ -67,9 +66,9 @@
     /// Tells the boxes of the region that this one is leaving.
     pub(super) fn tell_region(&mut self) {
         let now = Instant::now();
-        self.membership.update_own(|own| own.beat += 1);
+        self.exchange.membership.update_own(|own| own.beat += 1);
         let region = self.shared.settings.region.clone();
-        let members = self.membership.live_in(&region, now).map(|member| member.peers);
+        let members = self.exchange.membership.live_in(&region, now).map(|member| member.peers);
         let targets: Vec<SocketAddr> = members.take(TOLD_OF_LEAVING).collect();
         for target in targets {
             self.send_heartbeat(target, now);
@@ -78,9 +77,14 @@
     }
 
     fn send_heartbeat(&mut self, target: SocketAddr, now: Instant) {
-        let member = self.membership.live(now).find(|member| member.peers == target);
+        let extra = Extra { demands: lock(&self.shared.limiter).demands(), ..Extra::default() };
+        self.send_with(target, extra, now);
+    }
+
+    fn send_with(&mut self, target: SocketAddr, extra: Extra, now: Instant) {
+        let member = self.exchange.membership.live(now).find(|member| member.peers == target);
         let region = member.map(|member| member.region.clone());
-        let heartbeat = wire::Heartbeat::from(&self.compose(region.as_ref(), now));
+        let heartbeat = wire::Heartbeat::from(&self.compose(region.as_ref(), extra, now));
         let counters = Arc::clone(&self.shared.counters);
         counters.count(Counter::HeartbeatsSent);
         counters.add(Counter::HeartbeatBytes, heartbeat.encoded_len() as u64);
@@ -98,33 +102,25 @@
         });
     }
 
-    fn compose(&mut self, receiver: Option<&RegionId>, now: Instant) -> Heartbeat {
-        let elsewhere = receiver.filter(|region| **region != self.shared.settings.region);
-        let credits = match elsewhere {
-            Some(_) => self.lend(now),
-            None => Vec::new(),
-        };
-        let reports = match elsewhere {
-            // Load of this region's servers is of no use elsewhere.
-            Some(_) => Vec::new(),
-            None => self.load.news(REPORTS, now, &mut self.rng),
-        };
-        Heartbeat {
-            sender: self.membership.own().clone(),
-            members: self.membership.news(now, &mut self.rng),
-            reports,
-            credits,
-            demands: lock(&self.shared.limiter).demands(),
+    fn compose(
+        &mut self,
+        receiver: Option<&RegionId>,
+        mut extra: Extra,
+        now: Instant,
+    ) -> Heartbeat {
+        if receiver.is_some_and(|region| *region != self.shared.settings.region) {
+            extra.credits = self.lend(now);
         }
+        self.exchange.compose(receiver, extra, now, &mut self.rng)
     }
 
     /// Lends this box's share of what is spare in its region.
     fn lend(&mut self, now: Instant) -> Vec<Credit> {
-        if self.membership.own().phase != Phase::Serving {
+        if self.exchange.membership.own().phase != Phase::Serving {
             return Vec::new();
         }
         let region = self.shared.settings.region.clone();
-        let boxes = self.membership.live_in(&region, now).count() as f64 + 1.0;
+        let boxes = self.exchange.membership.live_in(&region, now).count() as f64 + 1.0;
         let mut credits = Vec::new();
         for (id, pool) in &self.configuration.pools {
             let Some(shared) = self.shared.pools.get(id) else { continue };
@@ -140,37 +136,49 @@
         credits
     }
 
-    /// A heartbeat or the answer to one came in.
+    /// A heartbeat came in, which is answered, or the answer to one of ours.
     pub(super) fn hear(
         &mut self,
         heartbeat: Heartbeat,
         answer: Option<oneshot::Sender<Heartbeat>>,
     ) {
         let now = Instant::now();
-        let sender = heartbeat.sender;
-        let mut changed = self.membership.hear(sender.clone(), now);
-        for member in heartbeat.members {
-            changed |= self.membership.hear(member, now);
-        }
-        if sender.region == self.shared.settings.region {
-            self.hear_reports(&heartbeat.reports, now);
-        } else {
-            self.hear_credits(&sender.region, &heartbeat.credits, now);
-        }
+        let heard = self.exchange.hear(&heartbeat, self.rollout.version(), now);
+        let sender = &heartbeat.sender;
+        self.hear_credits(&sender.region, &heartbeat.credits, now);
         lock(&self.shared.limiter).hear(&sender.name, &heartbeat.demands);
-        if sender.version > self.rollout.version() {
-            self.fetch_from(sender.peers);
+        if let Some((_, peer)) = heard.newer {
+            self.fetch_from(peer);
         }
-        if changed {
+        if heard.members_changed {
             self.log_members(now);
             self.publish();
         }
-        if let Some(answer) = answer {
-            let _ = answer.send(self.compose(Some(&sender.region), now));
+        self.pools_dirty |= heard.load_changed;
+        if heard.servers_changed {
+            self.refresh_pools(now);
+            self.spread();
+        }
+        match (answer, heard.follow_up) {
+            // What the sender wants goes into the answer; what we want, the answer asks for.
+            (Some(answer), follow_up) => {
+                let (wanted, given) =
+                    follow_up.map(|next| (next.wanted, next.given)).unwrap_or_default();
+                let extra = Extra { wanted, given, ..Extra::default() };
+                let _ = answer.send(self.compose(Some(&sender.region), extra, now));
+            }
+            (None, Some(next)) => {
+                let extra = Extra { wanted: next.wanted, given: next.given, ..Extra::default() };
+                self.send_with(next.to, extra, now);
+            }
+            (None, None) => {}
         }
     }
 
     fn hear_credits(&mut self, from: &RegionId, credits: &[Credit], now: Instant) {
+        if *from == self.shared.settings.region {
+            return;
+        }
         for credit in credits {
             if let Some(pool) = self.shared.pools.get(&credit.pool) {
                 pool.with(|pool| pool.credit(from.clone(), credit.slots, credit.life, now));
@@ -180,7 +188,7 @@
 
     /// Tells the directory of this box.
     pub(super) fn announce(&self) {
-        let own = self.membership.own();
+        let own = self.exchange.membership.own();
         if own.phase == Phase::Starting {
             return;
         }
--- a/lib/src/daemon/control/mod.rs
+++ b/lib/src/daemon/control/mod.rs
@@ -32,6 +32,7 @@
 use crate::coordination::drain;
 use crate::coordination::drain::Drain;
 use crate::coordination::drain::Stage;
+use crate::coordination::exchange::Exchange;
 use crate::coordination::lease;
 use crate::coordination::lease::Holder;
 use crate::coordination::lending::Lender;
@@ -41,6 +42,7 @@
 use crate::protocol::PoolId;
 use crate::protocol::Version;
 use crate::protocol::config::Configuration;
+use crate::protocol::name_hash;
 use crate::protocol::peer::Heartbeat;
 use crate::protocol::peer::Member;
 use crate::protocol::peer::Phase;
@@ -51,6 +53,7 @@
 use crate::state::load::Load;
 use crate::state::snapshot::Snapshot;
 use crate::transport::backend;
+use crate::transport::listen::Stop;
 use crate::transport::metrics;
 use crate::transport::peer;
 use crate::transport::platform::Platform;
@@ -120,11 +123,10 @@
 pub struct Control {
     shared: Arc<Shared>,
     events: mpsc::Sender<Event>,
-    stop: watch::Sender<bool>,
-    membership: Membership,
+    stop: watch::Sender<Stop>,
+    exchange: Exchange,
     rollout: Rollout,
     configuration: Arc<Configuration>,
-    load: Load,
     drain: Drain,
     holder: Holder,
     lease: Option<LeaseId>,
@@ -146,7 +148,7 @@
     pub fn new(
         shared: Arc<Shared>,
         events: mpsc::Sender<Event>,
-        stop: watch::Sender<bool>,
+        stop: watch::Sender<Stop>,
         own: Member,
         peers: peer::Client,
     ) -> Control {
@@ -161,10 +163,9 @@
                 .ok()
         });
         Control {
-            membership,
+            exchange: Exchange { membership, load: Load::default() },
             rollout: Rollout::new(now, START_WAIT),
             configuration: Arc::new(Configuration::default()),
-            load: Load::default(),
             drain: Drain::new(tuning),
             holder: Holder::new(lease::Tuning::default()),
             lease: None,
@@ -196,8 +197,10 @@
                 break;
             }
         }
-        let _ = self.stop.send(true);
-        self.drain.stage()
+        let stage = self.drain.stage();
+        let stop = if stage == Stage::Done { Stop::Gently } else { Stop::Now };
+        let _ = self.stop.send(stop);
+        stage
     }
 
     fn start_timers(&self) {
@@ -274,7 +277,7 @@
         self.shared.once.expire(now);
         let configuration = Arc::clone(&self.configuration);
         let servers = || configuration.pools.values().flat_map(|pool| &pool.servers);
-        self.load.retain(|id| servers().any(|(known, _)| known == id), now);
+        self.exchange.load.retain(|id| servers().any(|(known, _)| name_hash(known) == *id), now);
         let addresses: BTreeSet<SocketAddr> = servers().map(|(_, server)| server.address).collect();
         self.backend.retain(|address| addresses.contains(address));
         self.shared.backend.retain(|address| addresses.contains(address));
@@ -287,7 +290,7 @@
             return;
         }
         log::info!("event=stop_requested stage={stage:?}");
-        self.membership.update_own(|own| own.phase = Phase::Leaving);
+        self.exchange.membership.update_own(|own| own.phase = Phase::Leaving);
         self.publish();
         self.announce();
         self.tell_region();
@@ -313,7 +316,7 @@
         let ready = self.rollout.ready(now);
         if ready && !was_ready {
             log::info!("event=ready version={}", self.rollout.version());
-            self.membership.update_own(|own| {
+            self.exchange.membership.update_own(|own| {
                 if own.phase == Phase::Starting {
                     own.phase = Phase::Serving;
                 }
@@ -321,14 +324,14 @@
         }
         let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
         let version = self.rollout.version();
-        self.membership.update_own(|own| {
+        self.exchange.membership.update_own(|own| {
             own.in_flight = in_flight.try_into().unwrap_or(u32::MAX);
             own.version = version;
         });
         let snapshot = Snapshot {
             configuration: Arc::clone(&self.configuration),
-            own: self.membership.own().clone(),
-            members: self.membership.live(now).cloned().collect(),
+            own: self.exchange.membership.own().clone(),
+            members: self.exchange.membership.live(now).cloned().collect(),
             ready,
             stage: self.drain.stage(),
         };
@@ -340,7 +343,7 @@
         let seen = |member: &Member| {
             (member.name.clone(), member.incarnation, member.phase == Phase::Leaving)
         };
-        let live: BTreeSet<_> = self.membership.live(now).map(seen).collect();
+        let live: BTreeSet<_> = self.exchange.membership.live(now).map(seen).collect();
         for (name, incarnation, leaving) in live.difference(&self.live) {
             log::info!("event=box_seen box={name} incarnation={incarnation:x} leaving={leaving}");
         }
--- a/lib/src/daemon/control/servers.rs
+++ b/lib/src/daemon/control/servers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +14,7 @@
 use crate::coordination::rendezvous;
 use crate::protocol::ServerId;
 use crate::protocol::config;
+use crate::protocol::name_hash;
 use crate::protocol::peer::Report;
 use crate::protocol::platform::BoxList;
 use crate::protocol::platform::Listed;
@@ -47,7 +49,7 @@
         let dirty = std::mem::take(&mut self.pools_dirty);
         for (id, shared) in self.shared.pools.all().iter() {
             if dirty && let Some(pool) = self.configuration.pools.get(id) {
-                let lanes = self.lanes(pool);
+                let lanes = self.lanes(pool, now);
                 let regions = pool.servers.values().map(|server| server.region.clone()).collect();
                 shared.with(|shared| shared.update(limits(pool), lanes, regions));
             }
@@ -55,15 +57,15 @@
         }
     }
 
-    fn lanes(&self, pool: &config::Pool) -> BTreeMap<ServerId, Lane> {
+    fn lanes(&self, pool: &config::Pool, now: Instant) -> BTreeMap<ServerId, Lane> {
         let region = &self.shared.settings.region;
         let here = pool.servers.iter().filter(|(_, server)| server.region == *region);
         let lane = |id: &ServerId, server: &config::Server| {
-            let observed = self.load.get(id);
+            let observed = self.exchange.load.get(id);
             Lane {
                 address: server.address,
                 slots: server.slots,
-                leaving: server.leaving || self.load.leaving(id),
+                leaving: server.leaving || self.exchange.load.leaving(id, now),
                 reachable: observed.is_none_or(|observed| observed.reachable),
                 report: observed.map(|observed| (observed.load, observed.at)),
             }
@@ -75,8 +77,12 @@
     pub(super) fn probe(&mut self, now: Instant) {
         let region = &self.shared.settings.region;
         let own = &self.shared.settings.name;
-        let peers: Vec<&str> =
-            self.membership.live_in(region, now).map(|member| member.name.as_str()).collect();
+        let peers: Vec<&str> = self
+            .exchange
+            .membership
+            .live_in(region, now)
+            .map(|member| member.name.as_str())
+            .collect();
         for (pool_id, pool) in &self.configuration.pools {
             let is_service = self.configuration.services.contains_key(pool_id);
             for (id, server) in pool.servers.iter().filter(|(_, server)| server.region == *region) {
@@ -99,11 +105,11 @@
             };
             let (reachable, load) = (load.is_some(), load.unwrap_or_default());
             let report = Report {
-                server,
-                running: load.running,
-                queued: load.queued,
+                server: name_hash(&server),
+                load: load.running + load.queued,
                 reachable,
                 leaving: load.leaving,
+                listed: false,
                 age: asked_at.elapsed(),
             };
             let _ = events.send(Event::Probed(report)).await;
@@ -113,33 +119,18 @@
     /// A probe ended.
     pub(super) fn probed(&mut self, report: &Report) {
         self.pools_dirty = true;
-        if self.load.observe(report, Instant::now()) {
-            log::info!(
-                "event=server_changed server={} reachable={} leaving={}",
-                report.server,
-                report.reachable,
-                report.leaving
-            );
+        if self.exchange.load.observe(report, Instant::now()) {
             self.refresh_pools(Instant::now());
             self.spread();
         }
     }
 
-    /// Other boxes of this region told of servers.
-    pub(super) fn hear_reports(&mut self, reports: &[Report], now: Instant) {
-        self.pools_dirty |= !reports.is_empty();
-        let mut news = false;
-        for report in reports {
-            news |= self.load.observe(report, now);
-        }
-        if news {
-            self.refresh_pools(now);
-            self.spread();
-        }
-    }
-
     /// Reads the platform's list; `at_start` where a fresh box waits for it.
     pub(super) fn read_list(&self, at_start: bool) {
+        // The watchers of a region read for all; what is leaving travels in heartbeats.
+        if !at_start && !self.watching.load(Ordering::Relaxed) {
+            return;
+        }
         let platform = self.platform.clone();
         let events = self.events.clone();
         tokio::spawn(async move {
@@ -166,12 +157,16 @@
                 self.ask_peer_at_start(address);
             }
         }
-        self.membership.learn_addresses(addresses);
-        let leaving = listed.iter().filter(|row| row.state == ListedState::Leaving);
-        let leaving = leaving.map(|row| row.name.clone()).collect();
-        if self.load.list_leaving(leaving) {
-            self.pools_dirty = true;
-            self.refresh_pools(Instant::now());
+        self.exchange.membership.learn_addresses(addresses);
+        let now = Instant::now();
+        let mut news = false;
+        for row in listed.iter().filter(|row| row.state == ListedState::Leaving) {
+            news |= self.exchange.load.observe_listed(name_hash(&row.name), now, now);
+        }
+        self.pools_dirty = true;
+        if news {
+            self.refresh_pools(now);
+            self.spread();
         }
     }
 }
--- a/lib/src/daemon/mod.rs
+++ b/lib/src/daemon/mod.rs
@@ -50,6 +50,7 @@
 use crate::state::snapshot::Snapshot;
 use crate::transport::backend;
 use crate::transport::listen;
+use crate::transport::listen::Stop;
 use crate::transport::peer as peer_transport;
 use crate::transport::platform::Platform;
 use crate::transport::worker;
@@ -106,7 +107,7 @@
             operators: operators.local_addr()?,
         };
         let (events, receiver) = mpsc::channel(control::EVENTS);
-        let (stop, stopping) = watch::channel(false);
+        let (stop, stopping) = watch::channel(Stop::No);
         let shared = Arc::new(shared(settings, addresses, events.clone())?);
         let control = start_control(&shared, events, receiver, stop)?;
         let traffic = start_traffic(&shared, [callers, peers, operators], stopping)?;
@@ -139,11 +140,8 @@
     pub fn wait(self) -> Ending {
         let stage = self.control.join().unwrap_or(Stage::Cut);
         let in_flight = self.shared.in_flight.load(Ordering::Acquire);
-        // The threads end once their answers are written; a cut does not wait for them.
-        if stage == Stage::Done {
-            for thread in self.traffic {
-                let _ = thread.join();
-            }
+        for thread in self.traffic {
+            let _ = thread.join();
         }
         match stage {
             Stage::Done => Ending::Done,
@@ -234,6 +232,7 @@
         phase: Phase::Starting,
         version: 0,
         in_flight: 0,
+        region_boxes: 1,
     }
 }
 
@@ -241,7 +240,7 @@
     shared: &Arc<Shared>,
     events: mpsc::Sender<control::Event>,
     receiver: mpsc::Receiver<control::Event>,
-    stop: watch::Sender<bool>,
+    stop: watch::Sender<Stop>,
 ) -> Result<JoinHandle<Stage>, StartError> {
     let peers = peer_client(&shared.settings)?;
     let own = shared.now_in_force().own.clone();
@@ -262,7 +261,7 @@
 fn start_traffic(
     shared: &Arc<Shared>,
     listeners: [TcpListener; PORTS],
-    stopping: watch::Receiver<bool>,
+    stopping: watch::Receiver<Stop>,
 ) -> Result<Vec<JoinHandle<()>>, StartError> {
     let mut senders: [Vec<mpsc::Sender<TcpStream>>; PORTS] = Default::default();
     let mut threads = Vec::new();
@@ -274,16 +273,19 @@
         });
         let thread = Thread { accepted };
         let (shared, stopping) = (Arc::clone(shared), stopping.clone());
-        threads.push(spawn_thread(index, move || serve(shared, thread, stopping))?);
+        threads
+            .push(spawn_thread(index, stopping.clone(), move || serve(shared, thread, stopping))?);
     }
     let accepting = listeners.into_iter().zip(senders).collect();
-    threads.push(spawn_thread(threads.len(), move || accept(accepting, stopping))?);
+    threads
+        .push(spawn_thread(threads.len(), stopping.clone(), move || accept(accepting, stopping))?);
     Ok(threads)
 }
 
-/// Starts a thread with a runtime of its own.
+/// Starts a thread with a runtime of its own; it ends with its work, or at once when told so.
 fn spawn_thread<F>(
     index: usize,
+    mut stopping: watch::Receiver<Stop>,
     work: impl FnOnce() -> F + Send + 'static,
 ) -> Result<JoinHandle<()>, StartError>
 where
@@ -292,9 +294,15 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let run = move || {
         worker::set_index(index);
-        if let Err(error) = runtime.block_on(work()) {
-            log::error!("event=traffic_failed thread={index} error=\"{error}\"");
-        }
+        runtime.block_on(async {
+            let ended = tokio::select! {
+                ended = work() => ended,
+                _ = stopping.wait_for(|stop| *stop == Stop::Now) => Ok(()),
+            };
+            if let Err(error) = ended {
+                log::error!("event=traffic_failed thread={index} error=\"{error}\"");
+            }
+        });
     };
     Ok(std::thread::Builder::new().name(format!("traffic-{index}")).spawn(run)?)
 }
@@ -302,7 +310,7 @@
 /// Accepts on all ports until the stop has ended.
 async fn accept(
     ports: Vec<(TcpListener, Vec<mpsc::Sender<TcpStream>>)>,
-    stopping: watch::Receiver<bool>,
+    stopping: watch::Receiver<Stop>,
 ) -> Result<(), StartError> {
     let mut accepting = JoinSet::new();
     for (listener, threads) in ports {
@@ -317,7 +325,7 @@
 async fn serve(
     shared: Arc<Shared>,
     thread: Thread,
-    stopping: watch::Receiver<bool>,
+    stopping: watch::Receiver<Stop>,
 ) -> Result<(), StartError> {
     let [callers, peers, operators] = thread.accepted;
     let state = Arc::clone(&shared);
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -22,3 +22,12 @@
 pub type Incarnation = u64;
 /// Version of the configuration; grows by one with each applied file.
 pub type Version = u64;
+
+/// Hash that stands for a name on the wire between boxes. The configuration's
+/// check refuses two names of a kind with the same one.
+pub type NameHash = u32;
+
+/// The hash of a name.
+pub fn name_hash(name: &str) -> NameHash {
+    rapidhash::v3::rapidhash_v3(name.as_bytes()) as NameHash
+}
--- a/lib/src/protocol/peer.rs
+++ b/lib/src/protocol/peer.rs
@@ -10,9 +10,10 @@
 
 use super::BoxId;
 use super::Incarnation;
+use super::NameHash;
 use super::RegionId;
-use super::ServerId;
 use super::Version;
+use super::name_hash;
 
 /// Generated code.
 #[allow(missing_docs, clippy::all)]
@@ -22,6 +23,8 @@
 
 /// Most members in one heartbeat.
 pub const MAX_MEMBERS: usize = 64;
+/// Most counters in one heartbeat.
+pub const MAX_BEATS: usize = 512;
 /// Most server reports in one heartbeat.
 pub const MAX_REPORTS: usize = 128;
 /// Oldest report that is taken in.
@@ -58,28 +61,49 @@
     /// Drawn at its start.
     pub incarnation: Incarnation,
     /// Grows by one with each of its heartbeats.
-    pub beat: u64,
+    pub beat: u32,
     /// Phase.
     pub phase: Phase,
     /// Configuration in force on it.
     pub version: Version,
     /// Requests in progress on it.
     pub in_flight: u32,
+    /// Boxes that it knows in its region, itself among them.
+    pub region_boxes: u32,
+}
+
+impl Member {
+    /// Stands for the member and its incarnation in [`Beat`]s.
+    pub fn id(&self) -> MemberId {
+        name_hash(&format!("{}/{}", self.name, self.incarnation))
+    }
+}
+
+/// Hash of a member's name and incarnation.
+pub type MemberId = NameHash;
+
+/// Word that a member was alive when its counter stood there.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Beat {
+    /// Member.
+    pub member: MemberId,
+    /// Its counter.
+    pub beat: u32,
 }
 
 /// What is known of a backend server's load.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Report {
     /// Server.
-    pub server: ServerId,
-    /// Requests that it runs.
-    pub running: u32,
-    /// Requests that wait in it.
-    pub queued: u32,
+    pub server: NameHash,
+    /// Requests on it, its queue included.
+    pub load: u32,
     /// Whether it answered.
     pub reachable: bool,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Whether this is word of the platform's list, which says nothing of load.
+    pub listed: bool,
     /// Age when sent.
     pub age: Duration,
 }
@@ -111,6 +135,7 @@
             beat: raw.beat,
             version: raw.configuration_version,
             in_flight: raw.in_flight,
+            region_boxes: raw.region_boxes,
         })
     }
 }
@@ -141,40 +166,71 @@
             phase: phase.into(),
             configuration_version: member.version,
             in_flight: member.in_flight,
+            region_boxes: member.region_boxes,
         }
     }
 }
 
-impl TryFrom<wire::ServerReport> for Report {
-    type Error = Malformed;
+const REACHABLE: u32 = 1;
+const LEAVING: u32 = 2;
+const LISTED: u32 = 4;
 
-    fn try_from(raw: wire::ServerReport) -> Result<Report, Malformed> {
-        let age = Duration::from_millis(raw.age_ms.into());
-        if age > MAX_REPORT_AGE {
-            return Err(Malformed("age_ms"));
-        }
-        Ok(Report {
-            server: name(raw.server, "server")?,
-            running: raw.running,
-            queued: raw.queued,
-            reachable: raw.reachable,
-            leaving: raw.leaving,
-            age,
-        })
+fn reports(raw: &wire::ServerReports) -> Result<Vec<Report>, Malformed> {
+    let rows = raw.server.len();
+    let columns = [raw.load.len(), raw.flags.len(), raw.age_ms.len()];
+    if rows > MAX_REPORTS || columns.iter().any(|column| *column != rows) {
+        return Err(Malformed("servers"));
     }
+    let report = |row: usize| Report {
+        server: raw.server[row],
+        load: raw.load[row],
+        reachable: raw.flags[row] & REACHABLE != 0,
+        leaving: raw.flags[row] & LEAVING != 0,
+        listed: raw.flags[row] & LISTED != 0,
+        age: Duration::from_millis(raw.age_ms[row].into()),
+    };
+    let reports = (0..rows).map(report);
+    Ok(reports.filter(|report| report.age <= MAX_REPORT_AGE).collect())
 }
 
-impl From<&Report> for wire::ServerReport {
-    fn from(report: &Report) -> wire::ServerReport {
-        wire::ServerReport {
-            server: report.server.clone(),
-            running: report.running,
-            queued: report.queued,
-            reachable: report.reachable,
-            leaving: report.leaving,
-            age_ms: report.age.as_millis().try_into().unwrap_or(u32::MAX),
-        }
+fn wire_reports(reports: &[Report]) -> wire::ServerReports {
+    let flags = |report: &Report| {
+        let set = |flag: u32, on: bool| if on { flag } else { 0 };
+        set(REACHABLE, report.reachable) | set(LEAVING, report.leaving) | set(LISTED, report.listed)
+    };
+    let age = |report: &Report| report.age.as_millis().try_into().unwrap_or(u32::MAX);
+    wire::ServerReports {
+        server: reports.iter().map(|report| report.server).collect(),
+        load: reports.iter().map(|report| report.load).collect(),
+        flags: reports.iter().map(flags).collect(),
+        age_ms: reports.iter().map(age).collect(),
+    }
+}
+
+fn beats(raw: Option<wire::Beats>) -> Result<Vec<Beat>, Malformed> {
+    let raw = raw.unwrap_or_default();
+    if raw.member.len() > MAX_BEATS || raw.member.len() != raw.beat.len() {
+        return Err(Malformed("beats"));
     }
+    let beats = raw.member.into_iter().zip(raw.beat);
+    Ok(beats.map(|(member, beat)| Beat { member, beat }).collect())
+}
+
+fn wire_beats(beats: &[Beat]) -> Option<wire::Beats> {
+    (!beats.is_empty()).then(|| wire::Beats {
+        member: beats.iter().map(|beat| beat.member).collect(),
+        beat: beats.iter().map(|beat| beat.beat).collect(),
+    })
+}
+
+fn demands(raw: Option<wire::Demands>) -> Result<Vec<Demand>, Malformed> {
+    let raw = raw.unwrap_or_default();
+    let rows = raw.team.len();
+    if rows > MAX_REPORTS || rows != raw.requests_per_minute.len() {
+        return Err(Malformed("demands"));
+    }
+    let demands = raw.team.into_iter().zip(raw.requests_per_minute);
+    Ok(demands.map(|(team, per_minute)| Demand { team, per_minute }).collect())
 }
 
 /// A checked heartbeat.
@@ -182,8 +238,14 @@
 pub struct Heartbeat {
     /// Who sent it.
     pub sender: Member,
-    /// Others that the sender heard of.
+    /// Records that the receiver may not have.
     pub members: Vec<Member>,
+    /// Live members of the sender's region.
+    pub near: Vec<Beat>,
+    /// Live members of other regions.
+    pub far: Vec<Beat>,
+    /// Members whose records the sender lacks.
+    pub wanted: Vec<MemberId>,
     /// Load of backend servers in the sender's region.
     pub reports: Vec<Report>,
     /// Slots lent to the receiver's region.
@@ -204,10 +266,10 @@
 }
 
 /// Requests of a team on one box.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Demand {
     /// Team.
-    pub team: String,
+    pub team: NameHash,
     /// Requests a minute.
     pub per_minute: u32,
 }
@@ -219,26 +281,37 @@
         if raw.members.len() > MAX_MEMBERS {
             return Err(Malformed("members"));
         }
-        if raw.servers.len() > MAX_REPORTS {
-            return Err(Malformed("servers"));
+        if raw.wanted.len() > MAX_BEATS {
+            return Err(Malformed("wanted"));
         }
-        let sender = raw.sender.ok_or(Malformed("sender"))?.try_into()?;
-        let members = raw.members.into_iter().map(Member::try_from).collect::<Result<_, _>>()?;
-        let reports = raw.servers.into_iter().map(Report::try_from).collect::<Result<_, _>>()?;
-        let credits = raw.credits.into_iter().take(MAX_REPORTS).map(Credit::from).collect();
-        let demands = raw.demands.into_iter().take(MAX_REPORTS).map(Demand::from).collect();
-        Ok(Heartbeat { sender, members, reports, credits, demands })
+        Ok(Heartbeat {
+            sender: raw.sender.ok_or(Malformed("sender"))?.try_into()?,
+            members: raw.members.into_iter().map(Member::try_from).collect::<Result<_, _>>()?,
+            near: beats(raw.near)?,
+            far: beats(raw.far)?,
+            wanted: raw.wanted,
+            reports: reports(&raw.servers.unwrap_or_default())?,
+            credits: raw.credits.into_iter().take(MAX_REPORTS).map(Credit::from).collect(),
+            demands: demands(raw.demands)?,
+        })
     }
 }
 
 impl From<&Heartbeat> for wire::Heartbeat {
     fn from(heartbeat: &Heartbeat) -> wire::Heartbeat {
+        let demands = &heartbeat.demands;
         wire::Heartbeat {
             sender: Some((&heartbeat.sender).into()),
             members: heartbeat.members.iter().map(Into::into).collect(),
-            servers: heartbeat.reports.iter().map(Into::into).collect(),
+            near: wire_beats(&heartbeat.near),
+            far: wire_beats(&heartbeat.far),
+            wanted: heartbeat.wanted.clone(),
+            servers: (!heartbeat.reports.is_empty()).then(|| wire_reports(&heartbeat.reports)),
             credits: heartbeat.credits.iter().map(Into::into).collect(),
-            demands: heartbeat.demands.iter().map(Into::into).collect(),
+            demands: (!demands.is_empty()).then(|| wire::Demands {
+                team: demands.iter().map(|demand| demand.team).collect(),
+                requests_per_minute: demands.iter().map(|demand| demand.per_minute).collect(),
+            }),
         }
     }
 }
@@ -258,15 +331,3 @@
         }
     }
 }
-
-impl From<wire::Demand> for Demand {
-    fn from(raw: wire::Demand) -> Demand {
-        Demand { team: raw.team, per_minute: raw.requests_per_minute }
-    }
-}
-
-impl From<&Demand> for wire::Demand {
-    fn from(demand: &Demand) -> wire::Demand {
-        wire::Demand { team: demand.team.clone(), requests_per_minute: demand.per_minute }
-    }
-}
--- a/lib/src/state/load.rs
+++ b/lib/src/state/load.rs
@@ -2,20 +2,30 @@
 //!
 //! Probes by this box, reports by others and signs in traffic all end here.
 //! The younger observation wins; ages travel instead of times, so that clocks
-//! need not agree. A sign that a server is leaving is passed on at once.
+//! need not agree. What the platform's list says of servers that are leaving is
+//! kept apart, since a probe of the server knows nothing of it, and ends when
+//! nobody has read it in the list for a while.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
 use rand::Rng;
 use rand::seq::SliceRandom;
 
+use crate::protocol::NameHash;
 use crate::protocol::ServerId;
+use crate::protocol::name_hash;
 use crate::protocol::peer::MAX_REPORT_AGE;
 use crate::protocol::peer::Report;
 
+/// Ages closer together than this count as the same when reports are picked.
+const SAME_AGE: Duration = Duration::from_millis(250);
+/// Age at which an observation is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(300);
+/// Age at which word of the platform's list is forgotten.
+const LISTED_LIFE: Duration = Duration::from_secs(10);
+
 /// An observation.
 #[derive(Clone, Debug)]
 pub struct Observation {
@@ -32,8 +42,8 @@
 /// All observations that one box has.
 #[derive(Debug, Default)]
 pub struct Load {
-    servers: BTreeMap<ServerId, Observation>,
-    listed_leaving: BTreeSet<ServerId>,
+    servers: BTreeMap<NameHash, Observation>,
+    listed: BTreeMap<NameHash, Instant>,
 }
 
 impl Load {
@@ -41,68 +51,84 @@
     /// reachable, or ceased to be.
     pub fn observe(&mut self, report: &Report, now: Instant) -> bool {
         let Some(at) = now.checked_sub(report.age) else { return false };
+        if report.listed {
+            return self.observe_listed(report.server, at, now);
+        }
         let known = self.servers.get(&report.server);
         if known.is_some_and(|known| known.at >= at) {
             return false;
         }
         let before = known.map_or((true, false), |known| (known.reachable, known.leaving));
         let observation = Observation {
-            load: report.running + report.queued,
+            load: report.load,
             reachable: report.reachable,
             leaving: report.leaving,
             at,
         };
-        self.servers.insert(report.server.clone(), observation);
+        self.servers.insert(report.server, observation);
         before != (report.reachable, report.leaving)
     }
 
-    /// The platform's list names these servers as leaving. True where that is news.
-    pub fn list_leaving(&mut self, leaving: BTreeSet<ServerId>) -> bool {
-        let news = leaving != self.listed_leaving;
-        self.listed_leaving = leaving;
+    /// The platform's list, read at `at`, names a server as leaving. True where that is news.
+    pub fn observe_listed(&mut self, server: NameHash, at: Instant, now: Instant) -> bool {
+        if now.saturating_duration_since(at) >= LISTED_LIFE {
+            return false;
+        }
+        let known = self.listed.entry(server).or_insert(at);
+        let news = *known == at;
+        *known = at.max(*known);
         news
     }
 
     /// The observation of a server.
     pub fn get(&self, server: &ServerId) -> Option<&Observation> {
-        self.servers.get(server)
+        self.servers.get(&name_hash(server))
     }
 
     /// Whether a server is known to be leaving.
-    pub fn leaving(&self, server: &ServerId) -> bool {
-        let observed = self.servers.get(server).is_some_and(|observation| observation.leaving);
-        observed || self.listed_leaving.contains(server)
+    pub fn leaving(&self, server: &ServerId, now: Instant) -> bool {
+        let listed = self.listed.get(&name_hash(server));
+        let listed = listed.is_some_and(|at| now.saturating_duration_since(*at) < LISTED_LIFE);
+        listed || self.get(server).is_some_and(|observation| observation.leaving)
     }
 
     /// Reports to pass on: leaving servers first, then the youngest.
     pub fn news(&self, most: usize, now: Instant, rng: &mut impl Rng) -> Vec<Report> {
-        let mut reports: Vec<Report> = self
+        let age = |at: &Instant| now.saturating_duration_since(*at);
+        let listed = self.listed.iter().filter(|(_, at)| age(at) < LISTED_LIFE);
+        let mut reports: Vec<Report> = listed.map(|(server, at)| word(*server, age(at))).collect();
+        reports.truncate(most / 2);
+        let mut observed: Vec<Report> = self
             .servers
             .iter()
+            .filter(|(_, observation)| age(&observation.at) < MAX_REPORT_AGE)
             .map(|(server, observation)| Report {
-                server: server.clone(),
-                running: observation.load,
-                queued: 0,
+                server: *server,
+                load: observation.load,
                 reachable: observation.reachable,
-                leaving: self.leaving(server),
-                age: now.saturating_duration_since(observation.at),
+                leaving: observation.leaving,
+                listed: false,
+                age: age(&observation.at),
             })
-            .filter(|report| report.age < MAX_REPORT_AGE)
             .collect();
-        reports.shuffle(rng);
-        reports.sort_by_key(|report| (!report.leaving, report.age.as_millis() / SAME_AGE_MS));
-        reports.truncate(most);
+        observed.shuffle(rng);
+        let order =
+            |report: &Report| (!report.leaving, report.age.as_millis() / SAME_AGE.as_millis());
+        observed.sort_by_key(order);
+        observed.truncate(most - reports.len());
+        reports.extend(observed);
         reports
     }
 
     /// Forgets servers that the configuration no longer has, and old observations.
-    pub fn retain(&mut self, keep: impl Fn(&ServerId) -> bool, now: Instant) {
-        self.servers.retain(|server, observation| {
-            keep(server) && now.saturating_duration_since(observation.at) < FORGET_AFTER
-        });
+    pub fn retain(&mut self, keep: impl Fn(&NameHash) -> bool, now: Instant) {
+        let young = |at: &Instant, life| now.saturating_duration_since(*at) < life;
+        self.servers
+            .retain(|server, observation| keep(server) && young(&observation.at, FORGET_AFTER));
+        self.listed.retain(|_, at| young(at, LISTED_LIFE));
     }
 }
 
-/// Ages closer together than this count as the same when reports are picked.
-const SAME_AGE_MS: u128 = 250;
-const FORGET_AFTER: Duration = Duration::from_secs(300);
+fn word(server: NameHash, age: Duration) -> Report {
+    Report { server, load: 0, reachable: true, leaving: true, listed: true, age }
+}
--- a/lib/src/transport/listen.rs
+++ b/lib/src/transport/listen.rs
@@ -35,6 +35,17 @@
 /// Longest wait at the end for answers that are already written to reach their callers.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Whether servers should end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stop {
+    /// No.
+    No,
+    /// After the answers in progress.
+    Gently,
+    /// At once.
+    Now,
+}
+
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 4096;
 
@@ -54,16 +65,16 @@
 /// Accepted connections on their way to the thread that serves them.
 pub type Accepted = mpsc::Receiver<std::net::TcpStream>;
 
-/// Accepts until `stop` turns true, and hands the connections to the threads in turn.
+/// Accepts until told to stop, and hands the connections to the threads in turn.
 pub async fn accept(
     listener: TcpListener,
     threads: Vec<mpsc::Sender<std::net::TcpStream>>,
-    mut stop: watch::Receiver<bool>,
+    mut stop: watch::Receiver<Stop>,
 ) {
     for thread in threads.iter().cycle() {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
+            _ = stop.wait_for(|stop| *stop != Stop::No) => return,
         };
         let Ok((stream, _)) = accepted else {
             // Out of file descriptors, most likely: let some be given back.
@@ -77,9 +88,9 @@
     }
 }
 
-/// Serves what is accepted until `stop` turns true, then ends idle connections
+/// Serves what is accepted until told to stop, then ends idle connections
 /// at once and the others after their answer.
-pub async fn serve<H, F, B>(mut accepted: Accepted, handler: H, mut stop: watch::Receiver<bool>)
+pub async fn serve<H, F, B>(mut accepted: Accepted, handler: H, mut stop: watch::Receiver<Stop>)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -92,7 +103,7 @@
     loop {
         let stream = tokio::select! {
             stream = accepted.recv() => stream,
-            _ = stop.wait_for(|stop| *stop) => break,
+            _ = stop.wait_for(|stop| *stop != Stop::No) => break,
         };
         let Some(stream) = stream else { break };
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else { continue };
--- a/lib/src/transport/peer.rs
+++ b/lib/src/transport/peer.rs
@@ -22,6 +22,7 @@
 use tonic::transport::Endpoint;
 
 use super::listen::Accepted;
+use super::listen::Stop;
 use super::worker;
 use crate::protocol::Version;
 use crate::protocol::peer::SECRET_HEADER;
@@ -159,14 +160,14 @@
     }
 }
 
-/// Serves other boxes on accepted connections until `stop` turns true.
+/// Serves other boxes on accepted connections until told to stop.
 pub async fn serve<P: Peer>(
     accepted: Accepted,
     service: PeerServer<P>,
-    mut stop: watch::Receiver<bool>,
+    mut stop: watch::Receiver<Stop>,
 ) {
     let ended = async move {
-        let _ = stop.wait_for(|stop| *stop).await;
+        let _ = stop.wait_for(|stop| *stop != Stop::No).await;
     };
     let incoming = ReceiverStream::new(accepted).map(|stream| {
         let stream = TcpStream::from_std(stream)?;
--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -315,6 +315,17 @@
         });
     }
 
+    /// Waits until every box knows every other.
+    pub fn wait_for_members(&self) {
+        let plan = self.plan;
+        eventually("all boxes know each other", || {
+            self.boxes.keys().all(|(region, number)| {
+                let boxes = self.boxes_at(plan.callers(*region, *number)).boxes;
+                boxes.len() == self.boxes.len()
+            })
+        });
+    }
+
     pub fn is_ready(&self, region: usize, number: usize) -> bool {
         self.boxes[&(region, number)].is_ready()
     }
--- a/lib/tests/test_once.rs
+++ b/lib/tests/test_once.rs
@@ -42,6 +42,7 @@
     let mut plan = Plan::new(31);
     plan.boxes = 3;
     let fleet = Fleet::start(plan);
+    fleet.wait_for_members();
     fleet.service.set_faults(service::Faults { slow_ms: 100, ..Default::default() });
     let ticket = fleet.ticket(plan.callers(0, 1));
     for key in ["one key", &ticket] {
@@ -156,6 +157,7 @@
     let mut plan = Plan::new(37);
     plan.boxes = 2;
     let mut fleet = Fleet::start(plan);
+    fleet.wait_for_members();
     let (owner, other) = (plan.callers(0, 0), plan.callers(0, 1));
     let (used, unused) = (fleet.ticket(owner), fleet.ticket(owner));
     assert_eq!(fleet.file(owner, &[("idempotency-key", &used)], "f1").status, StatusCode::CREATED);
--- a/lib/tests/test_regions.rs
+++ b/lib/tests/test_regions.rs
@@ -21,22 +21,10 @@
     plan
 }
 
-fn know_each_other(fleet: &Fleet) {
-    let plan = fleet.plan;
-    eventually("all boxes know each other", || {
-        (0..plan.regions).all(|region| {
-            (0..plan.boxes).all(|number| {
-                let boxes = fleet.boxes_at(plan.callers(region, number)).boxes;
-                boxes.len() == plan.regions * plan.boxes
-            })
-        })
-    });
-}
-
 #[test]
 fn a_request_runs_only_where_its_rule_allows() {
     let fleet = Fleet::start(three_regions(50));
-    know_each_other(&fleet);
+    fleet.wait_for_members();
     let bound = json!({"model": "log-first", "max_tokens": 2});
     for region in 0..3 {
         let reply = fleet.complete(fleet.plan.callers(region, 0), &[], &bound);
@@ -50,7 +38,7 @@
 #[test]
 fn bound_work_is_refused_rather_than_run_elsewhere() {
     let fleet = Fleet::start(three_regions(51));
-    know_each_other(&fleet);
+    fleet.wait_for_members();
     fleet.cut_region(0, true);
     let bound = json!({"model": "log-first", "max_tokens": 2});
     let deadline = [("copperweir-timeout-ms", "3000")];
@@ -69,7 +57,7 @@
 #[test]
 fn a_region_without_servers_uses_another() {
     let fleet = Fleet::start(three_regions(52));
-    know_each_other(&fleet);
+    fleet.wait_for_members();
     fleet.engines[1][0].set_faults(engine::Faults { leaving: true, ..Default::default() });
     eventually("work goes to another region", || {
         let body = json!({"model": "log", "max_tokens": 2, "stream": true});
@@ -82,7 +70,7 @@
 fn a_region_that_is_cut_off_serves_on_and_catches_up() {
     let mut fleet = Fleet::start(three_regions(53));
     let plan = fleet.plan;
-    know_each_other(&fleet);
+    fleet.wait_for_members();
     // Cut off: no other region, no platform.
     fleet.cut_region(0, true);
     fleet.platform.set_faults(platform::Faults { hang: true, ..Default::default() });
@@ -108,13 +96,13 @@
     assert_eq!(fleet.apply("main", &configuration).expect("applied"), 2);
     fleet.cut_region(0, false);
     fleet.wait_for_version(2);
-    know_each_other(&fleet);
+    fleet.wait_for_members();
 }
 
 #[test]
 fn the_configuration_reaches_a_region_through_its_peers_alone() {
     let fleet = Fleet::start(three_regions(54));
-    know_each_other(&fleet);
+    fleet.wait_for_members();
     let mut configuration = fleet.plan.configuration();
     for version in 2..6 {
         configuration["limits"]["body_bytes"] = json!(1000 + version);
@@ -127,7 +115,7 @@
 fn a_stale_store_never_takes_a_box_back() {
     let mut fleet = Fleet::start(three_regions(55));
     let plan = fleet.plan;
-    know_each_other(&fleet);
+    fleet.wait_for_members();
     fleet.apply("main", &plan.configuration()).expect("applied");
     fleet.wait_for_version(2);
     fleet.platform.set_faults(platform::Faults { stale: true, ..Default::default() });
@@ -220,6 +208,7 @@
     plan.boxes = 3;
     plan.engines = 3;
     let fleet = Fleet::start(plan);
+    fleet.wait_for_members();
     fleet.platform.set_faults(platform::Faults { down: true, ..Default::default() });
     fleet.engines[0][1].set_faults(engine::Faults { leaving: true, ..Default::default() });
     let ask = |number: usize, count: usize| {
