queue: the least urgent gets its turn

Cause: a turn that could not be used (nothing was free, the request was put back) counted all the same; each slot that came free used one turn and wasted the next, and the turn of the least urgent, every sixteenth, was always a wasted one. Ruled out: the order within a class. A put-back now gives its turn back.

Before: the_least_urgent_is_not_starved failed (the low one still waited after 40 free slots). After: it passes.

--- a/lib/src/coordination/queue.rs
+++ b/lib/src/coordination/queue.rs
@@ -107,8 +107,10 @@
         Some(next)
     }
 
-    /// Puts back a request that was taken and could not be placed.
+    /// Puts back a request that was taken and could not be placed; the turn
+    /// is still to be had.
     pub fn put_back(&mut self, waiting: Waiting<T>) {
+        self.turns -= 1;
         self.bytes += waiting.bytes;
         let class = waiting.priority as usize;
         self.classes[class].insert((waiting.deadline, waiting.id), waiting);
