membership: calls find the dead, counters only confirm the living

Cause of the live boxes that were taken for dead at 340 boxes: silence of a gossiped counter was the only sign, and at 179 boxes a region the tail of its age passes 5 s. Tried on the way: word of a death with the last counter heard was taken back by older counters still on their way, so a dead failure domain was never gone (over 60 s); a death now carries a counter well over it. A box whose calls mostly fail blames itself; it must not count repeated calls to the same dead member, or it is silent just when a domain is gone.

Which servers a box probes is worked out when the region's boxes or the configuration change, not twice a second: that was 316 x 178 hashes at 340.

--- a/lib/src/coordination/exchange.rs
+++ b/lib/src/coordination/exchange.rs
@@ -19,7 +19,7 @@
 use crate::state::load::Load;
 
 /// Server reports in one heartbeat.
-const REPORTS: usize = 64;
+const REPORTS: usize = 40;
 /// Records asked for at once.
 const WANTED: usize = 32;
 
--- a/lib/src/coordination/membership.rs
+++ b/lib/src/coordination/membership.rs
@@ -1,8 +1,15 @@
 //! Which boxes there are, and which of them are alive.
 //!
-//! Every member has a counter that only it advances. A member whose counter
-//! stands still for too long, as far as this box hears, is dead to this box.
-//! Counters travel as [`Beat`]s, a few bytes each; whole records travel only
+//! Every box calls a few random others each period, so that a box that dies is
+//! called soon by somebody. Who gets no answer twice in a row says so: a record
+//! with [`Phase::Dead`] and a counter just over the last one heard travels like any
+//! other news. Only the member itself advances its counter, so a record with a
+//! higher one takes the word back; a box that hears of its own death sends one.
+//! A box whose calls mostly fail blames itself, and says nothing of others.
+//!
+//! Silence is the slow second way: a member whose counter stands still for a
+//! time that grows with its region is dead to this box. Counters travel as
+//! [`Beat`]s, a few bytes each and a bounded number; whole records travel only
 //! when they are new or asked for. Of its own region a box knows every member,
 //! of each other region a bounded number of contacts.
 //!
@@ -26,6 +33,7 @@
 use crate::protocol::peer::MAX_MEMBERS;
 use crate::protocol::peer::Member;
 use crate::protocol::peer::MemberId;
+use crate::protocol::peer::Phase;
 
 /// How members are watched.
 #[derive(Clone, Debug)]
@@ -34,8 +42,12 @@
     pub period: Duration,
     /// Boxes of the own region that each heartbeat goes to.
     pub fan_out: usize,
-    /// Silence after which a member is dead.
+    /// Silence after which a member is dead, in a region of few boxes.
     pub dead_after: Duration,
+    /// Added to it for each box of the region.
+    pub dead_after_per_box: Duration,
+    /// Calls in a row without an answer after which a member is dead.
+    pub failures: u32,
     /// Silence after which a member is forgotten.
     pub forget_after: Duration,
     /// Counters of the own region in one heartbeat.
@@ -48,6 +60,8 @@
     pub news_for: Duration,
     /// Records in one heartbeat that are passed on unasked.
     pub news: usize,
+    /// Share of heartbeats that carry a contact in another region.
+    pub contact_share: f64,
     /// Share of heartbeats that also try an address at which nobody is known.
     pub stranger_share: f64,
 }
@@ -58,12 +72,15 @@
             period: Duration::from_secs(1),
             fan_out: 2,
             dead_after: Duration::from_secs(5),
+            dead_after_per_box: Duration::from_millis(200),
+            failures: 2,
             forget_after: Duration::from_secs(120),
-            near_beats: 96,
+            near_beats: 24,
             far_beats: 12,
             contacts: 12,
-            news_for: Duration::from_secs(4),
-            news: 3,
+            news_for: Duration::from_secs(6),
+            news: 4,
+            contact_share: 0.25,
             stranger_share: 0.5,
         }
     }
@@ -72,10 +89,23 @@
 /// Addresses that a box calls at once while it knows nobody.
 const FIRST_CALLS: usize = 4;
 
+/// Weight of the latest call in the share of calls that fail.
+const SMOOTHING: f64 = 0.2;
+/// Share of failed calls at which a box blames itself.
+const SELF_BLAME: f64 = 0.7;
+
+/// Added to the last counter of a dead member, so that counters which are
+/// still on their way do not take the word back. A member that lives on jumps
+/// over it when it hears the word, and passes it by itself soon after.
+const DEATH_LEAD: u32 = 10;
+
 struct Known {
     member: Member,
+    /// Phase before it was said to be dead.
+    phase_alive: Phase,
     advanced_at: Instant,
     changed_at: Instant,
+    failures: u32,
 }
 
 /// The members that one box knows.
@@ -85,6 +115,9 @@
     others: BTreeMap<BoxId, Known>,
     by_id: HashMap<MemberId, BoxId>,
     addresses: BTreeSet<SocketAddr>,
+    /// Members known by region, alive or not.
+    region_sizes: BTreeMap<RegionId, u32>,
+    failing: f64,
 }
 
 impl Membership {
@@ -96,6 +129,8 @@
             others: BTreeMap::new(),
             by_id: HashMap::new(),
             addresses: BTreeSet::new(),
+            region_sizes: BTreeMap::new(),
+            failing: 0.0,
         }
     }
 
@@ -123,13 +158,18 @@
     /// Takes in a record; true where it changed who is live or leaving.
     pub fn hear(&mut self, member: Member, now: Instant) -> bool {
         if member.name == self.own.name {
-            return false;
+            return self.hear_of_self(&member);
         }
         let Some(known) = self.others.get(&member.name) else {
-            return self.meet(member, now);
+            return member.phase != Phase::Dead && self.meet(member, now);
         };
-        let silent = now.saturating_duration_since(known.advanced_at) > self.tuning.dead_after;
-        if !supersedes(&member, &known.member, silent) {
+        let was_live = self.is_live(known, now);
+        if member.phase == Phase::Dead {
+            let newest =
+                member.incarnation == known.member.incarnation && member.beat >= known.member.beat;
+            return was_live && newest && self.bury(&member.name, member.beat, now);
+        }
+        if !supersedes(&member, &known.member, !was_live) {
             return false;
         }
         let turned =
@@ -137,7 +177,53 @@
         let changed_at = if turned { now } else { known.changed_at };
         self.by_id.remove(&known.member.id());
         self.insert(member, now, changed_at);
-        silent || turned
+        !was_live || turned
+    }
+
+    /// Word of this box's own death is taken back by a higher counter.
+    fn hear_of_self(&mut self, word: &Member) -> bool {
+        let false_word = word.phase == Phase::Dead && word.incarnation == self.own.incarnation;
+        if false_word {
+            self.own.beat = self.own.beat.max(word.beat) + 1;
+        }
+        false_word
+    }
+
+    fn bury(&mut self, name: &BoxId, beat: u32, now: Instant) -> bool {
+        let Some(known) = self.others.get_mut(name) else { return false };
+        known.phase_alive = known.member.phase;
+        known.member.phase = Phase::Dead;
+        known.member.beat = beat;
+        known.changed_at = now;
+        true
+    }
+
+    /// A call got its answer.
+    pub fn answered(&mut self, peer: SocketAddr) {
+        self.failing *= 1.0 - SMOOTHING;
+        if let Some(known) = self.others.values_mut().find(|known| known.member.peers == peer) {
+            known.failures = 0;
+        }
+    }
+
+    /// A call got no answer; true where its member is dead by that.
+    pub fn unanswered(&mut self, peer: SocketAddr, now: Instant) -> bool {
+        let live = self
+            .others
+            .iter()
+            .find(|(_, known)| known.member.peers == peer && self.is_live(known, now));
+        // Calls to addresses at which nobody is known say nothing of this box.
+        let Some(name) = live.map(|(name, _)| name.clone()) else { return false };
+        let Some(known) = self.others.get_mut(&name) else { return false };
+        // Calling a doubtful one again says nothing new of this box.
+        if known.failures == 0 {
+            self.failing += SMOOTHING * (1.0 - self.failing);
+        }
+        known.failures += 1;
+        let beat = known.member.beat + DEATH_LEAD;
+        known.failures >= self.tuning.failures
+            && self.failing < SELF_BLAME
+            && self.bury(&name, beat, now)
     }
 
     fn meet(&mut self, member: Member, now: Instant) -> bool {
@@ -151,7 +237,8 @@
 
     fn insert(&mut self, member: Member, now: Instant, changed_at: Instant) {
         self.by_id.insert(member.id(), member.name.clone());
-        let known = Known { advanced_at: now, changed_at, member };
+        let phase_alive = member.phase;
+        let known = Known { advanced_at: now, changed_at, member, phase_alive, failures: 0 };
         self.others.insert(known.member.name.clone(), known);
     }
 
@@ -165,6 +252,7 @@
                 None => unknown.push(beat.member),
                 Some(known) if beat.beat > known.member.beat => {
                     known.member.beat = beat.beat;
+                    known.member.phase = known.phase_alive;
                     known.advanced_at = now;
                 }
                 Some(_) => {}
@@ -184,6 +272,10 @@
         let forget_after = self.tuning.forget_after;
         self.others
             .retain(|_, known| now.saturating_duration_since(known.advanced_at) < forget_after);
+        self.region_sizes.clear();
+        for known in self.others.values() {
+            *self.region_sizes.entry(known.member.region.clone()).or_default() += 1;
+        }
         let others = &self.others;
         self.by_id.retain(|_, name| others.contains_key(name));
         self.own.beat += 1;
@@ -191,7 +283,13 @@
     }
 
     fn is_live(&self, known: &Known, now: Instant) -> bool {
-        now.saturating_duration_since(known.advanced_at) <= self.tuning.dead_after
+        let silence = now.saturating_duration_since(known.advanced_at);
+        known.member.phase != Phase::Dead && silence <= self.silence_allowed(&known.member)
+    }
+
+    fn silence_allowed(&self, member: &Member) -> Duration {
+        let of_region = *self.region_sizes.get(&member.region).unwrap_or(&0);
+        self.tuning.dead_after + self.tuning.dead_after_per_box * of_region
     }
 
     fn live_known(&self, now: Instant) -> impl Iterator<Item = &Known> {
@@ -229,6 +327,7 @@
         let near = self.live_in(&self.own.region, now).map(|member| member.peers);
         let mut targets = near.choose_multiple(rng, self.tuning.fan_out);
         targets.extend(self.far_targets(now, rng));
+        targets.extend(self.doubtful(now));
         let strangers = match targets.is_empty() {
             true => FIRST_CALLS,
             false => usize::from(rng.random_bool(self.tuning.stranger_share)),
@@ -237,6 +336,12 @@
         targets
     }
 
+    /// Members whose last call got no answer: they are called again.
+    fn doubtful(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let doubtful = self.live_known(now).filter(|known| known.failures > 0);
+        doubtful.map(|known| known.member.peers).take(self.tuning.fan_out)
+    }
+
     /// One contact in each other region, or less often where that region is
     /// the smaller one, so that its boxes are not called by all of a large one.
     fn far_targets(&self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
@@ -277,16 +382,19 @@
     }
 
     /// Records to pass on unasked within the region: those that changed lately,
-    /// and one contact in another region.
+    /// deaths among them, and now and then a contact in another region.
     pub fn news(&self, now: Instant, rng: &mut impl Rng) -> Vec<Member> {
         let mut news: Vec<&Known> = self
-            .live_known(now)
+            .others
+            .values()
             .filter(|known| now.saturating_duration_since(known.changed_at) < self.tuning.news_for)
             .collect();
         news.shuffle(rng);
         news.truncate(self.tuning.news);
-        let far = self.live_known(now).filter(|known| known.member.region != self.own.region);
-        news.extend(far.choose(rng));
+        if rng.random_bool(self.tuning.contact_share) {
+            let far = self.live_known(now).filter(|known| known.member.region != self.own.region);
+            news.extend(far.choose(rng));
+        }
         news.into_iter().map(|known| known.member.clone()).collect()
     }
 
--- a/lib/src/daemon/control/heartbeats.rs
+++ b/lib/src/daemon/control/heartbeats.rs
@@ -25,6 +25,8 @@
 pub(super) const ANNOUNCE_PERIOD: Duration = Duration::from_secs(10);
 /// Life of an announcement.
 const ANNOUNCE_LIFE: Duration = Duration::from_secs(35);
+/// Longest time that a call takes while this box runs.
+const LONGEST_CALL: Duration = Duration::from_secs(4);
 /// Boxes that are told at once of what cannot wait for the next period.
 const TOLD_AT_ONCE: usize = 4;
 /// Boxes that are told at once that this box is leaving.
@@ -91,10 +93,10 @@
         let peers = Arc::clone(&self.peers);
         let events = self.events.clone();
         tokio::spawn(async move {
-            let answer = match peers.exchange(target, heartbeat).await {
-                Ok(answer) => answer,
-                Err(_) => return counters.count(Counter::HeartbeatsFailed),
-            };
+            let answer = peers.exchange(target, heartbeat).await;
+            let answered = answer.is_ok();
+            let _ = events.send(Event::Called { peer: target, answered, sent_at: now }).await;
+            let Ok(answer) = answer else { return counters.count(Counter::HeartbeatsFailed) };
             counters.add(Counter::HeartbeatBytes, answer.encoded_len() as u64);
             if let Ok(heartbeat) = Heartbeat::try_from(answer) {
                 let _ = events.send(Event::Heartbeat(Box::new(heartbeat), None)).await;
@@ -114,6 +116,21 @@
         self.exchange.compose(receiver, extra, now, &mut self.rng)
     }
 
+    /// A heartbeat of ours was answered, or not.
+    pub(super) fn called(&mut self, peer: SocketAddr, answered: bool, sent_at: Instant) {
+        let now = Instant::now();
+        if answered {
+            return self.exchange.membership.answered(peer);
+        }
+        // A call that ended much later than it can have: this box was frozen, not the other.
+        let frozen = now.saturating_duration_since(sent_at) > LONGEST_CALL;
+        if !frozen && self.exchange.membership.unanswered(peer, now) {
+            self.log_members(now);
+            self.publish();
+            self.spread();
+        }
+    }
+
     /// Lends this box's share of what is spare in its region.
     fn lend(&mut self, now: Instant) -> Vec<Credit> {
         if self.exchange.membership.own().phase != Phase::Serving {
--- a/lib/src/daemon/control/mod.rs
+++ b/lib/src/daemon/control/mod.rs
@@ -78,6 +78,15 @@
     Tick(Tick<Topic>),
     /// A heartbeat came in; the answer goes back, if one is wanted.
     Heartbeat(Box<Heartbeat>, Option<oneshot::Sender<Heartbeat>>),
+    /// A heartbeat was answered, or not.
+    Called {
+        /// Where to.
+        peer: SocketAddr,
+        /// Whether it was answered.
+        answered: bool,
+        /// When it was sent.
+        sent_at: Instant,
+    },
     /// A stored configuration came in, or word that a source has none newer.
     Document(Option<Bytes>),
     /// A source that a fresh box asked has answered or failed.
@@ -140,6 +149,7 @@
     live: BTreeSet<(String, u64, bool)>,
     pools_dirty: bool,
     asked: BTreeSet<SocketAddr>,
+    probes: Vec<servers::Probe>,
     rng: SmallRng,
 }
 
@@ -179,6 +189,7 @@
             live: BTreeSet::new(),
             pools_dirty: true,
             asked: BTreeSet::new(),
+            probes: Vec::new(),
             rng: SmallRng::seed_from_u64(shared.incarnation),
             shared,
             events,
@@ -239,6 +250,7 @@
         match event {
             Event::Tick(tick) => self.tick(tick),
             Event::Heartbeat(heartbeat, answer) => self.hear(*heartbeat, answer),
+            Event::Called { peer, answered, sent_at } => self.called(peer, answered, sent_at),
             Event::Document(document) => self.offered(document),
             Event::SourceDone => {
                 self.rollout.answered();
@@ -255,7 +267,7 @@
     fn tick(&mut self, tick: Tick<Topic>) {
         match tick.topic {
             Topic::Heartbeat => self.beat(tick.now, tick.late),
-            Topic::Probe => self.probe(tick.now),
+            Topic::Probe => self.probe(),
             Topic::Pools => self.refresh_pools(tick.now),
             Topic::List => self.read_list(false),
             Topic::Announce => self.announce(),
@@ -356,7 +368,10 @@
         }
         let limiter = &self.shared.limiter;
         lock(limiter).keep_boxes(|name| live.iter().any(|(live, ..)| live == name));
-        self.live = live;
+        if live != self.live {
+            self.live = live;
+            self.choose_probes(now);
+        }
     }
 
     fn count(&self, counter: Counter) {
--- a/lib/src/daemon/control/servers.rs
+++ b/lib/src/daemon/control/servers.rs
@@ -35,12 +35,20 @@
 /// Longest wait for a plain service to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// A backend server that this box probes.
+pub(super) struct Probe {
+    server: ServerId,
+    address: SocketAddr,
+    is_service: bool,
+}
+
 impl Control {
     /// Makes the pools that the configuration declares.
     pub(super) fn set_pools(&mut self) {
         let pools = self.configuration.pools.iter().map(|(id, pool)| (id, limits(pool)));
         self.shared.pools.set(pools, self.shared.incarnation);
         self.pools_dirty = true;
+        self.choose_probes(Instant::now());
         self.refresh_pools(Instant::now());
     }
 
@@ -73,25 +81,31 @@
         here.map(|(id, server)| (id.clone(), lane(id, server))).collect()
     }
 
-    /// Probes the servers of this region that are this box's to probe.
-    pub(super) fn probe(&mut self, now: Instant) {
+    /// Works out anew which servers of this region are this box's to probe;
+    /// needed only when the region's boxes or the configuration change.
+    pub(super) fn choose_probes(&mut self, now: Instant) {
         let region = &self.shared.settings.region;
         let own = &self.shared.settings.name;
-        let peers: Vec<&str> = self
-            .exchange
-            .membership
-            .live_in(region, now)
-            .map(|member| member.name.as_str())
-            .collect();
+        let members = self.exchange.membership.live_in(region, now);
+        let peers: Vec<&str> = members.map(|member| member.name.as_str()).collect();
+        let mut probes = Vec::new();
         for (pool_id, pool) in &self.configuration.pools {
             let is_service = self.configuration.services.contains_key(pool_id);
             for (id, server) in pool.servers.iter().filter(|(_, server)| server.region == *region) {
                 if rendezvous::holds(own, peers.iter().copied(), id, PROBERS) {
-                    self.count(Counter::Probes);
-                    self.spawn_probe(id.clone(), server.address, is_service);
+                    probes.push(Probe { server: id.clone(), address: server.address, is_service });
                 }
             }
         }
+        self.probes = probes;
+    }
+
+    /// Probes the servers that are this box's to probe.
+    pub(super) fn probe(&self) {
+        for probe in &self.probes {
+            self.count(Counter::Probes);
+            self.spawn_probe(probe.server.clone(), probe.address, probe.is_service);
+        }
     }
 
     fn spawn_probe(&self, server: ServerId, address: SocketAddr, is_service: bool) {
--- a/lib/src/daemon/operators.rs
+++ b/lib/src/daemon/operators.rs
@@ -171,6 +171,7 @@
         Phase::Starting => "starting",
         Phase::Serving => "serving",
         Phase::Leaving => "leaving",
+        Phase::Dead => "dead",
     };
     BoxStatus {
         name: member.name.clone(),
--- a/lib/src/protocol/peer.rs
+++ b/lib/src/protocol/peer.rs
@@ -43,6 +43,8 @@
     Serving,
     /// Finishes what it has.
     Leaving,
+    /// Does not answer calls, as somebody else found.
+    Dead,
 }
 
 /// What a box says of itself.
@@ -145,6 +147,7 @@
         wire::Phase::Starting => Phase::Starting,
         wire::Phase::Serving => Phase::Serving,
         wire::Phase::Leaving => Phase::Leaving,
+        wire::Phase::Dead => Phase::Dead,
     }
 }
 
@@ -154,6 +157,7 @@
             Phase::Starting => wire::Phase::Starting,
             Phase::Serving => wire::Phase::Serving,
             Phase::Leaving => wire::Phase::Leaving,
+            Phase::Dead => wire::Phase::Dead,
         };
         wire::Member {
             name: member.name.clone(),
