--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -96,6 +96,12 @@
     }
 
     fn settings(&self, region: usize, number: usize) -> Settings {
+        let text = self.settings_text(region, number);
+        Settings::parse("settings", &text).expect("settings of a test box")
+    }
+
+    /// Settings of a box, as a file.
+    pub fn settings_text(&self, region: usize, number: usize) -> String {
         let all = || (0..self.regions).flat_map(|r| (0..self.boxes).map(move |n| (r, n)));
         let seeds: Vec<String> = all()
             .filter(|at| *at != (region, number))
@@ -119,7 +125,7 @@
             "stop_grace_ms": 500,
             "stop_limit_ms": 20_000,
         });
-        Settings::parse("settings", &text.to_string()).expect("settings of a test box")
+        text.to_string()
     }
 
     /// The configuration that most tests start with.
