--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -3,12 +3,9 @@
 
 #[path = "../../lib/tests/common/mod.rs"]
 mod common;
+mod processes;
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -25,6 +22,7 @@
 use copperweir_standin::platform;
 use http::Method;
 use http::StatusCode;
+use processes::Boxes;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -36,69 +34,6 @@
 const ROUNDS: usize = 12;
 const CALLERS: usize = 12;
 
-struct Boxes {
-    plan: Plan,
-    folder: PathBuf,
-    children: BTreeMap<(usize, usize), Child>,
-}
-
-impl Boxes {
-    fn start(plan: Plan) -> Boxes {
-        let folder = std::env::temp_dir().join(format!("copperweir-test-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder for settings");
-        let mut boxes = Boxes { plan, folder, children: BTreeMap::new() };
-        for region in 0..plan.regions {
-            for number in 0..plan.boxes {
-                boxes.start_one(region, number);
-            }
-        }
-        boxes
-    }
-
-    fn start_one(&mut self, region: usize, number: usize) {
-        let file = self.folder.join(format!("{region}-{number}.jsonc"));
-        std::fs::write(&file, self.plan.settings_text(region, number)).expect("settings");
-        let log = self.folder.join(format!("{region}-{number}.log"));
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("a log");
-        let child = Command::new(env!("CARGO_BIN_EXE_copperweir"))
-            .args(["serve", "--settings"])
-            .arg(&file)
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("a box");
-        self.children.insert((region, number), child);
-    }
-
-    fn signal(&self, at: (usize, usize), signal: &str) {
-        let id = self.children[&at].id().to_string();
-        let sent = Command::new("kill").args([signal, &id]).status().expect("kill");
-        assert!(sent.success());
-    }
-
-    fn wait(&mut self, at: (usize, usize)) -> Option<i32> {
-        let mut child = self.children.remove(&at)?;
-        child.wait().expect("an end").code()
-    }
-
-    fn logs(&self) -> String {
-        let files = std::fs::read_dir(&self.folder).expect("logs");
-        let logs = files.map(|file| file.expect("an entry").path());
-        let logs = logs.filter(|path| path.extension().is_some_and(|kind| kind == "log"));
-        logs.map(|path| std::fs::read_to_string(path).expect("a log")).collect()
-    }
-}
-
-impl Drop for Boxes {
-    fn drop(&mut self) {
-        for child in self.children.values_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 /// What callers were told of each filing.
 #[derive(Default)]
 struct Ledger {
--- a/lib/src/protocol/config/check.rs
+++ b/lib/src/protocol/config/check.rs
@@ -17,9 +17,11 @@
 use super::Team;
 use super::raw;
 use super::shape;
+use crate::protocol::NameHash;
 use crate::protocol::jsonc::Document;
 use crate::protocol::jsonc::Problem;
 use crate::protocol::jsonc::Problems;
+use crate::protocol::name_hash;
 use crate::protocol::schema::nearest;
 
 const DEFAULT_SLOTS: u32 = 8;
@@ -28,6 +30,7 @@
 const DEFAULT_LEND_SHARE: f64 = 0.25;
 const DEFAULT_RATE: f64 = 1_000_000.0;
 const SHA256_HEX: usize = 64;
+const SAME_HASH: &str = "the name has the same short hash as another one; choose another name";
 
 /// Text of each file by its name.
 pub type Files = BTreeMap<String, String>;
@@ -73,6 +76,8 @@
 struct Checker {
     configuration: Configuration,
     server_names: BTreeSet<String>,
+    server_hashes: BTreeSet<NameHash>,
+    team_hashes: BTreeSet<NameHash>,
     limits_seen: bool,
     problems: Vec<Problem>,
 }
@@ -218,6 +223,8 @@
             let at = |field| [path[0], path[1], path[2], name.as_str(), field];
             if !self.server_names.insert(name.clone()) {
                 self.twice(document, &at("region")[..4]);
+            } else if !self.server_hashes.insert(name_hash(name)) {
+                self.problem(document, &at("region")[..4], SAME_HASH);
             }
             self.known_region(document, &at("region"), &server.region);
             let domains = self.configuration.regions.get(&server.region);
@@ -320,6 +327,9 @@
 
     fn teams(&mut self, document: &Document<'_>, raw: &raw::File) {
         for (name, team) in &raw.teams {
+            if !self.team_hashes.insert(name_hash(name)) {
+                self.problem(document, &["teams", name], SAME_HASH);
+            }
             self.team_names(document, name, team);
             self.team_keys(document, name, team);
             self.known_rule(document, &["teams", name, "residency"], team.residency.as_ref());
--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -71,6 +71,11 @@
         self.address(0, 1, 7000)
     }
 
+    /// The platform, as a region reaches it.
+    fn platform_link(&self, region: usize) -> SocketAddr {
+        self.address(0, 10 + region, 7000)
+    }
+
     pub fn engine(&self, region: usize, engine: usize) -> SocketAddr {
         self.address(region + 1, 100 + engine, 9000)
     }
@@ -118,7 +123,7 @@
             "callers": self.callers(region, number).to_string(),
             "peers": self.peers(region, number).to_string(),
             "operators": self.operators(region, number).to_string(),
-            "platform": self.platform().to_string(),
+            "platform": self.platform_link(region).to_string(),
             "peer_secret": "a secret for the tests",
             "seeds": seeds,
             "peer_routes": routes,
@@ -205,6 +210,7 @@
     pub engines: Vec<Vec<Engine>>,
     pub service: Service,
     pub links: BTreeMap<(usize, usize), Link>,
+    platform_links: Vec<Link>,
     boxes: BTreeMap<(usize, usize), Daemon>,
     pub client: backend::Client,
 }
@@ -234,6 +240,7 @@
             engines: Vec::new(),
             service: Service::default(),
             links: BTreeMap::new(),
+            platform_links: Vec::new(),
             boxes: BTreeMap::new(),
             client: backend::Client::default(),
         };
@@ -250,6 +257,10 @@
         let plan = self.plan;
         self.runtime.spawn(self.platform.serve(self.listen(plan.platform())));
         for region in 0..plan.regions {
+            let link = Link::new(Duration::ZERO);
+            let listener = self.listen(plan.platform_link(region));
+            self.runtime.spawn(link.serve(listener, plan.platform()));
+            self.platform_links.push(link);
             let engines: Vec<Engine> = (0..plan.engines).map(|_| Engine::new(plan.speed)).collect();
             for (number, engine) in engines.iter().enumerate() {
                 self.runtime.spawn(engine.serve(self.listen(plan.engine(region, number))));
@@ -295,8 +306,9 @@
         std::thread::spawn(move || daemon.wait())
     }
 
-    /// Cuts or mends all links of a region, both ways.
+    /// Cuts a region off from the others and from the platform, or mends that.
     pub fn cut_region(&self, region: usize, cut: bool) {
+        self.platform_links[region].set_cut(cut);
         for ((from, to), link) in &self.links {
             if *from == region || *to == region {
                 link.set_cut(cut);
--- a/lib/tests/test_regions.rs
+++ b/lib/tests/test_regions.rs
@@ -73,7 +73,6 @@
     fleet.wait_for_members();
     // Cut off: no other region, no platform.
     fleet.cut_region(0, true);
-    fleet.platform.set_faults(platform::Faults { hang: true, ..Default::default() });
     let at = plan.callers(0, 0);
     eventually("the others are gone", || fleet.boxes_at(at).boxes.len() == 2);
     for _ in 0..20 {
@@ -89,11 +88,14 @@
     eventually("the replaced box is ready", || fleet.is_ready(0, 1));
     let reply = fleet.complete(plan.callers(0, 1), &[], &json!({"model": "log", "max_tokens": 2}));
     assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
-    // The store is back for operators, but the region stays cut off from the others.
-    fleet.platform.set_faults(platform::Faults::default());
+    // A change meanwhile is in force elsewhere, and here as soon as the cut is mended.
     let mut configuration = plan.configuration();
     configuration["limits"]["body_bytes"] = json!(1234);
     assert_eq!(fleet.apply("main", &configuration).expect("applied"), 2);
+    eventually("the change is in force elsewhere", || {
+        (1..3).all(|region| (0..2).all(|number| fleet.version(region, number) == 2))
+    });
+    assert_eq!(fleet.version(0, 0), 1);
     fleet.cut_region(0, false);
     fleet.wait_for_version(2);
     fleet.wait_for_members();
