policy: a prefix that must move moves to the same next server; pools stop later

Now the candidates are nearly all servers, and the prefix walks its own hash order to the first that is not loaded over 1.25 times the average. Tried on the way: the same with the pool full at 1.0 times its slots. So the pool is full at 1.25 times, one server at 2 times.

Also: three boxes of a region try for the lease of orders instead of all, boxes of a large region announce in turn, servers that turn are logged, and the reference pages are made from the types and checked against them.

--- /dev/null
+++ b/lib/benches/policies.rs
@@ -0,0 +1,481 @@
+//! Policies on identical arrivals, in virtual time, against an oracle without lag.
+//!
+//! One region: boxes with the daemon's own pool code, engines with a cost model
+//! (slots, a prefix cache of limited memory, prefill one after another, decode
+//! steps that lengthen with the batch), load reports that lag. The oracle sees
+//! every engine's true state and cache at each arrival.
+//!
+//! `cargo bench -p copperweir-lib --bench policies`
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use copperweir_lib::coordination::policy::Candidate;
+use copperweir_lib::coordination::policy::Estimate;
+use copperweir_lib::coordination::policy::LeastInFlight;
+use copperweir_lib::coordination::policy::Policy;
+use copperweir_lib::coordination::policy::PrefixSticky;
+use copperweir_lib::coordination::policy::Random;
+use copperweir_lib::coordination::policy::Request as Asked;
+use copperweir_lib::coordination::policy::RoundRobin;
+use copperweir_lib::coordination::pool::Arrival;
+use copperweir_lib::coordination::pool::Decision;
+use copperweir_lib::coordination::pool::Lane;
+use copperweir_lib::coordination::pool::Limits;
+use copperweir_lib::coordination::pool::Outcome;
+use copperweir_lib::coordination::pool::Placement;
+use copperweir_lib::coordination::pool::Pool;
+use copperweir_lib::coordination::pool::Wake;
+use copperweir_lib::protocol::config::Priority;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const ENGINES: usize = 12;
+const BOXES: usize = 3;
+const SLOTS: u32 = 8;
+/// Prefixes that an engine's cache holds.
+const CACHED: usize = 40;
+/// Prefixes that callers use, by Zipf's law.
+const PREFIXES: f64 = 200.0;
+/// Seconds per token of prefill, and per decode step, alone and per request beside it.
+const PREFILL: f64 = 0.000_1;
+const STEP: f64 = 0.010;
+const STEP_PER_REQUEST: f64 = 0.001;
+const REPORT_PERIOD: f64 = 0.5;
+const REPORT_LAG: f64 = 0.3;
+const LENGTH: f64 = 120.0;
+const WARM_UP: f64 = 20.0;
+const SEEDS: u64 = 5;
+const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.3];
+
+/// Kind of request: share, shared and own prompt tokens, answer tokens, priority, patience.
+struct Kind {
+    share: f64,
+    prefix: f64,
+    own: f64,
+    tokens: f64,
+    priority: Priority,
+    patience: f64,
+}
+
+const fn kind(
+    share: f64,
+    prefix: f64,
+    own: f64,
+    tokens: f64,
+    priority: Priority,
+    patience: f64,
+) -> Kind {
+    Kind { share, prefix, own, tokens, priority, patience }
+}
+
+/// Fault logs to summarise, and questions about codes.
+const UTILITY: [Kind; 2] = [
+    kind(0.4, 1500.0, 500.0, 60.0, Priority::High, 10.0),
+    kind(0.6, 100.0, 25.0, 20.0, Priority::Normal, 20.0),
+];
+/// Reviews of listings, and buyers' questions.
+const TICKETS: [Kind; 2] = [
+    kind(0.3, 2250.0, 250.0, 40.0, Priority::Low, 30.0),
+    kind(0.7, 75.0, 25.0, 15.0, Priority::High, 10.0),
+];
+
+#[derive(Clone)]
+struct Job {
+    id: u64,
+    kind: usize,
+    prefix: u64,
+    arrived: f64,
+    dispatched: f64,
+    owner: usize,
+}
+
+#[derive(Default)]
+struct Engine {
+    running: u32,
+    waiting: VecDeque<Job>,
+    prefill_free_at: f64,
+    cache: VecDeque<u64>,
+    past: VecDeque<(f64, u32)>,
+}
+
+enum Event {
+    Arrive(Job),
+    Land(usize, Job),
+    Done(usize, Job, f64),
+    Report,
+}
+
+#[derive(Default)]
+struct Tally {
+    first: Vec<f64>,
+    urgent: Vec<f64>,
+    completed: usize,
+    refused: usize,
+    refused_urgent: usize,
+    hits: usize,
+    lookups: usize,
+    work: f64,
+}
+
+struct World<'a, P> {
+    kinds: &'a [Kind],
+    pools: Vec<Pool<P>>,
+    engines: Vec<Engine>,
+    jobs: HashMap<u64, Job>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    number: u64,
+    start: Instant,
+    now: f64,
+    oracle: bool,
+    rng: SmallRng,
+    tally: Tally,
+}
+
+fn name(engine: usize) -> String {
+    format!("engine-{engine:02}")
+}
+
+const LIMITS: Limits = Limits { queue: 256, bytes: usize::MAX };
+
+impl<'a, P: Policy + Default> World<'a, P> {
+    fn new(kinds: &'a [Kind], oracle: bool, seed: u64) -> World<'a, P> {
+        let start = Instant::now();
+        let mut world = World {
+            kinds,
+            pools: (0..BOXES).map(|_| Pool::new(P::default(), LIMITS, start)).collect(),
+            engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+            jobs: HashMap::new(),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            number: 0,
+            start,
+            now: 0.0,
+            oracle,
+            rng: SmallRng::seed_from_u64(seed ^ 0xfeed),
+            tally: Tally::default(),
+        };
+        world.at(0.0, Event::Report);
+        world
+    }
+
+    fn at(&mut self, time: f64, event: Event) {
+        self.number += 1;
+        self.queue.push(Reverse(((time * 1e9) as u64, self.number)));
+        self.events.insert(self.number, event);
+    }
+
+    fn instant(&self) -> Instant {
+        self.start + Duration::from_secs_f64(self.now)
+    }
+
+    fn run(mut self, arrivals: &[Job]) -> Tally {
+        for job in arrivals {
+            self.at(job.arrived, Event::Arrive(job.clone()));
+        }
+        while let Some(Reverse((time, number))) = self.queue.pop() {
+            self.now = time as f64 / 1e9;
+            match self.events.remove(&number) {
+                Some(Event::Arrive(job)) => self.arrive(job),
+                Some(Event::Land(engine, job)) => self.land(engine, job),
+                Some(Event::Done(engine, job, first)) => self.done(engine, job, first),
+                Some(Event::Report) => self.report(),
+                None => {}
+            }
+        }
+        self.tally
+    }
+
+    fn counts(&self, job: &Job) -> bool {
+        job.arrived >= WARM_UP
+    }
+
+    fn arrive(&mut self, job: Job) {
+        if self.oracle {
+            let engine = self.best(&job);
+            return self.dispatch(engine, job);
+        }
+        let kind = &self.kinds[job.kind];
+        let patience = Duration::from_secs_f64(kind.patience);
+        let arrival = Arrival {
+            id: job.id,
+            priority: kind.priority,
+            deadline: self.instant() + patience,
+            bytes: 1,
+            here: true,
+            elsewhere: Vec::new(),
+            prefix: Some(job.prefix),
+            tried: Vec::new(),
+        };
+        let (owner, id) = (job.owner, job.id);
+        self.jobs.insert(id, job);
+        let now = self.instant();
+        let (decision, wakes) = self.pools[owner].arrive(arrival, now, &mut self.rng);
+        self.woken(wakes);
+        if let Decision::Now(placement) = decision {
+            self.placed(id, placement);
+        }
+    }
+
+    fn woken(&mut self, wakes: Vec<Wake>) {
+        for wake in wakes {
+            self.placed(wake.id, wake.placement);
+        }
+    }
+
+    fn placed(&mut self, id: u64, placement: Placement) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        match placement {
+            Placement::Server(server, _) => {
+                let engine = server["engine-".len()..].parse().unwrap_or(0);
+                self.dispatch(engine, job);
+            }
+            _ if self.counts(&job) => {
+                self.tally.refused += 1;
+                let urgent = self.kinds[job.kind].priority == Priority::High;
+                self.tally.refused_urgent += usize::from(urgent);
+            }
+            _ => {}
+        }
+    }
+
+    /// The engine on which the first token would come soonest, by its true state.
+    fn best(&self, job: &Job) -> usize {
+        let kind = &self.kinds[job.kind];
+        let cost = |engine: &Engine| {
+            let hit = engine.cache.contains(&job.prefix);
+            let prefill = (kind.own + if hit { 0.0 } else { kind.prefix }) * PREFILL;
+            let ahead = (engine.running + engine.waiting.len() as u32) as f64 / f64::from(SLOTS);
+            let queued = (ahead - 1.0 + 1.0 / f64::from(SLOTS)).max(0.0);
+            (engine.prefill_free_at - self.now).max(0.0) + prefill + queued + 0.02 * ahead
+        };
+        let costs = self.engines.iter().map(cost).enumerate();
+        costs.min_by(|a, b| a.1.total_cmp(&b.1)).map_or(0, |(index, _)| index)
+    }
+
+    fn dispatch(&mut self, engine: usize, mut job: Job) {
+        job.dispatched = self.now;
+        self.at(self.now + 0.001, Event::Land(engine, job));
+    }
+
+    fn land(&mut self, engine: usize, job: Job) {
+        self.engines[engine].waiting.push_back(job);
+        self.admit(engine);
+    }
+
+    fn admit(&mut self, index: usize) {
+        let (now, kinds) = (self.now, self.kinds);
+        let engine = &mut self.engines[index];
+        if engine.running >= SLOTS {
+            return;
+        }
+        // The engine honours priorities.
+        let urgent = |job: &Job| kinds[job.kind].priority;
+        let next = (0..engine.waiting.len()).rev().max_by_key(|at| urgent(&engine.waiting[*at]));
+        let Some(job) = next.and_then(|next| engine.waiting.remove(next)) else { return };
+        engine.running += 1;
+        let kind = &kinds[job.kind];
+        let hit = engine.cache.iter().position(|prefix| *prefix == job.prefix);
+        if let Some(position) = hit {
+            engine.cache.remove(position);
+        }
+        engine.cache.push_back(job.prefix);
+        if engine.cache.len() > CACHED {
+            engine.cache.pop_front();
+        }
+        let prefill = (kind.own + if hit.is_some() { 0.0 } else { kind.prefix }) * PREFILL;
+        let prefilled = engine.prefill_free_at.max(now) + prefill;
+        engine.prefill_free_at = prefilled;
+        let step = STEP + STEP_PER_REQUEST * f64::from(engine.running);
+        let first = prefilled + step;
+        let end = prefilled + step * kind.tokens;
+        if job.arrived >= WARM_UP {
+            self.tally.lookups += 1;
+            self.tally.hits += usize::from(hit.is_some());
+            self.tally.work += prefill + step * kind.tokens / f64::from(SLOTS);
+        }
+        self.at(end, Event::Done(index, job, first));
+    }
+
+    fn done(&mut self, engine: usize, job: Job, first: f64) {
+        self.engines[engine].running -= 1;
+        self.admit(engine);
+        if self.counts(&job) {
+            self.tally.completed += 1;
+            self.tally.first.push(first - job.arrived);
+            if self.kinds[job.kind].priority == Priority::High {
+                self.tally.urgent.push(first - job.arrived);
+            }
+        }
+        if self.oracle {
+            return;
+        }
+        let outcome = Outcome::Answered {
+            first_byte: Duration::from_secs_f64(first - job.dispatched),
+            total: Duration::from_secs_f64(self.now - job.dispatched),
+        };
+        let now = self.instant();
+        let wakes = self.pools[job.owner].finish(&name(engine), outcome, now, &mut self.rng);
+        self.woken(wakes);
+    }
+
+    /// Every box gets every engine's load as it was a while ago.
+    fn report(&mut self) {
+        if self.now > LENGTH {
+            return;
+        }
+        self.at(self.now + REPORT_PERIOD, Event::Report);
+        let now = self.now;
+        let mut lanes = BTreeMap::new();
+        for (index, engine) in self.engines.iter_mut().enumerate() {
+            let load = engine.running + engine.waiting.len() as u32;
+            engine.past.push_back((now, load));
+            while engine.past.len() > 1 && engine.past[1].0 <= now - REPORT_LAG {
+                engine.past.pop_front();
+            }
+            let (at, load) = engine.past[0];
+            let lane = Lane {
+                address: SocketAddr::from(([127, 0, 0, 1], index as u16)),
+                slots: SLOTS,
+                leaving: false,
+                reachable: true,
+                report: Some((load, self.start + Duration::from_secs_f64(at))),
+            };
+            lanes.insert(name(index), lane);
+        }
+        let now = self.instant();
+        for index in 0..BOXES {
+            self.pools[index].update(LIMITS, lanes.clone(), BTreeSet::new());
+            let wakes = self.pools[index].pump(now, &mut self.rng);
+            self.woken(wakes);
+        }
+    }
+}
+
+fn arrivals(kinds: &[Kind], rate: f64, seed: u64) -> Vec<Job> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut jobs = Vec::new();
+    let mut now = 0.0;
+    while now < LENGTH {
+        now += -rng.random_range(f64::EPSILON..1.0).ln() / rate;
+        let mut left: f64 = rng.random();
+        let drawn = kinds.iter().position(|kind| {
+            left -= kind.share;
+            left < 0.0
+        });
+        let kind = drawn.unwrap_or(0);
+        let prefix = PREFIXES.powf(rng.random::<f64>()) as u64 + 1000 * kind as u64;
+        jobs.push(Job {
+            id: jobs.len() as u64,
+            kind,
+            prefix,
+            arrived: now,
+            dispatched: now,
+            owner: rng.random_range(0..BOXES),
+        });
+    }
+    jobs
+}
+
+/// Requests a second at which all slots are busy in full batches.
+fn capacity(kinds: &[Kind]) -> f64 {
+    let step = STEP + STEP_PER_REQUEST * f64::from(SLOTS);
+    let busy: f64 = kinds
+        .iter()
+        .map(|kind| kind.share * (kind.tokens * step + (kind.own + kind.prefix / 2.0) * PREFILL))
+        .sum();
+    ENGINES as f64 * f64::from(SLOTS) / busy
+}
+
+fn quantile(times: &mut [f64], share: f64) -> f64 {
+    if times.is_empty() {
+        return f64::NAN;
+    }
+    times.sort_by(f64::total_cmp);
+    times[((times.len() - 1) as f64 * share).round() as usize] * 1000.0
+}
+
+/// Estimate without prefix affinity.
+#[derive(Default)]
+struct NoPrefix(Estimate);
+
+impl Policy for NoPrefix {
+    fn choose(
+        &mut self,
+        _asked: Asked,
+        candidates: &[Candidate<'_>],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        self.0.choose(Asked { prefix: None }, candidates, rng)
+    }
+}
+
+fn row<P: Policy + Default>(label: &str, kinds: &[Kind], load: f64, oracle: bool) -> Vec<f64> {
+    let mut seeds = Vec::new();
+    for seed in 1..=SEEDS {
+        let jobs = arrivals(kinds, capacity(kinds) * load, seed);
+        let mut tally = World::<P>::new(kinds, oracle, seed).run(&jobs);
+        let total = (tally.completed + tally.refused) as f64;
+        seeds.push([
+            quantile(&mut tally.first.clone(), 0.5),
+            quantile(&mut tally.first, 0.95),
+            quantile(&mut tally.urgent.clone(), 0.95),
+            quantile(&mut tally.urgent, 0.99),
+            tally.refused as f64 / total * 100.0,
+            tally.refused_urgent as f64 / total * 100.0,
+            tally.hits as f64 / tally.lookups as f64 * 100.0,
+            tally.work / tally.completed as f64 * 1000.0,
+        ]);
+    }
+    let column = |index: usize| {
+        let mut values: Vec<f64> = seeds.iter().map(|row| row[index]).collect();
+        values.sort_by(f64::total_cmp);
+        values
+    };
+    let cells: Vec<String> = (0..8).map(|index| format!("{:>9.1}", column(index)[2])).collect();
+    let p95 = column(1);
+    println!("{label:<16} {:>5.2} {} {:>8.0}..{:.0}", load, cells.join(" "), p95[0], p95[4]);
+    p95
+}
+
+fn main() {
+    for (user, kinds) in [("utility", &UTILITY), ("tickets", &TICKETS)] {
+        println!(
+            "\n{user}: {:.0} requests/s are nominal capacity; medians of {SEEDS} seeds, ms",
+            capacity(kinds)
+        );
+        println!(
+            "{:<16} {:>5} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8}",
+            "policy",
+            "load",
+            "p50",
+            "p95",
+            "urgent95",
+            "urgent99",
+            "refused%",
+            "urgent r%",
+            "hits%",
+            "work/req",
+            "p95 range"
+        );
+        for load in LOADS {
+            let oracle = row::<Estimate>("oracle", kinds, load, true);
+            let ours = row::<Estimate>("estimate", kinds, load, false);
+            row::<NoPrefix>("- no prefix", kinds, load, false);
+            row::<Random>("random", kinds, load, false);
+            row::<RoundRobin>("round robin", kinds, load, false);
+            row::<LeastInFlight>("least in flight", kinds, load, false);
+            row::<PrefixSticky>("prefix sticky", kinds, load, false);
+            println!("estimate p95 over the oracle's: {:.2}", ours[2] / oracle[2]);
+        }
+    }
+}
--- /dev/null
+++ b/lib/examples/balancer.rs
@@ -0,0 +1,64 @@
+//! A balancer over one's own servers: a pool that places, queues and refuses,
+//! without tokio or a socket.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use copperweir_lib::coordination::policy::Estimate;
+use copperweir_lib::coordination::pool::Arrival;
+use copperweir_lib::coordination::pool::Decision;
+use copperweir_lib::coordination::pool::Lane;
+use copperweir_lib::coordination::pool::Limits;
+use copperweir_lib::coordination::pool::Outcome;
+use copperweir_lib::coordination::pool::Placement;
+use copperweir_lib::coordination::pool::Pool;
+use copperweir_lib::protocol::config::Priority;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn main() {
+    let now = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let limits = Limits { queue: 2, bytes: 1 << 20 };
+    let mut pool = Pool::new(Estimate, limits, now);
+    let lane = |port| Lane {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        slots: 1,
+        leaving: false,
+        reachable: true,
+        report: None,
+    };
+    let lanes = BTreeMap::from([("one".to_owned(), lane(9001)), ("two".to_owned(), lane(9002))]);
+    pool.update(limits, lanes, BTreeSet::new());
+
+    let mut running = Vec::new();
+    for id in 0..5 {
+        let arrival = Arrival {
+            id,
+            priority: Priority::Normal,
+            deadline: now + Duration::from_secs(10),
+            bytes: 100,
+            here: true,
+            elsewhere: Vec::new(),
+            prefix: None,
+            tried: Vec::new(),
+        };
+        let (decision, _) = pool.arrive(arrival, now, &mut rng);
+        println!("request {id}: {decision:?}");
+        if let Decision::Now(Placement::Server(server, _)) = decision {
+            running.push(server);
+        }
+    }
+    assert_eq!((running.len(), pool.waiting()), (2, 2));
+
+    let outcome = Outcome::Answered {
+        first_byte: Duration::from_millis(20),
+        total: Duration::from_millis(80),
+    };
+    let wakes = pool.finish(&running[0], outcome, now, &mut rng);
+    println!("a slot came free: {wakes:?}");
+    assert_eq!((wakes.len(), pool.waiting()), (1, 1));
+}
--- /dev/null
+++ b/lib/examples/lease_holder.rs
@@ -0,0 +1,49 @@
+//! A duty that one of several processes holds at a time, fenced by an epoch,
+//! with nothing but a clock and a store that grants leases. Here the store is a
+//! variable and time is counted by hand.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use copperweir_lib::coordination::lease::Action;
+use copperweir_lib::coordination::lease::Event;
+use copperweir_lib::coordination::lease::Holder;
+use copperweir_lib::coordination::lease::Tuning;
+
+fn main() {
+    let tuning = Tuning::default();
+    let mut holders = [Holder::new(tuning), Holder::new(tuning)];
+    let mut now = Instant::now();
+    let mut stored: Option<(usize, Instant)> = None;
+    let mut epoch = 0;
+    for second in 0..30 {
+        now += Duration::from_secs(1);
+        stored = stored.filter(|(_, until)| now < *until);
+        for (index, holder) in holders.iter_mut().enumerate() {
+            // The first process freezes after ten seconds.
+            if index == 0 && second >= 10 {
+                continue;
+            }
+            for action in holder.handle(Event::Tick(now)) {
+                let event = match action {
+                    Action::Acquire if stored.is_none() => {
+                        epoch += 1;
+                        stored = Some((index, now + tuning.life));
+                        Event::Acquired { epoch, asked_at: now }
+                    }
+                    Action::Acquire => Event::Refused(now),
+                    Action::Renew => {
+                        stored = Some((index, now + tuning.life));
+                        Event::Renewed { asked_at: now }
+                    }
+                    Action::Begin(_) | Action::End(_) => continue,
+                };
+                holder.handle(event);
+            }
+        }
+        let acting: Vec<_> = holders.iter().map(|holder| holder.epoch(now)).collect();
+        assert!(acting.iter().flatten().count() <= 1, "two act at once");
+        println!("second {second}: {acting:?}");
+    }
+    assert_eq!(holders[1].epoch(now), Some(2), "the second process took over");
+}
--- a/lib/src/coordination/policy.rs
+++ b/lib/src/coordination/policy.rs
@@ -14,6 +14,8 @@
 pub struct Candidate<'a> {
     /// Its name.
     pub server: &'a str,
+    /// Hash of its name.
+    pub hash: u64,
     /// Requests on it, its queue included, as far as known.
     pub load: f64,
     /// Requests of this box on it.
@@ -105,15 +107,16 @@
     ) -> Option<usize> {
         match request.prefix {
             None => Random.choose(request, candidates, rng),
-            Some(prefix) => preferred(prefix, candidates),
+            Some(prefix) => heaviest(prefix, candidates, 0..candidates.len()),
         }
     }
 }
 
-/// The server that a prefix hashes to unless it is loaded well over the
-/// average; otherwise the better of two drawn at random, by estimated time to
-/// the first byte. Drawing two keeps boxes that act on the same old report
-/// from all choosing the same server.
+/// Of the servers that are not loaded well over the average, the one that the
+/// prefix hashes to; so a prefix that must move always moves to the same next
+/// server, and finds its cache there. Without a prefix, the better of two drawn
+/// at random: that keeps boxes that act on the same old report from all
+/// choosing the same server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Estimate;
 
@@ -131,8 +134,9 @@
             return None;
         }
         if let Some(prefix) = request.prefix {
-            let index = preferred(prefix, candidates)?;
-            if fill(&candidates[index]) <= bound(candidates) {
+            let bound = bound(candidates);
+            let light = (0..candidates.len()).filter(|index| fill(&candidates[*index]) <= bound);
+            if let Some(index) = heaviest(prefix, candidates, light) {
                 return Some(index);
             }
         }
@@ -143,10 +147,12 @@
     }
 }
 
-fn preferred(prefix: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
-    let duty = prefix.to_string();
-    let weight = |index: &usize| rendezvous::weight(candidates[*index].server, &duty);
-    (0..candidates.len()).max_by_key(weight)
+fn heaviest(
+    prefix: u64,
+    candidates: &[Candidate<'_>],
+    among: impl Iterator<Item = usize>,
+) -> Option<usize> {
+    among.max_by_key(|index| rendezvous::mix(candidates[*index].hash, prefix))
 }
 
 fn fill(candidate: &Candidate<'_>) -> f64 {
--- a/lib/src/coordination/pool.rs
+++ b/lib/src/coordination/pool.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use rand::Rng;
+use rapidhash::v3::rapidhash_v3;
 
 use super::bucket::Bucket;
 use super::health::Health;
@@ -31,6 +32,13 @@
 
 /// Age at which a load report says nothing any more.
 const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Requests on all servers, as a factor of their slots, at which the pool is full.
+/// Over 1, since load reports lag: a pool that stops at 1 by its own estimate
+/// leaves slots idle whenever the estimate is high. Engines keep priorities
+/// among the few that wait in them.
+const POOL_FULL: f64 = 1.25;
+/// Requests on one server, as a factor of its slots, at which it is full.
+const SERVER_FULL: f64 = 2.0;
 /// Share of a pool's servers that may be out for failing.
 const MOST_EJECTED: f64 = 0.5;
 /// Retries allowed per request, over time.
@@ -132,10 +140,11 @@
     others_at: Option<Instant>,
     health: Health,
     first_byte: Option<Duration>,
+    hash: u64,
 }
 
 impl Server {
-    fn new(lane: Lane) -> Server {
+    fn new(id: &ServerId, lane: Lane) -> Server {
         Server {
             lane,
             in_flight: 0,
@@ -143,6 +152,7 @@
             others_at: None,
             health: Health::default(),
             first_byte: None,
+            hash: rapidhash_v3(id.as_bytes()),
         }
     }
 
@@ -209,7 +219,7 @@
         self.regions_with_servers = regions_with_servers;
         let mut previous = std::mem::take(&mut self.servers);
         for (id, lane) in lanes {
-            let mut server = previous.remove(&id).unwrap_or_else(|| Server::new(lane.clone()));
+            let mut server = previous.remove(&id).unwrap_or_else(|| Server::new(&id, lane.clone()));
             server.in_flight += self.departed.remove(&id).unwrap_or(0);
             observe(&mut server, lane);
             self.servers.insert(id, server);
@@ -337,21 +347,31 @@
 
     fn place(&mut self, arrival: &Arrival, now: Instant, rng: &mut impl Rng) -> Option<Placement> {
         let mut candidates = Vec::with_capacity(self.servers.len());
+        let (mut load, mut slots) = (0.0, 0.0);
         for (id, server) in &self.servers {
-            if !server.up() || server.health.ejected(now) || arrival.tried.contains(id) {
+            if !server.up() || server.health.ejected(now) {
                 continue;
             }
             let candidate = Candidate {
                 server: id,
+                hash: server.hash,
                 load: server.load(now),
                 own: server.in_flight,
                 slots: server.usable_slots(now),
                 first_byte: server.first_byte,
             };
-            if candidate.load < candidate.slots {
+            load += candidate.load;
+            slots += candidate.slots;
+            let full = candidate.load >= candidate.slots * SERVER_FULL;
+            if !full && !arrival.tried.contains(id) {
                 candidates.push(candidate);
             }
         }
+        // While the pool as a whole has room, a request may wait a moment in a
+        // server that has its prefix cached rather than run cold elsewhere.
+        if load >= slots * POOL_FULL {
+            return None;
+        }
         let request = Request { prefix: arrival.prefix };
         let chosen = self.policy.choose(request, &candidates, rng)?;
         let id = candidates[chosen].server.to_owned();
--- a/lib/src/coordination/rendezvous.rs
+++ b/lib/src/coordination/rendezvous.rs
@@ -25,3 +25,12 @@
     let ahead = names.filter(|other| (weight(other, duty), *other) > own).count();
     ahead < count
 }
+
+/// Weight of two numbers that stand for a name and a duty, without a string.
+pub fn mix(name: u64, duty: u64) -> u64 {
+    // The finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+    let mut bits = name ^ duty.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/lib/src/daemon/control/heartbeats.rs
+++ b/lib/src/daemon/control/heartbeats.rs
@@ -21,10 +21,13 @@
 use crate::protocol::platform::Listing;
 use crate::state::counters::Counter;
 
-/// Time between announcements in the directory.
+/// Time between announcements in the directory, in a region of few boxes.
 pub(super) const ANNOUNCE_PERIOD: Duration = Duration::from_secs(10);
-/// Life of an announcement.
+/// Life of an announcement, in such a region.
 const ANNOUNCE_LIFE: Duration = Duration::from_secs(35);
+/// Boxes of a region that announce once a period between them; in a larger
+/// region each does so less often, and for longer.
+const ANNOUNCERS: u32 = 16;
 /// Longest time that a call takes while this box runs.
 const LONGEST_CALL: Duration = Duration::from_secs(4);
 /// Boxes that are told at once of what cannot wait for the next period.
@@ -203,6 +206,20 @@
         }
     }
 
+    /// Tells the directory of this box when its turn has come.
+    pub(super) fn announce_in_turn(&mut self) {
+        let factor = self.announce_factor();
+        self.announce_tick = self.announce_tick.wrapping_add(1);
+        let turn = (self.shared.incarnation as u32).wrapping_add(self.announce_tick) % factor;
+        if turn == 0 || self.announce_tick == 1 {
+            self.announce();
+        }
+    }
+
+    fn announce_factor(&self) -> u32 {
+        self.exchange.membership.own().region_boxes.div_ceil(ANNOUNCERS).max(1)
+    }
+
     /// Tells the directory of this box.
     pub(super) fn announce(&self) {
         let own = self.exchange.membership.own();
@@ -218,8 +235,9 @@
             leaving: own.phase == Phase::Leaving,
         };
         let platform = self.platform.clone();
+        let life = ANNOUNCE_LIFE * self.announce_factor();
         tokio::spawn(async move {
-            let _ = platform.announce(&listing, ANNOUNCE_LIFE).await;
+            let _ = platform.announce(&listing, life).await;
         });
     }
 }
--- a/lib/src/daemon/control/mod.rs
+++ b/lib/src/daemon/control/mod.rs
@@ -40,6 +40,7 @@
 use crate::coordination::membership::Membership;
 use crate::coordination::rollout::Rollout;
 use crate::protocol::PoolId;
+use crate::protocol::ServerId;
 use crate::protocol::Version;
 use crate::protocol::config::Configuration;
 use crate::protocol::name_hash;
@@ -150,6 +151,8 @@
     pools_dirty: bool,
     asked: BTreeSet<SocketAddr>,
     probes: Vec<servers::Probe>,
+    announce_tick: u32,
+    servers_seen: BTreeMap<ServerId, (bool, bool)>,
     rng: SmallRng,
 }
 
@@ -190,6 +193,8 @@
             pools_dirty: true,
             asked: BTreeSet::new(),
             probes: Vec::new(),
+            announce_tick: 0,
+            servers_seen: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(shared.incarnation),
             shared,
             events,
@@ -270,7 +275,7 @@
             Topic::Probe => self.probe(),
             Topic::Pools => self.refresh_pools(tick.now),
             Topic::List => self.read_list(false),
-            Topic::Announce => self.announce(),
+            Topic::Announce => self.announce_in_turn(),
             Topic::Lease => self.tend_lease(tick.now),
             Topic::Orders => self.give_orders(tick.now),
             Topic::Drain => self.tend_drain(tick.now),
@@ -348,6 +353,9 @@
             stage: self.drain.stage(),
         };
         self.shared.snapshot.store(Arc::new(snapshot));
+        if ready && !was_ready {
+            self.announce();
+        }
     }
 
     /// Logs who came, went or turned, once each.
--- a/lib/src/daemon/control/orders.rs
+++ b/lib/src/daemon/control/orders.rs
@@ -20,6 +20,7 @@
 use crate::coordination::lease;
 use crate::coordination::lease::Action;
 use crate::coordination::lease::Epoch;
+use crate::coordination::rendezvous;
 use crate::protocol::PoolId;
 use crate::protocol::ServerId;
 use crate::protocol::config::Configuration;
@@ -38,6 +39,8 @@
 
 /// Time between looks at the lease.
 pub(super) const LEASE_PERIOD: Duration = Duration::from_secs(1);
+/// Boxes of a region that try for the lease.
+const CANDIDATES: usize = 3;
 /// Time between rounds of orders.
 pub(super) const ORDERS_PERIOD: Duration = Duration::from_secs(5);
 
@@ -51,13 +54,23 @@
             .filter(|(id, _)| !self.configuration.services.contains_key(*id))
             .flat_map(|(_, pool)| pool.servers.values())
             .any(|server| server.region == self.shared.settings.region);
-        let may_hold = self.drain.stage() == Stage::Serving && has_engines;
+        let serving = self.drain.stage() == Stage::Serving;
+        let may_hold = serving && has_engines && self.is_candidate(now);
         if may_hold || self.holder.epoch(now).is_some() {
             let actions = self.holder.handle(lease::Event::Tick(now));
             self.act(actions);
         }
     }
 
+    /// Whether this box is among those of its region that try for the lease;
+    /// all of a large region would only ask the store in vain.
+    fn is_candidate(&self, now: Instant) -> bool {
+        let region = &self.shared.settings.region;
+        let members = self.exchange.membership.live_in(region, now);
+        let names = members.map(|member| member.name.as_str());
+        rendezvous::holds(&self.shared.settings.name, names, "orders", CANDIDATES)
+    }
+
     /// Word on the lease came in.
     pub(super) fn lease_event(&mut self, event: lease::Event, lease: Option<LeaseId>) {
         self.lease = lease.or(self.lease);
--- a/lib/src/daemon/control/servers.rs
+++ b/lib/src/daemon/control/servers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -55,9 +56,11 @@
     /// Puts the latest observations into the pools and places what waits.
     pub(super) fn refresh_pools(&mut self, now: Instant) {
         let dirty = std::mem::take(&mut self.pools_dirty);
+        let configuration = Arc::clone(&self.configuration);
         for (id, shared) in self.shared.pools.all().iter() {
-            if dirty && let Some(pool) = self.configuration.pools.get(id) {
+            if dirty && let Some(pool) = configuration.pools.get(id) {
                 let lanes = self.lanes(pool, now);
+                self.log_servers(&lanes);
                 let regions = pool.servers.values().map(|server| server.region.clone()).collect();
                 shared.with(|shared| shared.update(limits(pool), lanes, regions));
             }
@@ -81,6 +84,20 @@
         here.map(|(id, server)| (id.clone(), lane(id, server))).collect()
     }
 
+    /// Logs backend servers that turned, once each.
+    fn log_servers(&mut self, lanes: &BTreeMap<ServerId, Lane>) {
+        for (id, lane) in lanes {
+            let state = (lane.reachable, lane.leaving);
+            let before = self.servers_seen.insert(id.clone(), state).unwrap_or((true, false));
+            if before != state {
+                let (reachable, leaving) = state;
+                log::info!(
+                    "event=server_changed server={id} reachable={reachable} leaving={leaving}"
+                );
+            }
+        }
+    }
+
     /// Works out anew which servers of this region are this box's to probe;
     /// needed only when the region's boxes or the configuration change.
     pub(super) fn choose_probes(&mut self, now: Instant) {
--- /dev/null
+++ b/lib/tests/test_docs.rs
@@ -0,0 +1,80 @@
+//! The reference pages say what the types say.
+//!
+//! `COPPERWEIR_WRITE_DOCS=1 cargo test -p copperweir-lib --test test_docs` writes them anew.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use copperweir_lib::coordination::invariant::Invariant;
+use copperweir_lib::error::Retry;
+use copperweir_lib::error::TABLE;
+use copperweir_lib::protocol::config::shape;
+use copperweir_lib::protocol::settings;
+use copperweir_lib::state::counters::Counter;
+
+fn page(name: &str, expected: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operators").join(name);
+    if std::env::var_os("COPPERWEIR_WRITE_DOCS").is_some() {
+        std::fs::write(&path, expected).expect("the page is written");
+    }
+    let found = std::fs::read_to_string(&path).unwrap_or_default();
+    assert_eq!(found, expected, "docs/operators/{name} is not what the types say");
+}
+
+#[test]
+fn error_kinds() {
+    let mut text = String::from(
+        "# Error kinds\n\nEvery failed answer has one of these codes in `error.code`, and `Copperweir-Ran`.\n\
+         \"varies\" means that the header tells. `Retry-After` comes only where the request did not run.\n\n\
+         | code | status | type | ran | Retry-After, s |\n|---|---|---|---|---|\n",
+    );
+    for row in TABLE {
+        let ran = row.ran.map_or("varies", |ran| ran.as_str());
+        let retry = match row.retry {
+            Retry::Never => "none".to_owned(),
+            Retry::After(seconds) => format!("{seconds} or more"),
+        };
+        let _ = writeln!(
+            text,
+            "| `{}` | {} | `{}` | {ran} | {retry} |",
+            row.code, row.status, row.class
+        );
+    }
+    page("errors.md", &text);
+}
+
+#[test]
+fn counters() {
+    let mut text = String::from(
+        "# Counters\n\n`copperweir show --box <address> counters` prints them; with `statsd` set, what they grew by is sent\n\
+         every 10 s as `copperweir.<name>` with the tags `box` and `region`.\n\n| name | counts |\n|---|---|\n",
+    );
+    for counter in Counter::ALL {
+        let _ = writeln!(text, "| `{}` | {} |", counter.as_str(), counter.doc());
+    }
+    text.push_str("\nBroken invariants are listed by name in `show`; there should be none:\n\n");
+    for invariant in Invariant::ALL {
+        let _ = writeln!(text, "- `{}`", invariant.as_str());
+    }
+    page("counters.md", &text);
+}
+
+#[test]
+fn configuration_reference() {
+    let text = format!(
+        "# Configuration files\n\nJSON with comments. All files together are one configuration; a name stands in one place only.\n\n\
+         | field | expected | required | meaning |\n|---|---|---|---|\n{}",
+        shape::FILE.reference()
+    );
+    page("configuration.md", &text);
+}
+
+#[test]
+fn settings_reference() {
+    let text = format!(
+        "# Settings of a box\n\nJSON with comments; `copperweir serve --check --settings <file>` checks them.\n\n\
+         | field | expected | required | meaning |\n|---|---|---|---|\n{}",
+        settings::SHAPE.reference()
+    );
+    page("settings.md", &text);
+}
--- /dev/null
+++ b/lib/tests/test_input.rs
@@ -0,0 +1,113 @@
+//! Whatever arrives, reading it never panics, and bounds hold.
+
+use copperweir_lib::protocol::caller::Completion;
+use copperweir_lib::protocol::caller::Endpoint;
+use copperweir_lib::protocol::caller::Wishes;
+use copperweir_lib::protocol::config::Configuration;
+use copperweir_lib::protocol::config::Limits;
+use copperweir_lib::protocol::config::check::Files;
+use copperweir_lib::protocol::config::document::Document;
+use copperweir_lib::protocol::config::document::DocumentError;
+use copperweir_lib::protocol::config::document::MAX_BYTES;
+use copperweir_lib::protocol::peer::Heartbeat;
+use copperweir_lib::protocol::peer::wire;
+use copperweir_lib::protocol::settings::Settings;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::TestRunner;
+use prost::Message;
+
+fn holds<S: Strategy>(strategy: S, test: impl Fn(S::Value)) {
+    let config = Config { cases: 500, failure_persistence: None, ..Config::default() };
+    let rng = proptest::test_runner::TestRng::deterministic_rng(config.rng_algorithm);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&strategy, |value| {
+        test(value);
+        Ok(())
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
+
+#[test]
+fn files_of_any_text_are_read_or_refused() {
+    let pieces = prop::sample::select(vec![
+        "{",
+        "}",
+        "[",
+        "]",
+        ":",
+        ",",
+        "\"regions\"",
+        "\"teams\"",
+        "\"a\"",
+        "1",
+        "-1",
+        "1e99",
+        "true",
+        "null",
+        "// x\n",
+        "/* y */",
+        "\"limits\"",
+        "\"pools\"",
+        "\"servers\"",
+        "\u{fe}",
+        " ",
+    ]);
+    holds(prop::collection::vec(pieces, 0..40), |pieces| {
+        let text = pieces.concat();
+        let files = Files::from([("f".to_owned(), text.clone())]);
+        let _ = Configuration::try_from(&files);
+        let _ = Settings::parse("f", &text);
+        let _ = Document::decode(text.as_bytes());
+    });
+    holds(".{0,200}", |text: String| {
+        let files = Files::from([("f".to_owned(), text.clone())]);
+        let _ = Configuration::try_from(&files);
+        let _ = Settings::parse("f", &text);
+    });
+}
+
+#[test]
+fn requests_of_any_bytes_are_read_or_refused() {
+    holds((prop::collection::vec(any::<u8>(), 0..200), "/.{0,80}"), |(bytes, path)| {
+        let _ = Completion::parse(&bytes);
+        let _ = Endpoint::parse(&Method::POST, &path);
+        let mut headers = HeaderMap::new();
+        if let Ok(value) = HeaderValue::from_bytes(&bytes) {
+            for name in ["copperweir-timeout-ms", "copperweir-priority", "idempotency-key"] {
+                headers.insert(name, value.clone());
+            }
+        }
+        if let Ok(wishes) = Wishes::parse(&headers, &Limits::default()) {
+            assert!(wishes.timeout <= Limits::default().max_timeout);
+        }
+    });
+}
+
+#[test]
+fn heartbeats_of_any_bytes_are_read_or_refused() {
+    holds(prop::collection::vec(any::<u8>(), 0..300), |bytes| {
+        if let Ok(raw) = wire::Heartbeat::decode(bytes.as_slice()) {
+            let _ = Heartbeat::try_from(raw);
+        }
+    });
+    let long = wire::Heartbeat {
+        sender: Some(wire::Member::default()),
+        wanted: vec![1; 100_000],
+        ..wire::Heartbeat::default()
+    };
+    assert!(Heartbeat::try_from(long).is_err());
+}
+
+#[test]
+fn a_configuration_over_the_stores_limit_is_refused_with_its_size() {
+    let files = Files::from([("f".to_owned(), format!("{{}}{}", " ".repeat(MAX_BYTES)))]);
+    let document = Document::default().with_files(&files, "id");
+    match document.encode() {
+        Err(DocumentError::TooLarge(bytes)) => assert!(bytes > MAX_BYTES),
+        other => panic!("{other:?}"),
+    }
+}
