pool: a box uses its even share whatever the reports say

Cause of the collapse at 95% of capacity: slots were busy only 75% of the time while the queues were long. Boxes that all see the same lagged report fill what all see as free, overshoot, and then all hold back until the next reports. Ruled out: cold caches (hits 83%) and prefill (12% of slot time). Each box now uses its even share of 1.25 times the slots without asking the reports, and goes over it only while they say that there is room.

Shares are even, not by demand; a box with more callers than others relies on the reports for the rest.

--- a/lib/benches/policies.rs
+++ b/lib/benches/policies.rs
@@ -124,6 +124,9 @@
     hits: usize,
     lookups: usize,
     work: f64,
+    /// Slot-seconds in use, and of those, waiting for a prefill to end.
+    busy: f64,
+    stalled: f64,
 }
 
 struct World<'a, P> {
@@ -145,7 +148,7 @@
     format!("engine-{engine:02}")
 }
 
-const LIMITS: Limits = Limits { queue: 256, bytes: usize::MAX };
+const LIMITS: Limits = Limits { queue: 256, bytes: usize::MAX, boxes: BOXES };
 
 impl<'a, P: Policy + Default> World<'a, P> {
     fn new(kinds: &'a [Kind], oracle: bool, seed: u64) -> World<'a, P> {
@@ -302,6 +305,8 @@
             self.tally.lookups += 1;
             self.tally.hits += usize::from(hit.is_some());
             self.tally.work += prefill + step * kind.tokens / f64::from(SLOTS);
+            self.tally.busy += end - now;
+            self.tally.stalled += prefilled - now;
         }
         self.at(end, Event::Done(index, job, first));
     }
@@ -434,6 +439,8 @@
             tally.refused_urgent as f64 / total * 100.0,
             tally.hits as f64 / tally.lookups as f64 * 100.0,
             tally.work / tally.completed as f64 * 1000.0,
+            tally.busy / ((LENGTH - WARM_UP) * ENGINES as f64 * f64::from(SLOTS)) * 100.0,
+            tally.stalled / tally.busy * 100.0,
         ]);
     }
     let column = |index: usize| {
@@ -441,7 +448,7 @@
         values.sort_by(f64::total_cmp);
         values
     };
-    let cells: Vec<String> = (0..8).map(|index| format!("{:>9.1}", column(index)[2])).collect();
+    let cells: Vec<String> = (0..10).map(|index| format!("{:>9.1}", column(index)[2])).collect();
     let p95 = column(1);
     println!("{label:<16} {:>5.2} {} {:>8.0}..{:.0}", load, cells.join(" "), p95[0], p95[4]);
     p95
@@ -454,7 +461,7 @@
             capacity(kinds)
         );
         println!(
-            "{:<16} {:>5} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8}",
+            "{:<16} {:>5} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>8}",
             "policy",
             "load",
             "p50",
@@ -465,6 +472,8 @@
             "urgent r%",
             "hits%",
             "work/req",
+            "busy%",
+            "stalled%",
             "p95 range"
         );
         for load in LOADS {
--- a/lib/examples/balancer.rs
+++ b/lib/examples/balancer.rs
@@ -22,7 +22,7 @@
 fn main() {
     let now = Instant::now();
     let mut rng = SmallRng::seed_from_u64(1);
-    let limits = Limits { queue: 2, bytes: 1 << 20 };
+    let limits = Limits { queue: 2, bytes: 1 << 20, boxes: 1 };
     let mut pool = Pool::new(Estimate, limits, now);
     let lane = |port| Lane {
         address: SocketAddr::from(([127, 0, 0, 1], port)),
--- a/lib/src/coordination/pool.rs
+++ b/lib/src/coordination/pool.rs
@@ -32,11 +32,10 @@
 
 /// Age at which a load report says nothing any more.
 const REPORT_LIFE: Duration = Duration::from_secs(10);
-/// Requests on all servers, as a factor of their slots, at which the pool is full.
-/// Over 1, since load reports lag: a pool that stops at 1 by its own estimate
-/// leaves slots idle whenever the estimate is high. Engines keep priorities
-/// among the few that wait in them.
-const POOL_FULL: f64 = 1.25;
+/// Requests of all boxes, as a factor of the pool's slots, that the boxes' even
+/// shares add up to. Over 1, since slots that wait for a request are idle;
+/// engines keep priorities among the few that wait in them.
+const SHARED_OUT: f64 = 1.25;
 /// Requests on one server, as a factor of its slots, at which it is full.
 const SERVER_FULL: f64 = 2.0;
 /// Share of a pool's servers that may be out for failing.
@@ -181,6 +180,7 @@
     regions_with_servers: BTreeSet<RegionId>,
     service_time: Option<Duration>,
     retries: Bucket,
+    boxes: usize,
 }
 
 /// What the configuration says of a pool.
@@ -190,6 +190,8 @@
     pub queue: usize,
     /// Bytes that may wait.
     pub bytes: usize,
+    /// Boxes that use the pool's servers, this one among them.
+    pub boxes: usize,
 }
 
 impl<P: Policy> Pool<P> {
@@ -204,6 +206,7 @@
             regions_with_servers: BTreeSet::new(),
             service_time: None,
             retries: Bucket::new(0.0, RETRY_BURST, now),
+            boxes: limits.boxes.max(1),
         }
     }
 
@@ -216,6 +219,7 @@
         regions_with_servers: BTreeSet<RegionId>,
     ) {
         self.queue.set_limits(limits.queue, limits.bytes);
+        self.boxes = limits.boxes.max(1);
         self.regions_with_servers = regions_with_servers;
         let mut previous = std::mem::take(&mut self.servers);
         for (id, lane) in lanes {
@@ -367,9 +371,11 @@
                 candidates.push(candidate);
             }
         }
-        // While the pool as a whole has room, a request may wait a moment in a
-        // server that has its prefix cached rather than run cold elsewhere.
-        if load >= slots * POOL_FULL {
+        // Its even share a box uses whatever the reports say, since they lag: boxes
+        // that all fill what all see as free overshoot, and then all hold back.
+        // Over its share it goes only while the reports say that there is room.
+        let share = slots * SHARED_OUT / self.boxes as f64;
+        if f64::from(self.in_flight()) >= share && load >= slots {
             return None;
         }
         let request = Request { prefix: arrival.prefix };
--- a/lib/src/daemon/control/servers.rs
+++ b/lib/src/daemon/control/servers.rs
@@ -46,7 +46,8 @@
 impl Control {
     /// Makes the pools that the configuration declares.
     pub(super) fn set_pools(&mut self) {
-        let pools = self.configuration.pools.iter().map(|(id, pool)| (id, limits(pool)));
+        let boxes = self.region_boxes(Instant::now());
+        let pools = self.configuration.pools.iter().map(|(id, pool)| (id, limits(pool, boxes)));
         self.shared.pools.set(pools, self.shared.incarnation);
         self.pools_dirty = true;
         self.choose_probes(Instant::now());
@@ -57,17 +58,22 @@
     pub(super) fn refresh_pools(&mut self, now: Instant) {
         let dirty = std::mem::take(&mut self.pools_dirty);
         let configuration = Arc::clone(&self.configuration);
+        let boxes = self.region_boxes(now);
         for (id, shared) in self.shared.pools.all().iter() {
             if dirty && let Some(pool) = configuration.pools.get(id) {
                 let lanes = self.lanes(pool, now);
                 self.log_servers(&lanes);
                 let regions = pool.servers.values().map(|server| server.region.clone()).collect();
-                shared.with(|shared| shared.update(limits(pool), lanes, regions));
+                shared.with(|shared| shared.update(limits(pool, boxes), lanes, regions));
             }
             shared.pump(now);
         }
     }
 
+    fn region_boxes(&self, now: Instant) -> usize {
+        self.exchange.membership.live_in(&self.shared.settings.region, now).count() + 1
+    }
+
     fn lanes(&self, pool: &config::Pool, now: Instant) -> BTreeMap<ServerId, Lane> {
         let region = &self.shared.settings.region;
         let here = pool.servers.iter().filter(|(_, server)| server.region == *region);
@@ -202,8 +208,8 @@
     }
 }
 
-fn limits(pool: &config::Pool) -> pool::Limits {
-    pool::Limits { queue: pool.queue_limit, bytes: pool.queue_bytes }
+fn limits(pool: &config::Pool, boxes: usize) -> pool::Limits {
+    pool::Limits { queue: pool.queue_limit, bytes: pool.queue_bytes, boxes }
 }
 
 async fn connects(address: SocketAddr) -> Option<Load> {
--- a/lib/tests/test_coordination.rs
+++ b/lib/tests/test_coordination.rs
@@ -122,7 +122,7 @@
 impl Model {
     fn new() -> Model {
         let now = Instant::now();
-        let limits = Limits { queue: 6, bytes: 600 };
+        let limits = Limits { queue: 6, bytes: 600, boxes: 2 };
         let mut model = Model {
             pool: Pool::new(Estimate, limits, now),
             rng: SmallRng::seed_from_u64(7),
@@ -139,7 +139,7 @@
     }
 
     fn update(&mut self) {
-        let limits = Limits { queue: 6, bytes: 600 };
+        let limits = Limits { queue: 6, bytes: 600, boxes: 2 };
         let regions = BTreeSet::from(["here".to_owned(), "there".to_owned()]);
         self.pool.update(limits, lanes(&self.leaving, &self.reachable), regions);
     }
