--- a/lib/src/coordination/policy.rs
+++ b/lib/src/coordination/policy.rs
@@ -135,13 +135,9 @@
         }
         if let Some(prefix) = request.prefix {
             let bound = bound(candidates);
-            let light = |index: &usize| fill(&candidates[*index]) <= bound;
-            let free = |index: &usize| candidates[*index].load + 1.0 <= candidates[*index].slots;
-            let all = 0..candidates.len();
-            let chosen = heaviest(prefix, candidates, all.clone().filter(light).filter(free))
-                .or_else(|| heaviest(prefix, candidates, all.filter(light)));
-            if chosen.is_some() {
-                return chosen;
+            let light = (0..candidates.len()).filter(|index| fill(&candidates[*index]) <= bound);
+            if let Some(index) = heaviest(prefix, candidates, light) {
+                return Some(index);
             }
         }
         let first = rng.random_range(0..candidates.len());
