pool: a pool of few slots is not overcommitted by rounding

Cause: the even share of a pool with one slot was 1.25 requests, so two were sent to its server. Shares are whole requests now, one at least. Before: a_full_queue_sheds_the_least_urgent failed after the change to even shares (two low requests served, not one). After: it passes, unchanged.

--- a/lib/src/coordination/pool.rs
+++ b/lib/src/coordination/pool.rs
@@ -374,7 +374,8 @@
         // Its even share a box uses whatever the reports say, since they lag: boxes
         // that all fill what all see as free overshoot, and then all hold back.
         // Over its share it goes only while the reports say that there is room.
-        let share = slots * SHARED_OUT / self.boxes as f64;
+        // Whole requests, so that a pool of few slots is not overcommitted by rounding.
+        let share = (slots * SHARED_OUT / self.boxes as f64).floor().max(1.0);
         if f64::from(self.in_flight()) >= share && load >= slots {
             return None;
         }
