--- /dev/null
+++ b/lib/benches/decision.rs
@@ -0,0 +1,85 @@
+//! What one decision costs, by number of backend servers.
+//!
+//! `cargo bench -p copperweir-lib --bench decision`
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use copperweir_lib::coordination::policy::Estimate;
+use copperweir_lib::coordination::pool::Arrival;
+use copperweir_lib::coordination::pool::Decision;
+use copperweir_lib::coordination::pool::Lane;
+use copperweir_lib::coordination::pool::Limits;
+use copperweir_lib::coordination::pool::Outcome;
+use copperweir_lib::coordination::pool::Placement;
+use copperweir_lib::coordination::pool::Pool;
+use copperweir_lib::protocol::config::Priority;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const DECISIONS: u32 = 20_000;
+const REFRESHES: u32 = 200;
+const ROUNDS: usize = 5;
+const SIZES: [usize; 5] = [12, 40, 150, 316, 600];
+
+fn lanes(count: usize, now: Instant) -> BTreeMap<String, Lane> {
+    let lane = |index: usize| Lane {
+        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        slots: 8,
+        leaving: false,
+        reachable: true,
+        report: Some(((index % 7) as u32, now)),
+    };
+    (0..count).map(|index| (format!("engine-{index:03}"), lane(index))).collect()
+}
+
+fn measure(count: usize) -> (f64, f64) {
+    let now = Instant::now();
+    let limits = Limits { queue: 256, bytes: 1 << 30, boxes: 3 };
+    let mut pool = Pool::new(Estimate, limits, now);
+    let mut rng = SmallRng::seed_from_u64(1);
+    pool.update(limits, lanes(count, now), BTreeSet::new());
+    let outcome = Outcome::Answered {
+        first_byte: Duration::from_millis(20),
+        total: Duration::from_millis(100),
+    };
+    let began = Instant::now();
+    for id in 0..u64::from(DECISIONS) {
+        let arrival = Arrival {
+            id,
+            priority: Priority::Normal,
+            deadline: now + Duration::from_secs(10),
+            bytes: 100,
+            here: true,
+            elsewhere: Vec::new(),
+            prefix: Some(id % 200),
+            tried: Vec::new(),
+        };
+        let (decision, _) = pool.arrive(arrival, now, &mut rng);
+        if let Decision::Now(Placement::Server(server, _)) = decision {
+            pool.finish(&server, outcome, now, &mut rng);
+        }
+    }
+    let decision = began.elapsed() / DECISIONS;
+    let began = Instant::now();
+    for _ in 0..REFRESHES {
+        pool.update(limits, lanes(count, now), BTreeSet::new());
+    }
+    let refresh = began.elapsed() / REFRESHES;
+    (decision.as_secs_f64() * 1e6, refresh.as_secs_f64() * 1e6)
+}
+
+fn main() {
+    println!("servers  decision us (min..max)  refresh us (min..max)");
+    for count in SIZES {
+        let mut rounds: Vec<(f64, f64)> = (0..ROUNDS).map(|_| measure(count)).collect();
+        rounds.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (low, high) = (rounds[0].0, rounds[ROUNDS - 1].0);
+        rounds.sort_by(|a, b| a.1.total_cmp(&b.1));
+        let (low_refresh, high_refresh) = (rounds[0].1, rounds[ROUNDS - 1].1);
+        println!("{count:>7}  {low:>8.2}..{high:<8.2}  {low_refresh:>8.1}..{high_refresh:.1}");
+    }
+}
--- a/lib/src/daemon/forward.rs
+++ b/lib/src/daemon/forward.rs
@@ -21,6 +21,8 @@
 use super::relay::Source;
 use super::shared::Progress;
 use super::shared::Shared;
+use crate::coordination::invariant;
+use crate::coordination::invariant::Invariant;
 use crate::error::Failure;
 use crate::error::Kind;
 use crate::error::Ran;
@@ -104,6 +106,8 @@
         let message = "the request was passed on as often as allowed";
         return Err(Sent::Refused(Failure::new(Kind::TooManyHops, message)));
     }
+    let back = call.incoming.visited.contains(&member.name);
+    invariant::check(Invariant::Hops, !back, || format!("request={}", call.incoming.id));
     let sent = Instant::now();
     call.about_to_send(sent).map_err(Sent::Refused)?;
     let request = message(shared, call, member, purpose, sent);
--- a/lib/src/daemon/peer.rs
+++ b/lib/src/daemon/peer.rs
@@ -27,8 +27,6 @@
 use super::once::Replied;
 use super::relay::Relay;
 use super::shared::Shared;
-use crate::coordination::invariant;
-use crate::coordination::invariant::Invariant;
 use crate::error::Failure;
 use crate::error::Kind;
 use crate::error::Ran;
@@ -137,7 +135,6 @@
 fn check_target(shared: &Shared, raw: &wire::ForwardRequest) -> Result<(), Failure> {
     let name = &shared.settings.name;
     let within = raw.visited.len() <= MAX_VISITED && !raw.visited.contains(name);
-    invariant::check(Invariant::Hops, within, || format!("visited={:?}", raw.visited));
     if !within {
         return Err(Failure::new(Kind::TooManyHops, "the request came here before"));
     }
--- a/lib/src/protocol/settings.rs
+++ b/lib/src/protocol/settings.rs
@@ -52,7 +52,7 @@
     Field::optional(
         "stop_grace_ms",
         Shape::Whole,
-        "Time that a leaving box still accepts requests, so that no caller is still told of it. Default: 3000.",
+        "Time that a leaving box still accepts requests, so that no caller is still told of it. Default: 5000.",
     ),
     Field::optional(
         "log",
@@ -129,7 +129,7 @@
 const DEFAULT_THREADS: usize = 2;
 const MAX_THREADS: usize = 256;
 const DEFAULT_STOP_LIMIT: Duration = Duration::from_secs(600);
-const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(3);
+const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(5);
 const MIN_SECRET: usize = 16;
 
 impl Settings {
--- a/lib/tests/test_once.rs
+++ b/lib/tests/test_once.rs
@@ -192,3 +192,28 @@
     assert_eq!(reply.status, StatusCode::CREATED, "{reply:?}");
     assert_eq!(fleet.runs("slow"), 1);
 }
+
+#[test]
+fn lost_work_is_not_tried_on_another_server() {
+    let mut plan = Plan::new(39);
+    plan.regions = 2;
+    let fleet = Fleet::start(plan);
+    let mut configuration = plan.configuration();
+    // Two servers of one service in one region; both file into the same book.
+    configuration["services"]["intake"]["servers"] = json!({
+        "one": {"region": "north", "failure_domain": "a", "address": plan.service(0).to_string()},
+        "two": {"region": "north", "failure_domain": "a", "address": plan.service(1).to_string()},
+    });
+    fleet.apply("main", &configuration).expect("applied");
+    fleet.wait_for_version(2);
+    let at = plan.callers(0, 0);
+    for round in 0..10 {
+        fleet.service.set_faults(service::Faults { lose_answers: 1, ..Default::default() });
+        let id = format!("lost-{round}");
+        let key = fleet.ticket(at);
+        let headers = [("idempotency-key", key.as_str())];
+        let reply = fleet.file(at, if round % 2 == 0 { &headers } else { &[] }, &id);
+        assert_eq!(ran(&reply), "unknown", "{reply:?}");
+        assert_eq!(fleet.runs(&id), 1, "{id}");
+    }
+}
