membership: larger regions call other regions every second period

Cause: at 340 boxes the smallest region (18) was called by three larger ones each second, 16,307 bytes a second there, over the budget of 12,000. Regions of more than nine boxes now call each other region half as often, with two records in place of four.

--- a/lib/src/coordination/membership.rs
+++ b/lib/src/coordination/membership.rs
@@ -89,6 +89,11 @@
 /// Addresses that a box calls at once while it knows nobody.
 const FIRST_CALLS: usize = 4;
 
+/// Boxes up to which a region's boxes call every other region each period; in a
+/// larger one each does so every second period.
+const SMALL_REGION: u32 = 9;
+/// Records of the own region's members in a heartbeat to another region.
+const INTRODUCTIONS: usize = 2;
 /// Weight of the latest call in the share of calls that fail.
 const SMOOTHING: f64 = 0.2;
 /// Share of failed calls at which a box blames itself.
@@ -350,10 +355,11 @@
             regions.entry(&member.region).or_default().push(member);
         }
         let own_size = f64::from(self.own.region_boxes.max(1));
+        let thrift = if self.own.region_boxes > SMALL_REGION { 0.5 } else { 1.0 };
         let mut targets = Vec::new();
         for members in regions.values() {
             let size = members.iter().map(|member| member.region_boxes).max().unwrap_or(1);
-            let share = (f64::from(size.max(1)) / own_size).min(1.0);
+            let share = (f64::from(size.max(1)) / own_size).min(1.0) * thrift;
             if rng.random_bool(share) {
                 targets.extend(members.iter().choose(rng).map(|member| member.peers));
             }
@@ -401,7 +407,7 @@
     /// Records to pass on to another region: some members of this one.
     pub fn introductions(&self, now: Instant, rng: &mut impl Rng) -> Vec<Member> {
         let near = self.live_in(&self.own.region, now);
-        near.cloned().choose_multiple(rng, self.tuning.news)
+        near.cloned().choose_multiple(rng, INTRODUCTIONS)
     }
 }
 
