policy: loads are bounded by a box's own count, not by late reports

Reports 0.3 to 0.8 s old against requests of 0.7 s are mostly noise, and both the bound and the draw followed it. Bound and draw now go by the box's own requests, which spread evenly if every box spreads its own; the report counts a quarter in the draw, and still keeps work off full servers.

--- a/lib/src/coordination/policy.rs
+++ b/lib/src/coordination/policy.rs
@@ -112,8 +112,8 @@
     }
 }
 
-/// Of the servers that are not loaded well over the average, the one that the
-/// prefix hashes to; so a prefix that must move always moves to the same next
+/// Of the servers that do not hold well over the average of this box's own
+/// requests, the one that the prefix hashes to; so a prefix that must move always moves to the same next
 /// server, and finds its cache there. Without a prefix, the better of two drawn
 /// at random: that keeps boxes that act on the same old report from all
 /// choosing the same server.
@@ -134,8 +134,7 @@
             return None;
         }
         if let Some(prefix) = request.prefix {
-            let bound = bound(candidates);
-            let light = (0..candidates.len()).filter(|index| fill(&candidates[*index]) <= bound);
+            let light = light(candidates);
             if let Some(index) = heaviest(prefix, candidates, light) {
                 return Some(index);
             }
@@ -155,17 +154,22 @@
     among.max_by_key(|index| rendezvous::mix(candidates[*index].hash, prefix))
 }
 
-fn fill(candidate: &Candidate<'_>) -> f64 {
-    candidate.load / candidate.slots.max(1.0)
+/// The servers whose count of this box's own requests stays within the bound.
+/// Own requests are counted exactly; what others do is only known late, and
+/// spreads evenly if every box spreads its own.
+fn light(candidates: &[Candidate<'_>]) -> impl Iterator<Item = usize> {
+    let own: f64 = candidates.iter().map(|candidate| f64::from(candidate.own)).sum();
+    let slots: f64 = candidates.iter().map(|candidate| candidate.slots).sum();
+    let per_slot = BOUNDED_LOAD * (own + 1.0) / slots.max(1.0);
+    (0..candidates.len()).filter(move |index| {
+        let candidate = &candidates[*index];
+        f64::from(candidate.own) + 1.0 <= (per_slot * candidate.slots).ceil()
+    })
 }
 
-fn bound(candidates: &[Candidate<'_>]) -> f64 {
-    let total: f64 = candidates.iter().map(|candidate| candidate.load + 1.0).sum();
-    let slots: f64 = candidates.iter().map(|candidate| candidate.slots.max(1.0)).sum();
-    BOUNDED_LOAD * total / slots
-}
+/// Weight of the late report beside the exact count of own requests.
+const REPORT_WEIGHT: f64 = 0.25;
 
 fn cost(candidate: &Candidate<'_>) -> f64 {
-    let first_byte = candidate.first_byte.map_or(0.0, |time| time.as_secs_f64());
-    (1.0 + fill(candidate)) * (0.001 + first_byte)
+    (f64::from(candidate.own) + REPORT_WEIGHT * candidate.load) / candidate.slots.max(1.0)
 }
