--- a/lib/src/daemon/call.rs
+++ b/lib/src/daemon/call.rs
@@ -20,6 +20,7 @@
 use crate::coordination::ledger::Fingerprint;
 use crate::error::Failure;
 use crate::error::Kind;
+use crate::error::Ran;
 use crate::protocol::BoxId;
 use crate::protocol::PoolId;
 use crate::protocol::RegionId;
@@ -96,6 +97,7 @@
     /// It may not be sent after this instant: its claim may be over.
     pub send_before: Option<Instant>,
     sends: AtomicU32,
+    exchanges: AtomicU32,
 }
 
 struct Target {
@@ -142,6 +144,7 @@
             key: wishes.key,
             send_before: None,
             sends: AtomicU32::new(0),
+            exchanges: AtomicU32::new(0),
             snapshot,
             incoming,
         })
@@ -193,6 +196,24 @@
         Ok(())
     }
 
+    /// Marks an exchange as under way until the guard is dropped.
+    pub fn exchange(&self) -> Exchange<'_> {
+        let before = self.exchanges.fetch_add(1, Ordering::AcqRel);
+        invariant::check(Invariant::OneExchange, before == 0, || {
+            format!("request={} exchanges={}", self.incoming.id, before + 1)
+        });
+        Exchange { call: self }
+    }
+
+    /// Says how the request failed. That it was not run must be true.
+    pub fn failed(&self, failure: Failure) -> Failure {
+        let not_run = failure.ran() == Ran::No;
+        invariant::check(Invariant::RanNoIsTrue, !(not_run && self.maybe_sent()), || {
+            format!("request={} failure=\"{failure}\"", self.incoming.id)
+        });
+        failure
+    }
+
     /// The attempt wrote nothing.
     pub fn not_sent(&self) {
         self.sends.fetch_sub(1, Ordering::AcqRel);
@@ -204,6 +225,17 @@
     }
 }
 
+/// An exchange under way.
+pub struct Exchange<'a> {
+    call: &'a Call,
+}
+
+impl Drop for Exchange<'_> {
+    fn drop(&mut self) {
+        self.call.exchanges.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 fn model_target(
     configuration: &Configuration,
     team: &Team,
--- a/lib/src/daemon/dispatch.rs
+++ b/lib/src/daemon/dispatch.rs
@@ -70,6 +70,10 @@
 
 /// Runs a request.
 pub async fn run(shared: &Arc<Shared>, call: &Call) -> Result<Started, Failure> {
+    place_and_try(shared, call).await.map_err(|failure| call.failed(failure))
+}
+
+async fn place_and_try(shared: &Arc<Shared>, call: &Call) -> Result<Started, Failure> {
     let mut progress = Some(shared.progress());
     let pool = shared
         .pools
@@ -82,6 +86,7 @@
         let grant = pool.acquire(arrival(shared, call, &tried), queued).await;
         let grant = grant.map_err(|failure| after_attempts(call, failure))?;
         let progress = progress.take().unwrap_or_else(|| shared.progress());
+        let exchange = call.exchange();
         let attempt = match grant {
             Grant::Region(region) => {
                 match forward::to_region(shared, call, &region, progress).await {
@@ -95,6 +100,7 @@
                 attempt(shared, call, slot, progress).await
             }
         };
+        drop(exchange);
         let (failure, may_repeat) = match attempt {
             Tried::Started(started) => return Ok(*started),
             Tried::NotRun(failure) => (failure, true),
