dispatch: a later refusal does not hide an earlier attempt that may have run

Now every failure after an attempt that may have run says "unknown", and the deadline's own answer keeps its kind. Test: a_lost_attempt_is_never_called_not_run (one engine, then both, lose their answers).

--- a/lib/src/daemon/dispatch.rs
+++ b/lib/src/daemon/dispatch.rs
@@ -109,7 +109,7 @@
         let in_time = Instant::now() < call.deadline;
         let here = !tried.is_empty() && tried.len() < MAX_ATTEMPTS;
         if !(may_repeat && in_time && here && may_retry(&pool)) {
-            return Err(failure);
+            return Err(after_attempts(call, failure));
         }
         shared.counters.count(Counter::Retries);
     }
@@ -120,9 +120,9 @@
 }
 
 /// A request that found no further place after an attempt that may have run
-/// must not be called "not run".
+/// must not be called "not run", whatever the later one came to.
 fn after_attempts(call: &Call, failure: Failure) -> Failure {
-    if !call.maybe_sent() {
+    if failure.ran() != Ran::No || !call.maybe_sent() {
         return failure;
     }
     let message = format!("the first attempt failed, and then: {}", failure.message);
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -205,6 +205,27 @@
     assert_eq!(reply.header("retry-after"), "");
 }
 
+#[test]
+fn a_lost_attempt_is_never_called_not_run() {
+    let mut plan = Plan::new(21);
+    plan.engines = 2;
+    let fleet = Fleet::start(plan);
+    let at = fleet.plan.callers(0, 0);
+    let lose = |count| engine::Faults { lose_answers: count, ..engine::Faults::default() };
+    // One answer is lost: the work may be repeated, and is, on the other engine.
+    let body = json!({"model": "log", "max_tokens": 1});
+    for engine in &fleet.engines[0] {
+        engine.set_faults(lose(1));
+        assert_eq!(fleet.complete(at, &[], &body).status, StatusCode::OK);
+        engine.set_faults(lose(0));
+    }
+    // Both lose theirs: no place is left, but it may have run.
+    fleet.engines[0].iter().for_each(|engine| engine.set_faults(lose(100)));
+    let reply = fleet.complete(at, &[], &body);
+    fails(&reply, "backend_failed", "unknown");
+    assert_eq!(reply.header("retry-after"), "");
+}
+
 #[test]
 fn no_backend_server_means_an_answer_at_once_with_when_to_come_back() {
     let fleet = Fleet::start(Plan::new(18));
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -60,6 +60,8 @@
     pub leaving: bool,
     /// Answers nothing any more.
     pub hang: bool,
+    /// So many next completions are begun and lose their answer.
+    pub lose_answers: u32,
     /// Breaks streams off after so many tokens; 0 for never.
     pub cut_after: u64,
     /// Ends streams cleanly, but without the closing mark, after so many tokens; 0 for never.
@@ -167,13 +169,7 @@
 
     async fn answer(&self, call: Call) -> Option<Answer> {
         if call.path == "/control" {
-            return Some(match serde_json::from_slice(&call.body) {
-                Ok(faults) => {
-                    self.set_faults(faults);
-                    http1::empty(StatusCode::OK)
-                }
-                Err(_) => http1::empty(StatusCode::BAD_REQUEST),
-            });
+            return Some(http1::control(&call, |faults| self.set_faults(faults)));
         }
         if self.lock().faults.hang {
             std::future::pending::<()>().await;
@@ -224,7 +220,14 @@
         let Ok(request) = serde_json::from_slice::<Request>(&call.body) else {
             return Some(http1::empty(StatusCode::BAD_REQUEST));
         };
-        self.lock().completions += 1;
+        {
+            let mut state = self.lock();
+            state.completions += 1;
+            if state.faults.lose_answers > 0 {
+                state.faults.lose_answers -= 1;
+                return None;
+            }
+        }
         let waiting = Count::new(&self.queued);
         let slot = Arc::clone(&self.slots).acquire_owned().await.ok()?;
         drop(waiting);
