--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -20,4 +20,5 @@
 pub mod queue;
 pub mod rendezvous;
 pub mod rollout;
+pub mod server;
 pub mod ticket;
--- a/lib/src/coordination/pool.rs
+++ b/lib/src/coordination/pool.rs
@@ -12,26 +12,24 @@
 use std::time::Instant;
 
 use rand::Rng;
-use rapidhash::v3::rapidhash_v3;
 
 use super::bucket::Bucket;
-use super::health::Health;
 use super::invariant;
 use super::invariant::Invariant;
 use super::lending::Borrower;
-use super::policy::Candidate;
 use super::policy::Policy;
 use super::policy::Request;
 use super::queue::Queue;
 use super::queue::RequestId;
 use super::queue::Waiting;
+pub use super::server::Lane;
+use super::server::Server;
+use super::server::smooth;
 use crate::error::Kind;
 use crate::protocol::RegionId;
 use crate::protocol::ServerId;
 use crate::protocol::config::Priority;
 
-/// Age at which a load report says nothing any more.
-const REPORT_LIFE: Duration = Duration::from_secs(10);
 /// Requests of all boxes, as a factor of the pool's slots, that the boxes' even
 /// shares add up to. Over 1, since slots that wait for a request are idle;
 /// engines keep priorities among the few that wait in them.
@@ -44,8 +42,6 @@
 const RETRY_SHARE: f64 = 0.1;
 /// Retries that may be saved up.
 const RETRY_BURST: f64 = 10.0;
-/// Weight of the latest observation in smoothed times.
-const SMOOTHING: f64 = 0.1;
 /// When to come back where no server can run the request.
 const NO_SERVER_RETRY: Duration = Duration::from_secs(5);
 /// Time by which a remote answer must be expected earlier than a local one.
@@ -117,59 +113,6 @@
     Withdrawn,
 }
 
-/// A backend server as the configuration and the observations give it.
-#[derive(Clone, Debug)]
-pub struct Lane {
-    /// Address.
-    pub address: SocketAddr,
-    /// Requests it runs at once.
-    pub slots: u32,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Whether probes reach it; true before the first probe.
-    pub reachable: bool,
-    /// Load in the latest report, its queue included, and when it was true.
-    pub report: Option<(u32, Instant)>,
-}
-
-struct Server {
-    lane: Lane,
-    in_flight: u32,
-    others: f64,
-    others_at: Option<Instant>,
-    health: Health,
-    first_byte: Option<Duration>,
-    hash: u64,
-}
-
-impl Server {
-    fn new(id: &ServerId, lane: Lane) -> Server {
-        Server {
-            lane,
-            in_flight: 0,
-            others: 0.0,
-            others_at: None,
-            health: Health::default(),
-            first_byte: None,
-            hash: rapidhash_v3(id.as_bytes()),
-        }
-    }
-
-    fn load(&self, now: Instant) -> f64 {
-        let age = self.others_at.map_or(REPORT_LIFE, |at| now.saturating_duration_since(at));
-        let trust = 1.0 - age.as_secs_f64() / REPORT_LIFE.as_secs_f64();
-        f64::from(self.in_flight) + self.others * trust.max(0.0)
-    }
-
-    fn usable_slots(&self, now: Instant) -> f64 {
-        (f64::from(self.lane.slots) * self.health.share(now)).max(1.0)
-    }
-
-    fn up(&self) -> bool {
-        !self.lane.leaving && self.lane.reachable
-    }
-}
-
 /// The pool.
 pub struct Pool<P> {
     policy: P,
@@ -225,7 +168,7 @@
         for (id, lane) in lanes {
             let mut server = previous.remove(&id).unwrap_or_else(|| Server::new(&id, lane.clone()));
             server.in_flight += self.departed.remove(&id).unwrap_or(0);
-            observe(&mut server, lane);
+            server.observe(lane);
             self.servers.insert(id, server);
         }
         for (id, server) in previous.into_iter().filter(|(_, server)| server.in_flight > 0) {
@@ -356,14 +299,7 @@
             if !server.up() || server.health.ejected(now) {
                 continue;
             }
-            let candidate = Candidate {
-                server: id,
-                hash: server.hash,
-                load: server.load(now),
-                own: server.in_flight,
-                slots: server.usable_slots(now),
-                first_byte: server.first_byte,
-            };
+            let candidate = server.candidate(id, now);
             load += candidate.load;
             slots += candidate.slots;
             let full = candidate.load >= candidate.slots * SERVER_FULL;
@@ -420,8 +356,7 @@
         let Some(server) = self.servers.get_mut(id) else { return };
         match outcome {
             Outcome::Answered { first_byte, total } => {
-                server.health.succeeded(now);
-                server.first_byte = Some(smooth(server.first_byte, first_byte));
+                server.answered(first_byte, now);
                 self.service_time = Some(smooth(self.service_time, total));
             }
             Outcome::Failed => {
@@ -483,20 +418,3 @@
 fn refused(kind: Kind, after: Duration) -> Decision {
     Decision::Now(Placement::Refused(kind, after.max(Duration::from_secs(1))))
 }
-
-fn observe(server: &mut Server, lane: Lane) {
-    if let Some((load, at)) = lane.report
-        && server.others_at.is_none_or(|known| at > known)
-    {
-        server.others = (f64::from(load) - f64::from(server.in_flight)).max(0.0);
-        server.others_at = Some(at);
-    }
-    server.lane = lane;
-}
-
-fn smooth(known: Option<Duration>, latest: Duration) -> Duration {
-    match known {
-        None => latest,
-        Some(known) => known.mul_f64(1.0 - SMOOTHING) + latest.mul_f64(SMOOTHING),
-    }
-}
--- /dev/null
+++ b/lib/src/coordination/server.rs
@@ -0,0 +1,106 @@
+//! What a pool knows of one of its backend servers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use rapidhash::v3::rapidhash_v3;
+
+use super::health::Health;
+use super::policy::Candidate;
+use crate::protocol::ServerId;
+
+/// Age at which a load report says nothing any more.
+const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Weight of the latest observation in smoothed times.
+const SMOOTHING: f64 = 0.1;
+
+/// A backend server as the configuration and the observations give it.
+#[derive(Clone, Debug)]
+pub struct Lane {
+    /// Address.
+    pub address: SocketAddr,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether probes reach it; true before the first probe.
+    pub reachable: bool,
+    /// Load in the latest report, its queue included, and when it was true.
+    pub report: Option<(u32, Instant)>,
+}
+
+pub(super) struct Server {
+    pub(super) lane: Lane,
+    pub(super) in_flight: u32,
+    others: f64,
+    others_at: Option<Instant>,
+    pub(super) health: Health,
+    first_byte: Option<Duration>,
+    hash: u64,
+}
+
+impl Server {
+    pub(super) fn new(id: &ServerId, lane: Lane) -> Server {
+        Server {
+            lane,
+            in_flight: 0,
+            others: 0.0,
+            others_at: None,
+            health: Health::default(),
+            first_byte: None,
+            hash: rapidhash_v3(id.as_bytes()),
+        }
+    }
+
+    pub(super) fn load(&self, now: Instant) -> f64 {
+        let age = self.others_at.map_or(REPORT_LIFE, |at| now.saturating_duration_since(at));
+        let trust = 1.0 - age.as_secs_f64() / REPORT_LIFE.as_secs_f64();
+        f64::from(self.in_flight) + self.others * trust.max(0.0)
+    }
+
+    pub(super) fn usable_slots(&self, now: Instant) -> f64 {
+        (f64::from(self.lane.slots) * self.health.share(now)).max(1.0)
+    }
+
+    pub(super) fn up(&self) -> bool {
+        !self.lane.leaving && self.lane.reachable
+    }
+
+    /// The server as a candidate for a request.
+    pub(super) fn candidate<'a>(&self, id: &'a str, now: Instant) -> Candidate<'a> {
+        Candidate {
+            server: id,
+            hash: self.hash,
+            load: self.load(now),
+            own: self.in_flight,
+            slots: self.usable_slots(now),
+            first_byte: self.first_byte,
+        }
+    }
+
+    /// A request was answered.
+    pub(super) fn answered(&mut self, first_byte: Duration, now: Instant) {
+        self.health.succeeded(now);
+        self.first_byte = Some(smooth(self.first_byte, first_byte));
+    }
+
+    /// Takes in what the configuration and the observations say now.
+    pub(super) fn observe(&mut self, lane: Lane) {
+        if let Some((load, at)) = lane.report
+            && self.others_at.is_none_or(|known| at > known)
+        {
+            self.others = (f64::from(load) - f64::from(self.in_flight)).max(0.0);
+            self.others_at = Some(at);
+        }
+        self.lane = lane;
+    }
+}
+
+/// A smoothed time after one more observation.
+pub(super) fn smooth(known: Option<Duration>, latest: Duration) -> Duration {
+    match known {
+        None => latest,
+        Some(known) => known.mul_f64(1.0 - SMOOTHING) + latest.mul_f64(SMOOTHING),
+    }
+}
--- /dev/null
+++ b/lib/tests/test_membership.rs
@@ -0,0 +1,84 @@
+//! Who is taken for dead, and who not.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use copperweir_lib::coordination::membership::Membership;
+use copperweir_lib::coordination::membership::Tuning;
+use copperweir_lib::protocol::peer::Beat;
+use copperweir_lib::protocol::peer::Member;
+use copperweir_lib::protocol::peer::Phase;
+
+fn member(name: &str, beat: u32) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 7000 + name.len() as u16));
+    Member {
+        name: name.to_owned(),
+        region: "r".to_owned(),
+        failure_domain: "a".to_owned(),
+        callers: address,
+        peers: address,
+        incarnation: 1,
+        beat,
+        phase: Phase::Serving,
+        version: 1,
+        in_flight: 0,
+        region_boxes: 2,
+    }
+}
+
+#[test]
+fn a_dead_box_stays_dead_until_it_speaks_itself() {
+    let mut membership = Membership::new(member("a", 1), Tuning::default());
+    let now = Instant::now();
+    membership.hear(member("bb", 20), now);
+    let peer = member("bb", 20).peers;
+    assert!(!membership.unanswered(peer, now), "dead after one call");
+    assert!(membership.unanswered(peer, now), "alive after two calls");
+    assert_eq!(membership.live(now).count(), 0);
+    // Counters that were still on their way.
+    let id = member("bb", 20).id();
+    let beat = |beat| Beat { member: id, beat };
+    membership.hear_beats(&[beat(25)], now);
+    assert_eq!(membership.live(now).count(), 0);
+    membership.hear(member("bb", 31), now);
+    assert_eq!(membership.live(now).count(), 1);
+}
+
+#[test]
+fn a_box_whose_calls_all_fail_blames_itself() {
+    let mut membership = Membership::new(member("a", 1), Tuning::default());
+    let now = Instant::now();
+    let names: Vec<String> = (2..22).map(|length| "b".repeat(length)).collect();
+    for name in &names {
+        membership.hear(member(name, 5), now);
+    }
+    for _ in 0..3 {
+        for name in &names {
+            membership.unanswered(member(name, 5).peers, now);
+        }
+    }
+    assert!(membership.live(now).count() >= names.len() / 2);
+}
+
+#[test]
+fn a_box_takes_back_word_of_its_own_death() {
+    let mut membership = Membership::new(member("a", 7), Tuning::default());
+    let word = Member { phase: Phase::Dead, beat: 17, ..member("a", 7) };
+    membership.hear(word, Instant::now());
+    assert!(membership.own().beat > 17);
+    assert_eq!(membership.own().phase, Phase::Serving);
+}
+
+#[test]
+fn a_thawed_box_does_not_take_the_others_for_dead() {
+    let tuning = Tuning::default();
+    let mut membership = Membership::new(member("a", 1), tuning.clone());
+    let start = Instant::now();
+    membership.hear(member("bb", 5), start);
+    membership.tick(start + Duration::from_secs(1), Duration::ZERO);
+    let frozen = Duration::from_secs(60);
+    let now = start + Duration::from_secs(1) + frozen;
+    membership.tick(now, frozen);
+    assert_eq!(membership.live(now).count(), 1);
+}
--- a/standin/src/http1.rs
+++ b/standin/src/http1.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::sync::mpsc;
@@ -102,6 +103,19 @@
     response
 }
 
+/// Answers a call that tells a stand-in how to fail.
+pub fn control<F: DeserializeOwned>(call: &Call, set: impl FnOnce(F)) -> Answer {
+    match serde_json::from_slice(&call.body) {
+        Ok(faults) => {
+            set(faults);
+            empty(StatusCode::OK)
+        }
+        Err(error) => {
+            json(StatusCode::BAD_REQUEST, &serde_json::json!({"error": error.to_string()}))
+        }
+    }
+}
+
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 4096;
 
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -140,7 +140,7 @@
 
     async fn answer(&self, call: Call) -> Option<Answer> {
         if call.path == "/control" {
-            return Some(self.control(&call));
+            return Some(http1::control(&call, |faults| self.set_faults(faults)));
         }
         if call.path == "/calls" {
             let (reads, writes, watches) = self.calls();
@@ -169,18 +169,6 @@
         Some(answer)
     }
 
-    fn control(&self, call: &Call) -> Answer {
-        match serde_json::from_slice(&call.body) {
-            Ok(faults) => {
-                self.set_faults(faults);
-                http1::empty(StatusCode::OK)
-            }
-            Err(error) => {
-                http1::json(StatusCode::BAD_REQUEST, &json!({"error": error.to_string()}))
-            }
-        }
-    }
-
     fn over_limit(&self, limit: usize) -> bool {
         let mut state = self.lock();
         let now = Instant::now();
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -78,13 +78,7 @@
 
     async fn answer(&self, call: Call) -> Option<Answer> {
         if call.path == "/control" {
-            return Some(match serde_json::from_slice(&call.body) {
-                Ok(faults) => {
-                    self.set_faults(faults);
-                    http1::empty(StatusCode::OK)
-                }
-                Err(_) => http1::empty(StatusCode::BAD_REQUEST),
-            });
+            return Some(http1::control(&call, |faults| self.set_faults(faults)));
         }
         if call.method == Method::POST && call.path == "/filings" {
             return self.file(&call).await;
