load: "elsewhere" counts against each target's own region; HTTP/2 has a test

Found by trying the nine boxes as a new user: with boxes of three regions as targets, two thirds of the answers were called "elsewhere" though none was.

--- a/cli/src/load/report.rs
+++ b/cli/src/load/report.rs
@@ -28,7 +28,7 @@
     pub refused: usize,
     /// Cut, or failed otherwise.
     pub failed: usize,
-    /// Completed in a region other than the one that ran most.
+    /// Completed in a region other than the one that ran most for the target.
     pub elsewhere: usize,
     /// Time to the first byte, microseconds.
     pub first_byte: Histogram<u64>,
@@ -40,7 +40,8 @@
 
 /// Counts samples by target and kind.
 pub fn lines(samples: &[Sample], mix: &Mix) -> Vec<Line> {
-    let home = home_region(samples);
+    let targets = samples.iter().map(|sample| sample.target + 1).max().unwrap_or(0);
+    let homes: Vec<String> = (0..targets).map(|target| home_region(samples, target)).collect();
     let mut lines: BTreeMap<(usize, usize), Line> = BTreeMap::new();
     for sample in samples {
         let line = lines
@@ -50,7 +51,7 @@
         match sample.status {
             Some(status) if (200..300).contains(&status) => {
                 line.completed += 1;
-                line.elsewhere += usize::from(sample.region != home);
+                line.elsewhere += usize::from(sample.region != homes[sample.target]);
                 record(&mut line.first_byte, sample.first_byte);
                 record(&mut line.total, sample.total);
                 record(&mut line.gap, sample.gap);
@@ -62,9 +63,9 @@
     lines.into_values().collect()
 }
 
-fn home_region(samples: &[Sample]) -> String {
+fn home_region(samples: &[Sample], target: usize) -> String {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    for sample in samples {
+    for sample in samples.iter().filter(|sample| sample.target == target) {
         *counts.entry(&sample.region).or_default() += 1;
     }
     let most = counts.into_iter().max_by_key(|(_, count)| *count);
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -8,6 +8,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use bytes::Bytes;
 use common::Fleet;
 use common::Plan;
 use common::Reply;
@@ -16,7 +17,12 @@
 use copperweir_lib::error::TABLE;
 use copperweir_standin::engine;
 use http::Method;
+use http::Request;
 use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use serde_json::json;
 use sha2::Digest;
 use sha2::Sha256;
@@ -64,6 +70,25 @@
     assert!(text.ends_with("data: [DONE]\n\n"));
 }
 
+#[test]
+fn http2_is_spoken_too() {
+    let fleet = Fleet::start(Plan::new(22));
+    let at = fleet.plan.callers(0, 0);
+    let body = json!({"model": "log", "max_tokens": 3, "stream": true}).to_string();
+    let text = fleet.block_on(async {
+        let stream = TokioIo::new(tokio::net::TcpStream::connect(at).await.expect("a connection"));
+        let handshake = hyper::client::conn::http2::handshake(TokioExecutor::new(), stream).await;
+        let (mut sender, connection) = handshake.expect("HTTP/2");
+        tokio::spawn(connection);
+        let uri = format!("http://{at}/v1/chat/completions");
+        let request = Request::post(uri).body(Full::new(Bytes::from(body))).expect("a request");
+        let response = sender.send_request(request).await.expect("an answer");
+        assert_eq!(response.status(), StatusCode::OK);
+        response.into_body().collect().await.expect("a whole body").to_bytes()
+    });
+    assert!(text.ends_with(b"data: [DONE]\n\n"));
+}
+
 #[test]
 fn models_health_and_readiness_are_told() {
     let fleet = Fleet::start(Plan::new(11));
