--- a/cli/src/commands/stand_in.rs
+++ b/cli/src/commands/stand_in.rs
@@ -6,6 +6,7 @@
 use copperweir_standin::engine::Engine;
 use copperweir_standin::engine::Speed;
 use copperweir_standin::http1;
+use copperweir_standin::link::Link;
 use copperweir_standin::platform::Platform;
 use copperweir_standin::service::Service;
 use lexopt::Arg;
@@ -20,11 +21,13 @@
 pub const HELP: &str = "\
 Run a stand-in of what copperweir meets
 
-Usage: copperweir stand-in <platform|engine|service> --listen <address>...
+Usage: copperweir stand-in <platform|engine|service|link> --listen <address>...
 
 Options:
   --listen <address>   Where to listen; several addresses of a service share
                        their filings, each one of `engine` is an engine
+  --to <address>       Where the link of the latest --listen goes
+  --delay-ms <number>  Time that a link takes, one way (0)
   --slots <number>     Requests that an engine runs at once (8)
   --token-us <number>  Time between an engine's tokens, microseconds (2000)
   --prefill-us <n>     Time to read 1,000 bytes of a new prompt, microseconds (5000)
@@ -37,9 +40,13 @@
     let mut kind = None;
     let mut listen = Vec::new();
     let mut speed = Speed::default();
+    let mut to = Vec::new();
+    let mut delay = Duration::ZERO;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("listen") => listen.push(address(&mut parser)?),
+            Arg::Long("to") => to.push(address(&mut parser)?),
+            Arg::Long("delay-ms") => delay = Duration::from_millis(parser.value()?.parse()?),
             Arg::Long("slots") => speed.slots = parser.value()?.parse()?,
             Arg::Long("token-us") => speed.token = Duration::from_micros(parser.value()?.parse()?),
             Arg::Long("prefill-us") => {
@@ -54,9 +61,28 @@
     if listen.is_empty() {
         return Err(CommandError::Usage("--listen is missing".to_owned()));
     }
+    if kind == "link" {
+        if listen.len() != to.len() {
+            let message = "a link takes as many --to as --listen".to_owned();
+            return Err(CommandError::Usage(message));
+        }
+        return client::runtime()?.block_on(serve_links(&listen, &to, delay));
+    }
     client::runtime()?.block_on(serve(&kind, &listen, speed))
 }
 
+async fn serve_links(
+    listen: &[SocketAddr],
+    to: &[SocketAddr],
+    delay: Duration,
+) -> Result<(), CommandError> {
+    for (listen, to) in listen.iter().zip(to) {
+        let listener = bind(*listen)?;
+        tokio::spawn(Link::new(delay).serve(listener, *to));
+    }
+    std::future::pending().await
+}
+
 async fn serve(kind: &str, listen: &[SocketAddr], speed: Speed) -> Result<(), CommandError> {
     let mut listeners = Vec::new();
     for address in listen {
