--- /dev/null
+++ b/cli/src/commands/gateway.rs
@@ -0,0 +1,90 @@
+//! `copperweir gateway`
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+use copperweir_lib::gateway::Gateway;
+use copperweir_lib::gateway::control::Event;
+use copperweir_platform::Platform;
+use copperweir_platform::settings;
+use lexopt::Arg;
+use lexopt::Parser;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+
+use crate::error::CommandError;
+
+pub const HELP: &str = "\
+Run the gateway on a box of the users' platform
+
+Usage: copperweir gateway [--settings <file>] [--check]
+
+Options:
+  --settings <file>  Settings as the platform lays them down; default: the
+                     path in COPPERWEIR_BOOT
+  --check            Check the settings and end
+
+SIGTERM or SIGINT ends the box after everything in progress is finished; a
+second one ends it at once. SIGHUP reads the settings again.
+";
+
+/// Log levels.
+const LOG: &str = "info";
+
+/// Runs the command.
+pub fn run(mut parser: Parser) -> Result<(), CommandError> {
+    let mut file: Option<PathBuf> = std::env::var_os(settings::VARIABLE).map(PathBuf::from);
+    let mut only_check = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("settings") => file = Some(parser.value()?.into()),
+            Arg::Long("check") => only_check = true,
+            Arg::Short('h') | Arg::Long("help") => return super::print_help(HELP),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let file = file.ok_or_else(|| {
+        CommandError::Usage(format!("--settings is missing, and {} is not set", settings::VARIABLE))
+    })?;
+    let text = std::fs::read_to_string(&file)
+        .with_context(|| format!("cannot read {}", file.display()))?;
+    let (settings, regions) = settings::parse(&text)
+        .map_err(|error| CommandError::Invalid(format!("{}: {error}", file.display())))?;
+    if only_check {
+        return Ok(());
+    }
+    let _logger = super::serve::start_logger(LOG)?;
+    let gateway = Gateway::start(settings, regions, Platform)?;
+    watch_signals(gateway.events())?;
+    super::serve::ended(gateway.wait())
+}
+
+/// Turns signals into events.
+fn watch_signals(events: mpsc::Sender<Event>) -> Result<(), CommandError> {
+    let runtime = crate::client::runtime()?;
+    std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        runtime.block_on(async move {
+            let signals = (
+                signal(SignalKind::terminate()),
+                signal(SignalKind::interrupt()),
+                signal(SignalKind::hangup()),
+            );
+            let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
+                log::error!("event=signals_off");
+                return;
+            };
+            loop {
+                let event = tokio::select! {
+                    _ = terminate.recv() => Event::Stop,
+                    _ = interrupt.recv() => Event::Stop,
+                    _ = hangup.recv() => Event::Reload,
+                };
+                if events.send(event).await.is_err() {
+                    return;
+                }
+            }
+        });
+    })?;
+    Ok(())
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod burn;
 mod check;
 mod demo;
+mod gateway;
 mod load;
 mod serve;
 mod show;
@@ -25,6 +26,12 @@
 
 const COMMANDS: &[Command] = &[
     Command { name: "serve", about: "Run one box", help: serve::HELP, run: serve::run },
+    Command {
+        name: "gateway",
+        about: "Run the gateway on the users' platform",
+        help: gateway::HELP,
+        run: gateway::run,
+    },
     Command {
         name: "check",
         about: "Check configuration files",
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -7,18 +7,23 @@
 
 pub mod bucket;
 pub mod drain;
+pub mod ejection;
 pub mod exchange;
 pub mod health;
 pub mod invariant;
+pub mod kept;
 pub mod lease;
 pub mod ledger;
 pub mod lending;
 pub mod limit;
 pub mod membership;
+pub mod placement;
 pub mod policy;
 pub mod pool;
 pub mod queue;
 pub mod rendezvous;
+pub mod retries;
 pub mod rollout;
 pub mod server;
 pub mod ticket;
+pub mod warmup;
--- /dev/null
+++ b/lib/src/coordination/placement.rs
@@ -0,0 +1,346 @@
+//! Which backend server of a service gets a request, and when none should.
+//!
+//! A server's cost for a request is the work that would be ahead of its first
+//! token: prompt tokens that this box still waits for there, those of the
+//! request that the server does not keep yet, and what the requests that run
+//! there add to each step. Slow and failing servers cost more. A shared part
+//! of a prompt belongs to one server by rendezvous, so all boxes send it to
+//! the same place unless that place is much busier than others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+
+use super::ejection::Ejection;
+use super::kept::Kept;
+use super::rendezvous;
+use super::warmup::Warmup;
+use crate::protocol::ServerId;
+use crate::protocol::adapter::Part;
+use crate::protocol::fleet::Server;
+
+/// Requests on a server, its queue included, against its slots, that boxes
+/// together aim for at most: enough to keep it busy, short enough a queue.
+const FILL: f64 = 3.0;
+/// Fewest requests of one box that are let through to a server that refuses none.
+const MIN_LIMIT: f64 = 2.0;
+/// What a refusal by the server leaves of the limit.
+const BACK_OFF: f64 = 0.7;
+/// Tokens read that a running request costs others, by its part in each step.
+const RUNNING_TOKENS: f64 = 150.0;
+/// What a share of failed answers adds to a server's cost, as a factor.
+const FAILURE_COST: f64 = 4.0;
+/// Most that slowness adds to a server's cost, as a factor.
+const MAX_SLOWNESS: f64 = 8.0;
+/// Weight of the newest observation in smoothed figures.
+const SMOOTHING: f64 = 0.15;
+/// Part of a shared text that counts as unread at its rendezvous server when this
+/// box has not sent it there: another box most likely has.
+const HOME_UNREAD: f64 = 0.5;
+
+/// A server as control knows it.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// What it says of itself.
+    pub server: Arc<Server>,
+    /// Whether it may get work: neither leaving nor evacuated.
+    pub usable: bool,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
+    /// Requests a second that this box may send it while it is cold.
+    pub cold_share: u32,
+}
+
+struct Tracked {
+    known: Known,
+    hash: u64,
+    in_flight: u32,
+    /// Prompt tokens of this box whose first token has not come.
+    unread: f64,
+    limit: f64,
+    ceiling: f64,
+    first_byte: Option<f64>,
+    failing: f64,
+    ejection: Ejection,
+    warmup: Warmup,
+    kept: Kept,
+}
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// Parts of the prompt.
+    pub parts: &'a [Part],
+    /// Servers that had the request already.
+    pub tried: &'a [ServerId],
+}
+
+/// A place on a server; give it back by [`Placement::finish`].
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The server.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Tokens that it must still read, as far as known.
+    pub unread: f64,
+    /// Requests of this box on it, this one included.
+    pub in_flight: u32,
+    /// Servers that could have had it.
+    pub candidates: usize,
+    chosen_at: Instant,
+    waiting: bool,
+}
+
+/// How an exchange with a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// A whole answer that the server stands for.
+    Answered,
+    /// A whole answer that says that the server failed.
+    Failed,
+    /// The server refused: it has no room.
+    Shed,
+    /// No connection came up.
+    Unreachable,
+    /// The connection broke, or the answer was not one.
+    Lost,
+    /// No answer in time.
+    Silent,
+    /// Another instance has the address.
+    Replaced,
+    /// The caller went away, or the request was not sent.
+    Abandoned,
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Blocked {
+    /// No server may get work.
+    NoServer,
+    /// All have as much as they bear.
+    Full,
+}
+
+/// The servers of one service in this region, as one box sees them.
+#[derive(Default)]
+pub struct Placement {
+    servers: BTreeMap<ServerId, Tracked>,
+    memory_tokens: Option<u64>,
+}
+
+impl Placement {
+    /// Takes over what control knows; `sharers` boxes send to these servers.
+    pub fn update(&mut self, known: Vec<Known>, sharers: usize, memory_tokens: Option<u64>) {
+        self.memory_tokens = memory_tokens;
+        let mut before = std::mem::take(&mut self.servers);
+        for known in known {
+            let slots = f64::from(known.server.slots.max(1));
+            let ceiling = (slots * FILL / sharers.max(1) as f64).max(MIN_LIMIT);
+            let id = known.server.id.clone();
+            let tracked = match before.remove(&id) {
+                Some(mut tracked) => {
+                    tracked.limit = (tracked.limit / tracked.ceiling * ceiling).max(1.0);
+                    tracked.ceiling = ceiling;
+                    tracked.known = known;
+                    tracked
+                }
+                None => Tracked::new(known, ceiling, memory_tokens),
+            };
+            self.servers.insert(id, tracked);
+        }
+        // Requests that still run on a server that is gone give their places back to nobody.
+    }
+
+    /// Whether any server may get work.
+    pub fn has_usable(&self) -> bool {
+        self.servers.values().any(|tracked| tracked.known.usable)
+    }
+
+    /// Chooses a server and takes a place there.
+    pub fn choose(
+        &mut self,
+        demand: Demand<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Result<Place, Blocked> {
+        let best = self.fastest();
+        let home = self.home(demand.parts);
+        let mut chosen: Option<(f64, ServerId, f64)> = None;
+        let mut candidates = 0;
+        let mut usable = false;
+        // In the first round servers that failed lately are left out; when that leaves none, they
+        // are better than a refusal.
+        for spare_ejected in [true, false] {
+            for (id, tracked) in &mut self.servers {
+                if !tracked.known.usable || demand.tried.contains(id) {
+                    continue;
+                }
+                usable = true;
+                if !tracked.admits(now, spare_ejected) {
+                    continue;
+                }
+                candidates += 1;
+                let unread = tracked.unread_of(demand.parts, home == Some(tracked.hash), now);
+                // A little chance, so that boxes with equal views do not all choose alike.
+                let cost = tracked.cost(unread, best) * (1.0 + 0.02 * rng.random::<f64>());
+                if chosen.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                    chosen = Some((cost, id.clone(), unread));
+                }
+            }
+            if chosen.is_some() {
+                break;
+            }
+        }
+        match chosen {
+            Some((_, id, unread)) => Ok(self.take(id, unread, candidates, demand.parts, now)),
+            None if usable => Err(Blocked::Full),
+            None => Err(Blocked::NoServer),
+        }
+    }
+
+    fn take(
+        &mut self,
+        id: ServerId,
+        unread: f64,
+        candidates: usize,
+        parts: &[Part],
+        now: Instant,
+    ) -> Place {
+        let tracked = self.servers.get_mut(&id).expect("chosen from the same map");
+        tracked.in_flight += 1;
+        tracked.unread += unread;
+        tracked.ejection.tried(now);
+        if tracked.is_cold(now) {
+            tracked.warmup.sent(now);
+        }
+        tracked.kept.read(parts, now);
+        Place {
+            server: id,
+            address: tracked.known.server.address,
+            unread,
+            in_flight: tracked.in_flight,
+            candidates,
+            chosen_at: now,
+            waiting: true,
+        }
+    }
+
+    /// The first byte, or the first event, of an answer has come.
+    pub fn first_byte(&mut self, place: &mut Place, now: Instant) {
+        if !std::mem::take(&mut place.waiting) {
+            return;
+        }
+        let Some(tracked) = self.servers.get_mut(&place.server) else { return };
+        tracked.unread = (tracked.unread - place.unread).max(0.0);
+        let took = now.saturating_duration_since(place.chosen_at).as_secs_f64();
+        let smoothed = tracked.first_byte.unwrap_or(took);
+        tracked.first_byte = Some(smoothed + SMOOTHING * (took - smoothed));
+    }
+
+    /// Gives a place back.
+    pub fn finish(&mut self, place: &mut Place, outcome: Outcome, now: Instant) {
+        let Some(tracked) = self.servers.get_mut(&place.server) else { return };
+        if std::mem::take(&mut place.waiting) {
+            tracked.unread = (tracked.unread - place.unread).max(0.0);
+        }
+        tracked.in_flight = tracked.in_flight.saturating_sub(1);
+        tracked.account(outcome, now);
+    }
+
+    /// Takes note that a server says it is cold.
+    pub fn cold(&mut self, server: &str, left: Duration, now: Instant) {
+        if let Some(tracked) = self.servers.get_mut(server) {
+            let until = Some(now + left);
+            tracked.known.cold_until = tracked.known.cold_until.max(until);
+        }
+    }
+
+    /// The time to the first byte at the fastest server, seconds.
+    fn fastest(&self) -> Option<f64> {
+        let known = self.servers.values().filter(|tracked| tracked.known.usable);
+        known.filter_map(|tracked| tracked.first_byte).min_by(f64::total_cmp)
+    }
+
+    /// The server that the first shared part of a prompt belongs to.
+    fn home(&self, parts: &[Part]) -> Option<u64> {
+        let shared = parts.split_last()?.1.first()?;
+        let usable = self.servers.values().filter(|tracked| tracked.known.usable);
+        usable.map(|tracked| tracked.hash).max_by_key(|hash| rendezvous::mix(*hash, shared.id))
+    }
+}
+
+impl Tracked {
+    fn new(known: Known, ceiling: f64, memory_tokens: Option<u64>) -> Tracked {
+        Tracked {
+            hash: rendezvous::weight(&known.server.id, ""),
+            known,
+            in_flight: 0,
+            unread: 0.0,
+            limit: ceiling,
+            ceiling,
+            first_byte: None,
+            failing: 0.0,
+            ejection: Ejection::default(),
+            warmup: Warmup::default(),
+            kept: Kept::new(memory_tokens.unwrap_or(0)),
+        }
+    }
+
+    fn is_cold(&self, now: Instant) -> bool {
+        self.known.cold_until.is_some_and(|until| now < until)
+    }
+
+    fn admits(&mut self, now: Instant, spare_ejected: bool) -> bool {
+        if f64::from(self.in_flight) >= self.limit {
+            return false;
+        }
+        if self.is_cold(now) && !self.warmup.admits(self.known.cold_share, now) {
+            return false;
+        }
+        !spare_ejected || self.ejection.admits(now)
+    }
+
+    fn unread_of(&self, parts: &[Part], home: bool, now: Instant) -> f64 {
+        let total: f64 = parts.iter().map(|part| f64::from(part.tokens)).sum();
+        let own = parts.last().map_or(0.0, |part| f64::from(part.tokens));
+        let kept = self.kept.tokens(parts, now) as f64;
+        let unread = total - kept;
+        if home && kept == 0.0 { own + (unread - own) * HOME_UNREAD } else { unread }
+    }
+
+    fn cost(&self, unread: f64, fastest: Option<f64>) -> f64 {
+        let work = self.unread + unread + (f64::from(self.in_flight) + 1.0) * RUNNING_TOKENS;
+        let slowness = match (self.first_byte, fastest) {
+            (Some(own), Some(fastest)) if fastest > 0.0 => (own / fastest).min(MAX_SLOWNESS),
+            _ => 1.0,
+        };
+        work * slowness * (1.0 + FAILURE_COST * self.failing)
+    }
+
+    fn account(&mut self, outcome: Outcome, now: Instant) {
+        let failing = match outcome {
+            Outcome::Answered => 0.0,
+            Outcome::Failed | Outcome::Lost | Outcome::Unreachable | Outcome::Silent => 1.0,
+            Outcome::Shed | Outcome::Abandoned | Outcome::Replaced => self.failing,
+        };
+        self.failing += SMOOTHING * (failing - self.failing);
+        match outcome {
+            Outcome::Answered | Outcome::Failed => {
+                self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
+                self.ejection.answered();
+            }
+            Outcome::Shed => {
+                self.limit = (f64::from(self.in_flight + 1) * BACK_OFF).max(1.0);
+            }
+            Outcome::Unreachable => self.ejection.unreachable(now),
+            Outcome::Lost | Outcome::Silent => self.ejection.lost(now),
+            Outcome::Replaced => self.known.usable = false,
+            Outcome::Abandoned => {}
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/coordination/warmup.rs
@@ -0,0 +1,55 @@
+//! How much a cold backend server may get.
+//!
+//! All boxes together must keep to a rate for each cold server, counted over
+//! any second. Each box keeps to a share that is safe without asking others.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Span over which the rate is counted, longer than a second by what sends may be delayed.
+const WINDOW: Duration = Duration::from_millis(1200);
+/// Part of the bound that is used, so that boxes which do not yet know of each other stay within it.
+const USED: f64 = 0.8;
+
+/// What all boxes together may send to one cold server in any second.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    /// Requests a second that a cold server bears.
+    pub rate: f64,
+    /// How often that rate may be exceeded.
+    pub excess: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+impl Bound {
+    /// The share of the box that is `rank`th of `sharers` for the server: an even part,
+    /// or one request for the first boxes where there is less than one for each.
+    pub fn share(&self, sharers: usize, rank: usize) -> u32 {
+        let total = ((self.rate * self.excess + self.slack) * USED).floor();
+        let even = (total / sharers.max(1) as f64).floor();
+        if even >= 1.0 { even as u32 } else { u32::from((rank as f64) < total) }
+    }
+}
+
+/// Sends to one server while it is cold.
+#[derive(Clone, Debug, Default)]
+pub struct Warmup {
+    sent: VecDeque<Instant>,
+}
+
+impl Warmup {
+    /// Whether another request may be sent now under a share of so many in a second.
+    pub fn admits(&mut self, share: u32, now: Instant) -> bool {
+        while self.sent.front().is_some_and(|sent| now >= *sent + WINDOW) {
+            self.sent.pop_front();
+        }
+        self.sent.len() < share as usize
+    }
+
+    /// A request is sent now.
+    pub fn sent(&mut self, now: Instant) {
+        self.sent.push_back(now);
+    }
+}
--- a/lib/src/daemon/mod.rs
+++ b/lib/src/daemon/mod.rs
@@ -168,12 +168,12 @@
     }
 }
 
-fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+pub(crate) fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     listen::bind(address).map_err(|source| StartError::Listen { port, address, source })
 }
 
 /// Ordered by the time of the start, so that a replaced box supersedes the one before.
-fn draw_incarnation() -> Incarnation {
+pub(crate) fn draw_incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let random = rand::rng().random_range(0..1u64 << RANDOM_BITS);
     ((since.as_millis() as u64) << RANDOM_BITS) | random
--- /dev/null
+++ b/lib/src/gateway/attempt.rs
@@ -0,0 +1,257 @@
+//! One send of a request, to a backend server or to a box of another region,
+//! and what came of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use super::job::Job;
+use super::job::passed_on;
+use super::shared::Held;
+use super::shared::Shared;
+use super::stream::Stream;
+use crate::coordination::placement::Outcome;
+use crate::error::Failure;
+use crate::error::Kind;
+use crate::error::Ran;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::caller;
+use crate::state::counters::Counter;
+use crate::transport::backend;
+use crate::transport::backend::Attempt;
+use crate::transport::backend::Exchange;
+
+/// Largest answer that is read whole before it is passed on, bytes.
+const WHOLE_LIMIT: usize = 8 << 20;
+/// What a connection's announced idle time is cut by, for the way there.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
+
+/// An answer to pass on.
+pub struct Reply<A: Adapter> {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub payload: Payload<A>,
+}
+
+/// The body of an answer to pass on.
+pub enum Payload<A: Adapter> {
+    /// Read whole.
+    Whole(Bytes),
+    /// A stream of events that has begun.
+    Stream(Box<Stream<A>>),
+}
+
+/// What came of one send.
+pub enum Tried<A: Adapter> {
+    /// An answer.
+    Answered(Reply<A>),
+    /// It did not run, and was not even sent.
+    Unsent(Failure),
+    /// The other side refused it; it did not run.
+    Refused(Failure),
+    /// It may have run.
+    Lost(Failure),
+}
+
+/// Sends to a backend server.
+pub async fn to_server<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    mut held: Held<A>,
+    last_event: Option<u64>,
+) -> Tried<A> {
+    let request = job.for_server(&shared.adapter, &held.place.server, last_event);
+    shared.counters.count(Counter::Attempts);
+    // A request that may run only once takes a new connection: nothing that an
+    // earlier answer left behind can be taken for its own.
+    let fresh = !job.route.repeatable();
+    let address = held.place.address;
+    let response = send(&shared.servers, job, address, request, fresh).await;
+    match response {
+        Ok(response) => receive(shared, job, response, Some(held)).await,
+        Err(sent) => {
+            held.set_outcome(sent.outcome);
+            sent.into_tried(&held.place.server)
+        }
+    }
+}
+
+/// Sends to a box of another region.
+pub async fn to_peer<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    address: std::net::SocketAddr,
+    last_event: Option<u64>,
+) -> Tried<A> {
+    let request = job.for_peer(&shared.adapter, last_event);
+    shared.counters.count(Counter::ForwardedOut);
+    match send(&shared.peers, job, address, request, false).await {
+        Ok(response) => match refusal(&response) {
+            Some(failure) if failure.ran() == Ran::No => Tried::Refused(failure),
+            Some(failure) => Tried::Lost(failure),
+            None => receive(shared, job, response, None).await,
+        },
+        Err(sent) => sent.into_tried(&address.to_string()),
+    }
+}
+
+/// A send without an answer.
+struct Unanswered {
+    outcome: Outcome,
+    message: String,
+}
+
+impl Unanswered {
+    fn into_tried<A: Adapter>(self, target: &str) -> Tried<A> {
+        let message = format!("{target}: {}", self.message);
+        match self.outcome {
+            Outcome::Unreachable => Tried::Unsent(Failure::new(Kind::NoServer, message)),
+            Outcome::Silent => {
+                Tried::Lost(Failure::new(Kind::BackendTimeout, message).with_ran(Ran::Unknown))
+            }
+            _ => Tried::Lost(Failure::new(Kind::BackendFailed, message).with_ran(Ran::Unknown)),
+        }
+    }
+}
+
+async fn send(
+    client: &backend::Client,
+    job: &Job,
+    address: std::net::SocketAddr,
+    request: Request<Full<Bytes>>,
+    fresh: bool,
+) -> Result<Response<Exchange>, Unanswered> {
+    let exchange = client.exchange(address, request, fresh);
+    match tokio::time::timeout_at(job.deadline.into(), exchange).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(Attempt::Unsent(message))) => {
+            Err(Unanswered { outcome: Outcome::Unreachable, message })
+        }
+        Ok(Err(Attempt::Lost(message))) => Err(Unanswered { outcome: Outcome::Lost, message }),
+        Err(_) => {
+            let message = "no answer before the deadline".to_owned();
+            Err(Unanswered { outcome: Outcome::Silent, message })
+        }
+    }
+}
+
+/// The failure that another box answered with, unless it passes a server's answer on.
+fn refusal(response: &Response<Exchange>) -> Option<Failure> {
+    let ran = response.headers().get(caller::RAN)?.to_str().map_or(Ran::Unknown, Ran::parse);
+    let message = format!("the box answered {}", response.status());
+    let kind = match (ran, response.status()) {
+        (Ran::No, _) => Kind::QueueFull,
+        (_, StatusCode::GATEWAY_TIMEOUT) => Kind::BackendTimeout,
+        _ => Kind::BackendFailed,
+    };
+    Some(Failure::new(kind, message).with_ran(ran))
+}
+
+/// Reads an answer as far as it is needed to decide what becomes of it.
+async fn receive<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    response: Response<Exchange>,
+    mut held: Option<Held<A>>,
+) -> Tried<A> {
+    let (head, mut exchange) = response.into_parts();
+    let verdict = shared.adapter.verdict(head.status, &head.headers);
+    let lost = |held: &mut Option<Held<A>>, kind, message: &str| {
+        set_outcome(held, Outcome::Lost);
+        Tried::Lost(Failure::new(kind, message).with_ran(Ran::Unknown))
+    };
+    if verdict.id.as_deref() != Some(job.ask.id.as_str()) {
+        return lost(&mut held, Kind::BackendFailed, "the answer is that of another request");
+    }
+    if let (Some(left), Some(held)) = (verdict.cold_left, &held) {
+        shared.with_service(&job.service, |service| {
+            service.placement.cold(&held.place.server, left, Instant::now());
+        });
+    }
+    if verdict.other_instance {
+        set_outcome(&mut held, Outcome::Replaced);
+        let message = "another instance has the address";
+        return Tried::Refused(Failure::new(Kind::NoServer, message));
+    }
+    if verdict.not_run {
+        set_outcome(&mut held, Outcome::Shed);
+        exchange.finished_for(idle_time(verdict.keep_alive));
+        return Tried::Refused(Failure::new(Kind::QueueFull, "the backend server refused"));
+    }
+    if !verdict.sealed {
+        return lost(&mut held, Kind::BackendFailed, "the answer has no mark of its server");
+    }
+    let idle = idle_time(verdict.keep_alive);
+    let headers = passed_on(&head.headers);
+    if head.status.is_success() && is_event_stream(&head.headers) {
+        let stream = Stream::new(exchange, held, idle);
+        return begin(job, head.status, headers, stream).await;
+    }
+    let body = Limited::new(exchange.body(), WHOLE_LIMIT).collect();
+    match tokio::time::timeout_at(job.deadline.into(), body).await {
+        Ok(Ok(body)) => {
+            exchange.finished_for(idle);
+            if let Some(held) = &mut held {
+                held.first_byte();
+            }
+            let failed = head.status.is_server_error();
+            set_outcome(&mut held, if failed { Outcome::Failed } else { Outcome::Answered });
+            let payload = Payload::Whole(body.to_bytes());
+            Tried::Answered(Reply { status: head.status, headers, payload })
+        }
+        Ok(Err(error)) => lost(&mut held, Kind::BackendFailed, &error.to_string()),
+        Err(_) => lost(&mut held, Kind::BackendTimeout, "the answer did not end in time"),
+    }
+}
+
+/// Waits for the first event, so that a server that fails before it can still be replaced.
+async fn begin<A: Adapter>(
+    job: &Job,
+    status: StatusCode,
+    headers: HeaderMap,
+    mut stream: Stream<A>,
+) -> Tried<A> {
+    match tokio::time::timeout_at(job.deadline.into(), stream.begin()).await {
+        Ok(Ok(())) => {
+            let payload = Payload::Stream(Box::new(stream));
+            Tried::Answered(Reply { status, headers, payload })
+        }
+        Ok(Err(cut)) => {
+            stream.set_outcome(Outcome::Lost);
+            Tried::Lost(Failure::new(Kind::BackendFailed, cut.to_string()).with_ran(Ran::Unknown))
+        }
+        Err(_) => {
+            stream.set_outcome(Outcome::Silent);
+            let message = "no event before the deadline";
+            Tried::Lost(Failure::new(Kind::BackendTimeout, message).with_ran(Ran::Unknown))
+        }
+    }
+}
+
+fn set_outcome<A>(held: &mut Option<Held<A>>, outcome: Outcome) {
+    if let Some(held) = held {
+        held.set_outcome(outcome);
+    }
+}
+
+fn idle_time(keep_alive: Option<Duration>) -> Duration {
+    keep_alive.map_or(Duration::MAX, |announced| announced.saturating_sub(KEEP_ALIVE_MARGIN))
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/lib/src/gateway/control.rs
@@ -0,0 +1,381 @@
+//! The control thread: it keeps this box's record in the store, follows what
+//! is written there, and publishes what follows from it.
+//!
+//! The store may be away for as long as it likes: what was known stays in
+//! force, and is read afresh once it answers again.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::facts::Facts;
+use super::facts::View;
+use super::lease;
+use super::shared::Service;
+use super::shared::Shared;
+use super::shared::Snapshot;
+use super::shared::lock;
+use crate::coordination::drain;
+use crate::coordination::drain::Drain;
+use crate::coordination::drain::Stage;
+use crate::coordination::placement::Placement;
+use crate::coordination::retries::Budget;
+use crate::daemon::Ending;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::adapter::Answer;
+use crate::protocol::adapter::Change;
+use crate::protocol::adapter::Item;
+use crate::protocol::adapter::Operation;
+use crate::protocol::adapter::Subject;
+use crate::protocol::fleet::BoxRecord;
+use crate::protocol::platform::PlatformError;
+use crate::protocol::platform::Revision;
+use crate::transport::listen::Stop;
+use crate::transport::store;
+
+/// Beginning of the keys of boxes.
+pub const BOXES: &str = "copperweir/boxes/";
+/// All keys are followed by one watch: each change wakes a box once.
+const EVERYTHING: &str = "";
+/// Longest wait of a watch. Each return costs a call; a connection that died unnoticed
+/// is found by then at the latest, and by a failed renewal much earlier.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time between looks at what has been missing for long enough and at a stop's progress.
+const TICK: Duration = Duration::from_millis(200);
+/// How long a leaving box still takes new requests: callers are told of it for a while yet.
+const STOP_GRACE: Duration = Duration::from_millis(2500);
+
+/// What the control thread handles.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// The operator asks to stop; a second time means at once.
+    Stop,
+    /// The settings may have changed.
+    Reload,
+    /// The store answers again after it did not.
+    StoreBack,
+    /// Another holder of the store's lease took this box's record away.
+    RecordLost,
+}
+
+/// The control state of a gateway.
+pub struct Control<A: Adapter> {
+    shared: Arc<Shared<A>>,
+    store: store::Client<A>,
+    facts: Facts,
+    own: BoxRecord,
+    record: watch::Sender<BoxRecord>,
+    drain: Drain,
+    stop: watch::Sender<Stop>,
+    store_away_since: Option<Instant>,
+}
+
+/// How a span of following the store ended.
+enum Followed {
+    /// The history is gone, or a whole read is needed for another reason.
+    ReadAgain,
+    /// The process ends.
+    Ended,
+}
+
+impl<A: Adapter> Control<A> {
+    /// The control state of a fresh gateway.
+    pub fn new(
+        shared: Arc<Shared<A>>,
+        store: store::Client<A>,
+        facts: Facts,
+        own: BoxRecord,
+        stop: watch::Sender<Stop>,
+    ) -> Control<A> {
+        let tuning = drain::Tuning { grace: STOP_GRACE, limit: shared.settings.stop_limit };
+        let (record, _) = watch::channel(own.clone());
+        Control {
+            shared,
+            store,
+            facts,
+            own,
+            record,
+            drain: Drain::new(tuning),
+            stop,
+            store_away_since: None,
+        }
+    }
+
+    /// Runs until a stop has ended; gives how.
+    pub async fn run(
+        mut self,
+        sender: mpsc::Sender<Event>,
+        mut events: mpsc::Receiver<Event>,
+    ) -> Ending {
+        tokio::spawn(lease::keep(self.store.clone(), self.record.subscribe(), sender));
+        loop {
+            let read = self.read_all().await;
+            let revision = match read {
+                Ok(revision) => {
+                    self.store_answered();
+                    self.publish();
+                    revision
+                }
+                Err(error) => {
+                    self.store_failed(&error);
+                    if self.pause(&mut events).await {
+                        break;
+                    }
+                    continue;
+                }
+            };
+            match self.follow(revision, &mut events).await {
+                Followed::ReadAgain => {}
+                Followed::Ended => break,
+            }
+        }
+        let stage = self.drain.stage();
+        let in_flight = self.shared.in_flight.load(Ordering::Acquire);
+        let (stop, ending) = match stage {
+            Stage::Done => (Stop::Gently, Ending::Done),
+            _ => (Stop::Now, Ending::Cut(in_flight)),
+        };
+        // Traffic threads that have ended need not be told.
+        let _ = self.stop.send(stop);
+        log::info!("event=stopped stage={stage:?} in_flight={in_flight}");
+        ending
+    }
+
+    /// Waits for the pause after a failed call; says whether the process ends.
+    async fn pause(&mut self, events: &mut mpsc::Receiver<Event>) -> bool {
+        let until = Instant::now() + RETRY_PAUSE;
+        while Instant::now() < until {
+            let left = until.saturating_duration_since(Instant::now()).min(TICK);
+            tokio::select! {
+                Some(event) = events.recv() => { self.handle(event); }
+                () = tokio::time::sleep(left) => {}
+            }
+            if self.tick() {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn read_all(&mut self) -> Result<Revision, PlatformError> {
+        let mut after = None;
+        let mut first_revision = None;
+        let mut seen = BTreeSet::new();
+        let mut boxes = BTreeSet::new();
+        loop {
+            let prefix = EVERYTHING.to_owned();
+            let answer = self.store.call(&Operation::Range { prefix, after }).await?;
+            let Answer::Page { items, more, revision } = answer else {
+                return Err(PlatformError::Malformed("not a page".to_owned()));
+            };
+            after = items.last().map(|item| item.key.clone());
+            // Pages are no snapshot: changes since the first one are watched for.
+            let revision = *first_revision.get_or_insert(revision);
+            for item in items {
+                match item.key.strip_prefix(BOXES) {
+                    Some(name) => boxes.insert(name.to_owned()),
+                    None => seen.insert(self.shared.adapter.subject(&item.key)),
+                };
+                self.written(item);
+            }
+            if !more || after.is_none() {
+                self.facts.keep_only(&seen, &boxes, Instant::now());
+                return Ok(revision);
+            }
+        }
+    }
+
+    /// Follows changes until they are no longer known.
+    async fn follow(
+        &mut self,
+        mut revision: Revision,
+        events: &mut mpsc::Receiver<Event>,
+    ) -> Followed {
+        loop {
+            let watch = Operation::Watch {
+                prefix: EVERYTHING.to_owned(),
+                after: revision,
+                wait: WATCH_WAIT,
+            };
+            let store = self.store.clone();
+            let call = store.call(&watch);
+            tokio::pin!(call);
+            let answer = loop {
+                tokio::select! {
+                    answer = &mut call => break answer,
+                    Some(event) = events.recv() => {
+                        self.handle(event);
+                        if event == Event::StoreBack {
+                            return Followed::ReadAgain;
+                        }
+                    }
+                    () = tokio::time::sleep(TICK) => {}
+                }
+                if self.tick() {
+                    return Followed::Ended;
+                }
+            };
+            match answer {
+                Ok(Answer::Changes { changes, revision: newest }) => {
+                    self.store_answered();
+                    revision = newest;
+                    if !changes.is_empty() {
+                        changes.into_iter().for_each(|change| self.changed(change));
+                        self.publish();
+                    }
+                }
+                Ok(_) => return Followed::ReadAgain,
+                Err(PlatformError::HistoryGone) => {
+                    log::warn!("event=history_gone after={revision}");
+                    return Followed::ReadAgain;
+                }
+                Err(error) => {
+                    self.store_failed(&error);
+                    if self.pause(events).await {
+                        return Followed::Ended;
+                    }
+                    return Followed::ReadAgain;
+                }
+            }
+        }
+    }
+
+    fn changed(&mut self, change: Change) {
+        let now = Instant::now();
+        match change {
+            Change::Written(item) => self.written(item),
+            Change::Removed(key) => match key.strip_prefix(BOXES) {
+                Some(name) if name == self.own.name => {
+                    log::warn!("event=record_lost reason=\"the store has removed it\"");
+                    self.record.send_replace(self.own.clone());
+                }
+                Some(name) => self.facts.forget_box(name, now),
+                None => self.facts.forget(&self.shared.adapter.subject(&key), now),
+            },
+        }
+    }
+
+    fn written(&mut self, item: Item) {
+        if item.key.starts_with(BOXES) {
+            match serde_json::from_slice::<BoxRecord>(&item.value) {
+                Ok(record) => self.facts.learn_box(record),
+                Err(error) => log::error!("event=unreadable key={} error=\"{error}\"", item.key),
+            }
+            return;
+        }
+        let subject = self.shared.adapter.subject(&item.key);
+        if subject == Subject::Other {
+            return;
+        }
+        match self.shared.adapter.fact(&subject, &item.value) {
+            Ok(Some(fact)) => {
+                self.facts.learn(fact, Instant::now());
+            }
+            Ok(None) => {}
+            Err(error) => log::error!("event=unreadable key={} error=\"{error}\"", item.key),
+        }
+    }
+
+    fn store_failed(&mut self, error: &PlatformError) {
+        if self.store_away_since.is_none() {
+            log::warn!("event=store_lost error=\"{error}\"");
+            self.store_away_since = Some(Instant::now());
+        }
+    }
+
+    fn store_answered(&mut self) {
+        if let Some(since) = self.store_away_since.take() {
+            let now = Instant::now();
+            let away = now.saturating_duration_since(since).as_millis();
+            log::info!("event=store_regained away_ms={away}");
+            self.facts.store_is_back(now);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Stop => self.begin_stop(),
+            Event::Reload => log::info!("event=reload changed=none"),
+            Event::StoreBack => self.facts.store_is_back(Instant::now()),
+            Event::RecordLost => {}
+        }
+    }
+
+    fn begin_stop(&mut self) {
+        let before = self.drain.stage();
+        let stage = self.drain.handle(drain::Event::Stop(Instant::now()));
+        if stage != before {
+            log::info!("event=stop_requested stage={stage:?}");
+            self.own.leaving = true;
+            self.record.send_replace(self.own.clone());
+            self.publish();
+        }
+    }
+
+    /// What passes with time; says whether the process ends.
+    fn tick(&mut self) -> bool {
+        let now = Instant::now();
+        if self.facts.expire(now) {
+            self.publish();
+        }
+        let before = self.drain.stage();
+        if before == Stage::Serving {
+            return false;
+        }
+        let in_flight = self.shared.in_flight.load(Ordering::Acquire);
+        let stage = self.drain.handle(drain::Event::Tick { now, in_flight });
+        if stage != before {
+            log::info!("event=stop_stage stage={stage:?} in_flight={in_flight}");
+            self.publish();
+        }
+        stage.ended()
+    }
+
+    /// Publishes what is known to traffic.
+    fn publish(&mut self) {
+        let settings = &self.shared.settings;
+        let view = View {
+            own: &self.own,
+            cold_excess: settings.cold_excess,
+            cold_slack: settings.cold_slack,
+        };
+        let mut known = self.facts.known(&view);
+        let sharers = self.facts.sharers(&self.own).len();
+        let now = Instant::now();
+        if let Some(routing) = &self.facts.routing {
+            let mut services = lock(&self.shared.services);
+            services.retain(|name, _| routing.services.contains_key(name));
+            for (name, service) in &routing.services {
+                let state = services.entry(name.clone()).or_insert_with(|| Service {
+                    placement: Placement::default(),
+                    budget: Budget::new(settings.retries, now),
+                });
+                let servers = known.remove(name).unwrap_or_default();
+                state.placement.update(servers, sharers, service.memory_tokens);
+            }
+        }
+        self.shared.snapshot.store(Arc::new(Snapshot {
+            routing: self.facts.routing.clone(),
+            boxes: self.facts.others(&self.own),
+            slots: self.facts.slots(),
+            stage: self.drain.stage(),
+        }));
+    }
+}
+
+/// The store's key and value of a box's record.
+pub fn stored(record: &BoxRecord) -> (String, Bytes) {
+    let value = serde_json::to_vec(record).unwrap_or_else(|error| {
+        log::error!("event=unwritable box={} error=\"{error}\"", record.name);
+        Vec::new()
+    });
+    (format!("{BOXES}{}", record.name), Bytes::from(value))
+}
--- /dev/null
+++ b/lib/src/gateway/elsewhere.rs
@@ -0,0 +1,39 @@
+//! Which box of another region gets a request that cannot run here.
+
+use std::net::SocketAddr;
+
+use rand::seq::IndexedRandom;
+
+use super::job::Job;
+use super::shared::Shared;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::fleet::BoxRecord;
+
+/// Most boxes of other regions that one request is sent to: each costs a way there and back.
+const MAX_BOXES: usize = 2;
+
+/// Chooses a region by the slots that may get work there, and one of its boxes.
+pub fn choose<A: Adapter>(
+    shared: &Shared<A>,
+    job: &Job,
+    tried: &[SocketAddr],
+) -> Option<SocketAddr> {
+    if tried.len() >= MAX_BOXES {
+        return None;
+    }
+    let slots = job.snapshot.slots.get(&job.service)?;
+    let eligible = |other: &&BoxRecord| {
+        other.region != shared.settings.region
+            && !other.leaving
+            && !tried.contains(&other.peers)
+            && job.route.allows(&other.region)
+            && slots.get(&other.region).is_some_and(|slots| *slots > 0)
+    };
+    let boxes: Vec<&BoxRecord> = job.snapshot.boxes.iter().filter(eligible).collect();
+    let in_region = |region: &str| boxes.iter().filter(|other| other.region == region).count();
+    let weight = |other: &&BoxRecord| {
+        let slots = slots.get(&other.region).copied().unwrap_or(0);
+        f64::from(slots) / in_region(&other.region).max(1) as f64
+    };
+    boxes.choose_weighted(&mut rand::rng(), weight).ok().map(|other| other.peers)
+}
--- /dev/null
+++ b/lib/src/gateway/facts.rs
@@ -0,0 +1,287 @@
+//! What control has learned from the store, and what follows from it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::coordination::placement::Known;
+use crate::coordination::rendezvous;
+use crate::coordination::warmup;
+use crate::protocol::BoxId;
+use crate::protocol::RegionId;
+use crate::protocol::ServerId;
+use crate::protocol::adapter::Fact;
+use crate::protocol::adapter::Subject;
+use crate::protocol::fleet::BoxRecord;
+use crate::protocol::fleet::FailureDomainId;
+use crate::protocol::fleet::Server;
+use crate::protocol::routing::Routing;
+use crate::protocol::routing::Service;
+use crate::protocol::routing::ServiceId;
+
+/// How long an entry that is missing when the store comes back counts as living: the
+/// users' word is "about two seconds" after the store's return.
+const RETURN_GRACE: Duration = Duration::from_millis(2200);
+/// How long boxes that are gone still count among those that share a bound: they may
+/// live and only have lost the store.
+const SHARER_MEMORY: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Debug)]
+struct Entry {
+    server: Arc<Server>,
+    cold_until: Option<Instant>,
+    /// Since when it is missing, while its absence is not yet believed.
+    missing_since: Option<Instant>,
+}
+
+/// Everything learned from the store.
+#[derive(Debug, Default)]
+pub struct Facts {
+    /// The newest configuration.
+    pub routing: Option<Arc<Routing>>,
+    servers: BTreeMap<ServerId, Entry>,
+    evacuated: BTreeSet<FailureDomainId>,
+    boxes: BTreeMap<BoxId, BoxRecord>,
+    gone_boxes: BTreeMap<BoxId, (BoxRecord, Instant)>,
+    /// Region of each failure domain that is known.
+    regions: HashMap<FailureDomainId, RegionId>,
+    store_back_at: Option<Instant>,
+}
+
+/// What is decided from the place of one box.
+pub struct View<'a> {
+    /// The box.
+    pub own: &'a BoxRecord,
+    /// How often the rate of a cold server may be exceeded.
+    pub cold_excess: f64,
+    /// Requests to a cold server beyond that.
+    pub cold_slack: f64,
+}
+
+impl Facts {
+    /// Nothing but the regions of the failure domains.
+    pub fn new(regions: HashMap<FailureDomainId, RegionId>) -> Facts {
+        Facts { regions, ..Facts::default() }
+    }
+
+    /// The store answers again after it did not.
+    pub fn store_is_back(&mut self, now: Instant) {
+        self.store_back_at = Some(now);
+    }
+
+    /// Takes in something that was written. Says whether it is news.
+    pub fn learn(&mut self, fact: Fact, now: Instant) -> bool {
+        match fact {
+            Fact::Routing(routing) => {
+                let known = self.routing.as_ref().map_or(0, |routing| routing.version);
+                let newer = routing.version > known;
+                if newer {
+                    log::info!("event=configuration version={} before={known}", routing.version);
+                    self.routing = Some(Arc::new(*routing));
+                } else if routing.version < known {
+                    log::warn!(
+                        "event=older_configuration version={} in_force={known}",
+                        routing.version
+                    );
+                }
+                newer
+            }
+            Fact::Server(server) => self.learn_server(server, now),
+            Fact::Evacuated(domain) => {
+                log::info!("event=evacuated failure_domain={domain}");
+                self.evacuated.insert(domain)
+            }
+        }
+    }
+
+    fn learn_server(&mut self, server: Server, now: Instant) -> bool {
+        let before = self.servers.get_mut(&server.id);
+        if let Some(entry) = before
+            && *entry.server == server
+        {
+            return entry.missing_since.take().is_some();
+        }
+        let cold_until = (!server.cold_left.is_zero()).then(|| now + server.cold_left);
+        log::info!(
+            "event=server server={} service={} address={} failure_domain={} leaving={} cold_ms={}",
+            server.id,
+            server.service,
+            server.address,
+            server.failure_domain,
+            server.leaving,
+            server.cold_left.as_millis(),
+        );
+        let id = server.id.clone();
+        let entry = Entry { server: Arc::new(server), cold_until, missing_since: None };
+        self.servers.insert(id, entry);
+        true
+    }
+
+    /// Takes in another box's record.
+    pub fn learn_box(&mut self, record: BoxRecord) {
+        self.gone_boxes.remove(&record.name);
+        let before = self.boxes.insert(record.name.clone(), record.clone());
+        if before.as_ref() != Some(&record) {
+            log::info!(
+                "event=box box={} region={} incarnation={:x} leaving={}",
+                record.name,
+                record.region,
+                record.incarnation,
+                record.leaving
+            );
+        }
+    }
+
+    /// Another box's record is gone.
+    pub fn forget_box(&mut self, name: &str, now: Instant) {
+        if let Some(record) = self.boxes.remove(name) {
+            log::info!("event=box_gone box={name} incarnation={:x}", record.incarnation);
+            self.gone_boxes.insert(name.to_owned(), (record, now));
+        }
+    }
+
+    /// Something that was written is gone.
+    pub fn forget(&mut self, subject: &Subject, now: Instant) {
+        match subject {
+            Subject::Server(id) => self.forget_server(id, now),
+            Subject::Evacuation(domain) => {
+                if self.evacuated.remove(domain) {
+                    log::info!("event=evacuation_over failure_domain={domain}");
+                    self.cool(&domain.clone(), now);
+                }
+            }
+            Subject::Routing | Subject::Other => {}
+        }
+    }
+
+    fn forget_server(&mut self, id: &ServerId, now: Instant) {
+        let returned = |at: Instant| now < at + RETURN_GRACE;
+        if self.store_back_at.is_some_and(returned) {
+            if let Some(entry) = self.servers.get_mut(id) {
+                log::info!("event=server_missing server={id} reason=\"the store was away\"");
+                entry.missing_since.get_or_insert(now);
+            }
+            return;
+        }
+        if self.servers.remove(id).is_some() {
+            log::info!("event=server_gone server={id}");
+        }
+    }
+
+    /// Servers that come back from an evacuation may be cold, whatever their last word was.
+    fn cool(&mut self, domain: &str, now: Instant) {
+        let Some(routing) = &self.routing else { return };
+        for entry in self.servers.values_mut() {
+            if entry.server.failure_domain != domain {
+                continue;
+            }
+            let cold = routing.services.get(&entry.server.service).map(|service| service.cold);
+            let until = now + cold.unwrap_or_default();
+            entry.cold_until = entry.cold_until.max(Some(until));
+        }
+    }
+
+    /// What a whole read of the store does not show is gone.
+    pub fn keep_only(&mut self, seen: &BTreeSet<Subject>, boxes: &BTreeSet<BoxId>, now: Instant) {
+        let servers = self.servers.keys().cloned().map(Subject::Server);
+        let evacuated = self.evacuated.iter().cloned().map(Subject::Evacuation);
+        let gone: Vec<Subject> =
+            servers.chain(evacuated).filter(|subject| !seen.contains(subject)).collect();
+        for subject in gone {
+            self.forget(&subject, now);
+        }
+        let gone: Vec<BoxId> =
+            self.boxes.keys().filter(|name| !boxes.contains(*name)).cloned().collect();
+        for name in gone {
+            self.forget_box(&name, now);
+        }
+    }
+
+    /// Drops what has been missing for long enough. Says whether there was any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.servers.len() + self.gone_boxes.len();
+        self.servers.retain(|id, entry| {
+            let keep = entry.missing_since.is_none_or(|since| now < since + RETURN_GRACE);
+            if !keep {
+                log::info!(
+                    "event=server_gone server={id} reason=\"missing since the store is back\""
+                );
+            }
+            keep
+        });
+        self.gone_boxes.retain(|_, (_, since)| now < *since + SHARER_MEMORY);
+        self.servers.len() + self.gone_boxes.len() != before
+    }
+
+    /// Boxes that live, this one left out.
+    pub fn others(&self, own: &BoxRecord) -> Vec<BoxRecord> {
+        self.boxes.values().filter(|record| record.name != own.name).cloned().collect()
+    }
+
+    /// Slots that may get work by service and region.
+    pub fn slots(&self) -> HashMap<ServiceId, HashMap<RegionId, u32>> {
+        let mut slots: HashMap<ServiceId, HashMap<RegionId, u32>> = HashMap::new();
+        for entry in self.servers.values().filter(|entry| self.is_usable(entry)) {
+            let Some(region) = self.regions.get(&entry.server.failure_domain) else { continue };
+            let service = slots.entry(entry.server.service.clone()).or_default();
+            *service.entry(region.clone()).or_default() += entry.server.slots;
+        }
+        slots
+    }
+
+    fn is_usable(&self, entry: &Entry) -> bool {
+        !entry.server.leaving && !self.evacuated.contains(&entry.server.failure_domain)
+    }
+
+    /// Boxes that share the servers of this region, this one included.
+    pub fn sharers<'a>(&'a self, own: &'a BoxRecord) -> Vec<&'a str> {
+        let gone = self.gone_boxes.values().map(|(record, _)| record);
+        let others = self.boxes.values().chain(gone);
+        let mut names: Vec<&str> = others
+            .filter(|record| record.region == own.region && record.name != own.name)
+            .map(|record| record.name.as_str())
+            .collect();
+        names.push(&own.name);
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+
+    /// The servers of this region by service.
+    pub fn known(&self, view: &View<'_>) -> HashMap<ServiceId, Vec<Known>> {
+        let sharers = self.sharers(view.own);
+        let mut known: HashMap<ServiceId, Vec<Known>> = HashMap::new();
+        let Some(routing) = &self.routing else { return known };
+        for entry in self.servers.values() {
+            let server = &entry.server;
+            if self.regions.get(&server.failure_domain) != Some(&view.own.region) {
+                continue;
+            }
+            let Some(service) = routing.services.get(&server.service) else { continue };
+            known.entry(server.service.clone()).or_default().push(Known {
+                server: Arc::clone(server),
+                usable: self.is_usable(entry),
+                cold_until: entry.cold_until,
+                cold_share: cold_share(view, service, server, &sharers),
+            });
+        }
+        known
+    }
+}
+
+fn cold_share(view: &View<'_>, service: &Service, server: &Server, sharers: &[&str]) -> u32 {
+    if service.warmup_rate <= 0.0 {
+        return u32::MAX;
+    }
+    let bound = warmup::Bound {
+        rate: service.warmup_rate,
+        excess: view.cold_excess,
+        slack: view.cold_slack,
+    };
+    let own = rendezvous::weight(&view.own.name, &server.id);
+    let ahead = |name: &&&str| rendezvous::weight(name, &server.id) > own;
+    bound.share(sharers.len(), sharers.iter().filter(ahead).count())
+}
--- /dev/null
+++ b/lib/src/gateway/ingress.rs
@@ -0,0 +1,117 @@
+//! Requests of callers and of other boxes, from the head to the answer.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use hyper::body::Incoming;
+
+use super::attempt::Payload;
+use super::attempt::Reply;
+use super::job::Job;
+use super::job::Origin;
+use super::record;
+use super::run;
+use super::run::Course;
+use super::shared::Progress;
+use super::shared::Shared;
+use super::stream::Relay;
+use crate::coordination::drain::Stage;
+use crate::error::Failure;
+use crate::error::Kind;
+use crate::error::Ran;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::caller;
+use crate::state::counters::Counter;
+use crate::transport::body::Answer;
+use crate::transport::body::Passed;
+
+/// Answers a request.
+pub async fn handle<A: Adapter>(
+    shared: Arc<Shared<A>>,
+    origin: Origin,
+    request: Request<Incoming>,
+) -> Response<Passed> {
+    let progress = shared.progress();
+    shared.counters.count(match origin {
+        Origin::Caller => Counter::Requests,
+        Origin::Peer => Counter::ForwardedIn,
+    });
+    let mut response = answer(&shared, origin, request, progress).await;
+    if shared.snapshot.load().stage != Stage::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answer<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    origin: Origin,
+    request: Request<Incoming>,
+    progress: Progress<A>,
+) -> Response<Passed> {
+    let mut course = Course::default();
+    let ask = match shared.adapter.ask(request.headers()) {
+        Ok(ask) => ask,
+        Err(problem) => {
+            let failure = Failure::new(Kind::BadRequest, problem);
+            return failed(shared, "-", None, &course, &failure);
+        }
+    };
+    let id = ask.id.clone();
+    let job = match Job::read(shared, origin, ask, request).await {
+        Ok(job) => job,
+        Err(failure) => return failed(shared, &id, None, &course, &failure),
+    };
+    match run::run(shared, &job, &mut course).await {
+        Ok(reply) => pass_on(shared, job, course, reply, progress),
+        Err(failure) => failed(shared, &id, Some(&job), &course, &failure),
+    }
+}
+
+fn pass_on<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: Job,
+    course: Course,
+    reply: Reply<A>,
+    progress: Progress<A>,
+) -> Response<Passed> {
+    let body = match reply.payload {
+        Payload::Whole(bytes) => {
+            shared.counters.count(Counter::Answered);
+            record::answered(&job, &course, reply.status.as_u16());
+            Answer::whole(bytes)
+        }
+        Payload::Stream(stream) => {
+            let shared = Arc::clone(shared);
+            let relay = Relay { shared, job, stream: *stream, course, progress };
+            Answer::Channel(relay.start())
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = reply.headers;
+    response
+}
+
+fn failed<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    id: &str,
+    job: Option<&Job>,
+    course: &Course,
+    failure: &Failure,
+) -> Response<Passed> {
+    shared.counters.count(Counter::Failed);
+    if failure.ran() == Ran::No {
+        shared.counters.count(Counter::Refused);
+    }
+    record::failed(id, job, course, failure);
+    let mut response = Response::new(Answer::whole(caller::failure_body(failure)));
+    *response.status_mut() = failure.status();
+    caller::failure_headers(failure, response.headers_mut());
+    shared.adapter.mark(response.headers_mut(), id, failure.retry_after());
+    response
+}
--- /dev/null
+++ b/lib/src/gateway/job.rs
@@ -0,0 +1,213 @@
+//! A caller's request, read and checked: everything that is needed to send it,
+//! once or more often.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::Method;
+use http::Request;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use super::shared::Shared;
+use super::shared::Snapshot;
+use crate::error::Failure;
+use crate::error::Kind;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::adapter::Ask;
+use crate::protocol::adapter::Outbound;
+use crate::protocol::routing::Route;
+use crate::protocol::routing::Routing;
+use crate::protocol::routing::ServiceId;
+
+/// Marks a request that another box has passed on; it goes no further than this region.
+pub const PASSED_ON: HeaderName = HeaderName::from_static("copperweir-passed-on");
+/// How long a caller waits that does not say so.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Who sent a request here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another box, for a caller of its own.
+    Peer,
+}
+
+/// A checked request.
+pub struct Job {
+    /// What the caller's headers say.
+    pub ask: Ask,
+    /// Who sent it.
+    pub origin: Origin,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that runs it.
+    pub service: ServiceId,
+    /// Version of the configuration that it was routed by.
+    pub version: u64,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When it must have been answered: the caller's or the route's bound, whichever is less.
+    pub deadline: Instant,
+    /// What control knew when it arrived.
+    pub snapshot: Arc<Snapshot>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Job {
+    /// Reads a request to its end.
+    pub async fn read<A: Adapter>(
+        shared: &Shared<A>,
+        origin: Origin,
+        ask: Ask,
+        request: Request<Incoming>,
+    ) -> Result<Job, Failure> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let snapshot = shared.snapshot.load_full();
+        let routing = routing(&snapshot)?;
+        let route = find(&routing, &head.headers, &head.uri)?;
+        let patience = ask.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+        let deadline = arrived + patience;
+        let body = read_body(body, routing.limits.body_bytes, deadline).await?;
+        let point = rapidhash::v3::rapidhash_v3(ask.id.as_bytes());
+        let service = route
+            .service(point)
+            .cloned()
+            .ok_or_else(|| Failure::new(Kind::NoServer, "the route has no service"))?;
+        Ok(Job {
+            ask,
+            origin,
+            route,
+            service,
+            version: routing.version,
+            arrived,
+            deadline,
+            snapshot,
+            method: head.method,
+            uri: head.uri,
+            headers: passed_on(&head.headers),
+            body,
+        })
+    }
+
+    /// Time that is left.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    /// The request for a backend server.
+    pub fn for_server<A: Adapter>(
+        &self,
+        adapter: &A,
+        instance: &str,
+        last_event: Option<u64>,
+    ) -> Request<http_body_util::Full<Bytes>> {
+        let outbound = Outbound {
+            left: self.left(Instant::now()),
+            instance,
+            priority: self.route.priority.min(9),
+            last_event,
+        };
+        let mut request = self.request();
+        adapter.outbound(request.headers_mut(), &outbound);
+        request
+    }
+
+    /// The request for a box of another region.
+    pub fn for_peer<A: Adapter>(
+        &self,
+        adapter: &A,
+        last_event: Option<u64>,
+    ) -> Request<http_body_util::Full<Bytes>> {
+        let mut request = self.request();
+        let headers = request.headers_mut();
+        adapter.shorten(headers, self.left(Instant::now()));
+        headers.insert(PASSED_ON, self.version.into());
+        if let Some(id) = last_event {
+            headers.insert("last-event-id", id.into());
+        }
+        request
+    }
+
+    fn request(&self) -> Request<http_body_util::Full<Bytes>> {
+        let mut request = Request::new(http_body_util::Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        request
+    }
+}
+
+fn routing(snapshot: &Snapshot) -> Result<Arc<Routing>, Failure> {
+    let missing = || Failure::new(Kind::NotReady, "the box has no configuration yet");
+    let routing = snapshot.routing.clone().ok_or_else(missing)?;
+    if snapshot.stage.accepts() {
+        Ok(routing)
+    } else {
+        Err(Failure::new(Kind::Leaving, "the box is leaving"))
+    }
+}
+
+fn find(routing: &Routing, headers: &HeaderMap, uri: &Uri) -> Result<Arc<Route>, Failure> {
+    let host = headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = routing.find(host, uri.path());
+    let none = || Failure::new(Kind::NotFound, format!("no route for {host}{}", uri.path()));
+    route.cloned().ok_or_else(none)
+}
+
+async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Failure> {
+    let read = Limited::new(body, most).collect();
+    match tokio::time::timeout_at(deadline.into(), read).await {
+        Err(_) => Err(Failure::new(Kind::BodyTimeout, "the body did not arrive in time")),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            Err(Failure::new(Kind::BodyTooLarge, format!("the body has over {most} bytes")))
+        }
+        Ok(Err(error)) => Err(Failure::new(Kind::BadRequest, format!("the body: {error}"))),
+    }
+}
+
+/// Headers that concern one connection only stay behind.
+fn is_of_connection(name: &HeaderName) -> bool {
+    const NAMES: [HeaderName; 7] = [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::CONTENT_LENGTH,
+        header::TE,
+        header::TRAILER,
+        header::UPGRADE,
+        header::EXPECT,
+    ];
+    NAMES.contains(name) || name == "keep-alive" || name == "proxy-connection" || name == PASSED_ON
+}
+
+/// The headers that are passed along, both ways.
+pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !is_of_connection(name) && !named.contains(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
--- /dev/null
+++ b/lib/src/gateway/lease.rs
@@ -0,0 +1,96 @@
+//! Keeps this box's record in the store, under a lease that is renewed while
+//! the process lives.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use super::control::Event;
+use super::control::stored;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::adapter::Answer;
+use crate::protocol::adapter::Operation;
+use crate::protocol::fleet::BoxRecord;
+use crate::protocol::platform::LeaseId;
+use crate::protocol::platform::PlatformError;
+use crate::transport::store;
+
+/// Life of the lease: a box that is gone is dropped by the others within it.
+const LIFE: Duration = Duration::from_secs(4);
+/// Time between renewals: two may be lost before the lease runs out.
+const RENEWAL: Duration = Duration::from_millis(1200);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Keeps the newest record in the store until its sender is gone.
+pub async fn keep<A: Adapter>(
+    store: store::Client<A>,
+    mut record: watch::Receiver<BoxRecord>,
+    events: mpsc::Sender<Event>,
+) {
+    let mut lease = None;
+    let mut failed_since: Option<Instant> = None;
+    let mut written = false;
+    loop {
+        let done = match lease {
+            None => grant(&store).await.map(|granted| {
+                lease = Some(granted);
+                written = false;
+            }),
+            Some(lease) if !written || record.has_changed().unwrap_or(false) => {
+                let newest = record.borrow_and_update().clone();
+                write(&store, &newest, lease).await.map(|()| written = true)
+            }
+            Some(lease) => store.call(&Operation::Renew(lease)).await.map(|_| ()),
+        };
+        match done {
+            Ok(()) => {
+                if failed_since.take().is_some() && events.send(Event::StoreBack).await.is_err() {
+                    return;
+                }
+                if !written {
+                    continue;
+                }
+                tokio::select! {
+                    () = tokio::time::sleep(RENEWAL) => {}
+                    changed = record.changed() => {
+                        if changed.is_err() {
+                            return;
+                        }
+                        written = false;
+                    }
+                }
+            }
+            Err(PlatformError::LeaseOver) => {
+                log::warn!("event=lease_over");
+                lease = None;
+                written = false;
+            }
+            Err(error) => {
+                if failed_since.is_none() {
+                    log::warn!("event=lease_call_failed error=\"{error}\"");
+                    failed_since = Some(Instant::now());
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn grant<A: Adapter>(store: &store::Client<A>) -> Result<LeaseId, PlatformError> {
+    match store.call(&Operation::Grant { life: LIFE }).await? {
+        Answer::Lease(lease) => Ok(lease),
+        _ => Err(PlatformError::Malformed("not a lease".to_owned())),
+    }
+}
+
+async fn write<A: Adapter>(
+    store: &store::Client<A>,
+    record: &BoxRecord,
+    lease: LeaseId,
+) -> Result<(), PlatformError> {
+    let (key, value) = stored(record);
+    store.call(&Operation::Put { key, value, lease }).await.map(|_| ())
+}
--- /dev/null
+++ b/lib/src/gateway/metrics.rs
@@ -0,0 +1,43 @@
+//! Counters as text, one line each, for whoever collects them.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use hyper::body::Incoming;
+
+use super::shared::Shared;
+use crate::protocol::adapter::Adapter;
+use crate::state::counters::Counter;
+use crate::transport::body::Answer;
+use crate::transport::body::Passed;
+
+/// Answers on the metrics port, whatever the path.
+pub async fn handle<A: Adapter>(
+    shared: Arc<Shared<A>>,
+    _request: Request<Incoming>,
+) -> Response<Passed> {
+    let mut response = Response::new(Answer::whole(page(&shared)));
+    let text = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, text);
+    response
+}
+
+fn page<A: Adapter>(shared: &Shared<A>) -> String {
+    let mut text = String::new();
+    for counter in Counter::ALL {
+        let value = shared.counters.get(*counter);
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "copperweir_{} {value}", counter.as_str());
+    }
+    let snapshot = shared.snapshot.load();
+    let version = snapshot.routing.as_ref().map_or(0, |routing| routing.version);
+    let _ = writeln!(text, "copperweir_in_flight {}", shared.in_flight.load(Ordering::Relaxed));
+    let _ = writeln!(text, "copperweir_configuration_version {version}");
+    let _ = writeln!(text, "copperweir_boxes {}", snapshot.box_count());
+    text
+}
--- /dev/null
+++ b/lib/src/gateway/mod.rs
@@ -0,0 +1,235 @@
+//! The gateway: the process on each box of a platform that has its own store,
+//! callers and backend servers, spoken to through an [`Adapter`].
+//!
+//! One thread holds control; another carries traffic. They share
+//! [`shared::Shared`], in which control publishes whole snapshots.
+
+pub mod attempt;
+pub mod control;
+pub mod directory;
+pub mod elsewhere;
+pub mod facts;
+pub mod ingress;
+pub mod job;
+pub mod lease;
+pub mod metrics;
+pub mod record;
+pub mod run;
+pub mod settings;
+pub mod shared;
+pub mod stream;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use self::control::Control;
+use self::control::Event;
+use self::facts::Facts;
+use self::job::Origin;
+use self::settings::Settings;
+use self::shared::Shared;
+use self::shared::Snapshot;
+use crate::coordination::drain::Stage;
+use crate::daemon::Ending;
+use crate::daemon::StartError;
+use crate::daemon::bind;
+use crate::daemon::draw_incarnation;
+use crate::protocol::RegionId;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::fleet::BoxRecord;
+use crate::protocol::fleet::FailureDomainId;
+use crate::state::counters::Counters;
+use crate::transport::backend;
+use crate::transport::http1;
+use crate::transport::http1::Bounds;
+use crate::transport::listen::Stop;
+use crate::transport::store;
+
+/// Longest wait for a connection to a backend server: they stand in the same region, and a
+/// connection takes them milliseconds. A lost opening packet is sent again after a second.
+const SERVER_CONNECT: Duration = Duration::from_millis(400);
+/// Longest wait for a connection to a box of another region, some 110 ms away and back.
+const PEER_CONNECT: Duration = Duration::from_millis(600);
+/// Events that wait for the control thread.
+const EVENTS: usize = 64;
+/// Part of the descriptors that callers' connections may take; the rest is for what they cause.
+const CALLERS_PART: f64 = 0.45;
+/// Part for connections of other boxes.
+const PEERS_PART: f64 = 0.2;
+/// Connections of the smaller ports.
+const SMALL_PORT: usize = 64;
+
+/// A running gateway.
+pub struct Gateway {
+    control: JoinHandle<Ending>,
+    traffic: JoinHandle<()>,
+    events: mpsc::Sender<Event>,
+}
+
+impl Gateway {
+    /// Starts a gateway; returns once its ports are open.
+    pub fn start<A: Adapter>(
+        settings: Settings,
+        regions: HashMap<FailureDomainId, RegionId>,
+        adapter: A,
+    ) -> Result<Gateway, StartError> {
+        let ports = Ports::bind(&settings)?;
+        let counters = Arc::new(Counters::default());
+        let own = own_record(&settings);
+        let store = store::Client::new(settings.store, adapter.clone(), Arc::clone(&counters));
+        let shared = Arc::new(Shared {
+            incarnation: own.incarnation,
+            adapter,
+            snapshot: ArcSwap::from_pointee(Snapshot {
+                routing: None,
+                boxes: Vec::new(),
+                slots: HashMap::new(),
+                stage: Stage::Serving,
+            }),
+            services: Mutex::default(),
+            servers: backend::Client::new(SERVER_CONNECT),
+            peers: backend::Client::new(PEER_CONNECT),
+            in_flight: AtomicUsize::new(0),
+            counters,
+            settings,
+        });
+        let (stop, stopping) = watch::channel(Stop::No);
+        let (events, receiver) = mpsc::channel(EVENTS);
+        log::info!(
+            "event=started box={} incarnation={:x} region={} callers={}",
+            own.name,
+            own.incarnation,
+            own.region,
+            own.callers
+        );
+        let facts = Facts::new(regions);
+        let control = Control::new(Arc::clone(&shared), store, facts, own.clone(), stop);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let sender = events.clone();
+        let control = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || runtime.block_on(control.run(sender, receiver)))?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let traffic = std::thread::Builder::new()
+            .name("traffic".to_owned())
+            .spawn(move || runtime.block_on(serve(shared, Arc::new(own), ports, stopping)))?;
+        Ok(Gateway { control, traffic, events })
+    }
+
+    /// Something that tells the gateway of signals.
+    pub fn events(&self) -> mpsc::Sender<Event> {
+        self.events.clone()
+    }
+
+    /// Waits until the gateway has stopped.
+    pub fn wait(self) -> Ending {
+        let ending = self.control.join().unwrap_or(Ending::Cut(0));
+        if self.traffic.join().is_err() {
+            log::error!("event=traffic_failed");
+        }
+        ending
+    }
+}
+
+struct Ports {
+    callers: TcpListener,
+    ready: TcpListener,
+    directory: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Ports {
+    fn bind(settings: &Settings) -> Result<Ports, StartError> {
+        let listen = &settings.listen;
+        Ok(Ports {
+            callers: bind("callers", listen.callers)?,
+            ready: bind("readiness", listen.ready)?,
+            directory: bind("the directory", listen.directory)?,
+            peers: bind("boxes", listen.peers)?,
+            metrics: bind("metrics", listen.metrics)?,
+        })
+    }
+}
+
+fn own_record(settings: &Settings) -> BoxRecord {
+    BoxRecord {
+        name: settings.name.clone(),
+        incarnation: draw_incarnation(),
+        region: settings.region.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        leaving: false,
+        weight: settings.weight,
+    }
+}
+
+fn listener(listener: TcpListener) -> Option<tokio::net::TcpListener> {
+    tokio::net::TcpListener::from_std(listener)
+        .inspect_err(|error| log::error!("event=listen_failed error=\"{error}\""))
+        .ok()
+}
+
+/// Carries traffic until the stop has ended.
+async fn serve<A: Adapter>(
+    shared: Arc<Shared<A>>,
+    own: Arc<BoxRecord>,
+    ports: Ports,
+    stop: watch::Receiver<Stop>,
+) {
+    let Ports { callers, ready, directory, peers, metrics } = ports;
+    let (Some(callers), Some(ready), Some(directory), Some(peers), Some(metrics)) = (
+        listener(callers),
+        listener(ready),
+        listener(directory),
+        listener(peers),
+        listener(metrics),
+    ) else {
+        return;
+    };
+    let places = |part: f64| (shared.settings.descriptors as f64 * part) as usize;
+    let state = Arc::clone(&shared);
+    let bounds = move || bounds(&state);
+    let state = Arc::clone(&shared);
+    let for_callers = move |request| ingress::handle(Arc::clone(&state), Origin::Caller, request);
+    let state = Arc::clone(&shared);
+    let for_peers = move |request| ingress::handle(Arc::clone(&state), Origin::Peer, request);
+    let state = Arc::clone(&shared);
+    let for_ready = move |request| directory::ready(Arc::clone(&state), request);
+    let state = Arc::clone(&shared);
+    let for_directory =
+        move |request| directory::handle(Arc::clone(&state), Arc::clone(&own), request);
+    let state = Arc::clone(&shared);
+    let for_metrics = move |request| metrics::handle(Arc::clone(&state), request);
+    let small = || Bounds { header_bytes: 8 << 10, idle: Duration::from_secs(60) };
+    tokio::join!(
+        http1::serve(callers, places(CALLERS_PART), bounds.clone(), for_callers, stop.clone()),
+        http1::serve(peers, places(PEERS_PART), small, for_peers, stop.clone()),
+        http1::serve(ready, SMALL_PORT, small, for_ready, stop.clone()),
+        http1::serve(directory, places(0.1), small, for_directory, stop.clone()),
+        http1::serve(metrics, SMALL_PORT, small, for_metrics, stop),
+    );
+}
+
+/// The bounds on callers' connections as the configuration has them now.
+fn bounds<A: Adapter>(shared: &Shared<A>) -> Bounds {
+    let limits = shared.snapshot.load().routing.as_ref().map(|routing| routing.limits);
+    let limits = limits.unwrap_or_default();
+    Bounds { header_bytes: limits.header_bytes, idle: limits.idle }
+}
+
+/// Address of a port on the same machine as another address.
+pub fn beside(address: SocketAddr, port: u16) -> SocketAddr {
+    SocketAddr::new(address.ip(), port)
+}
--- /dev/null
+++ b/lib/src/gateway/record.rs
@@ -0,0 +1,128 @@
+//! The decision log: one line for each decision that touches a request, with
+//! what decided it.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use super::job::Job;
+use super::run::Course;
+use crate::coordination::placement::Place;
+use crate::error::Failure;
+use crate::transport::body::Cut;
+
+/// Lines of this target are about single requests; their number is bounded.
+pub const TARGET: &str = "request";
+
+fn age(job: &Job) -> u128 {
+    Instant::now().saturating_duration_since(job.arrived).as_millis()
+}
+
+/// A backend server was chosen.
+pub fn placed(job: &Job, course: &Course, place: &Place) {
+    log::debug!(
+        target: TARGET,
+        "event=placed request={} route={} service={} server={} send={} in_flight={} unread={:.0} \
+         candidates={} version={} boxes={} left_ms={}",
+        job.ask.id,
+        job.route.name,
+        job.service,
+        place.server,
+        course.sends + 1,
+        place.in_flight,
+        place.unread,
+        place.candidates,
+        job.version,
+        job.snapshot.box_count(),
+        job.left(Instant::now()).as_millis(),
+    );
+}
+
+/// The request goes to a box of another region.
+pub fn passed_on(job: &Job, course: &Course, address: SocketAddr) {
+    log::info!(
+        target: TARGET,
+        "event=passed_on request={} route={} service={} box={address} send={} version={} left_ms={}",
+        job.ask.id,
+        job.route.name,
+        job.service,
+        course.sends + 1,
+        job.version,
+        job.left(Instant::now()).as_millis(),
+    );
+}
+
+/// A send gave no answer.
+pub fn attempt_failed(job: &Job, course: &Course, failure: &Failure) {
+    log::info!(
+        target: TARGET,
+        "event=attempt_failed request={} route={} server={} sends={} maybe_ran={} age_ms={} cause=\"{failure}\"",
+        job.ask.id,
+        job.route.name,
+        course.tried.last().map_or("-", String::as_str),
+        course.sends,
+        course.maybe_ran,
+        age(job),
+    );
+}
+
+/// The request ended with a failure of the gateway.
+pub fn failed(id: &str, job: Option<&Job>, course: &Course, failure: &Failure) {
+    log::info!(
+        target: TARGET,
+        "event=failed request={id} route={} status={} ran={} sends={} unsent={} version={} age_ms={} cause=\"{failure}\"",
+        job.map_or("-", |job| job.route.name.as_str()),
+        failure.status().as_u16(),
+        failure.ran().as_str(),
+        course.sends,
+        course.unsent,
+        job.map_or(0, |job| job.version),
+        job.map_or(0, age),
+    );
+}
+
+/// The request ended with a server's answer.
+pub fn answered(job: &Job, course: &Course, status: u16) {
+    log::info!(
+        target: TARGET,
+        "event=answered request={} route={} server={} status={status} sends={} age_ms={}",
+        job.ask.id,
+        job.route.name,
+        course.tried.last().map_or("-", String::as_str),
+        course.sends,
+        age(job),
+    );
+}
+
+/// A stream broke and is to go on elsewhere.
+pub fn stream_broken(
+    job: &Job,
+    course: &Course,
+    server: Option<&str>,
+    last_id: Option<u64>,
+    cut: &Cut,
+) {
+    log::info!(
+        target: TARGET,
+        "event=stream_broken request={} route={} server={} sends={} last_event={last_id:?} age_ms={} cause=\"{cut}\"",
+        job.ask.id,
+        job.route.name,
+        server.unwrap_or("-"),
+        course.sends,
+        age(job),
+    );
+}
+
+/// A stream ended, well or not.
+pub fn stream_ended(job: &Job, course: &Course, server: Option<&str>, ended: &Result<(), Cut>) {
+    let cause = ended.as_ref().err().map_or(String::new(), |cut| format!(" cause=\"{cut}\""));
+    log::info!(
+        target: TARGET,
+        "event=stream_ended request={} route={} server={} whole={} sends={} age_ms={}{cause}",
+        job.ask.id,
+        job.route.name,
+        server.unwrap_or("-"),
+        ended.is_ok(),
+        course.sends,
+        age(job),
+    );
+}
--- /dev/null
+++ b/lib/src/gateway/run.rs
@@ -0,0 +1,248 @@
+//! Runs a request: a place here or in another region, a send, and another one
+//! where that is allowed.
+//!
+//! What a caller is told follows from what was sent: a failure says "not run"
+//! only if nothing was sent, or whoever got it said so.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::attempt;
+use super::attempt::Payload;
+use super::attempt::Reply;
+use super::attempt::Tried;
+use super::elsewhere;
+use super::job::Job;
+use super::job::Origin;
+use super::record;
+use super::shared::Held;
+use super::shared::Shared;
+use crate::coordination::placement::Blocked;
+use crate::coordination::placement::Demand;
+use crate::error::Failure;
+use crate::error::Kind;
+use crate::error::Ran;
+use crate::protocol::ServerId;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::routing;
+use crate::state::counters::Counter;
+
+/// Most servers that a request is offered to without a send; each may take as long as a connection.
+const MAX_UNSENT: usize = 4;
+/// Part of the latency objective after which a refused caller is asked to come back.
+const COME_BACK: u32 = 2;
+/// Least time that is worth a send.
+const MIN_LEFT: Duration = Duration::from_millis(20);
+
+/// What has happened to a request so far.
+#[derive(Clone, Debug, Default)]
+pub struct Course {
+    /// Servers that had it, or could not be reached.
+    pub tried: Vec<ServerId>,
+    /// Boxes of other regions that had it.
+    pub boxes: Vec<std::net::SocketAddr>,
+    /// Sends.
+    pub sends: usize,
+    /// Offers that failed before anything was sent.
+    pub unsent: usize,
+    /// Whether a send may have run.
+    pub maybe_ran: bool,
+}
+
+/// Where a request goes next.
+enum Target<A> {
+    Server(Box<Held<A>>),
+    Peer(std::net::SocketAddr),
+}
+
+/// Runs a request to an answer or a failure.
+pub async fn run<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    course: &mut Course,
+) -> Result<Reply<A>, Failure> {
+    let after = job.ask.last_event;
+    count_first(shared, job);
+    // An answer by which a server says that it failed, kept while another one is tried.
+    let mut failed: Option<Reply<A>> = None;
+    loop {
+        let failure = match step(shared, job, course, after).await {
+            Ok(reply) if may_improve(&reply, job) && may_repeat(shared, job, course) => {
+                failed = Some(reply);
+                continue;
+            }
+            Ok(reply) => return Ok(reply),
+            Err(Step::Stop(failure)) => failure,
+            Err(Step::Again(failure)) => {
+                let again = if course.sends == 0 {
+                    course.unsent < MAX_UNSENT
+                } else {
+                    may_repeat(shared, job, course)
+                };
+                if again {
+                    continue;
+                }
+                failure
+            }
+        };
+        return match failed {
+            Some(reply) => Ok(reply),
+            None => Err(truthful(course, failure)),
+        };
+    }
+}
+
+/// Sends a stream that broke off once more, to go on after an event.
+pub async fn again<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    course: &mut Course,
+    after: Option<u64>,
+) -> Option<Reply<A>> {
+    course.maybe_ran = true;
+    while may_repeat(shared, job, course) {
+        match step(shared, job, course, after).await {
+            Ok(reply) => return Some(reply),
+            Err(Step::Again(_)) => {}
+            Err(Step::Stop(_)) => return None,
+        }
+    }
+    None
+}
+
+/// Why a step gave no answer.
+enum Step {
+    /// Another may.
+    Again(Failure),
+    /// No other will.
+    Stop(Failure),
+}
+
+/// One place and one send.
+async fn step<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    course: &mut Course,
+    after: Option<u64>,
+) -> Result<Reply<A>, Step> {
+    if job.left(Instant::now()) < MIN_LEFT {
+        let failure = Failure::new(Kind::WouldBeLate, "no time is left");
+        return Err(Step::Stop(failure));
+    }
+    let tried = match target(shared, job, course).map_err(Step::Stop)? {
+        Target::Server(held) => {
+            course.tried.push(held.place.server.clone());
+            record::placed(job, course, &held.place);
+            attempt::to_server(shared, job, *held, after).await
+        }
+        Target::Peer(address) => {
+            course.boxes.push(address);
+            record::passed_on(job, course, address);
+            attempt::to_peer(shared, job, address, after).await
+        }
+    };
+    let failure = match tried {
+        Tried::Answered(reply) => {
+            course.sends += 1;
+            return Ok(reply);
+        }
+        Tried::Unsent(failure) => {
+            course.unsent += 1;
+            record::attempt_failed(job, course, &failure);
+            return Err(Step::Again(failure));
+        }
+        Tried::Refused(failure) => failure,
+        Tried::Lost(failure) => {
+            course.maybe_ran = true;
+            failure
+        }
+    };
+    course.sends += 1;
+    record::attempt_failed(job, course, &failure);
+    if course.maybe_ran && !job.route.repeatable() {
+        return Err(Step::Stop(failure));
+    }
+    Err(Step::Again(failure))
+}
+
+fn target<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    course: &Course,
+) -> Result<Target<A>, Failure> {
+    let here = job.route.allows(&shared.settings.region);
+    let blocked = if here {
+        let demand = Demand { parts: &job.ask.parts, tried: &course.tried };
+        let now = Instant::now();
+        let chosen = shared.with_service(&job.service, |service| {
+            service.placement.choose(demand, now, &mut rand::rng())
+        });
+        match chosen {
+            Some(Ok(place)) => {
+                return Ok(Target::Server(Box::new(Held::new(shared, &job.service, place))));
+            }
+            Some(Err(blocked)) => blocked,
+            None => Blocked::NoServer,
+        }
+    } else {
+        Blocked::NoServer
+    };
+    if job.origin == Origin::Caller
+        && let Some(address) = elsewhere::choose(shared, job, &course.boxes)
+    {
+        return Ok(Target::Peer(address));
+    }
+    Err(refusal(job, blocked))
+}
+
+fn refusal(job: &Job, blocked: Blocked) -> Failure {
+    let come_back = job.route.objective / COME_BACK;
+    match blocked {
+        Blocked::NoServer => {
+            Failure::new(Kind::NoServer, "no backend server may run the request now")
+        }
+        Blocked::Full => Failure::new(Kind::QueueFull, "all backend servers are full"),
+    }
+    .with_retry_after(come_back)
+}
+
+/// A server's own failure of work that may be repeated; another server may do better.
+fn may_improve<A: Adapter>(reply: &Reply<A>, job: &Job) -> bool {
+    let whole = matches!(reply.payload, Payload::Whole(_));
+    whole && reply.status.is_server_error() && job.route.repeatable()
+}
+
+/// Takes a further send from the budget, if the route and the time left allow one.
+fn may_repeat<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job, course: &Course) -> bool {
+    let now = Instant::now();
+    if course.sends >= job.route.max_attempts || job.left(now) < MIN_LEFT {
+        return false;
+    }
+    let boxes = job.snapshot.box_count();
+    let admitted = shared.with_service(&job.service, |service| service.budget.repeat(boxes, now));
+    let admitted = admitted.unwrap_or(false);
+    shared.counters.count(if admitted { Counter::Retries } else { Counter::RetriesDenied });
+    admitted
+}
+
+/// Counts the request for the budget, at the box that its caller asked.
+fn count_first<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job) {
+    if job.origin == Origin::Caller {
+        shared.with_service(&job.service, |service| service.budget.first(Instant::now()));
+    }
+}
+
+/// A request of which a send may have run is never called "not run".
+fn truthful(course: &Course, failure: Failure) -> Failure {
+    if !course.maybe_ran || failure.ran() != Ran::No {
+        return failure;
+    }
+    let message = format!("an earlier send may have run, and then: {}", failure.message);
+    Failure::new(Kind::BackendFailed, message).with_ran(Ran::Unknown)
+}
+
+/// Whether a route's requests are streams; for logs.
+pub fn is_stream(job: &Job) -> bool {
+    job.route.method == routing::Method::Stream
+}
--- /dev/null
+++ b/lib/src/gateway/settings.rs
@@ -0,0 +1,53 @@
+//! Settings of a gateway process, already checked.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::coordination::retries;
+use crate::protocol::BoxId;
+use crate::protocol::RegionId;
+use crate::protocol::fleet::FailureDomainId;
+
+/// Where a gateway listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the question whether it takes requests.
+    pub ready: SocketAddr,
+    /// For callers that look for a box.
+    pub directory: SocketAddr,
+    /// For other boxes.
+    pub peers: SocketAddr,
+    /// For counters as text.
+    pub metrics: SocketAddr,
+}
+
+/// Settings of a gateway process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the box.
+    pub name: BoxId,
+    /// Its region.
+    pub region: RegionId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// What the box can bear, against others: its processor share.
+    pub weight: f64,
+    /// Descriptors that sockets may take.
+    pub descriptors: usize,
+    /// Bound on sends beyond the first.
+    pub retries: retries::Bound,
+    /// How often the rate of a cold server may be exceeded, as a factor.
+    pub cold_excess: f64,
+    /// Requests to a cold server beyond that.
+    pub cold_slack: f64,
+    /// Time between the request to stop and the end by force.
+    pub stop_limit: Duration,
+    /// How long callers keep an answer of the directory at most.
+    pub directory_life: Duration,
+}
--- /dev/null
+++ b/lib/src/gateway/shared.rs
@@ -0,0 +1,150 @@
+//! What the threads of a gateway share.
+//!
+//! Control publishes whole snapshots; traffic reads them without a lock. The
+//! tables of servers are under a lock that is held for one decision.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+
+use super::settings::Settings;
+use crate::coordination::drain::Stage;
+use crate::coordination::placement::Outcome;
+use crate::coordination::placement::Place;
+use crate::coordination::placement::Placement;
+use crate::coordination::retries::Budget;
+use crate::protocol::Incarnation;
+use crate::protocol::RegionId;
+use crate::protocol::fleet::BoxRecord;
+use crate::protocol::routing::Routing;
+use crate::protocol::routing::ServiceId;
+use crate::state::counters::Counters;
+use crate::transport::backend;
+
+/// What control knows, as a whole.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// The configuration; `None` until the first one is known.
+    pub routing: Option<Arc<Routing>>,
+    /// Other boxes that live.
+    pub boxes: Vec<BoxRecord>,
+    /// Slots that may get work by service and region.
+    pub slots: HashMap<ServiceId, HashMap<RegionId, u32>>,
+    /// How far a stop is.
+    pub stage: Stage,
+}
+
+impl Snapshot {
+    /// Boxes of all regions, this one included.
+    pub fn box_count(&self) -> usize {
+        self.boxes.len() + 1
+    }
+}
+
+/// The servers of a service, and what was sent to them.
+pub struct Service {
+    /// Which server gets what.
+    pub placement: Placement,
+    /// Sends beyond the first.
+    pub budget: Budget,
+}
+
+/// What all threads of a gateway share.
+pub struct Shared<A> {
+    /// Settings.
+    pub settings: Settings,
+    /// Translates the platform's words.
+    pub adapter: A,
+    /// Drawn at the start.
+    pub incarnation: Incarnation,
+    /// What control knows.
+    pub snapshot: ArcSwap<Snapshot>,
+    /// Servers of this region by service.
+    pub services: Mutex<HashMap<ServiceId, Service>>,
+    /// Connections to backend servers.
+    pub servers: backend::Client,
+    /// Connections to other boxes.
+    pub peers: backend::Client,
+    /// Requests in progress.
+    pub in_flight: AtomicUsize,
+    /// Counters.
+    pub counters: Arc<Counters>,
+}
+
+impl<A> Shared<A> {
+    /// Changes or asks the state of a service; `None` if there is no such service.
+    pub fn with_service<T>(
+        &self,
+        service: &str,
+        work: impl FnOnce(&mut Service) -> T,
+    ) -> Option<T> {
+        lock(&self.services).get_mut(service).map(work)
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn progress(self: &Arc<Self>) -> Progress<A> {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        Progress { shared: Arc::clone(self) }
+    }
+}
+
+/// A request in progress.
+pub struct Progress<A> {
+    shared: Arc<Shared<A>>,
+}
+
+impl<A> Drop for Progress<A> {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A place on a server, given back when it is dropped.
+pub struct Held<A> {
+    shared: Arc<Shared<A>>,
+    service: ServiceId,
+    /// The place.
+    pub place: Place,
+    outcome: Outcome,
+}
+
+impl<A> Held<A> {
+    /// Holds a place that was just taken.
+    pub fn new(shared: &Arc<Shared<A>>, service: &str, place: Place) -> Held<A> {
+        let shared = Arc::clone(shared);
+        Held { shared, service: service.to_owned(), place, outcome: Outcome::Abandoned }
+    }
+
+    /// Says how the exchange ended.
+    pub fn set_outcome(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// The answer has begun.
+    pub fn first_byte(&mut self) {
+        let place = &mut self.place;
+        let now = Instant::now();
+        self.shared.with_service(&self.service, |service| service.placement.first_byte(place, now));
+    }
+}
+
+impl<A> Drop for Held<A> {
+    fn drop(&mut self) {
+        let (place, outcome) = (&mut self.place, self.outcome);
+        let now = Instant::now();
+        self.shared
+            .with_service(&self.service, |service| service.placement.finish(place, outcome, now));
+    }
+}
+
+/// Locks a mutex; a panic of another holder does not take the box down.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod coordination;
 pub mod daemon;
 pub mod error;
+pub mod gateway;
 pub mod operators;
 pub mod protocol;
 pub mod state;
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -1,10 +1,14 @@
 //! What is said on the wire and in files: codecs and checked types.
 
+pub mod adapter;
 pub mod caller;
 pub mod config;
+pub mod events;
+pub mod fleet;
 pub mod jsonc;
 pub mod peer;
 pub mod platform;
+pub mod routing;
 pub mod schema;
 pub mod settings;
 
--- a/lib/src/protocol/platform.rs
+++ b/lib/src/protocol/platform.rs
@@ -44,6 +44,9 @@
     /// The lease is over.
     #[error("the lease is over")]
     LeaseOver,
+    /// The store no longer knows the changes after that revision.
+    #[error("the store has forgotten its history")]
+    HistoryGone,
     /// The platform's answer makes no sense.
     #[error("the platform's answer cannot be read: {0}")]
     Malformed(String),
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -44,6 +44,7 @@
     CallerGone "caller_gone" "Callers that went away before the end of their answer.";
     Attempts "attempts" "Attempts on backend servers of this region.";
     Retries "retries" "Attempts after the first.";
+    RetriesDenied "retries_denied" "Attempts that the budget did not allow.";
     Queued "queued" "Requests that waited for a slot.";
     ForwardedOut "forwarded_out" "Requests sent to another box.";
     ForwardedIn "forwarded_in" "Requests that came from another box.";
@@ -56,6 +57,7 @@
     PeerRefused "peer_refused" "Calls between boxes that were not let in.";
     Probes "probes" "Probes of backend servers.";
     StoreReads "store_reads" "Reads and watches of the platform's store.";
+    StoreRenewals "store_renewals" "Renewals of leases in the platform's store.";
     StoreWrites "store_writes" "Writes to the platform's store.";
     StoreFailures "store_failures" "Calls to the platform that failed.";
     ConfigurationsAdopted "configurations_adopted" "Versions of the configuration put in force.";
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -12,6 +12,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Request;
@@ -23,6 +24,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 use super::worker;
 
@@ -30,6 +32,9 @@
 const IDLE_PER_SERVER: usize = 1024;
 /// Longest wait for an idle connection to become ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
+/// Longest time that an idle connection is used again; servers that close
+/// earlier say so, and a close is seen before the next use in most cases.
+const IDLE_TIME: Duration = Duration::from_secs(60);
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest body that [`Client::fetch`] takes.
@@ -48,18 +53,42 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 /// Idle connections of each thread by address.
-type Idle = Arc<Mutex<HashMap<(usize, SocketAddr), Vec<Sender>>>>;
+type Idle = Arc<Mutex<HashMap<(usize, SocketAddr), Vec<Link>>>>;
+
+/// An open connection. It is closed at once when it is dropped: that is how
+/// the other side learns that nobody waits for an answer any more.
+struct Link {
+    sender: Sender,
+    task: AbortHandle,
+    /// Until when it may be used again.
+    fresh_until: Instant,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
 
 /// Connections to backend servers.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     idle: Idle,
+    connect_timeout: Duration,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client::new(CONNECT_TIMEOUT)
+    }
 }
 
 /// An answer and the connection that it arrives on.
 pub struct Exchange {
     body: Incoming,
-    connection: Option<(Sender, SocketAddr, Idle)>,
+    connection: Option<(Link, SocketAddr, Idle)>,
+    /// Whether the connection may serve others afterwards.
+    reuse: bool,
 }
 
 impl Exchange {
@@ -70,19 +99,30 @@
 
     /// The body was read to its proper end: others may use the connection.
     pub fn finished(&mut self) {
-        let Some((sender, address, idle)) = self.connection.take() else { return };
-        if sender.is_closed() {
+        self.finished_for(IDLE_TIME);
+    }
+
+    /// As [`Exchange::finished`], for a connection that may rest for `idle` at most.
+    pub fn finished_for(&mut self, idle_time: Duration) {
+        let Some((mut link, address, idle)) = self.connection.take() else { return };
+        if !self.reuse || link.sender.is_closed() {
             return;
         }
+        link.fresh_until = Instant::now() + idle_time.min(IDLE_TIME);
         let mut idle = idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let senders = idle.entry((worker::index(), address)).or_default();
-        if senders.len() < IDLE_PER_SERVER {
-            senders.push(sender);
+        let links = idle.entry((worker::index(), address)).or_default();
+        if links.len() < IDLE_PER_SERVER {
+            links.push(link);
         }
     }
 }
 
 impl Client {
+    /// A client that waits so long for a connection.
+    pub fn new(connect_timeout: Duration) -> Client {
+        Client { idle: Idle::default(), connect_timeout }
+    }
+
     /// Sends a request and waits for the head of the answer. `fresh` asks for a new connection.
     pub async fn exchange(
         &self,
@@ -90,23 +130,23 @@
         mut request: Request<Full<Bytes>>,
         fresh: bool,
     ) -> Result<Response<Exchange>, Attempt> {
-        while !fresh && let Some(mut sender) = self.take_idle(address) {
+        while !fresh && let Some(mut link) = self.take_idle(address) {
             // Right after an answer, the connection's own task has yet to see its end.
-            match tokio::time::timeout(READY_TIMEOUT, sender.ready()).await {
+            match tokio::time::timeout(READY_TIMEOUT, link.sender.ready()).await {
                 Ok(Ok(())) => {}
                 _ => continue,
             }
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.answered(response, sender, address)),
+            match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answered(response, link, address, true)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(Attempt::Lost(error.into_error().to_string())),
                 },
             }
         }
-        let mut sender = connect(address).await.map_err(Attempt::Unsent)?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.answered(response, sender, address)),
+        let mut link = connect(address, self.connect_timeout).await.map_err(Attempt::Unsent)?;
+        match link.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.answered(response, link, address, !fresh)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let text = error.into_error().to_string();
@@ -118,20 +158,28 @@
     fn answered(
         &self,
         response: Response<Incoming>,
-        sender: Sender,
+        link: Link,
         address: SocketAddr,
+        reuse: bool,
     ) -> Response<Exchange> {
-        let connection = Some((sender, address, Arc::clone(&self.idle)));
-        response.map(|body| Exchange { body, connection })
+        let connection = Some((link, address, Arc::clone(&self.idle)));
+        response.map(|body| Exchange { body, connection, reuse })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Link> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let senders = idle.get_mut(&(worker::index(), address))?;
-        senders.retain(|sender| !sender.is_closed());
-        let ready = senders.iter().rposition(Sender::is_ready);
-        let index = ready.or(senders.len().checked_sub(1))?;
-        Some(senders.swap_remove(index))
+        let links = idle.get_mut(&(worker::index(), address))?;
+        let now = Instant::now();
+        links.retain(|link| !link.sender.is_closed() && now < link.fresh_until);
+        let ready = links.iter().rposition(|link| link.sender.is_ready());
+        let index = ready.or(links.len().checked_sub(1))?;
+        Some(links.swap_remove(index))
+    }
+
+    /// Idle connections of this thread to a server.
+    pub fn idle(&self, address: SocketAddr) -> usize {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get(&(worker::index(), address)).map_or(0, Vec::len)
     }
 
     /// Closes the idle connections to servers that are no longer wanted.
@@ -155,8 +203,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, String> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+async fn connect(address: SocketAddr, timeout: Duration) -> Result<Link, String> {
+    let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
         .await
         .map_err(|_| format!("{address} did not accept in time"))?
         .map_err(|error| format!("{address}: {error}"))?;
@@ -165,8 +213,8 @@
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
-    tokio::spawn(connection);
-    Ok(sender)
+    let task = tokio::spawn(connection).abort_handle();
+    Ok(Link { sender, task, fresh_until: Instant::now() + IDLE_TIME })
 }
 
 /// Whether something accepts connections there.
--- a/lib/src/transport/body.rs
+++ b/lib/src/transport/body.rs
@@ -41,6 +41,25 @@
     Channel(mpsc::Receiver<Option<Part>>),
 }
 
+/// An answer that is never relayed by polling: whole, or passed on by a task.
+pub type Passed = Answer<Never>;
+
+/// No body.
+#[derive(Debug)]
+pub enum Never {}
+
+impl Body for Never {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match *self {}
+    }
+}
+
 impl<R> Answer<R> {
     /// A whole body.
     pub fn whole(bytes: impl Into<Bytes>) -> Answer<R> {
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -3,9 +3,11 @@
 pub mod backend;
 pub mod body;
 pub mod engine;
+pub mod http1;
 pub mod listen;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
+pub mod store;
 pub mod timer;
 pub mod worker;
--- /dev/null
+++ b/lib/src/transport/store.rs
@@ -0,0 +1,85 @@
+//! The client of a platform's store: one call, one answer. What a call looks
+//! like is the codec's matter; when to call again is the caller's.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::Full;
+
+use super::backend;
+use super::backend::Attempt;
+use crate::protocol::adapter::Answer;
+use crate::protocol::adapter::Codec;
+use crate::protocol::adapter::Operation;
+use crate::protocol::platform::PlatformError;
+use crate::state::counters::Counter;
+use crate::state::counters::Counters;
+
+/// Longest wait for an answer, beyond the time that a watch itself may wait.
+/// A healthy store answers in milliseconds; a slow one in some hundreds.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// The store at one address.
+#[derive(Clone)]
+pub struct Client<C> {
+    address: SocketAddr,
+    codec: C,
+    http: backend::Client,
+    counters: Arc<Counters>,
+}
+
+impl<C: Codec> Client<C> {
+    /// A store; calls are counted.
+    pub fn new(address: SocketAddr, codec: C, counters: Arc<Counters>) -> Client<C> {
+        Client { address, codec, http: backend::Client::default(), counters }
+    }
+
+    /// Makes a call.
+    pub async fn call(&self, operation: &Operation) -> Result<Answer, PlatformError> {
+        let counter = match operation {
+            Operation::Range { .. } | Operation::Watch { .. } => Counter::StoreReads,
+            Operation::Renew(_) => Counter::StoreRenewals,
+            _ => Counter::StoreWrites,
+        };
+        self.counters.count(counter);
+        let result = self.send(operation).await;
+        if result.is_err() {
+            self.counters.count(Counter::StoreFailures);
+        }
+        result
+    }
+
+    async fn send(&self, operation: &Operation) -> Result<Answer, PlatformError> {
+        let call = self.codec.encode(operation);
+        let request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body))
+            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        let timeout = match operation {
+            Operation::Watch { wait, .. } => *wait + CALL_TIMEOUT,
+            _ => CALL_TIMEOUT,
+        };
+        let answer = tokio::time::timeout(timeout, self.http.fetch(self.address, request)).await;
+        let response = match answer {
+            Err(_) => return Err(PlatformError::Lost("no answer in time".to_owned())),
+            Ok(Err(Attempt::Unsent(text))) => return Err(PlatformError::Unreachable(text)),
+            Ok(Err(Attempt::Lost(text))) => return Err(PlatformError::Lost(text)),
+            Ok(Ok(response)) => response,
+        };
+        match response.status() {
+            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Limited),
+            StatusCode::SERVICE_UNAVAILABLE => {
+                Err(PlatformError::Unreachable("the store is out of service".to_owned()))
+            }
+            status if status.is_server_error() => Err(PlatformError::Lost(status.to_string())),
+            status => self.codec.decode(operation, status, response.body()),
+        }
+    }
+}
