placement: long prompts have engines of their own

Ruled out: full engines (12 engines at a quarter of their reading capacity), the gateway's own processor time (0.002 cores), connections (no reset).

Long prompts, against the geometric mean of the service's, now go to as many engines as their part of the reading, first where fewest routes may run; a shared part has one home among these in all regions.

--- /dev/null
+++ b/lib/src/coordination/mix.rs
@@ -0,0 +1,54 @@
+//! Long prompts beside short ones.
+//!
+//! An engine reads a prompt piece by piece between the tokens of the requests
+//! that run, so one long prompt makes every stream beside it pause. Long
+//! prompts therefore go to a few engines of their own, as many as their part of
+//! the reading, and short ones stay away from these while there are others.
+//! What counts as long is measured against what the service gets.
+
+use crate::protocol::adapter::Part;
+
+/// Length of a prompt against the geometric mean of all, from which it counts as long.
+const LONG: f64 = 6.0;
+/// Prompts that the averages look back over.
+const MEMORY: f64 = 400.0;
+/// Part of the shared text that is taken to be read anew; most of it is kept at its engine.
+const READ_ANEW: f64 = 0.25;
+
+/// The prompts of one service, as one box sees them.
+#[derive(Clone, Debug, Default)]
+pub struct Mix {
+    seen: f64,
+    log_length: f64,
+    long_reading: f64,
+    short_reading: f64,
+}
+
+impl Mix {
+    /// Takes a prompt into account; says whether it is a long one.
+    pub fn observe(&mut self, parts: &[Part]) -> bool {
+        let Some((own, shared)) = parts.split_last() else { return false };
+        let shared: f64 = shared.iter().map(|part| f64::from(part.tokens)).sum();
+        let own = f64::from(own.tokens);
+        let length = (own + shared).max(1.0);
+        self.seen = (self.seen + 1.0).min(MEMORY);
+        let newest = 1.0 / self.seen;
+        self.log_length += newest * (length.ln() - self.log_length);
+        let long = length > LONG * self.log_length.exp();
+        let reading = own + READ_ANEW * shared;
+        let (to_long, to_short) = if long { (reading, 0.0) } else { (0.0, reading) };
+        self.long_reading += newest * (to_long - self.long_reading);
+        self.short_reading += newest * (to_short - self.short_reading);
+        long
+    }
+
+    /// How many of the engines are set aside for long prompts.
+    pub fn set_aside(&self, engines: usize) -> usize {
+        let total = self.long_reading + self.short_reading;
+        if engines < 2 || self.long_reading <= 0.0 {
+            return 0;
+        }
+        let share = self.long_reading / total * engines as f64;
+        (share.round() as usize).clamp(1, engines - 1)
+    }
+}
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -17,6 +17,7 @@
 pub mod lending;
 pub mod limit;
 pub mod membership;
+pub mod mix;
 pub mod placement;
 pub mod policy;
 pub mod pool;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -38,6 +38,8 @@
 const MAX_SLOWNESS: f64 = 8.0;
 /// Weight of the newest observation in smoothed figures.
 const SMOOTHING: f64 = 0.15;
+/// What a server costs more that is set aside for prompts of the other kind, as a factor.
+const OUT_OF_PLACE: f64 = 6.0;
 /// Part of a shared text that counts as unread at its rendezvous server when this
 /// box has not sent it there: another box most likely has.
 const HOME_UNREAD: f64 = 0.5;
@@ -53,6 +55,8 @@
     pub cold_until: Option<Instant>,
     /// Requests a second that this box may send it while it is cold.
     pub cold_share: u32,
+    /// Its place in the order in which engines are set aside for long prompts.
+    pub rank: usize,
 }
 
 struct Tracked {
@@ -77,6 +81,10 @@
     pub parts: &'a [Part],
     /// Servers that had the request already.
     pub tried: &'a [ServerId],
+    /// Whether its prompt is a long one.
+    pub long: bool,
+    /// How many engines, by rank, are set aside for long prompts.
+    pub set_aside: usize,
 }
 
 /// A place on a server; give it back by [`Placement::finish`].
@@ -169,7 +177,7 @@
         rng: &mut impl Rng,
     ) -> Result<Place, Blocked> {
         let best = self.fastest();
-        let home = self.home(demand.parts);
+        let home = self.home(demand);
         let mut chosen: Option<(f64, ServerId, f64)> = None;
         let mut candidates = 0;
         let mut usable = false;
@@ -188,6 +196,8 @@
                 let unread = tracked.unread_of(demand.parts, home == Some(tracked.hash), now);
                 // A little chance, so that boxes with equal views do not all choose alike.
                 let cost = tracked.cost(unread, best) * (1.0 + 0.02 * rng.random::<f64>());
+                let set_aside = tracked.known.rank < demand.set_aside;
+                let cost = if set_aside == demand.long { cost } else { cost * OUT_OF_PLACE };
                 if chosen.as_ref().is_none_or(|(least, ..)| cost < *least) {
                     chosen = Some((cost, id.clone(), unread));
                 }
@@ -266,18 +276,28 @@
         known.filter_map(|tracked| tracked.first_byte).min_by(f64::total_cmp)
     }
 
-    /// The server that the first shared part of a prompt belongs to.
-    fn home(&self, parts: &[Part]) -> Option<u64> {
-        let shared = parts.split_last()?.1.first()?;
+    /// The server that the first shared part of a prompt belongs to: of those set aside for
+    /// prompts of its kind, if any of them is here.
+    fn home(&self, demand: Demand<'_>) -> Option<u64> {
+        let shared = demand.parts.split_last()?.1.first()?;
         let usable = self.servers.values().filter(|tracked| tracked.known.usable);
-        usable.map(|tracked| tracked.hash).max_by_key(|hash| rendezvous::mix(*hash, shared.id))
+        let weight = |tracked: &&Tracked| {
+            let in_place = (tracked.known.rank < demand.set_aside) == demand.long;
+            (in_place, rendezvous::mix(tracked.hash, shared.id))
+        };
+        usable.max_by_key(weight).map(|tracked| tracked.hash)
     }
 }
 
+/// What stands for a server where shared parts find their homes.
+pub fn server_hash(id: &str) -> u64 {
+    rendezvous::weight(id, "")
+}
+
 impl Tracked {
     fn new(known: Known, ceiling: f64, memory_tokens: Option<u64>) -> Tracked {
         Tracked {
-            hash: rendezvous::weight(&known.server.id, ""),
+            hash: server_hash(&known.server.id),
             known,
             in_flight: 0,
             unread: 0.0,
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -24,6 +24,7 @@
 use crate::coordination::drain;
 use crate::coordination::drain::Drain;
 use crate::coordination::drain::Stage;
+use crate::coordination::mix::Mix;
 use crate::coordination::placement::Placement;
 use crate::coordination::retries::Budget;
 use crate::daemon::Ending;
@@ -347,7 +348,8 @@
             cold_excess: settings.cold_excess,
             cold_slack: settings.cold_slack,
         };
-        let mut known = self.facts.known(&view);
+        let order = self.facts.order();
+        let mut known = self.facts.known(&view, &order);
         let sharers = self.facts.sharers(&self.own).len();
         let now = Instant::now();
         if let Some(routing) = &self.facts.routing {
@@ -356,6 +358,7 @@
             for (name, service) in &routing.services {
                 let state = services.entry(name.clone()).or_insert_with(|| Service {
                     placement: Placement::default(),
+                    mix: Mix::default(),
                     budget: Budget::new(settings.retries, now),
                 });
                 let servers = known.remove(name).unwrap_or_default();
@@ -366,6 +369,7 @@
             routing: self.facts.routing.clone(),
             boxes: self.facts.others(&self.own),
             slots: self.facts.slots(),
+            order,
             stage: self.drain.stage(),
         }));
     }
--- a/lib/src/gateway/elsewhere.rs
+++ b/lib/src/gateway/elsewhere.rs
@@ -5,13 +5,38 @@
 use rand::seq::IndexedRandom;
 
 use super::job::Job;
+use super::job::Origin;
+use super::run::Course;
 use super::shared::Shared;
+use crate::coordination::rendezvous;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
 
 /// Most boxes of other regions that one request is sent to: each costs a way there and back.
 const MAX_BOXES: usize = 2;
 
+/// The box for a long prompt whose engine stands in another region. Only the first send follows
+/// the prompt; after that any place will do.
+pub fn home<A: Adapter>(shared: &Shared<A>, job: &Job, course: &Course) -> Option<SocketAddr> {
+    let first = course.tried.is_empty() && course.boxes.is_empty();
+    if !first || job.origin == Origin::Peer || !course.prompt.long {
+        return None;
+    }
+    let part = job.ask.parts.split_last()?.1.first()?;
+    let order = job.snapshot.order.get(&job.service)?;
+    let set_aside = order.iter().take(course.prompt.set_aside);
+    let engine = set_aside
+        .filter(|ranked| job.route.allows(&ranked.region))
+        .max_by_key(|ranked| rendezvous::mix(ranked.hash, part.id))?;
+    if engine.region == shared.settings.region {
+        return None;
+    }
+    let boxes = job.snapshot.boxes.iter();
+    let there: Vec<&BoxRecord> =
+        boxes.filter(|other| other.region == engine.region && !other.leaving).collect();
+    there.choose(&mut rand::rng()).map(|other| other.peers)
+}
+
 /// Chooses a region by the slots that may get work there, and one of its boxes.
 pub fn choose<A: Adapter>(
     shared: &Shared<A>,
--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::coordination::placement;
 use crate::coordination::placement::Known;
 use crate::coordination::rendezvous;
 use crate::coordination::warmup;
@@ -29,6 +30,20 @@
 /// live and only have lost the store.
 const SHARER_MEMORY: Duration = Duration::from_secs(10);
 
+/// Names the duty of reading long prompts where servers are ranked.
+const LONG_PROMPTS: u64 = 1;
+
+/// A server in an order of all regions.
+#[derive(Clone, Debug)]
+pub struct Ranked {
+    /// Its name.
+    pub id: ServerId,
+    /// What stands for it where shared parts find their homes.
+    pub hash: u64,
+    /// Its region.
+    pub region: RegionId,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     server: Arc<Server>,
@@ -221,6 +236,26 @@
         self.boxes.values().filter(|record| record.name != own.name).cloned().collect()
     }
 
+    /// Servers that may get work by service, in the order in which they are set aside for long
+    /// prompts: first where fewest routes may run, since there they are missed least.
+    pub fn order(&self) -> HashMap<ServiceId, Vec<Ranked>> {
+        let mut order: HashMap<ServiceId, Vec<Ranked>> = HashMap::new();
+        let Some(routing) = &self.routing else { return order };
+        for entry in self.servers.values().filter(|entry| self.is_usable(entry)) {
+            let Some(region) = self.regions.get(&entry.server.failure_domain) else { continue };
+            let (id, service) = (entry.server.id.clone(), entry.server.service.clone());
+            let hash = placement::server_hash(&id);
+            order.entry(service).or_default().push(Ranked { id, hash, region: region.clone() });
+        }
+        for (service, ranked) in &mut order {
+            ranked.sort_by_cached_key(|ranked| {
+                let routes = routing.routes_in(service, &ranked.region);
+                (routes, rendezvous::mix(ranked.hash, LONG_PROMPTS))
+            });
+        }
+        order
+    }
+
     /// Slots that may get work by service and region.
     pub fn slots(&self) -> HashMap<ServiceId, HashMap<RegionId, u32>> {
         let mut slots: HashMap<ServiceId, HashMap<RegionId, u32>> = HashMap::new();
@@ -251,7 +286,11 @@
     }
 
     /// The servers of this region by service.
-    pub fn known(&self, view: &View<'_>) -> HashMap<ServiceId, Vec<Known>> {
+    pub fn known(
+        &self,
+        view: &View<'_>,
+        order: &HashMap<ServiceId, Vec<Ranked>>,
+    ) -> HashMap<ServiceId, Vec<Known>> {
         let sharers = self.sharers(view.own);
         let mut known: HashMap<ServiceId, Vec<Known>> = HashMap::new();
         let Some(routing) = &self.routing else { return known };
@@ -266,6 +305,10 @@
                 usable: self.is_usable(entry),
                 cold_until: entry.cold_until,
                 cold_share: cold_share(view, service, server, &sharers),
+                rank: order
+                    .get(&server.service)
+                    .and_then(|ranked| ranked.iter().position(|ranked| ranked.id == server.id))
+                    .unwrap_or(usize::MAX),
             });
         }
         known
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -108,6 +108,15 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Most servers that it may be sent to from here. The box that a caller asked counts the
+    /// sends, so another one makes only the one that it was asked for.
+    pub fn max_attempts(&self) -> usize {
+        match self.origin {
+            Origin::Caller => self.route.max_attempts,
+            Origin::Peer => 1,
+        }
+    }
+
     /// The request for a backend server.
     pub fn for_server<A: Adapter>(
         &self,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -94,6 +94,7 @@
                 routing: None,
                 boxes: Vec::new(),
                 slots: HashMap::new(),
+                order: HashMap::new(),
                 stage: Stage::Serving,
             }),
             services: Mutex::default(),
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -48,6 +48,17 @@
     pub unsent: usize,
     /// Whether a send may have run.
     pub maybe_ran: bool,
+    /// What its prompt is against others.
+    pub prompt: Prompt,
+}
+
+/// A prompt against the others of its service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Prompt {
+    /// Whether it is a long one.
+    pub long: bool,
+    /// How many engines, by rank, are set aside for long ones.
+    pub set_aside: usize,
 }
 
 /// Where a request goes next.
@@ -64,6 +75,7 @@
 ) -> Result<Reply<A>, Failure> {
     let after = job.ask.last_event;
     count_first(shared, job);
+    course.prompt = observe(shared, job);
     // An answer by which a server says that it failed, kept while another one is tried.
     let mut failed: Option<Reply<A>> = None;
     loop {
@@ -172,8 +184,12 @@
     course: &Course,
 ) -> Result<Target<A>, Failure> {
     let here = job.route.allows(&shared.settings.region);
+    if let Some(address) = elsewhere::home(shared, job, course) {
+        return Ok(Target::Peer(address));
+    }
     let blocked = if here {
-        let demand = Demand { parts: &job.ask.parts, tried: &course.tried };
+        let Prompt { long, set_aside } = course.prompt;
+        let demand = Demand { parts: &job.ask.parts, tried: &course.tried, long, set_aside };
         let now = Instant::now();
         let chosen = shared.with_service(&job.service, |service| {
             service.placement.choose(demand, now, &mut rand::rng())
@@ -216,7 +232,7 @@
 /// Takes a further send from the budget, if the route and the time left allow one.
 fn may_repeat<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job, course: &Course) -> bool {
     let now = Instant::now();
-    if course.sends >= job.route.max_attempts || job.left(now) < MIN_LEFT {
+    if course.sends >= job.max_attempts() || job.left(now) < MIN_LEFT {
         return false;
     }
     let boxes = job.snapshot.box_count();
@@ -226,6 +242,15 @@
     admitted
 }
 
+fn observe<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job) -> Prompt {
+    let engines = job.snapshot.order.get(&job.service).map_or(0, Vec::len);
+    let prompt = shared.with_service(&job.service, |service| {
+        let long = service.mix.observe(&job.ask.parts);
+        Prompt { long, set_aside: service.mix.set_aside(engines) }
+    });
+    prompt.unwrap_or_default()
+}
+
 /// Counts the request for the budget, at the box that its caller asked.
 fn count_first<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job) {
     if job.origin == Origin::Caller {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -14,8 +14,10 @@
 
 use arc_swap::ArcSwap;
 
+use super::facts::Ranked;
 use super::settings::Settings;
 use crate::coordination::drain::Stage;
+use crate::coordination::mix::Mix;
 use crate::coordination::placement::Outcome;
 use crate::coordination::placement::Place;
 use crate::coordination::placement::Placement;
@@ -37,6 +39,8 @@
     pub boxes: Vec<BoxRecord>,
     /// Slots that may get work by service and region.
     pub slots: HashMap<ServiceId, HashMap<RegionId, u32>>,
+    /// Servers by service, in the order in which they are set aside for long prompts.
+    pub order: HashMap<ServiceId, Vec<Ranked>>,
     /// How far a stop is.
     pub stage: Stage,
 }
@@ -52,6 +56,8 @@
 pub struct Service {
     /// Which server gets what.
     pub placement: Placement,
+    /// The prompts that it gets.
+    pub mix: Mix,
     /// Sends beyond the first.
     pub budget: Budget,
 }
--- a/lib/src/protocol/routing.rs
+++ b/lib/src/protocol/routing.rs
@@ -140,6 +140,15 @@
         Routing { version, services, limits, hosts }
     }
 
+    /// How many routes may run a service in a region.
+    pub fn routes_in(&self, service: &str, region: &str) -> usize {
+        let routes = self.hosts.values().flatten();
+        let runs = |route: &&std::sync::Arc<Route>| {
+            route.allows(region) && route.services.iter().any(|(name, _)| name == service)
+        };
+        routes.filter(runs).count()
+    }
+
     /// The route of a request, if there is one.
     pub fn find(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
         let routes = self.hosts.get(host)?;
