placement: the box that a caller asked says how many engines are set aside

The number now travels with the request, and averages look back over 3,000 prompts. Ruled out: eviction (the engines kept what was sent to them).

--- a/lib/src/coordination/mix.rs
+++ b/lib/src/coordination/mix.rs
@@ -11,7 +11,7 @@
 /// Length of a prompt against the geometric mean of all, from which it counts as long.
 const LONG: f64 = 6.0;
 /// Prompts that the averages look back over.
-const MEMORY: f64 = 400.0;
+const MEMORY: f64 = 3000.0;
 /// Part of the shared text that is taken to be read anew; most of it is kept at its engine.
 const READ_ANEW: f64 = 0.25;
 
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -94,9 +94,10 @@
     shared: &Arc<Shared<A>>,
     job: &Job,
     address: std::net::SocketAddr,
+    set_aside: usize,
     last_event: Option<u64>,
 ) -> Tried<A> {
-    let request = job.for_peer(&shared.adapter, last_event);
+    let request = job.for_peer(&shared.adapter, set_aside, last_event);
     shared.counters.count(Counter::ForwardedOut);
     match send(&shared.peers, job, address, request, false).await {
         Ok(response) => match refusal(&response) {
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -28,7 +28,9 @@
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::ServiceId;
 
-/// Marks a request that another box has passed on; it goes no further than this region.
+/// Marks a request that another box has passed on; it goes no further than this region. The
+/// value says how many engines are set aside for its kind of prompt, 0 if it is not a long one,
+/// so that both boxes have the same engines in mind.
 pub const PASSED_ON: HeaderName = HeaderName::from_static("copperweir-passed-on");
 /// How long a caller waits that does not say so.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
@@ -48,6 +50,8 @@
     pub ask: Ask,
     /// Who sent it.
     pub origin: Origin,
+    /// For a long prompt from another box, how many engines are set aside for such.
+    pub set_aside: Option<usize>,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that runs it.
@@ -90,6 +94,7 @@
         Ok(Job {
             ask,
             origin,
+            set_aside: set_aside(&head.headers),
             route,
             service,
             version: routing.version,
@@ -139,12 +144,13 @@
     pub fn for_peer<A: Adapter>(
         &self,
         adapter: &A,
+        set_aside: usize,
         last_event: Option<u64>,
     ) -> Request<http_body_util::Full<Bytes>> {
         let mut request = self.request();
         let headers = request.headers_mut();
         adapter.shorten(headers, self.left(Instant::now()));
-        headers.insert(PASSED_ON, self.version.into());
+        headers.insert(PASSED_ON, set_aside.into());
         if let Some(id) = last_event {
             headers.insert("last-event-id", id.into());
         }
@@ -160,6 +166,11 @@
     }
 }
 
+fn set_aside(headers: &HeaderMap) -> Option<usize> {
+    let count = headers.get(PASSED_ON)?.to_str().ok()?.parse().ok()?;
+    (count > 0).then_some(count)
+}
+
 fn routing(snapshot: &Snapshot) -> Result<Arc<Routing>, Failure> {
     let missing = || Failure::new(Kind::NotReady, "the box has no configuration yet");
     let routing = snapshot.routing.clone().ok_or_else(missing)?;
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -19,10 +19,10 @@
 
 /// A backend server was chosen.
 pub fn placed(job: &Job, course: &Course, place: &Place) {
-    log::debug!(
+    log::info!(
         target: TARGET,
         "event=placed request={} route={} service={} server={} send={} in_flight={} unread={:.0} \
-         candidates={} version={} boxes={} left_ms={}",
+         candidates={} long={} set_aside={} version={} boxes={} left_ms={}",
         job.ask.id,
         job.route.name,
         job.service,
@@ -31,6 +31,8 @@
         place.in_flight,
         place.unread,
         place.candidates,
+        course.prompt.long,
+        course.prompt.set_aside,
         job.version,
         job.snapshot.box_count(),
         job.left(Instant::now()).as_millis(),
@@ -41,11 +43,13 @@
 pub fn passed_on(job: &Job, course: &Course, address: SocketAddr) {
     log::info!(
         target: TARGET,
-        "event=passed_on request={} route={} service={} box={address} send={} version={} left_ms={}",
+        "event=passed_on request={} route={} service={} box={address} send={} long={} set_aside={} version={} left_ms={}",
         job.ask.id,
         job.route.name,
         job.service,
         course.sends + 1,
+        course.prompt.long,
+        course.prompt.set_aside,
         job.version,
         job.left(Instant::now()).as_millis(),
     );
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -151,7 +151,9 @@
         Target::Peer(address) => {
             course.boxes.push(address);
             record::passed_on(job, course, address);
-            attempt::to_peer(shared, job, address, after).await
+            let Prompt { long, set_aside } = course.prompt;
+            let set_aside = if long { set_aside } else { 0 };
+            attempt::to_peer(shared, job, address, set_aside, after).await
         }
     };
     let failure = match tried {
@@ -243,6 +245,10 @@
 }
 
 fn observe<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job) -> Prompt {
+    if job.origin == Origin::Peer {
+        let set_aside = job.set_aside.unwrap_or(0);
+        return Prompt { long: set_aside > 0, set_aside };
+    }
     let engines = job.snapshot.order.get(&job.service).map_or(0, Vec::len);
     let prompt = shared.with_service(&job.service, |service| {
         let long = service.mix.observe(&job.ask.parts);
