placement: boxes of a region tell each other what they have on the servers; watches are 0.7 s apart

Boxes now send a datagram five times a second to at most 32 others of their region with what they have on each server; limits and costs use the sum, a few servers are compared for a request, and a watch starts at least 0.7 s after the one before.

--- /dev/null
+++ b/lib/src/coordination/loads.rs
@@ -0,0 +1,119 @@
+//! What the other boxes of a region have on its backend servers.
+//!
+//! Each box tells the others a few times a second. With many boxes, each has
+//! hardly a request on each server, and its own view says nothing of how full
+//! they are.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Age at which a report no longer counts: several have been lost by then, or the box is gone.
+const LIFE: Duration = Duration::from_millis(1500);
+
+/// What is on a server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests.
+    pub in_flight: u32,
+    /// Prompt tokens whose first token has not come.
+    pub unread: u32,
+}
+
+/// A report as it goes from box to box.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Report {
+    /// Hash of the sender's name.
+    #[prost(fixed64, tag = "1")]
+    pub sender: u64,
+    /// Start of the sender; a newer one supersedes.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the report in this life of the sender.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Hashes of servers on which the sender has something.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub servers: Vec<u64>,
+    /// Requests, in the order of the servers.
+    #[prost(uint32, repeated, tag = "5")]
+    pub in_flight: Vec<u32>,
+    /// Unread prompt tokens, in the order of the servers.
+    #[prost(uint32, repeated, tag = "6")]
+    pub unread: Vec<u32>,
+}
+
+#[derive(Debug)]
+struct Sender {
+    incarnation: u64,
+    number: u64,
+    heard_at: Instant,
+    loads: Vec<(u64, Load)>,
+}
+
+/// The newest reports, summed up by server.
+#[derive(Debug, Default)]
+pub struct Loads {
+    senders: HashMap<u64, Sender>,
+    sums: HashMap<u64, Load>,
+}
+
+impl Loads {
+    /// Takes in a report, unless a newer one is known.
+    pub fn hear(&mut self, report: &Report, now: Instant) {
+        let known = self.senders.get(&report.sender);
+        let order = |sender: &Sender| (sender.incarnation, sender.number);
+        if known.is_some_and(|known| order(known) >= (report.incarnation, report.number)) {
+            return;
+        }
+        self.forget(report.sender);
+        let loads: Vec<(u64, Load)> = report
+            .servers
+            .iter()
+            .zip(report.in_flight.iter().zip(&report.unread))
+            .map(|(server, (in_flight, unread))| {
+                (*server, Load { in_flight: *in_flight, unread: *unread })
+            })
+            .collect();
+        for (server, load) in &loads {
+            let sum = self.sums.entry(*server).or_default();
+            sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+            sum.unread = sum.unread.saturating_add(load.unread);
+        }
+        let Report { incarnation, number, .. } = *report;
+        let sender = Sender { incarnation, number, heard_at: now, loads };
+        self.senders.insert(report.sender, sender);
+    }
+
+    /// Drops old reports.
+    pub fn expire(&mut self, now: Instant) {
+        let old = |sender: &Sender| now >= sender.heard_at + LIFE;
+        let gone: Vec<u64> =
+            self.senders.iter().filter(|(_, sender)| old(sender)).map(|(id, _)| *id).collect();
+        for sender in gone {
+            self.forget(sender);
+        }
+    }
+
+    fn forget(&mut self, sender: u64) {
+        let Some(before) = self.senders.remove(&sender) else { return };
+        for (server, load) in before.loads {
+            let Some(sum) = self.sums.get_mut(&server) else { continue };
+            sum.in_flight = sum.in_flight.saturating_sub(load.in_flight);
+            sum.unread = sum.unread.saturating_sub(load.unread);
+            if *sum == Load::default() {
+                self.sums.remove(&server);
+            }
+        }
+    }
+
+    /// What others have on a server.
+    pub fn on(&self, server: u64) -> Load {
+        self.sums.get(&server).copied().unwrap_or_default()
+    }
+
+    /// Boxes that were heard of lately.
+    pub fn heard(&self) -> usize {
+        self.senders.len()
+    }
+}
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod health;
 pub mod invariant;
 pub mod kept;
+pub mod loads;
 pub mod lease;
 pub mod ledger;
 pub mod lending;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -14,9 +14,12 @@
 use std::time::Instant;
 
 use rand::Rng;
+use rand::seq::IndexedRandom;
 
 use super::ejection::Ejection;
 use super::kept::Kept;
+use super::loads::Load;
+use super::loads::Loads;
 use super::rendezvous;
 use super::warmup::Warmup;
 use crate::protocol::ServerId;
@@ -26,10 +29,13 @@
 /// Requests on a server, its queue included, against its slots, that boxes
 /// together aim for at most: enough to keep it busy, short enough a queue.
 const FILL: f64 = 3.0;
-/// Fewest requests of one box that are let through to a server that refuses none.
-const MIN_LIMIT: f64 = 2.0;
-/// What a refusal by the server leaves of the limit.
-const BACK_OFF: f64 = 0.7;
+/// Most servers that are compared for one request. Boxes act on reports that are some
+/// tenths of a second old; comparing a few keeps them from all choosing the same one.
+const COMPARED: usize = 4;
+/// Servers up to which all are compared.
+const FEW: usize = 6;
+/// What a refusal by the server leaves of the limit, down to its slots.
+const BACK_OFF: f64 = 0.8;
 /// Tokens read that a running request costs others, by its part in each step.
 const RUNNING_TOKENS: f64 = 150.0;
 /// What a share of failed answers adds to a server's cost, as a factor.
@@ -65,8 +71,8 @@
     in_flight: u32,
     /// Prompt tokens of this box whose first token has not come.
     unread: f64,
+    /// Requests of all boxes that the server seems to take.
     limit: f64,
-    ceiling: f64,
     first_byte: Option<f64>,
     failing: f64,
     ejection: Ejection,
@@ -85,6 +91,8 @@
     pub long: bool,
     /// How many engines, by rank, are set aside for long prompts.
     pub set_aside: usize,
+    /// What other boxes have on the servers.
+    pub loads: &'a Loads,
 }
 
 /// A place on a server; give it back by [`Placement::finish`].
@@ -98,6 +106,8 @@
     pub unread: f64,
     /// Requests of this box on it, this one included.
     pub in_flight: u32,
+    /// Requests of other boxes on it, as last heard.
+    pub others: u32,
     /// Servers that could have had it.
     pub candidates: usize,
     chosen_at: Instant,
@@ -138,26 +148,22 @@
 #[derive(Default)]
 pub struct Placement {
     servers: BTreeMap<ServerId, Tracked>,
-    memory_tokens: Option<u64>,
+    sharers: usize,
 }
 
 impl Placement {
     /// Takes over what control knows; `sharers` boxes send to these servers.
     pub fn update(&mut self, known: Vec<Known>, sharers: usize, memory_tokens: Option<u64>) {
-        self.memory_tokens = memory_tokens;
+        self.sharers = sharers;
         let mut before = std::mem::take(&mut self.servers);
         for known in known {
-            let slots = f64::from(known.server.slots.max(1));
-            let ceiling = (slots * FILL / sharers.max(1) as f64).max(MIN_LIMIT);
             let id = known.server.id.clone();
             let tracked = match before.remove(&id) {
                 Some(mut tracked) => {
-                    tracked.limit = (tracked.limit / tracked.ceiling * ceiling).max(1.0);
-                    tracked.ceiling = ceiling;
                     tracked.known = known;
                     tracked
                 }
-                None => Tracked::new(known, ceiling, memory_tokens),
+                None => Tracked::new(known, memory_tokens),
             };
             self.servers.insert(id, tracked);
         }
@@ -177,10 +183,12 @@
         rng: &mut impl Rng,
     ) -> Result<Place, Blocked> {
         let best = self.fastest();
+        let unheard = self.sharers.saturating_sub(1 + demand.loads.heard());
         let home = self.home(demand);
         let mut chosen: Option<(f64, ServerId, f64)> = None;
         let mut candidates = 0;
         let mut usable = false;
+        let compared = self.compared(demand, home, rng);
         // In the first round servers that failed lately are left out; when that leaves none, they
         // are better than a refusal.
         for spare_ejected in [true, false] {
@@ -189,13 +197,17 @@
                     continue;
                 }
                 usable = true;
-                if !tracked.admits(now, spare_ejected) {
+                let load = tracked.load(demand.loads, unheard);
+                if !tracked.admits(load, now, spare_ejected) {
+                    continue;
+                }
+                if spare_ejected && compared.as_ref().is_some_and(|some| !some.contains(id)) {
                     continue;
                 }
                 candidates += 1;
                 let unread = tracked.unread_of(demand.parts, home == Some(tracked.hash), now);
                 // A little chance, so that boxes with equal views do not all choose alike.
-                let cost = tracked.cost(unread, best) * (1.0 + 0.02 * rng.random::<f64>());
+                let cost = tracked.cost(load, unread, best) * (1.0 + 0.02 * rng.random::<f64>());
                 let set_aside = tracked.known.rank < demand.set_aside;
                 let cost = if set_aside == demand.long { cost } else { cost * OUT_OF_PLACE };
                 if chosen.as_ref().is_none_or(|(least, ..)| cost < *least) {
@@ -207,7 +219,7 @@
             }
         }
         match chosen {
-            Some((_, id, unread)) => Ok(self.take(id, unread, candidates, demand.parts, now)),
+            Some((_, id, unread)) => Ok(self.take(id, unread, candidates, demand, now)),
             None if usable => Err(Blocked::Full),
             None => Err(Blocked::NoServer),
         }
@@ -218,7 +230,7 @@
         id: ServerId,
         unread: f64,
         candidates: usize,
-        parts: &[Part],
+        demand: Demand<'_>,
         now: Instant,
     ) -> Place {
         let tracked = self.servers.get_mut(&id).expect("chosen from the same map");
@@ -228,12 +240,13 @@
         if tracked.is_cold(now) {
             tracked.warmup.sent(now);
         }
-        tracked.kept.read(parts, now);
+        tracked.kept.read(demand.parts, now);
         Place {
             server: id,
             address: tracked.known.server.address,
             unread,
             in_flight: tracked.in_flight,
+            others: demand.loads.on(tracked.hash).in_flight,
             candidates,
             chosen_at: now,
             waiting: true,
@@ -270,6 +283,33 @@
         }
     }
 
+    /// What this box has on each server, by the hash of its name.
+    pub fn own_loads(&self) -> impl Iterator<Item = (u64, Load)> {
+        let busy = self.servers.values().filter(|tracked| tracked.in_flight > 0);
+        busy.map(|tracked| (tracked.hash, tracked.own_load()))
+    }
+
+    /// The servers that are compared for a request; `None` for all. The home of its shared
+    /// part is always among them.
+    fn compared(
+        &self,
+        demand: Demand<'_>,
+        home: Option<u64>,
+        rng: &mut impl Rng,
+    ) -> Option<Vec<ServerId>> {
+        let in_place = |tracked: &&Tracked| {
+            tracked.known.usable && (tracked.known.rank < demand.set_aside) == demand.long
+        };
+        let fitting: Vec<&Tracked> = self.servers.values().filter(in_place).collect();
+        if fitting.len() <= FEW {
+            return None;
+        }
+        let at_home = fitting.iter().filter(|tracked| Some(tracked.hash) == home);
+        let drawn = fitting.choose_multiple(rng, COMPARED);
+        let ids = at_home.chain(drawn).map(|tracked| tracked.known.server.id.clone());
+        Some(ids.collect())
+    }
+
     /// The time to the first byte at the fastest server, seconds.
     fn fastest(&self) -> Option<f64> {
         let known = self.servers.values().filter(|tracked| tracked.known.usable);
@@ -289,20 +329,24 @@
     }
 }
 
+/// Requests of all boxes that a server is taken to bear until it refuses some.
+fn ceiling(known: &Known) -> f64 {
+    f64::from(known.server.slots.max(1)) * FILL
+}
+
 /// What stands for a server where shared parts find their homes.
 pub fn server_hash(id: &str) -> u64 {
     rendezvous::weight(id, "")
 }
 
 impl Tracked {
-    fn new(known: Known, ceiling: f64, memory_tokens: Option<u64>) -> Tracked {
+    fn new(known: Known, memory_tokens: Option<u64>) -> Tracked {
         Tracked {
             hash: server_hash(&known.server.id),
+            limit: ceiling(&known),
             known,
             in_flight: 0,
             unread: 0.0,
-            limit: ceiling,
-            ceiling,
             first_byte: None,
             failing: 0.0,
             ejection: Ejection::default(),
@@ -315,8 +359,23 @@
         self.known.cold_until.is_some_and(|until| now < until)
     }
 
-    fn admits(&mut self, now: Instant, spare_ejected: bool) -> bool {
-        if f64::from(self.in_flight) >= self.limit {
+    fn own_load(&self) -> Load {
+        Load { in_flight: self.in_flight, unread: self.unread as u32 }
+    }
+
+    /// What all boxes have there. Those that were not heard of are taken to have as much as
+    /// this one.
+    fn load(&self, loads: &Loads, unheard: usize) -> Load {
+        let (own, others) = (self.own_load(), loads.on(self.hash));
+        let like_own = 1 + unheard as u32;
+        Load {
+            in_flight: own.in_flight * like_own + others.in_flight,
+            unread: own.unread * like_own + others.unread,
+        }
+    }
+
+    fn admits(&mut self, load: Load, now: Instant, spare_ejected: bool) -> bool {
+        if f64::from(load.in_flight) >= self.limit {
             return false;
         }
         if self.is_cold(now) && !self.warmup.admits(self.known.cold_share, now) {
@@ -333,8 +392,9 @@
         if home && kept == 0.0 { own + (unread - own) * HOME_UNREAD } else { unread }
     }
 
-    fn cost(&self, unread: f64, fastest: Option<f64>) -> f64 {
-        let work = self.unread + unread + (f64::from(self.in_flight) + 1.0) * RUNNING_TOKENS;
+    fn cost(&self, load: Load, unread: f64, fastest: Option<f64>) -> f64 {
+        let running = f64::from(load.in_flight) + 1.0;
+        let work = f64::from(load.unread) + unread + running * RUNNING_TOKENS;
         let slowness = match (self.first_byte, fastest) {
             (Some(own), Some(fastest)) if fastest > 0.0 => (own / fastest).min(MAX_SLOWNESS),
             _ => 1.0,
@@ -351,11 +411,12 @@
         self.failing += SMOOTHING * (failing - self.failing);
         match outcome {
             Outcome::Answered | Outcome::Failed => {
-                self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
+                self.limit = (self.limit + 1.0 / self.limit).min(ceiling(&self.known));
                 self.ejection.answered();
             }
             Outcome::Shed => {
-                self.limit = (f64::from(self.in_flight + 1) * BACK_OFF).max(1.0);
+                let floor = f64::from(self.known.server.slots.max(1));
+                self.limit = (self.limit * BACK_OFF).max(floor);
             }
             Outcome::Unreachable => self.ejection.unreachable(now),
             Outcome::Lost | Outcome::Silent => self.ejection.lost(now),
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -47,6 +47,9 @@
 /// Longest wait of a watch. Each return costs a call; a connection that died unnoticed
 /// is found by then at the latest, and by a failed renewal much earlier.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Least time from one watch to the next: changes that come close together cost one call.
+/// The shortest of the users' bounds on following the store is some seconds.
+const WATCH_GAP: Duration = Duration::from_millis(700);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between looks at what has been missing for long enough and at a stop's progress.
@@ -200,6 +203,7 @@
         mut revision: Revision,
         events: &mut mpsc::Receiver<Event>,
     ) -> Followed {
+        let mut asked_at: Option<Instant> = None;
         loop {
             let watch = Operation::Watch {
                 prefix: EVERYTHING.to_owned(),
@@ -207,7 +211,13 @@
                 wait: WATCH_WAIT,
             };
             let store = self.store.clone();
-            let call = store.call(&watch);
+            let not_before = asked_at.map(|asked| asked + WATCH_GAP);
+            let call = async {
+                if let Some(instant) = not_before {
+                    tokio::time::sleep_until(instant.into()).await;
+                }
+                store.call(&watch).await
+            };
             tokio::pin!(call);
             let answer = loop {
                 tokio::select! {
@@ -226,6 +236,7 @@
             };
             match answer {
                 Ok(Answer::Changes { changes, revision: newest }) => {
+                    asked_at = Some(Instant::now());
                     self.store_answered();
                     revision = newest;
                     if !changes.is_empty() {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod lease;
 pub mod metrics;
 pub mod record;
+pub mod reports;
 pub mod run;
 pub mod settings;
 pub mod shared;
@@ -98,6 +99,7 @@
                 stage: Stage::Serving,
             }),
             services: Mutex::default(),
+            loads: Mutex::default(),
             servers: backend::Client::new(SERVER_CONNECT),
             peers: backend::Client::new(PEER_CONNECT),
             in_flight: AtomicUsize::new(0),
@@ -148,6 +150,7 @@
     directory: TcpListener,
     peers: TcpListener,
     metrics: TcpListener,
+    reports: std::net::UdpSocket,
 }
 
 impl Ports {
@@ -159,10 +162,18 @@
             directory: bind("the directory", listen.directory)?,
             peers: bind("boxes", listen.peers)?,
             metrics: bind("metrics", listen.metrics)?,
+            reports: bind_datagrams(listen.peers)?,
         })
     }
 }
 
+fn bind_datagrams(address: SocketAddr) -> Result<std::net::UdpSocket, StartError> {
+    let socket = std::net::UdpSocket::bind(address)
+        .map_err(|source| StartError::Listen { port: "reports", address, source })?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
 fn own_record(settings: &Settings) -> BoxRecord {
     BoxRecord {
         name: settings.name.clone(),
@@ -189,7 +200,13 @@
     ports: Ports,
     stop: watch::Receiver<Stop>,
 ) {
-    let Ports { callers, ready, directory, peers, metrics } = ports;
+    let Ports { callers, ready, directory, peers, metrics, reports } = ports;
+    match tokio::net::UdpSocket::from_std(reports) {
+        Ok(socket) => {
+            tokio::spawn(reports::exchange(Arc::clone(&shared), socket, stop.clone()));
+        }
+        Err(error) => log::error!("event=reports_off error=\"{error}\""),
+    }
     let (Some(callers), Some(ready), Some(directory), Some(peers), Some(metrics)) = (
         listener(callers),
         listener(ready),
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -17,22 +17,30 @@
     Instant::now().saturating_duration_since(job.arrived).as_millis()
 }
 
+/// Id of the first shared part of the prompt; 0 where there is none.
+fn shared_part(job: &Job) -> u64 {
+    let shared = job.ask.parts.split_last().and_then(|(_, shared)| shared.first());
+    shared.map_or(0, |part| part.id)
+}
+
 /// A backend server was chosen.
 pub fn placed(job: &Job, course: &Course, place: &Place) {
     log::info!(
         target: TARGET,
-        "event=placed request={} route={} service={} server={} send={} in_flight={} unread={:.0} \
-         candidates={} long={} set_aside={} version={} boxes={} left_ms={}",
+        "event=placed request={} route={} service={} server={} send={} in_flight={} others={} unread={:.0} \
+         candidates={} long={} set_aside={} shared={:x} version={} boxes={} left_ms={}",
         job.ask.id,
         job.route.name,
         job.service,
         place.server,
         course.sends + 1,
         place.in_flight,
+        place.others,
         place.unread,
         place.candidates,
         course.prompt.long,
         course.prompt.set_aside,
+        shared_part(job),
         job.version,
         job.snapshot.box_count(),
         job.left(Instant::now()).as_millis(),
--- /dev/null
+++ b/lib/src/gateway/reports.rs
@@ -0,0 +1,102 @@
+//! Tells the other boxes of the region what this one has on its servers, and
+//! hears the same from them, by datagrams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+
+use super::shared::Shared;
+use super::shared::lock;
+use crate::coordination::loads::Report;
+use crate::coordination::rendezvous;
+use crate::protocol::adapter::Adapter;
+use crate::transport::listen::Stop;
+
+/// Time between reports: some tenths of a short request's life.
+const PERIOD: Duration = Duration::from_millis(200);
+/// Most boxes that are told each time, so that the cost does not grow with the region;
+/// more are told in turn.
+const MOST: usize = 32;
+/// Largest datagram: some hundred servers.
+const DATAGRAM: usize = 8 << 10;
+
+/// Reports and hears until told to stop.
+pub async fn exchange<A: Adapter>(
+    shared: Arc<Shared<A>>,
+    socket: UdpSocket,
+    mut stop: watch::Receiver<Stop>,
+) {
+    let mut buffer = vec![0; DATAGRAM];
+    let mut ticks = tokio::time::interval(PERIOD);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut number = 0;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                number += 1;
+                lock(&shared.loads).expire(Instant::now());
+                tell(&shared, &socket, number);
+            }
+            readable = socket.readable() => {
+                if let Err(error) = readable {
+                    log::error!("event=reports_off error=\"{error}\"");
+                    return;
+                }
+                hear(&shared, &socket, &mut buffer);
+            }
+            _ = stop.wait_for(|stop| *stop != Stop::No) => return,
+        }
+    }
+}
+
+/// Takes in all datagrams that have arrived.
+fn hear<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, buffer: &mut [u8]) {
+    let now = Instant::now();
+    while let Ok((length, from)) = socket.try_recv_from(buffer) {
+        match Report::decode(&buffer[..length]) {
+            Ok(report) => lock(&shared.loads).hear(&report, now),
+            Err(error) => log::warn!("event=unreadable_report from={from} error=\"{error}\""),
+        }
+    }
+}
+
+fn tell<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64) {
+    let snapshot = shared.snapshot.load();
+    let own = &shared.settings;
+    let region = snapshot.boxes.iter().filter(|other| other.region == own.region);
+    let others: Vec<SocketAddr> = region.map(|other| other.peers).collect();
+    if others.is_empty() {
+        return;
+    }
+    let datagram = report(shared, number).encode_to_vec();
+    let turn = number as usize * MOST % others.len();
+    let told = others.iter().cycle().skip(turn).take(MOST.min(others.len()));
+    for address in told {
+        // A datagram that cannot be sent is as good as lost; the next one follows.
+        if let Err(error) = socket.try_send_to(&datagram, *address) {
+            log::debug!("event=report_not_sent to={address} error=\"{error}\"");
+        }
+    }
+}
+
+fn report<A: Adapter>(shared: &Shared<A>, number: u64) -> Report {
+    let mut report = Report {
+        sender: rendezvous::weight(&shared.settings.name, ""),
+        incarnation: shared.incarnation,
+        number,
+        ..Report::default()
+    };
+    for service in lock(&shared.services).values() {
+        for (server, load) in service.placement.own_loads() {
+            report.servers.push(server);
+            report.in_flight.push(load.in_flight);
+            report.unread.push(load.unread);
+        }
+    }
+    report
+}
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use super::record;
 use super::shared::Held;
 use super::shared::Shared;
+use super::shared::lock;
 use crate::coordination::placement::Blocked;
 use crate::coordination::placement::Demand;
 use crate::error::Failure;
@@ -191,9 +192,11 @@
     }
     let blocked = if here {
         let Prompt { long, set_aside } = course.prompt;
-        let demand = Demand { parts: &job.ask.parts, tried: &course.tried, long, set_aside };
         let now = Instant::now();
         let chosen = shared.with_service(&job.service, |service| {
+            let loads = &lock(&shared.loads);
+            let tried = &course.tried;
+            let demand = Demand { parts: &job.ask.parts, tried, long, set_aside, loads };
             service.placement.choose(demand, now, &mut rand::rng())
         });
         match chosen {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -17,6 +17,7 @@
 use super::facts::Ranked;
 use super::settings::Settings;
 use crate::coordination::drain::Stage;
+use crate::coordination::loads::Loads;
 use crate::coordination::mix::Mix;
 use crate::coordination::placement::Outcome;
 use crate::coordination::placement::Place;
@@ -74,6 +75,8 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// Servers of this region by service.
     pub services: Mutex<HashMap<ServiceId, Service>>,
+    /// What other boxes have on these servers. Locked after `services`, never before.
+    pub loads: Mutex<Loads>,
     /// Connections to backend servers.
     pub servers: backend::Client,
     /// Connections to other boxes.
