placement: a shared part stays at its home unless that is much busier

Each move reads 13,300 tokens again, which makes streams beside it pause. Ruled out: eviction (parts came back to an earlier engine and were found kept).

At home a tenth counts as unread, elsewhere twice the text.

--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -48,7 +48,10 @@
 const OUT_OF_PLACE: f64 = 6.0;
 /// Part of a shared text that counts as unread at its rendezvous server when this
 /// box has not sent it there: another box most likely has.
-const HOME_UNREAD: f64 = 0.5;
+const HOME_UNREAD: f64 = 0.1;
+/// What reading a shared text again costs against reading it for the first time: the text
+/// is kept twice then, and everything beside it waits for nothing.
+const READ_AGAIN: f64 = 2.0;
 
 /// A server as control knows it.
 #[derive(Clone, Debug)]
@@ -388,8 +391,9 @@
         let total: f64 = parts.iter().map(|part| f64::from(part.tokens)).sum();
         let own = parts.last().map_or(0.0, |part| f64::from(part.tokens));
         let kept = self.kept.tokens(parts, now) as f64;
-        let unread = total - kept;
-        if home && kept == 0.0 { own + (unread - own) * HOME_UNREAD } else { unread }
+        let shared = total - kept - own;
+        let missing = if home { shared * HOME_UNREAD } else { shared * READ_AGAIN };
+        own + missing
     }
 
     fn cost(&self, load: Load, unread: f64, fastest: Option<f64>) -> f64 {
