placement: boxes agree on the mix of prompts

Reports now carry the averages, one box of another region hears them too, and each word moves a box's own by a tenth.

--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::mix::Mix;
+
 /// Age at which a report no longer counts: several have been lost by then, or the box is gone.
 const LIFE: Duration = Duration::from_millis(1500);
 
@@ -41,6 +43,12 @@
     /// Unread prompt tokens, in the order of the servers.
     #[prost(uint32, repeated, tag = "6")]
     pub unread: Vec<u32>,
+    /// Hashes of the services whose prompts follow.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub services: Vec<u64>,
+    /// What prompts the services get, in the order of their hashes.
+    #[prost(message, repeated, tag = "8")]
+    pub prompts: Vec<Mix>,
 }
 
 #[derive(Debug)]
--- a/lib/src/coordination/mix.rs
+++ b/lib/src/coordination/mix.rs
@@ -15,12 +15,24 @@
 /// Part of the shared text that is taken to be read anew; most of it is kept at its engine.
 const READ_ANEW: f64 = 0.25;
 
-/// The prompts of one service, as one box sees them.
-#[derive(Clone, Debug, Default)]
+/// Part of the way to another box's averages that each word of it moves these: boxes agree
+/// within a second, and none of them decides alone.
+const YIELDING: f64 = 0.1;
+
+/// The prompts of one service, as one box sees them; also what boxes tell each other of them.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Mix {
+    /// Prompts that the averages are made of.
+    #[prost(double, tag = "1")]
     seen: f64,
+    /// Logarithm of the length, tokens.
+    #[prost(double, tag = "2")]
     log_length: f64,
+    /// Tokens that a prompt adds to the reading of long ones.
+    #[prost(double, tag = "3")]
     long_reading: f64,
+    /// The same for short ones.
+    #[prost(double, tag = "4")]
     short_reading: f64,
 }
 
@@ -42,12 +54,27 @@
         long
     }
 
+    /// Another box's averages.
+    pub fn hear(&mut self, other: &Mix) {
+        let numbers = [other.seen, other.log_length, other.long_reading, other.short_reading];
+        if other.seen < 1.0 || numbers.iter().any(|number| !number.is_finite()) {
+            return;
+        }
+        // A box that has seen little takes over what another knows.
+        let part = (other.seen / (other.seen + self.seen)).max(YIELDING).min(1.0);
+        let part = if self.seen < other.seen { part } else { YIELDING };
+        self.log_length += part * (other.log_length - self.log_length);
+        self.long_reading += part * (other.long_reading - self.long_reading);
+        self.short_reading += part * (other.short_reading - self.short_reading);
+        self.seen = self.seen.max(part * other.seen).min(MEMORY);
+    }
+
     /// How many of the engines are set aside for long prompts.
     pub fn set_aside(&self, engines: usize) -> usize {
-        let total = self.long_reading + self.short_reading;
         if engines < 2 || self.long_reading <= 0.0 {
             return 0;
         }
+        let total = self.long_reading + self.short_reading;
         let share = self.long_reading / total * engines as f64;
         (share.round() as usize).clamp(1, engines - 1)
     }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -168,8 +168,11 @@
 }
 
 fn bind_datagrams(address: SocketAddr) -> Result<std::net::UdpSocket, StartError> {
-    let socket = std::net::UdpSocket::bind(address)
-        .map_err(|source| StartError::Listen { port: "reports", address, source })?;
+    let socket = std::net::UdpSocket::bind(address).map_err(|source| StartError::Listen {
+        port: "reports",
+        address,
+        source,
+    })?;
     socket.set_nonblocking(true)?;
     Ok(socket)
 }
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use prost::Message;
+use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
@@ -59,26 +60,48 @@
     let now = Instant::now();
     while let Ok((length, from)) = socket.try_recv_from(buffer) {
         match Report::decode(&buffer[..length]) {
-            Ok(report) => lock(&shared.loads).hear(&report, now),
+            Ok(report) => {
+                lock(&shared.loads).hear(&report, now);
+                hear_prompts(shared, &report);
+            }
             Err(error) => log::warn!("event=unreadable_report from={from} error=\"{error}\""),
         }
     }
 }
 
+fn hear_prompts<A: Adapter>(shared: &Shared<A>, report: &Report) {
+    for (name, service) in lock(&shared.services).iter_mut() {
+        let hash = rendezvous::weight(name, "");
+        let told = report.services.iter().zip(&report.prompts);
+        for (_, prompts) in told.filter(|(service, _)| **service == hash) {
+            service.mix.hear(prompts);
+        }
+    }
+}
+
 fn tell<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64) {
     let snapshot = shared.snapshot.load();
     let own = &shared.settings;
     let region = snapshot.boxes.iter().filter(|other| other.region == own.region);
     let others: Vec<SocketAddr> = region.map(|other| other.peers).collect();
-    if others.is_empty() {
-        return;
-    }
-    let datagram = report(shared, number).encode_to_vec();
-    let turn = number as usize * MOST % others.len();
+    let mut report = report(shared, number);
+    let datagram = report.encode_to_vec();
+    let turn = number as usize * MOST % others.len().max(1);
     let told = others.iter().cycle().skip(turn).take(MOST.min(others.len()));
-    for address in told {
+    send(socket, &datagram, told);
+    // One box of another region hears of the prompts, not of the servers here.
+    report.servers.clear();
+    report.in_flight.clear();
+    report.unread.clear();
+    let elsewhere = snapshot.boxes.iter().filter(|other| other.region != own.region);
+    let far = elsewhere.map(|other| &other.peers).choose(&mut rand::rng());
+    send(socket, &report.encode_to_vec(), far.into_iter());
+}
+
+fn send<'a>(socket: &UdpSocket, datagram: &[u8], to: impl Iterator<Item = &'a SocketAddr>) {
+    for address in to {
         // A datagram that cannot be sent is as good as lost; the next one follows.
-        if let Err(error) = socket.try_send_to(&datagram, *address) {
+        if let Err(error) = socket.try_send_to(datagram, *address) {
             log::debug!("event=report_not_sent to={address} error=\"{error}\"");
         }
     }
@@ -91,7 +114,9 @@
         number,
         ..Report::default()
     };
-    for service in lock(&shared.services).values() {
+    for (name, service) in lock(&shared.services).iter() {
+        report.services.push(rendezvous::weight(name, ""));
+        report.prompts.push(service.mix);
         for (server, load) in service.placement.own_loads() {
             report.servers.push(server);
             report.in_flight.push(load.in_flight);
