--- a/lib/src/coordination/mix.rs
+++ b/lib/src/coordination/mix.rs
@@ -6,8 +6,6 @@
 //! the reading, and short ones stay away from these while there are others.
 //! What counts as long is measured against what the service gets.
 
-use std::time::Duration;
-
 use crate::protocol::adapter::Part;
 
 /// Length of a prompt against the geometric mean of all, from which it counts as long.
@@ -36,12 +34,6 @@
     /// The same for short ones.
     #[prost(double, tag = "4")]
     short_reading: f64,
-    /// Seconds of a slot that a prompt adds to the running of long ones.
-    #[prost(double, tag = "5")]
-    long_running: f64,
-    /// The same for short ones.
-    #[prost(double, tag = "6")]
-    short_running: f64,
 }
 
 impl Mix {
@@ -62,25 +54,9 @@
         long
     }
 
-    /// A request ran for so long.
-    pub fn ran(&mut self, long: bool, time: Duration) {
-        let newest = 1.0 / self.seen.max(1.0);
-        let time = time.as_secs_f64();
-        let (to_long, to_short) = if long { (time, 0.0) } else { (0.0, time) };
-        self.long_running += newest * (to_long - self.long_running);
-        self.short_running += newest * (to_short - self.short_running);
-    }
-
     /// Another box's averages.
     pub fn hear(&mut self, other: &Mix) {
-        let numbers = [
-            other.seen,
-            other.log_length,
-            other.long_reading,
-            other.short_reading,
-            other.long_running,
-            other.short_running,
-        ];
+        let numbers = [other.seen, other.log_length, other.long_reading, other.short_reading];
         if other.seen < 1.0 || numbers.iter().any(|number| !number.is_finite()) {
             return;
         }
@@ -90,8 +66,6 @@
         self.log_length += part * (other.log_length - self.log_length);
         self.long_reading += part * (other.long_reading - self.long_reading);
         self.short_reading += part * (other.short_reading - self.short_reading);
-        self.long_running += part * (other.long_running - self.long_running);
-        self.short_running += part * (other.short_running - self.short_running);
         self.seen = self.seen.max(part * other.seen).min(MEMORY);
     }
 
@@ -100,14 +74,8 @@
         if engines < 2 || self.long_reading <= 0.0 {
             return 0;
         }
-        // Engines run out of reading or of slots; neither kind of prompt should meet its end first.
-        let reading = part(self.long_reading, self.short_reading);
-        let running = part(self.long_running, self.short_running);
-        let share = (reading + running) / 2.0 * engines as f64;
+        let total = self.long_reading + self.short_reading;
+        let share = self.long_reading / total * engines as f64;
         (share.round() as usize).clamp(1, engines - 1)
     }
 }
-
-fn part(one: f64, other: f64) -> f64 {
-    if one + other > 0.0 { one / (one + other) } else { 0.0 }
-}
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -3,7 +3,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -11,7 +10,6 @@
 
 use super::attempt::Payload;
 use super::job::Job;
-use super::job::Origin;
 use super::record;
 use super::run;
 use super::shared::Held;
@@ -127,10 +125,7 @@
         };
         let counters = &self.shared.counters;
         match &ended {
-            Ok(()) => {
-                counters.count(Counter::Answered);
-                self.account();
-            }
+            Ok(()) => counters.count(Counter::Answered),
             Err(Cut::GivenUp) => counters.count(Counter::CallerGone),
             Err(_) => counters.count(Counter::Cut),
         }
@@ -143,15 +138,6 @@
         drop(self.progress);
     }
 
-    /// Takes the time of the whole request into account, at the box that its caller asked.
-    fn account(&self) {
-        if self.job.origin == Origin::Caller {
-            let time = Instant::now().saturating_duration_since(self.job.arrived);
-            let long = self.course.prompt.long;
-            self.shared.with_service(&self.job.service, |service| service.mix.ran(long, time));
-        }
-    }
-
     async fn pass_on(&mut self, caller: &mpsc::Sender<Option<Part>>) -> Result<(), Cut> {
         let mut last_id = self.job.ask.last_event;
         loop {
