--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 use self::control::Event;
 use self::facts::Facts;
 use self::job::Origin;
+use self::settings::Listen;
 use self::settings::Settings;
 use self::shared::Shared;
 use self::shared::Snapshot;
@@ -75,6 +76,7 @@
     control: JoinHandle<Ending>,
     traffic: JoinHandle<()>,
     events: mpsc::Sender<Event>,
+    listen: Listen,
 }
 
 impl Gateway {
@@ -85,6 +87,8 @@
         adapter: A,
     ) -> Result<Gateway, StartError> {
         let ports = Ports::bind(&settings)?;
+        let settings = Settings { listen: ports.addresses()?, ..settings };
+        let listen = settings.listen;
         let counters = Arc::new(Counters::default());
         let own = own_record(&settings);
         let store = store::Client::new(settings.store, adapter.clone(), Arc::clone(&counters));
@@ -126,7 +130,7 @@
         let traffic = std::thread::Builder::new()
             .name("traffic".to_owned())
             .spawn(move || runtime.block_on(serve(shared, Arc::new(own), ports, stopping)))?;
-        Ok(Gateway { control, traffic, events })
+        Ok(Gateway { control, traffic, events, listen })
     }
 
     /// Something that tells the gateway of signals.
@@ -134,6 +138,11 @@
         self.events.clone()
     }
 
+    /// Where it listens; ports that the settings leave to the system are those it chose.
+    pub fn listen(&self) -> Listen {
+        self.listen
+    }
+
     /// Waits until the gateway has stopped.
     pub fn wait(self) -> Ending {
         let ending = self.control.join().unwrap_or(Ending::Cut(0));
@@ -156,13 +165,24 @@
 impl Ports {
     fn bind(settings: &Settings) -> Result<Ports, StartError> {
         let listen = &settings.listen;
+        let peers = bind("boxes", listen.peers)?;
         Ok(Ports {
             callers: bind("callers", listen.callers)?,
             ready: bind("readiness", listen.ready)?,
             directory: bind("the directory", listen.directory)?,
-            peers: bind("boxes", listen.peers)?,
+            reports: bind_datagrams(peers.local_addr()?)?,
+            peers,
             metrics: bind("metrics", listen.metrics)?,
-            reports: bind_datagrams(listen.peers)?,
+        })
+    }
+
+    fn addresses(&self) -> std::io::Result<Listen> {
+        Ok(Listen {
+            callers: self.callers.local_addr()?,
+            ready: self.ready.local_addr()?,
+            directory: self.directory.local_addr()?,
+            peers: self.peers.local_addr()?,
+            metrics: self.metrics.local_addr()?,
         })
     }
 }
