facts: a fresh box shares bounds with all boxes that there ever were

All boxes of a region had started together; each read the store before the others had written their records, took itself for the only one and sent a cold server the whole bound. Ruled out: cold entries read late (the entries said cold from the start), the directory (callers were spread evenly).

Boxes now leave a key without a lease when they first start; for its first ten seconds a box shares cold servers and the retry budget with all that are listed. Boxes that are gone count for 30 s instead of 10 s. lib/tests/test_facts.rs has the case; it fails without the roster.

--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -42,6 +42,10 @@
 
 /// Beginning of the keys of boxes.
 pub const BOXES: &str = "copperweir/boxes/";
+/// Beginning of the keys that say which boxes there ever were; they stay when a box is gone.
+pub const ROSTER: &str = "copperweir/roster/";
+/// How long a box counts as fresh: others that started with it are in the store by then.
+const FRESH: Duration = Duration::from_secs(10);
 /// All keys are followed by one watch: each change wakes a box once.
 const EVERYTHING: &str = "";
 /// Longest wait of a watch. Each return costs a call; a connection that died unnoticed
@@ -80,6 +84,8 @@
     drain: Drain,
     stop: watch::Sender<Stop>,
     store_away_since: Option<Instant>,
+    started_at: Instant,
+    fresh: bool,
 }
 
 /// How a span of following the store ended.
@@ -110,6 +116,8 @@
             drain: Drain::new(tuning),
             stop,
             store_away_since: None,
+            started_at: Instant::now(),
+            fresh: true,
         }
     }
 
@@ -276,6 +284,12 @@
     }
 
     fn written(&mut self, item: Item) {
+        if let Some((region, name)) =
+            item.key.strip_prefix(ROSTER).and_then(|entry| entry.split_once('/'))
+        {
+            self.facts.learn_roster(region, name);
+            return;
+        }
         if item.key.starts_with(BOXES) {
             match serde_json::from_slice::<BoxRecord>(&item.value) {
                 Ok(record) => self.facts.learn_box(record),
@@ -335,7 +349,9 @@
     /// What passes with time; says whether the process ends.
     fn tick(&mut self) -> bool {
         let now = Instant::now();
-        if self.facts.expire(now) {
+        let grown = self.fresh && now >= self.started_at + FRESH;
+        if self.facts.expire(now) || grown {
+            self.fresh &= !grown;
             self.publish();
         }
         let before = self.drain.stage();
@@ -356,12 +372,14 @@
         let settings = &self.shared.settings;
         let view = View {
             own: &self.own,
+            fresh: self.fresh,
             cold_excess: settings.cold_excess,
             cold_slack: settings.cold_slack,
         };
         let order = self.facts.order();
         let mut known = self.facts.known(&view, &order);
-        let sharers = self.facts.sharers(&self.own).len();
+        let sharers = self.facts.sharers(&view).len();
+        let fleet = self.facts.fleet(&view);
         let now = Instant::now();
         if let Some(routing) = &self.facts.routing {
             let mut services = lock(&self.shared.services);
@@ -379,6 +397,7 @@
         self.shared.snapshot.store(Arc::new(Snapshot {
             routing: self.facts.routing.clone(),
             boxes: self.facts.others(&self.own),
+            fleet,
             slots: self.facts.slots(),
             order,
             stage: self.drain.stage(),
@@ -386,6 +405,11 @@
     }
 }
 
+/// The key that says that there is a box.
+pub fn listed(record: &BoxRecord) -> String {
+    format!("{ROSTER}{}/{}", record.region, record.name)
+}
+
 /// The store's key and value of a box's record.
 pub fn stored(record: &BoxRecord) -> (String, Bytes) {
     let value = serde_json::to_vec(record).unwrap_or_else(|error| {
--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -28,7 +28,7 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
 /// How long boxes that are gone still count among those that share a bound: they may
 /// live and only have lost the store.
-const SHARER_MEMORY: Duration = Duration::from_secs(10);
+const SHARER_MEMORY: Duration = Duration::from_secs(30);
 
 /// Names the duty of reading long prompts where servers are ranked.
 const LONG_PROMPTS: u64 = 1;
@@ -61,6 +61,8 @@
     evacuated: BTreeSet<FailureDomainId>,
     boxes: BTreeMap<BoxId, BoxRecord>,
     gone_boxes: BTreeMap<BoxId, (BoxRecord, Instant)>,
+    /// Boxes that were ever started, by region and name.
+    roster: BTreeSet<(RegionId, BoxId)>,
     /// Region of each failure domain that is known.
     regions: HashMap<FailureDomainId, RegionId>,
     store_back_at: Option<Instant>,
@@ -70,6 +72,8 @@
 pub struct View<'a> {
     /// The box.
     pub own: &'a BoxRecord,
+    /// It has only just started, and those that started with it may not be in the store yet.
+    pub fresh: bool,
     /// How often the rate of a cold server may be exceeded.
     pub cold_excess: f64,
     /// Requests to a cold server beyond that.
@@ -150,6 +154,17 @@
         }
     }
 
+    /// A box was started at some time.
+    pub fn learn_roster(&mut self, region: &str, name: &str) {
+        self.roster.insert((region.to_owned(), name.to_owned()));
+    }
+
+    /// Boxes of all regions that bounds are shared among.
+    pub fn fleet(&self, view: &View<'_>) -> usize {
+        let listed = if view.fresh { self.roster.len() } else { 0 };
+        (self.others(view.own).len() + 1).max(listed)
+    }
+
     /// Another box's record is gone.
     pub fn forget_box(&mut self, name: &str, now: Instant) {
         if let Some(record) = self.boxes.remove(name) {
@@ -271,8 +286,10 @@
         !entry.server.leaving && !self.evacuated.contains(&entry.server.failure_domain)
     }
 
-    /// Boxes that share the servers of this region, this one included.
-    pub fn sharers<'a>(&'a self, own: &'a BoxRecord) -> Vec<&'a str> {
+    /// Boxes that share the servers of this region, this one included. Boxes that start
+    /// together do not see each other at first, so a fresh one counts all that there ever were.
+    pub fn sharers<'a>(&'a self, view: &View<'a>) -> Vec<&'a str> {
+        let own = view.own;
         let gone = self.gone_boxes.values().map(|(record, _)| record);
         let others = self.boxes.values().chain(gone);
         let mut names: Vec<&str> = others
@@ -280,6 +297,10 @@
             .map(|record| record.name.as_str())
             .collect();
         names.push(&own.name);
+        if view.fresh {
+            let listed = self.roster.iter().filter(|(region, _)| *region == own.region);
+            names.extend(listed.map(|(_, name)| name.as_str()));
+        }
         names.sort_unstable();
         names.dedup();
         names
@@ -291,7 +312,7 @@
         view: &View<'_>,
         order: &HashMap<ServiceId, Vec<Ranked>>,
     ) -> HashMap<ServiceId, Vec<Known>> {
-        let sharers = self.sharers(view.own);
+        let sharers = self.sharers(view);
         let mut known: HashMap<ServiceId, Vec<Known>> = HashMap::new();
         let Some(routing) = &self.routing else { return known };
         for entry in self.servers.values() {
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -4,14 +4,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use super::control::Event;
+use super::control::listed;
 use super::control::stored;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Answer;
+use crate::protocol::adapter::NO_LEASE;
 use crate::protocol::adapter::Operation;
+use crate::protocol::adapter::Row;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::LeaseId;
 use crate::protocol::platform::PlatformError;
@@ -33,6 +37,7 @@
     let mut lease = None;
     let mut failed_since: Option<Instant> = None;
     let mut written = false;
+    let mut listed = false;
     loop {
         let done = match lease {
             None => grant(&store).await.map(|granted| {
@@ -41,7 +46,10 @@
             }),
             Some(lease) if !written || record.has_changed().unwrap_or(false) => {
                 let newest = record.borrow_and_update().clone();
-                write(&store, &newest, lease).await.map(|()| written = true)
+                write(&store, &newest, lease, !listed).await.map(|()| {
+                    written = true;
+                    listed = true;
+                })
             }
             Some(lease) => store.call(&Operation::Renew(lease)).await.map(|_| ()),
         };
@@ -90,7 +98,12 @@
     store: &store::Client<A>,
     record: &BoxRecord,
     lease: LeaseId,
+    list: bool,
 ) -> Result<(), PlatformError> {
     let (key, value) = stored(record);
-    store.call(&Operation::Put { key, value, lease }).await.map(|_| ())
+    let mut rows = vec![Row { key, value, lease }];
+    if list {
+        rows.push(Row { key: listed(record), value: Bytes::new(), lease: NO_LEASE });
+    }
+    store.call(&Operation::Put(rows)).await.map(|_| ())
 }
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -38,6 +38,6 @@
     let version = snapshot.routing.as_ref().map_or(0, |routing| routing.version);
     let _ = writeln!(text, "copperweir_in_flight {}", shared.in_flight.load(Ordering::Relaxed));
     let _ = writeln!(text, "copperweir_configuration_version {version}");
-    let _ = writeln!(text, "copperweir_boxes {}", snapshot.box_count());
+    let _ = writeln!(text, "copperweir_boxes {}", snapshot.fleet);
     text
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -98,6 +98,7 @@
             snapshot: ArcSwap::from_pointee(Snapshot {
                 routing: None,
                 boxes: Vec::new(),
+                fleet: 1,
                 slots: HashMap::new(),
                 order: HashMap::new(),
                 stage: Stage::Serving,
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -42,7 +42,7 @@
         course.prompt.set_aside,
         shared_part(job),
         job.version,
-        job.snapshot.box_count(),
+        job.snapshot.fleet,
         job.left(Instant::now()).as_millis(),
     );
 }
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -240,7 +240,7 @@
     if course.sends >= job.max_attempts() || job.left(now) < MIN_LEFT {
         return false;
     }
-    let boxes = job.snapshot.box_count();
+    let boxes = job.snapshot.fleet;
     let admitted = shared.with_service(&job.service, |service| service.budget.repeat(boxes, now));
     let admitted = admitted.unwrap_or(false);
     shared.counters.count(if admitted { Counter::Retries } else { Counter::RetriesDenied });
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -38,6 +38,8 @@
     pub routing: Option<Arc<Routing>>,
     /// Other boxes that live.
     pub boxes: Vec<BoxRecord>,
+    /// Boxes of all regions that bounds are shared among, this one included.
+    pub fleet: usize,
     /// Slots that may get work by service and region.
     pub slots: HashMap<ServiceId, HashMap<RegionId, u32>>,
     /// Servers by service, in the order in which they are set aside for long prompts.
@@ -46,13 +48,6 @@
     pub stage: Stage,
 }
 
-impl Snapshot {
-    /// Boxes of all regions, this one included.
-    pub fn box_count(&self) -> usize {
-        self.boxes.len() + 1
-    }
-}
-
 /// The servers of a service, and what was sent to them.
 pub struct Service {
     /// Which server gets what.
--- a/lib/src/protocol/adapter.rs
+++ b/lib/src/protocol/adapter.rs
@@ -155,15 +155,22 @@
     Renew(LeaseId),
     /// Ends a lease and removes its keys.
     End(LeaseId),
-    /// Writes a key under a lease.
-    Put {
-        /// Key.
-        key: String,
-        /// Value.
-        value: Bytes,
-        /// Lease that the key lives by.
-        lease: LeaseId,
-    },
+    /// Writes keys, all or none.
+    Put(Vec<Row>),
+}
+
+/// Stands for no lease: the key stays.
+pub const NO_LEASE: LeaseId = 0;
+
+/// A key to be written.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Row {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Bytes,
+    /// Lease that the key lives by, or [`NO_LEASE`].
+    pub lease: LeaseId,
 }
 
 /// The store's answer.
--- /dev/null
+++ b/lib/tests/test_facts.rs
@@ -0,0 +1,137 @@
+//! What control concludes from the store.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use copperweir_lib::gateway::facts::Facts;
+use copperweir_lib::gateway::facts::View;
+use copperweir_lib::protocol::adapter::Fact;
+use copperweir_lib::protocol::adapter::Subject;
+use copperweir_lib::protocol::fleet::BoxRecord;
+use copperweir_lib::protocol::fleet::Server;
+use copperweir_lib::protocol::routing::Limits;
+use copperweir_lib::protocol::routing::Routing;
+use copperweir_lib::protocol::routing::Service;
+
+fn facts() -> Facts {
+    let mut facts = Facts::new(HashMap::from([("z".to_owned(), "r".to_owned())]));
+    let service = Service {
+        max_connections: 10,
+        cold: Duration::from_secs(3),
+        warmup_rate: 10.0,
+        memory_tokens: None,
+    };
+    let services = BTreeMap::from([("s".to_owned(), service)]);
+    let routing = Routing::new(1, Vec::new(), services, Limits::default());
+    facts.learn(Fact::Routing(Box::new(routing)), Instant::now());
+    facts
+}
+
+fn server(cold_left: Duration) -> Server {
+    Server {
+        id: "i-1".to_owned(),
+        service: "s".to_owned(),
+        address: ([10, 0, 0, 1], 80).into(),
+        failure_domain: "z".to_owned(),
+        slots: 4,
+        leaving: false,
+        cold_left,
+    }
+}
+
+fn record(name: &str) -> BoxRecord {
+    BoxRecord {
+        name: name.to_owned(),
+        incarnation: 1,
+        region: "r".to_owned(),
+        failure_domain: "z".to_owned(),
+        callers: ([10, 0, 0, 2], 80).into(),
+        peers: ([10, 0, 0, 2], 81).into(),
+        leaving: false,
+        weight: 1.0,
+    }
+}
+
+fn view(own: &BoxRecord, fresh: bool) -> View<'_> {
+    View { own, fresh, cold_excess: 1.5, cold_slack: 3.0 }
+}
+
+fn cold_share(facts: &Facts, own: &BoxRecord, fresh: bool) -> u32 {
+    facts.known(&view(own, fresh), &facts.order())["s"][0].cold_share
+}
+
+#[test]
+fn boxes_that_start_together_share_a_cold_server_from_the_first_moment() {
+    let mut facts = facts();
+    facts.learn(Fact::Server(server(Duration::from_secs(3))), Instant::now());
+    let own = record("b1");
+    facts.learn_box(own.clone());
+    let alone = cold_share(&facts, &own, true);
+    for name in ["b1", "b2", "b3"] {
+        facts.learn_roster("r", name);
+    }
+    facts.learn_roster("other", "b4");
+    assert_eq!(cold_share(&facts, &own, true), alone / 3, "others are not in the store yet");
+    assert_eq!(cold_share(&facts, &own, false), alone, "after a while those that live count");
+    assert_eq!(facts.fleet(&view(&own, true)), 4);
+}
+
+#[test]
+fn a_box_that_is_gone_still_counts_for_a_while() {
+    let mut facts = facts();
+    facts.learn(Fact::Server(server(Duration::from_secs(3))), Instant::now());
+    let own = record("b1");
+    facts.learn_box(record("b2"));
+    let now = Instant::now();
+    let shared = cold_share(&facts, &own, false);
+    facts.forget_box("b2", now);
+    assert_eq!(cold_share(&facts, &own, false), shared);
+    assert!(facts.expire(now + Duration::from_secs(60)));
+    assert!(cold_share(&facts, &own, false) > shared);
+}
+
+#[test]
+fn entries_that_lapsed_while_the_store_was_away_get_two_seconds() {
+    let mut facts = facts();
+    let now = Instant::now();
+    facts.learn(Fact::Server(server(Duration::ZERO)), now);
+    facts.store_is_back(now);
+    facts.keep_only(&BTreeSet::new(), &BTreeSet::new(), now);
+    assert_eq!(facts.slots()["s"]["r"], 4, "it may be back in a moment");
+    assert!(!facts.expire(now + Duration::from_millis(1900)));
+    assert!(facts.expire(now + Duration::from_millis(2500)));
+    assert!(facts.slots().is_empty());
+}
+
+#[test]
+fn an_entry_that_goes_while_the_store_is_well_is_gone() {
+    let mut facts = facts();
+    facts.learn(Fact::Server(server(Duration::ZERO)), Instant::now());
+    facts.forget(&Subject::Server("i-1".to_owned()), Instant::now());
+    assert!(facts.slots().is_empty());
+}
+
+#[test]
+fn servers_come_cold_out_of_an_evacuation() {
+    let mut facts = facts();
+    let now = Instant::now();
+    facts.learn(Fact::Server(server(Duration::ZERO)), now);
+    facts.learn(Fact::Evacuated("z".to_owned()), now);
+    let own = record("b1");
+    let known = |facts: &Facts| facts.known(&view(&own, false), &facts.order())["s"][0].clone();
+    assert!(!known(&facts).usable);
+    facts.forget(&Subject::Evacuation("z".to_owned()), now);
+    assert!(known(&facts).usable);
+    assert!(known(&facts).cold_until >= Some(now + Duration::from_secs(3)));
+}
+
+#[test]
+fn an_older_configuration_is_not_taken() {
+    let mut facts = facts();
+    let older = Routing::new(0, Vec::new(), BTreeMap::new(), Limits::default());
+    assert!(!facts.learn(Fact::Routing(Box::new(older)), Instant::now()));
+    assert_eq!(facts.routing.as_ref().map(|routing| routing.version), Some(1));
+}
