--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -7,38 +7,49 @@
 use copperweir_lib::gateway::control::Event;
 use copperweir_platform::Platform;
 use copperweir_platform::settings;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
 use lexopt::Arg;
 use lexopt::Parser;
+use lexopt::ValueExt;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 
 use crate::error::CommandError;
+use crate::journal::Journal;
 
 pub const HELP: &str = "\
 Run the gateway on a box of the users' platform
 
-Usage: copperweir gateway [--settings <file>] [--check]
+Usage: copperweir gateway [options]
 
 Options:
   --settings <file>  Settings as the platform lays them down; default: the
                      path in COPPERWEIR_BOOT
+  --metrics <port>   Port for metrics; default: the second of the ports that
+                     the settings leave free
+  --log <levels>     Log levels in the logger's form; default: info
   --check            Check the settings and end
 
 SIGTERM or SIGINT ends the box after everything in progress is finished; a
 second one ends it at once. SIGHUP reads the settings again.
 ";
 
-/// Log levels.
+/// Log levels where none are asked for.
 const LOG: &str = "info";
 
 /// Runs the command.
 pub fn run(mut parser: Parser) -> Result<(), CommandError> {
     let mut file: Option<PathBuf> = std::env::var_os(settings::VARIABLE).map(PathBuf::from);
     let mut only_check = false;
+    let mut metrics: Option<u16> = None;
+    let mut levels = LOG.to_owned();
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("settings") => file = Some(parser.value()?.into()),
+            Arg::Long("metrics") => metrics = Some(parser.value()?.parse()?),
+            Arg::Long("log") => levels = parser.value()?.string()?,
             Arg::Long("check") => only_check = true,
             Arg::Short('h') | Arg::Long("help") => return super::print_help(HELP),
             other => return Err(other.unexpected().into()),
@@ -49,17 +60,29 @@
     })?;
     let text = std::fs::read_to_string(&file)
         .with_context(|| format!("cannot read {}", file.display()))?;
-    let (settings, regions) = settings::parse(&text)
+    let (mut settings, regions) = settings::parse(&text)
         .map_err(|error| CommandError::Invalid(format!("{}: {error}", file.display())))?;
+    if let Some(port) = metrics {
+        settings.listen.metrics.set_port(port);
+    }
     if only_check {
         return Ok(());
     }
-    let _logger = super::serve::start_logger(LOG)?;
+    let _logger = start_logger(&levels)?;
     let gateway = Gateway::start(settings, regions, Platform)?;
     watch_signals(gateway.events())?;
     super::serve::ended(gateway.wait())
 }
 
+/// Logs to standard output without ever waiting for it.
+fn start_logger(levels: &str) -> Result<LoggerHandle, CommandError> {
+    let logger = Logger::try_with_str(levels)
+        .map_err(|error| CommandError::Invalid(format!("--log: {error}")))?;
+    let journal = Journal::start().context("cannot start the log's thread")?;
+    let handle = logger.log_to_writer(Box::new(journal)).start();
+    Ok(handle.context("cannot start the logger")?)
+}
+
 /// Turns signals into events.
 fn watch_signals(events: mpsc::Sender<Event>) -> Result<(), CommandError> {
     let runtime = crate::client::runtime()?;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod commands;
 mod error;
+mod journal;
 mod load;
 mod output;
 
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -25,6 +25,7 @@
 use crate::protocol::adapter::Adapter;
 use crate::protocol::caller;
 use crate::state::counters::Counter;
+use crate::state::latency::Timing;
 use crate::transport::body::Answer;
 use crate::transport::body::Passed;
 
@@ -82,10 +83,12 @@
     let body = match reply.payload {
         Payload::Whole(bytes) => {
             shared.counters.count(Counter::Answered);
+            shared.latencies.record(Timing::WholeAnswer, job.arrived.elapsed());
             record::answered(&job, &course, reply.status.as_u16());
             Answer::whole(bytes)
         }
         Payload::Stream(stream) => {
+            shared.latencies.record(Timing::FirstEvent, job.arrived.elapsed());
             let shared = Arc::clone(shared);
             let relay = Relay { shared, job, stream: *stream, course, progress };
             Answer::Channel(relay.start())
@@ -107,6 +110,9 @@
     shared.counters.count(Counter::Failed);
     if failure.ran() == Ran::No {
         shared.counters.count(Counter::Refused);
+        if let Some(job) = job {
+            shared.latencies.record(Timing::Refusal, job.arrived.elapsed());
+        }
     }
     record::failed(id, job, course, failure);
     let mut response = Response::new(Answer::whole(caller::failure_body(failure)));
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -39,5 +39,6 @@
     let _ = writeln!(text, "copperweir_in_flight {}", shared.in_flight.load(Ordering::Relaxed));
     let _ = writeln!(text, "copperweir_configuration_version {version}");
     let _ = writeln!(text, "copperweir_boxes {}", snapshot.fleet);
+    shared.latencies.page(&mut text);
     text
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::FailureDomainId;
 use crate::state::counters::Counters;
+use crate::state::latency::Latencies;
 use crate::transport::backend;
 use crate::transport::http1;
 use crate::transport::http1::Bounds;
@@ -91,7 +92,10 @@
         let listen = settings.listen;
         let counters = Arc::new(Counters::default());
         let own = own_record(&settings);
-        let store = store::Client::new(settings.store, adapter.clone(), Arc::clone(&counters));
+        let latencies = Arc::new(Latencies::default());
+        let measures =
+            store::Measures { counters: Arc::clone(&counters), latencies: Arc::clone(&latencies) };
+        let store = store::Client::new(settings.store, adapter.clone(), measures);
         let shared = Arc::new(Shared {
             incarnation: own.incarnation,
             adapter,
@@ -109,6 +113,7 @@
             peers: backend::Client::new(PEER_CONNECT),
             in_flight: AtomicUsize::new(0),
             counters,
+            latencies,
             settings,
         });
         let (stop, stopping) = watch::channel(Stop::No);
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -29,6 +29,7 @@
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::ServiceId;
 use crate::state::counters::Counters;
+use crate::state::latency::Latencies;
 use crate::transport::backend;
 
 /// What control knows, as a whole.
@@ -80,6 +81,8 @@
     pub in_flight: AtomicUsize,
     /// Counters.
     pub counters: Arc<Counters>,
+    /// How long things took.
+    pub latencies: Arc<Latencies>,
 }
 
 impl<A> Shared<A> {
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -19,6 +19,7 @@
 use crate::protocol::adapter::Adapter;
 use crate::protocol::events::Splitter;
 use crate::state::counters::Counter;
+use crate::state::latency::Timing;
 use crate::transport::backend::Exchange;
 use crate::transport::body::Cut;
 use crate::transport::body::Part;
@@ -125,7 +126,10 @@
         };
         let counters = &self.shared.counters;
         match &ended {
-            Ok(()) => counters.count(Counter::Answered),
+            Ok(()) => {
+                counters.count(Counter::Answered);
+                self.shared.latencies.record(Timing::Stream, self.job.arrived.elapsed());
+            }
             Err(Cut::GivenUp) => counters.count(Counter::CallerGone),
             Err(_) => counters.count(Counter::Cut),
         }
--- a/lib/src/state/mod.rs
+++ b/lib/src/state/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod burn;
 pub mod counters;
+pub mod latency;
 pub mod load;
 pub mod snapshot;
--- a/lib/src/transport/store.rs
+++ b/lib/src/transport/store.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::Request;
 use http::StatusCode;
@@ -18,6 +19,8 @@
 use crate::protocol::platform::PlatformError;
 use crate::state::counters::Counter;
 use crate::state::counters::Counters;
+use crate::state::latency::Latencies;
+use crate::state::latency::Timing;
 
 /// Longest wait for an answer, beyond the time that a watch itself may wait.
 /// A healthy store answers in milliseconds; a slow one in some hundreds.
@@ -29,13 +32,22 @@
     address: SocketAddr,
     codec: C,
     http: backend::Client,
-    counters: Arc<Counters>,
+    measures: Measures,
+}
+
+/// Where calls are counted and timed.
+#[derive(Clone)]
+pub struct Measures {
+    /// Counters.
+    pub counters: Arc<Counters>,
+    /// How long calls took.
+    pub latencies: Arc<Latencies>,
 }
 
 impl<C: Codec> Client<C> {
     /// A store; calls are counted.
-    pub fn new(address: SocketAddr, codec: C, counters: Arc<Counters>) -> Client<C> {
-        Client { address, codec, http: backend::Client::default(), counters }
+    pub fn new(address: SocketAddr, codec: C, measures: Measures) -> Client<C> {
+        Client { address, codec, http: backend::Client::default(), measures }
     }
 
     /// Makes a call.
@@ -45,10 +57,14 @@
             Operation::Renew(_) => Counter::StoreRenewals,
             _ => Counter::StoreWrites,
         };
-        self.counters.count(counter);
+        let Measures { counters, latencies } = &self.measures;
+        counters.count(counter);
+        let called = Instant::now();
         let result = self.send(operation).await;
         if result.is_err() {
-            self.counters.count(Counter::StoreFailures);
+            counters.count(Counter::StoreFailures);
+        } else if !matches!(operation, Operation::Watch { .. }) {
+            latencies.record(Timing::StoreCall, called.elapsed());
         }
         result
     }
