run: a region that could not send uses up no attempt

Ruled out: the budget (its share was unspent), full servers (in_flight 1 to 3 of 64).

A box now says how often it sent what it failed to answer; none leaves the attempt to the caller's box.

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use http_body_util::Limited;
 
 use super::job::Job;
+use super::job::SENDS;
 use super::job::passed_on;
 use super::shared::Held;
 use super::shared::Shared;
@@ -101,6 +102,9 @@
     shared.counters.count(Counter::ForwardedOut);
     match send(&shared.peers, job, address, request, false).await {
         Ok(response) => match refusal(&response) {
+            Some(failure) if failure.ran() == Ran::No && !was_sent(&response) => {
+                Tried::Unsent(failure)
+            }
             Some(failure) if failure.ran() == Ran::No => Tried::Refused(failure),
             Some(failure) => Tried::Lost(failure),
             None => receive(shared, job, response, None).await,
@@ -149,6 +153,11 @@
     }
 }
 
+/// Whether the box that answered had sent the request to a server.
+fn was_sent(response: &Response<Exchange>) -> bool {
+    response.headers().get(SENDS).is_none_or(|sends| sends != "0")
+}
+
 /// The failure that another box answered with, unless it passes a server's answer on.
 fn refusal(response: &Response<Exchange>) -> Option<Failure> {
     let ran = response.headers().get(caller::RAN)?.to_str().map_or(Ran::Unknown, Ran::parse);
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -12,6 +12,7 @@
 use super::attempt::Reply;
 use super::job::Job;
 use super::job::Origin;
+use super::job::SENDS;
 use super::record;
 use super::run;
 use super::run::Course;
@@ -118,6 +119,7 @@
     let mut response = Response::new(Answer::whole(caller::failure_body(failure)));
     *response.status_mut() = failure.status();
     caller::failure_headers(failure, response.headers_mut());
+    response.headers_mut().insert(SENDS, course.sends.into());
     shared.adapter.mark(response.headers_mut(), id, failure.retry_after());
     response
 }
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -32,6 +32,8 @@
 /// value says how many engines are set aside for its kind of prompt, 0 if it is not a long one,
 /// so that both boxes have the same engines in mind.
 pub const PASSED_ON: HeaderName = HeaderName::from_static("copperweir-passed-on");
+/// How often a box sent a request that it failed to get an answer to.
+pub const SENDS: HeaderName = HeaderName::from_static("copperweir-sends");
 /// How long a caller waits that does not say so.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 
