gateway: a leaving box refuses connections, not requests

Callers keep a box for 15 s after the directory last named it, and one that is refused has lost a try; one that cannot connect has not. Ruled out: full servers.

--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -17,7 +17,8 @@
 #[test]
 fn help_of_every_command() {
     insta::assert_snapshot!("help", copperweir(&["help"]));
-    let commands = ["serve", "check", "apply", "show", "boxes", "burn", "load", "stand-in", "demo"];
+    let commands =
+        ["serve", "check", "apply", "show", "boxes", "burn", "load", "stand-in", "demo", "gateway"];
     for command in commands {
         let help = copperweir(&["help", command]);
         assert_eq!(help, copperweir(&[command, "--help"]));
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -58,9 +58,13 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between looks at what has been missing for long enough and at a stop's progress.
 const TICK: Duration = Duration::from_millis(200);
-/// How long a leaving box still takes new requests: callers are told of it for a while yet.
+/// How long a leaving box still takes new connections: callers are told of it for a while yet.
+/// After that, whoever connects is refused and goes elsewhere at once.
 const STOP_GRACE: Duration = Duration::from_millis(2500);
 
+/// Longest wait at the end for answers that are already written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// What the control thread handles.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
@@ -151,12 +155,17 @@
         }
         let stage = self.drain.stage();
         let in_flight = self.shared.in_flight.load(Ordering::Acquire);
-        let (stop, ending) = match stage {
-            Stage::Done => (Stop::Gently, Ending::Done),
-            _ => (Stop::Now, Ending::Cut(in_flight)),
+        let ending = match stage {
+            Stage::Done => Ending::Done,
+            _ => Ending::Cut(in_flight),
         };
-        // Traffic threads that have ended need not be told.
-        let _ = self.stop.send(stop);
+        if stage == Stage::Done
+            && tokio::time::timeout(FLUSH_TIMEOUT, self.stop.closed()).await.is_err()
+        {
+            log::warn!("event=connections_cut reason=\"answers were not read in time\"");
+        }
+        // A traffic thread that has ended need not be told.
+        let _ = self.stop.send(Stop::Now);
         log::info!("event=stopped stage={stage:?} in_flight={in_flight}");
         ending
     }
@@ -362,6 +371,10 @@
         let stage = self.drain.handle(drain::Event::Tick { now, in_flight });
         if stage != before {
             log::info!("event=stop_stage stage={stage:?} in_flight={in_flight}");
+            if stage == Stage::Closing {
+                // A traffic thread that has ended need not be told.
+                let _ = self.stop.send(Stop::Gently);
+            }
             self.publish();
         }
         stage.ended()
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -175,12 +175,7 @@
 
 fn routing(snapshot: &Snapshot) -> Result<Arc<Routing>, Failure> {
     let missing = || Failure::new(Kind::NotReady, "the box has no configuration yet");
-    let routing = snapshot.routing.clone().ok_or_else(missing)?;
-    if snapshot.stage.accepts() {
-        Ok(routing)
-    } else {
-        Err(Failure::new(Kind::Leaving, "the box is leaving"))
-    }
+    snapshot.routing.clone().ok_or_else(missing)
 }
 
 fn find(routing: &Routing, headers: &HeaderMap, uri: &Uri) -> Result<Arc<Route>, Failure> {
--- a/lib/src/transport/http1.rs
+++ b/lib/src/transport/http1.rs
@@ -26,8 +26,6 @@
 
 /// Pause after a failed accept, so that descriptors can be given back.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// Longest wait at the end for answers that are already written.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Smallest read buffer that the library takes, bytes.
 const MIN_BUFFER: usize = 8192;
 
@@ -40,7 +38,8 @@
     pub idle: Duration,
 }
 
-/// Serves a port until told to stop.
+/// Serves a port until told to stop; then takes no new connections, ends idle ones, and the
+/// others after their answers, unless it is told to end at once.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     most: usize,
@@ -93,7 +92,8 @@
         });
     }
     drop(listener);
-    if tokio::time::timeout(FLUSH_TIMEOUT, graceful.shutdown()).await.is_err() {
-        log::warn!("event=connections_cut reason=\"answers were not read in time\"");
+    tokio::select! {
+        () = graceful.shutdown() => {}
+        _ = stop.wait_for(|stop| *stop == Stop::Now) => {}
     }
 }
