gateway: a box that starts while the store is away learns from others

Ruled out: slow starts (20 ms from start to ports open).

Each box keeps what it read from the store and answers boxes at the seeds' addresses; a fresh box asks them as long as it has no configuration. Versions still never fall in one life.

--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -16,6 +16,7 @@
 
 use super::facts::Facts;
 use super::facts::View;
+use super::handover;
 use super::lease;
 use super::shared::Service;
 use super::shared::Shared;
@@ -142,6 +143,7 @@
                 }
                 Err(error) => {
                     self.store_failed(&error);
+                    self.learn_from_others().await;
                     if self.pause(&mut events).await {
                         break;
                     }
@@ -186,11 +188,26 @@
         false
     }
 
+    /// A box that knows nothing yet asks others for what they had from the store.
+    async fn learn_from_others(&mut self) {
+        if self.facts.routing.is_some() {
+            return;
+        }
+        let seeds = &self.shared.settings.seeds;
+        let Some((from, items)) = handover::ask(&self.shared.peers, seeds).await else { return };
+        log::info!("event=learned_from_box seed={from} items={}", items.len());
+        for (key, value) in items {
+            self.written(Item { key, value, revision: 0 });
+        }
+        self.publish();
+    }
+
     async fn read_all(&mut self) -> Result<Revision, PlatformError> {
         let mut after = None;
         let mut first_revision = None;
         let mut seen = BTreeSet::new();
         let mut boxes = BTreeSet::new();
+        let mut keys = BTreeSet::new();
         loop {
             let prefix = EVERYTHING.to_owned();
             let answer = self.store.call(&Operation::Range { prefix, after }).await?;
@@ -205,10 +222,12 @@
                     Some(name) => boxes.insert(name.to_owned()),
                     None => seen.insert(self.shared.adapter.subject(&item.key)),
                 };
+                keys.insert(item.key.clone());
                 self.written(item);
             }
             if !more || after.is_none() {
                 self.facts.keep_only(&seen, &boxes, Instant::now());
+                lock(&self.shared.items).retain(|key, _| keys.contains(key));
                 return Ok(revision);
             }
         }
@@ -281,7 +300,7 @@
         let now = Instant::now();
         match change {
             Change::Written(item) => self.written(item),
-            Change::Removed(key) => match key.strip_prefix(BOXES) {
+            Change::Removed(key) => match self.forget_item(&key).strip_prefix(BOXES) {
                 Some(name) if name == self.own.name => {
                     log::warn!("event=record_lost reason=\"the store has removed it\"");
                     self.record.send_replace(self.own.clone());
@@ -292,7 +311,13 @@
         }
     }
 
+    fn forget_item<'a>(&self, key: &'a str) -> &'a str {
+        lock(&self.shared.items).remove(key);
+        key
+    }
+
     fn written(&mut self, item: Item) {
+        lock(&self.shared.items).insert(item.key.clone(), item.value.clone());
         if let Some((region, name)) =
             item.key.strip_prefix(ROSTER).and_then(|entry| entry.split_once('/'))
         {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 pub mod elsewhere;
 pub mod facts;
+pub mod handover;
 pub mod ingress;
 pub mod job;
 pub mod lease;
@@ -107,6 +108,7 @@
                 order: HashMap::new(),
                 stage: Stage::Serving,
             }),
+            items: Mutex::default(),
             services: Mutex::default(),
             loads: Mutex::default(),
             servers: backend::Client::new(SERVER_CONNECT),
@@ -164,6 +166,7 @@
     ready: TcpListener,
     directory: TcpListener,
     peers: TcpListener,
+    handover: TcpListener,
     metrics: TcpListener,
     reports: std::net::UdpSocket,
 }
@@ -178,6 +181,7 @@
             directory: bind("the directory", listen.directory)?,
             reports: bind_datagrams(peers.local_addr()?)?,
             peers,
+            handover: bind("handover", listen.handover)?,
             metrics: bind("metrics", listen.metrics)?,
         })
     }
@@ -188,6 +192,7 @@
             ready: self.ready.local_addr()?,
             directory: self.directory.local_addr()?,
             peers: self.peers.local_addr()?,
+            handover: self.handover.local_addr()?,
             metrics: self.metrics.local_addr()?,
         })
     }
@@ -229,18 +234,19 @@
     ports: Ports,
     stop: watch::Receiver<Stop>,
 ) {
-    let Ports { callers, ready, directory, peers, metrics, reports } = ports;
+    let Ports { callers, ready, directory, peers, handover, metrics, reports } = ports;
     match tokio::net::UdpSocket::from_std(reports) {
         Ok(socket) => {
             tokio::spawn(reports::exchange(Arc::clone(&shared), socket, stop.clone()));
         }
         Err(error) => log::error!("event=reports_off error=\"{error}\""),
     }
-    let (Some(callers), Some(ready), Some(directory), Some(peers), Some(metrics)) = (
+    let (Some(callers), Some(ready), Some(directory), Some(peers), Some(handover), Some(metrics)) = (
         listener(callers),
         listener(ready),
         listener(directory),
         listener(peers),
+        listener(handover),
         listener(metrics),
     ) else {
         return;
@@ -259,12 +265,15 @@
         move |request| directory::handle(Arc::clone(&state), Arc::clone(&own), request);
     let state = Arc::clone(&shared);
     let for_metrics = move |request| metrics::handle(Arc::clone(&state), request);
+    let state = Arc::clone(&shared);
+    let for_handover = move |request| handover::handle(Arc::clone(&state), request);
     let small = || Bounds { header_bytes: 8 << 10, idle: Duration::from_secs(60) };
     tokio::join!(
         http1::serve(callers, places(CALLERS_PART), bounds.clone(), for_callers, stop.clone()),
         http1::serve(peers, places(PEERS_PART), small, for_peers, stop.clone()),
         http1::serve(ready, SMALL_PORT, small, for_ready, stop.clone()),
         http1::serve(directory, places(0.1), small, for_directory, stop.clone()),
+        http1::serve(handover, SMALL_PORT, small, for_handover, stop.clone()),
         http1::serve(metrics, SMALL_PORT, small, for_metrics, stop),
     );
 }
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -19,6 +19,8 @@
     pub directory: SocketAddr,
     /// For other boxes.
     pub peers: SocketAddr,
+    /// For boxes that start while the store does not answer.
+    pub handover: SocketAddr,
     /// For counters as text.
     pub metrics: SocketAddr,
 }
@@ -36,6 +38,8 @@
     pub listen: Listen,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Where some boxes answer those that start while the store does not; may be old.
+    pub seeds: Vec<SocketAddr>,
     /// What the box can bear, against others: its processor share.
     pub weight: f64,
     /// Descriptors that sockets may take.
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use arc_swap::ArcSwap;
 
 use super::facts::Ranked;
+use super::handover::Items;
 use super::settings::Settings;
 use crate::coordination::drain::Stage;
 use crate::coordination::loads::Loads;
@@ -69,6 +70,8 @@
     pub incarnation: Incarnation,
     /// What control knows.
     pub snapshot: ArcSwap<Snapshot>,
+    /// What the store last held, for boxes that start while it does not answer.
+    pub items: Mutex<Items>,
     /// Servers of this region by service.
     pub services: Mutex<HashMap<ServiceId, Service>>,
     /// What other boxes have on these servers. Locked after `services`, never before.
