--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -38,8 +38,6 @@
 const BACK_OFF: f64 = 0.8;
 /// Tokens read that a running request costs others, by its part in each step.
 const RUNNING_TOKENS: f64 = 150.0;
-/// The same for one that waits for a slot there.
-const WAITING_TOKENS: f64 = 1500.0;
 /// What a share of failed answers adds to a server's cost, as a factor.
 const FAILURE_COST: f64 = 4.0;
 /// Most that slowness adds to a server's cost, as a factor.
@@ -400,9 +398,7 @@
 
     fn cost(&self, load: Load, unread: f64, fastest: Option<f64>) -> f64 {
         let running = f64::from(load.in_flight) + 1.0;
-        let waiting = (running - f64::from(self.known.server.slots)).max(0.0);
-        let ahead = running * RUNNING_TOKENS + waiting * WAITING_TOKENS;
-        let work = f64::from(load.unread) + unread + ahead;
+        let work = f64::from(load.unread) + unread + running * RUNNING_TOKENS;
         let slowness = match (self.first_byte, fastest) {
             (Some(own), Some(fastest)) if fastest > 0.0 => (own / fastest).min(MAX_SLOWNESS),
             _ => 1.0,
