placement: a server counts as slow for the work that it had

Slowness was the time to the first byte against the fastest server's; an engine that had read one long prompt seemed eight times as slow as one that had kept it. Ruled out: the number set aside (49 to 63, a third of the moves), full homes (6 to 17 of 36).

It is now the time for each token of work that was ahead, against the median, from twice that on.

--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -42,6 +42,8 @@
 const FAILURE_COST: f64 = 4.0;
 /// Most that slowness adds to a server's cost, as a factor.
 const MAX_SLOWNESS: f64 = 8.0;
+/// Slowness against the median that still counts as usual: answers differ by more than their work.
+const USUAL_SLOWNESS: f64 = 2.0;
 /// Weight of the newest observation in smoothed figures.
 const SMOOTHING: f64 = 0.15;
 /// What a server costs more that is set aside for prompts of the other kind, as a factor.
@@ -76,7 +78,8 @@
     unread: f64,
     /// Requests of all boxes that the server seems to take.
     limit: f64,
-    first_byte: Option<f64>,
+    /// Seconds to the first byte for each token of work that was ahead of it, smoothed.
+    pace: Option<f64>,
     failing: f64,
     ejection: Ejection,
     warmup: Warmup,
@@ -113,10 +116,21 @@
     pub others: u32,
     /// Servers that could have had it.
     pub candidates: usize,
+    /// Tokens of work that were ahead of its first one.
+    work: f64,
     chosen_at: Instant,
     waiting: bool,
 }
 
+/// Work for a request at a server, in tokens.
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    /// Tokens of its own prompt.
+    unread: f64,
+    /// With all that is ahead of it.
+    ahead: f64,
+}
+
 /// How an exchange with a server ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -185,10 +199,10 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Result<Place, Blocked> {
-        let best = self.fastest();
+        let usual = self.usual_pace();
         let unheard = self.sharers.saturating_sub(1 + demand.loads.heard());
         let home = self.home(demand);
-        let mut chosen: Option<(f64, ServerId, f64)> = None;
+        let mut chosen: Option<(f64, ServerId, Work)> = None;
         let mut candidates = 0;
         let mut usable = false;
         let compared = self.compared(demand, home, rng);
@@ -210,11 +224,12 @@
                 candidates += 1;
                 let unread = tracked.unread_of(demand.parts, home == Some(tracked.hash), now);
                 // A little chance, so that boxes with equal views do not all choose alike.
-                let cost = tracked.cost(load, unread, best) * (1.0 + 0.02 * rng.random::<f64>());
+                let work = tracked.work(load, unread);
+                let cost = tracked.cost(work, usual) * (1.0 + 0.02 * rng.random::<f64>());
                 let set_aside = tracked.known.rank < demand.set_aside;
                 let cost = if set_aside == demand.long { cost } else { cost * OUT_OF_PLACE };
                 if chosen.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                    chosen = Some((cost, id.clone(), unread));
+                    chosen = Some((cost, id.clone(), work));
                 }
             }
             if chosen.is_some() {
@@ -222,7 +237,7 @@
             }
         }
         match chosen {
-            Some((_, id, unread)) => Ok(self.take(id, unread, candidates, demand, now)),
+            Some((_, id, work)) => Ok(self.take(id, work, candidates, demand, now)),
             None if usable => Err(Blocked::Full),
             None => Err(Blocked::NoServer),
         }
@@ -231,14 +246,14 @@
     fn take(
         &mut self,
         id: ServerId,
-        unread: f64,
+        work: Work,
         candidates: usize,
         demand: Demand<'_>,
         now: Instant,
     ) -> Place {
         let tracked = self.servers.get_mut(&id).expect("chosen from the same map");
         tracked.in_flight += 1;
-        tracked.unread += unread;
+        tracked.unread += work.unread;
         tracked.ejection.tried(now);
         if tracked.is_cold(now) {
             tracked.warmup.sent(now);
@@ -247,7 +262,8 @@
         Place {
             server: id,
             address: tracked.known.server.address,
-            unread,
+            unread: work.unread,
+            work: work.ahead,
             in_flight: tracked.in_flight,
             others: demand.loads.on(tracked.hash).in_flight,
             candidates,
@@ -264,8 +280,9 @@
         let Some(tracked) = self.servers.get_mut(&place.server) else { return };
         tracked.unread = (tracked.unread - place.unread).max(0.0);
         let took = now.saturating_duration_since(place.chosen_at).as_secs_f64();
-        let smoothed = tracked.first_byte.unwrap_or(took);
-        tracked.first_byte = Some(smoothed + SMOOTHING * (took - smoothed));
+        let pace = took / place.work.max(1.0);
+        let smoothed = tracked.pace.unwrap_or(pace);
+        tracked.pace = Some(smoothed + SMOOTHING * (pace - smoothed));
     }
 
     /// Gives a place back.
@@ -313,10 +330,12 @@
         Some(ids.collect())
     }
 
-    /// The time to the first byte at the fastest server, seconds.
-    fn fastest(&self) -> Option<f64> {
+    /// The median pace of the servers.
+    fn usual_pace(&self) -> Option<f64> {
         let known = self.servers.values().filter(|tracked| tracked.known.usable);
-        known.filter_map(|tracked| tracked.first_byte).min_by(f64::total_cmp)
+        let mut paces: Vec<f64> = known.filter_map(|tracked| tracked.pace).collect();
+        let middle = paces.len() / 2;
+        (!paces.is_empty()).then(|| *paces.select_nth_unstable_by(middle, f64::total_cmp).1)
     }
 
     /// The server that the first shared part of a prompt belongs to: of those set aside for
@@ -350,7 +369,7 @@
             known,
             in_flight: 0,
             unread: 0.0,
-            first_byte: None,
+            pace: None,
             failing: 0.0,
             ejection: Ejection::default(),
             warmup: Warmup::default(),
@@ -396,14 +415,19 @@
         own + missing
     }
 
-    fn cost(&self, load: Load, unread: f64, fastest: Option<f64>) -> f64 {
+    /// The work that would be ahead of a request's first token.
+    fn work(&self, load: Load, unread: f64) -> Work {
         let running = f64::from(load.in_flight) + 1.0;
-        let work = f64::from(load.unread) + unread + running * RUNNING_TOKENS;
-        let slowness = match (self.first_byte, fastest) {
-            (Some(own), Some(fastest)) if fastest > 0.0 => (own / fastest).min(MAX_SLOWNESS),
+        Work { unread, ahead: f64::from(load.unread) + unread + running * RUNNING_TOKENS }
+    }
+
+    fn cost(&self, work: Work, usual: Option<f64>) -> f64 {
+        let slowness = match (self.pace, usual) {
+            (Some(own), Some(usual)) if usual > 0.0 => own / usual / USUAL_SLOWNESS,
             _ => 1.0,
         };
-        work * slowness * (1.0 + FAILURE_COST * self.failing)
+        let slowness = slowness.clamp(1.0, MAX_SLOWNESS);
+        work.ahead * slowness * (1.0 + FAILURE_COST * self.failing)
     }
 
     fn account(&mut self, outcome: Outcome, now: Instant) {
