--- a/lib/src/coordination/mix.rs
+++ b/lib/src/coordination/mix.rs
@@ -61,7 +61,7 @@
             return;
         }
         // A box that has seen little takes over what another knows.
-        let part = (other.seen / (other.seen + self.seen)).max(YIELDING).min(1.0);
+        let part = (other.seen / (other.seen + self.seen)).clamp(YIELDING, 1.0);
         let part = if self.seen < other.seen { part } else { YIELDING };
         self.log_length += part * (other.log_length - self.log_length);
         self.long_reading += part * (other.long_reading - self.long_reading);
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -25,10 +25,13 @@
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Part;
 use crate::protocol::fleet::Server;
+use crate::protocol::routing::Service;
 
 /// Requests on a server, its queue included, against its slots, that boxes
 /// together aim for at most: enough to keep it busy, short enough a queue.
 const FILL: f64 = 3.0;
+/// Part of the connections that a server takes which requests may fill; others rest or close.
+const CONNECTIONS: f64 = 0.8;
 /// Most servers that are compared for one request. Boxes act on reports that are some
 /// tenths of a second old; comparing a few keeps them from all choosing the same one.
 const COMPARED: usize = 4;
@@ -166,12 +169,14 @@
 pub struct Placement {
     servers: BTreeMap<ServerId, Tracked>,
     sharers: usize,
+    max_connections: f64,
 }
 
 impl Placement {
     /// Takes over what control knows; `sharers` boxes send to these servers.
-    pub fn update(&mut self, known: Vec<Known>, sharers: usize, memory_tokens: Option<u64>) {
+    pub fn update(&mut self, known: Vec<Known>, sharers: usize, service: &Service) {
         self.sharers = sharers;
+        self.max_connections = service.max_connections as f64 * CONNECTIONS;
         let mut before = std::mem::take(&mut self.servers);
         for known in known {
             let id = known.server.id.clone();
@@ -180,7 +185,7 @@
                     tracked.known = known;
                     tracked
                 }
-                None => Tracked::new(known, memory_tokens),
+                None => Tracked::new(known, service.memory_tokens),
             };
             self.servers.insert(id, tracked);
         }
@@ -215,7 +220,8 @@
                 }
                 usable = true;
                 let load = tracked.load(demand.loads, unheard);
-                if !tracked.admits(load, now, spare_ejected) {
+                let connected = f64::from(load.in_flight) < self.max_connections;
+                if !connected || !tracked.admits(load, now, spare_ejected) {
                     continue;
                 }
                 if spare_ejected && compared.as_ref().is_some_and(|some| !some.contains(id)) {
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -132,7 +132,8 @@
         sender: mpsc::Sender<Event>,
         mut events: mpsc::Receiver<Event>,
     ) -> Ending {
-        tokio::spawn(lease::keep(self.store.clone(), self.record.subscribe(), sender));
+        let keeper = lease::keep(self.store.clone(), self.record.subscribe(), sender);
+        let keeper = tokio::spawn(keeper);
         loop {
             let read = self.read_all().await;
             let revision = match read {
@@ -168,6 +169,10 @@
         }
         // A traffic thread that has ended need not be told.
         let _ = self.stop.send(Stop::Now);
+        drop(self.record);
+        if tokio::time::timeout(FLUSH_TIMEOUT, keeper).await.is_err() {
+            log::info!("event=lease_not_ended error=\"no answer in time\"");
+        }
         log::info!("event=stopped stage={stage:?} in_flight={in_flight}");
         ending
     }
@@ -429,7 +434,7 @@
                     budget: Budget::new(settings.retries, now),
                 });
                 let servers = known.remove(name).unwrap_or_default();
-                state.placement.update(servers, sharers, service.memory_tokens);
+                state.placement.update(servers, sharers, service);
             }
         }
         self.shared.snapshot.store(Arc::new(Snapshot {
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -28,7 +28,7 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Keeps the newest record in the store until its sender is gone.
+/// Keeps the newest record in the store until its sender is gone, then takes it out.
 pub async fn keep<A: Adapter>(
     store: store::Client<A>,
     mut record: watch::Receiver<BoxRecord>,
@@ -64,10 +64,11 @@
                 tokio::select! {
                     () = tokio::time::sleep(RENEWAL) => {}
                     changed = record.changed() => {
+                        written = false;
                         if changed.is_err() {
+                            end(&store, lease).await;
                             return;
                         }
-                        written = false;
                     }
                 }
             }
@@ -87,6 +88,14 @@
     }
 }
 
+/// Takes the record out of the store, so that others need not wait for the lease's end.
+async fn end<A: Adapter>(store: &store::Client<A>, lease: Option<LeaseId>) {
+    let Some(lease) = lease else { return };
+    if let Err(error) = store.call(&Operation::End(lease)).await {
+        log::info!("event=lease_not_ended error=\"{error}\"");
+    }
+}
+
 async fn grant<A: Adapter>(store: &store::Client<A>) -> Result<LeaseId, PlatformError> {
     match store.call(&Operation::Grant { life: LIFE }).await? {
         Answer::Lease(lease) => Ok(lease),
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -26,7 +26,6 @@
 use crate::error::Ran;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Adapter;
-use crate::protocol::routing;
 use crate::state::counters::Counter;
 
 /// Most servers that a request is offered to without a send; each may take as long as a connection.
@@ -275,8 +274,3 @@
     let message = format!("an earlier send may have run, and then: {}", failure.message);
     Failure::new(Kind::BackendFailed, message).with_ran(Ran::Unknown)
 }
-
-/// Whether a route's requests are streams; for logs.
-pub fn is_stream(job: &Job) -> bool {
-    job.route.method == routing::Method::Stream
-}
--- a/lib/src/protocol/adapter.rs
+++ b/lib/src/protocol/adapter.rs
@@ -246,9 +246,6 @@
         body: &[u8],
     ) -> Result<Answer, PlatformError>;
 
-    /// Prefixes of the keys that the operator and backend servers write.
-    fn prefixes(&self) -> &'static [&'static str];
-
     /// What a key is about.
     fn subject(&self, key: &str) -> Subject;
 
--- a/lib/src/protocol/events.rs
+++ b/lib/src/protocol/events.rs
@@ -44,8 +44,9 @@
     }
 
     fn read_ids(&mut self, events: &[u8]) {
-        let ids = events.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
-        let last = ids.last().and_then(|id| std::str::from_utf8(id).ok());
+        let mut lines = events.rsplit(|byte| *byte == b'\n');
+        let last = lines.find_map(|line| line.strip_prefix(b"id:"));
+        let last = last.and_then(|id| std::str::from_utf8(id).ok());
         if let Some(id) = last.and_then(|id| id.trim().parse().ok()) {
             self.last_id = Some(id);
         }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -20,6 +20,7 @@
 use copperweir_lib::coordination::warmup;
 use copperweir_lib::protocol::adapter::Part;
 use copperweir_lib::protocol::fleet::Server;
+use copperweir_lib::protocol::routing::Service;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -41,7 +42,9 @@
 fn placement(count: usize, slots: u32, sharers: usize) -> Placement {
     let mut placement = Placement::default();
     let servers = (0..count).map(|number| known(number, slots)).collect();
-    placement.update(servers, sharers, Some(300_000));
+    let service =
+        Service { max_connections: 100, memory_tokens: Some(300_000), ..Service::default() };
+    placement.update(servers, sharers, &service);
     placement
 }
 
@@ -137,6 +140,13 @@
     assert_eq!(places.len(), 4);
 }
 
+#[test]
+fn requests_in_flight_leave_room_under_the_connections_that_a_server_takes() {
+    let mut test = Test::new(placement(1, 64, 1));
+    let places = std::iter::from_fn(|| test.short().ok()).count();
+    assert_eq!(places, 80, "of 100 connections and 192 by slots");
+}
+
 #[test]
 fn a_shared_part_stays_at_its_home() {
     let mut test = Test::new(placement(5, 64, 1));
