--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use anyhow::Context;
+use copperweir_lib::gateway;
 use copperweir_lib::gateway::Gateway;
 use copperweir_lib::gateway::control::Event;
 use copperweir_platform::Platform;
@@ -12,6 +13,7 @@
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
@@ -69,8 +71,9 @@
         return Ok(());
     }
     let _logger = start_logger(&levels)?;
-    let gateway = Gateway::start(settings, regions, Platform)?;
-    watch_signals(gateway.events())?;
+    let (sender, receiver) = gateway::events();
+    watch_signals(sender.clone())?;
+    let gateway = Gateway::start_with(settings, regions, Platform, (sender, receiver))?;
     super::serve::ended(gateway.wait())
 }
 
@@ -83,20 +86,23 @@
     Ok(handle.context("cannot start the logger")?)
 }
 
-/// Turns signals into events.
+/// Turns signals into events; they are caught from here on, before any port is open.
 fn watch_signals(events: mpsc::Sender<Event>) -> Result<(), CommandError> {
     let runtime = crate::client::runtime()?;
+    let catch = || -> std::io::Result<[Signal; 3]> {
+        Ok([
+            signal(SignalKind::terminate())?,
+            signal(SignalKind::interrupt())?,
+            signal(SignalKind::hangup())?,
+        ])
+    };
+    let caught = {
+        let _guard = runtime.enter();
+        catch().context("cannot catch signals")?
+    };
     std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        let [mut terminate, mut interrupt, mut hangup] = caught;
         runtime.block_on(async move {
-            let signals = (
-                signal(SignalKind::terminate()),
-                signal(SignalKind::interrupt()),
-                signal(SignalKind::hangup()),
-            );
-            let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
-                log::error!("event=signals_off");
-                return;
-            };
             loop {
                 let event = tokio::select! {
                     _ = terminate.recv() => Event::Stop,
--- a/lib/src/gateway/elsewhere.rs
+++ b/lib/src/gateway/elsewhere.rs
@@ -34,7 +34,11 @@
     let boxes = job.snapshot.boxes.iter();
     let there: Vec<&BoxRecord> =
         boxes.filter(|other| other.region == engine.region && !other.leaving).collect();
-    there.choose(&mut rand::rng()).map(|other| other.peers)
+    // Beside the engine, the prompt crosses no further failure domain.
+    let beside = there.iter().filter(|other| other.failure_domain == engine.failure_domain);
+    let beside: Vec<&BoxRecord> = beside.copied().collect();
+    let chosen = if beside.is_empty() { there } else { beside };
+    chosen.choose(&mut rand::rng()).map(|other| other.peers)
 }
 
 /// Chooses a region by the slots that may get work there, and one of its boxes.
--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -42,6 +42,8 @@
     pub hash: u64,
     /// Its region.
     pub region: RegionId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
 }
 
 #[derive(Clone, Debug)]
@@ -260,7 +262,9 @@
             let Some(region) = self.regions.get(&entry.server.failure_domain) else { continue };
             let (id, service) = (entry.server.id.clone(), entry.server.service.clone());
             let hash = placement::server_hash(&id);
-            order.entry(service).or_default().push(Ranked { id, hash, region: region.clone() });
+            let failure_domain = entry.server.failure_domain.clone();
+            let ranked = Ranked { id, hash, region: region.clone(), failure_domain };
+            order.entry(service).or_default().push(ranked);
         }
         for (service, ranked) in &mut order {
             ranked.sort_by_cached_key(|ranked| {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -73,6 +73,11 @@
 /// Connections of the smaller ports.
 const SMALL_PORT: usize = 64;
 
+/// A channel for what a gateway is told.
+pub fn events() -> (mpsc::Sender<Event>, mpsc::Receiver<Event>) {
+    mpsc::channel(EVENTS)
+}
+
 /// A running gateway.
 pub struct Gateway {
     control: JoinHandle<Ending>,
@@ -87,6 +92,16 @@
         settings: Settings,
         regions: HashMap<FailureDomainId, RegionId>,
         adapter: A,
+    ) -> Result<Gateway, StartError> {
+        Gateway::start_with(settings, regions, adapter, events())
+    }
+
+    /// Starts a gateway that may have been told something already.
+    pub fn start_with<A: Adapter>(
+        settings: Settings,
+        regions: HashMap<FailureDomainId, RegionId>,
+        adapter: A,
+        (events, receiver): (mpsc::Sender<Event>, mpsc::Receiver<Event>),
     ) -> Result<Gateway, StartError> {
         let ports = Ports::bind(&settings)?;
         let settings = Settings { listen: ports.addresses()?, ..settings };
@@ -119,7 +134,6 @@
             settings,
         });
         let (stop, stopping) = watch::channel(Stop::No);
-        let (events, receiver) = mpsc::channel(EVENTS);
         log::info!(
             "event=started box={} incarnation={:x} region={} callers={}",
             own.name,
