--- a/lib/src/daemon/call.rs
+++ b/lib/src/daemon/call.rs
@@ -287,18 +287,6 @@
 /// Headers that belong to one connection, or to the gateway.
 pub fn is_passed_on(name: &HeaderName) -> bool {
     let own = name.as_str().starts_with("copperweir-") || *name == caller::IDEMPOTENCY_KEY;
-    let connection = [
-        header::AUTHORIZATION,
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::HOST,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-    ];
-    !own && !connection.contains(name) && name != "keep-alive" && name != "proxy-connection"
+    let end_to_end = [header::AUTHORIZATION, header::HOST];
+    !own && !caller::is_of_connection(name) && !end_to_end.contains(name)
 }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -56,7 +56,7 @@
 /// The shortest of the users' bounds on following the store is some seconds.
 const WATCH_GAP: Duration = Duration::from_millis(700);
 /// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+pub const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between looks at what has been missing for long enough and at a stop's progress.
 const TICK: Duration = Duration::from_millis(200);
 /// How long a leaving box still takes new connections: callers are told of it for a while yet.
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -24,6 +24,7 @@
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Ask;
 use crate::protocol::adapter::Outbound;
+use crate::protocol::caller;
 use crate::protocol::routing::Route;
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::ServiceId;
@@ -197,20 +198,6 @@
     }
 }
 
-/// Headers that concern one connection only stay behind.
-fn is_of_connection(name: &HeaderName) -> bool {
-    const NAMES: [HeaderName; 7] = [
-        header::CONNECTION,
-        header::TRANSFER_ENCODING,
-        header::CONTENT_LENGTH,
-        header::TE,
-        header::TRAILER,
-        header::UPGRADE,
-        header::EXPECT,
-    ];
-    NAMES.contains(name) || name == "keep-alive" || name == "proxy-connection" || name == PASSED_ON
-}
-
 /// The headers that are passed along, both ways.
 pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
@@ -222,7 +209,8 @@
         .collect();
     let mut kept = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
-        if !is_of_connection(name) && !named.contains(name) {
+        let stays = caller::is_of_connection(name) || *name == PASSED_ON || named.contains(name);
+        if !stays {
             kept.append(name.clone(), value.clone());
         }
     }
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use super::control::Event;
+use super::control::RETRY_PAUSE;
 use super::control::listed;
 use super::control::stored;
 use crate::protocol::adapter::Adapter;
@@ -25,8 +26,6 @@
 const LIFE: Duration = Duration::from_secs(4);
 /// Time between renewals: two may be lost before the lease runs out.
 const RENEWAL: Duration = Duration::from_millis(1200);
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Keeps the newest record in the store until its sender is gone, then takes it out.
 pub async fn keep<A: Adapter>(
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -6,8 +6,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -24,6 +22,7 @@
 use crate::coordination::placement::Place;
 use crate::coordination::placement::Placement;
 use crate::coordination::retries::Budget;
+pub use crate::daemon::shared::lock;
 use crate::protocol::Incarnation;
 use crate::protocol::RegionId;
 use crate::protocol::fleet::BoxRecord;
@@ -153,8 +152,3 @@
             .with_service(&self.service, |service| service.placement.finish(place, outcome, now));
     }
 }
-
-/// Locks a mutex; a panic of another holder does not take the box down.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/lib/src/protocol/caller.rs
+++ b/lib/src/protocol/caller.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
 use http::header;
@@ -207,6 +208,22 @@
     }
 }
 
+/// Whether a header concerns one connection only, and stays behind where a message is passed on.
+pub fn is_of_connection(name: &HeaderName) -> bool {
+    const NAMES: [HeaderName; 9] = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+    ];
+    NAMES.contains(name) || name == "keep-alive" || name == "proxy-connection"
+}
+
 /// A failed answer's body.
 pub fn failure_body(failure: &Failure) -> String {
     let row = failure.kind.row();
