--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -35,7 +35,8 @@
   --check            Check the settings and end
 
 SIGTERM or SIGINT ends the box after everything in progress is finished; a
-second one ends it at once. SIGHUP reads the settings again.
+second one ends it at once. SIGHUP cuts nothing and is noted in the log;
+changed settings count from the next start.
 ";
 
 /// Log levels where none are asked for.
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -368,7 +368,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Stop => self.begin_stop(),
-            Event::Reload => log::info!("event=reload changed=none"),
+            Event::Reload => log::info!("event=reload settings=\"count from the next start\""),
             Event::StoreBack => self.facts.store_is_back(Instant::now()),
             Event::RecordLost => {}
         }
