directory: a region without boxes is sent where its requests may run

Boxes were stopped in turn, both of one region overlapped, and the directory named every other box for five seconds. Ruled out: hops (they keep to homes), leases (the records were right).

A caller without a box in its region is now sent to regions where all routes of the host may run, and the answer holds for a second.

--- a/lib/src/gateway/directory.rs
+++ b/lib/src/gateway/directory.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderValue;
 use http::Request;
@@ -21,6 +22,9 @@
 
 /// Most boxes in one answer.
 const MAX_BOXES: usize = 64;
+/// How long callers keep an answer that names boxes of other regions only: boxes of their own are
+/// back within seconds.
+const FAR_LIFE: Duration = Duration::from_secs(1);
 /// Fewest boxes of a failure domain that are named alone: with fewer, the loss of one leaves none.
 const ENOUGH: usize = 2;
 
@@ -46,33 +50,48 @@
     let Some(question) = shared.adapter.question(request.method(), request.uri()) else {
         return status(StatusCode::NOT_FOUND);
     };
-    let addresses = addresses(&shared.snapshot.load(), &own, &question);
-    let body = shared.adapter.directory(&addresses, shared.settings.directory_life);
+    let (addresses, near) = addresses(&shared.snapshot.load(), &own, &question);
+    let life = if near { shared.settings.directory_life } else { FAR_LIFE };
+    let body = shared.adapter.directory(&addresses, life);
     let mut response = Response::new(Answer::whole(body));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     response
 }
 
-/// The boxes for a caller: of its failure domain, else of its region, else any.
-pub fn addresses(snapshot: &Snapshot, own: &BoxRecord, question: &Question) -> Vec<SocketAddr> {
+/// The boxes for a caller, and whether they stand in its region: those of its failure domain,
+/// else of its region, else of regions where all that it may ask for can run, else any.
+pub fn addresses(
+    snapshot: &Snapshot,
+    own: &BoxRecord,
+    question: &Question,
+) -> (Vec<SocketAddr>, bool) {
     let mut serving: Vec<&BoxRecord> =
         snapshot.boxes.iter().filter(|record| !record.leaving).collect();
     if snapshot.stage == Stage::Serving {
         serving.push(own);
     }
-    let near = |record: &&&BoxRecord| record.failure_domain == question.failure_domain;
-    let in_region = |record: &&&BoxRecord| record.region == question.region;
-    let near: Vec<_> = serving.iter().filter(near).collect();
-    let in_region: Vec<_> = serving.iter().filter(in_region).collect();
-    let chosen = if near.len() >= ENOUGH {
-        near
-    } else if !in_region.is_empty() {
-        in_region
-    } else {
-        serving.iter().collect()
-    };
-    chosen.into_iter().take(MAX_BOXES).map(|record| record.callers).collect()
+    let near = callers(&serving, |record| record.failure_domain == question.failure_domain);
+    if near.len() >= ENOUGH {
+        return (near, true);
+    }
+    let in_region = callers(&serving, |record| record.region == question.region);
+    if !in_region.is_empty() {
+        return (in_region, true);
+    }
+    let routing = snapshot.routing.as_ref();
+    let at_home = callers(&serving, |record| {
+        routing.is_none_or(|routing| routing.all_allow(&question.host, &record.region))
+    });
+    if !at_home.is_empty() {
+        return (at_home, false);
+    }
+    (callers(&serving, |_| true), false)
+}
+
+fn callers(serving: &[&BoxRecord], wanted: impl Fn(&BoxRecord) -> bool) -> Vec<SocketAddr> {
+    let wanted = serving.iter().filter(|record| wanted(record));
+    wanted.take(MAX_BOXES).map(|record| record.callers).collect()
 }
 
 fn status(status: StatusCode) -> Response<Passed> {
--- a/lib/src/protocol/adapter.rs
+++ b/lib/src/protocol/adapter.rs
@@ -74,6 +74,8 @@
 /// A question of a caller that looks for a box.
 #[derive(Clone, Debug, Default)]
 pub struct Question {
+    /// Host that the caller wants to reach.
+    pub host: String,
     /// Region of the caller.
     pub region: String,
     /// Failure domain of the caller.
--- a/lib/src/protocol/routing.rs
+++ b/lib/src/protocol/routing.rs
@@ -149,6 +149,12 @@
         routes.filter(runs).count()
     }
 
+    /// Whether all routes of a host may run in a region.
+    pub fn all_allow(&self, host: &str, region: &str) -> bool {
+        let routes = self.hosts.get(host);
+        routes.is_none_or(|routes| routes.iter().all(|route| route.allows(region)))
+    }
+
     /// The route of a request, if there is one.
     pub fn find(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
         let routes = self.hosts.get(host)?;
--- /dev/null
+++ b/lib/tests/test_directory.rs
@@ -0,0 +1,91 @@
+//! Which boxes the directory names.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use copperweir_lib::coordination::drain::Stage;
+use copperweir_lib::gateway::directory::addresses;
+use copperweir_lib::gateway::shared::Snapshot;
+use copperweir_lib::protocol::adapter::Question;
+use copperweir_lib::protocol::fleet::BoxRecord;
+use copperweir_lib::protocol::routing::Limits;
+use copperweir_lib::protocol::routing::Method;
+use copperweir_lib::protocol::routing::Route;
+use copperweir_lib::protocol::routing::Routing;
+
+fn record(number: u8, region: &str, leaving: bool) -> BoxRecord {
+    BoxRecord {
+        name: format!("b{number}"),
+        incarnation: 1,
+        region: region.to_owned(),
+        failure_domain: format!("hall-{region}"),
+        callers: address(number),
+        peers: ([10, 0, 0, number], 81).into(),
+        leaving,
+        weight: 1.0,
+    }
+}
+
+fn address(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 80).into()
+}
+
+fn snapshot(boxes: Vec<BoxRecord>, homes: &[&str]) -> Snapshot {
+    let route = Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        method: Method::Safe,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_secs(1),
+        priority: 0,
+        services: vec![("s".to_owned(), 1)],
+        max_attempts: 1,
+        resumable: false,
+        homes: homes.iter().map(|home| (*home).to_owned()).collect(),
+    };
+    let routing = Routing::new(1, vec![route], BTreeMap::new(), Limits::default());
+    Snapshot {
+        routing: Some(Arc::new(routing)),
+        fleet: boxes.len() + 1,
+        boxes,
+        slots: HashMap::new(),
+        order: HashMap::new(),
+        stage: Stage::Serving,
+    }
+}
+
+fn question(region: &str) -> Question {
+    Question {
+        host: "h".to_owned(),
+        region: region.to_owned(),
+        failure_domain: format!("hall-{region}"),
+    }
+}
+
+#[test]
+fn living_boxes_of_the_region_are_named() {
+    let boxes =
+        vec![record(2, "north", false), record(3, "north", true), record(4, "south", false)];
+    let named = addresses(&snapshot(boxes, &[]), &record(1, "north", false), &question("north"));
+    assert_eq!(named, (vec![address(2), address(1)], true));
+}
+
+#[test]
+fn a_region_without_a_box_is_sent_where_its_requests_may_run() {
+    let boxes = vec![record(2, "north", true), record(3, "south", false), record(4, "west", false)];
+    let snapshot = snapshot(boxes, &["north", "south"]);
+    let named = addresses(&snapshot, &record(1, "west", false), &question("north"));
+    assert_eq!(named, (vec![address(3)], false));
+}
+
+#[test]
+fn any_box_is_better_than_none() {
+    let boxes = vec![record(4, "west", false)];
+    let snapshot = snapshot(boxes, &["north"]);
+    let named = addresses(&snapshot, &record(1, "west", false), &question("north"));
+    assert_eq!(named, (vec![address(4), address(1)], false));
+}
