--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -28,7 +28,7 @@
 
 Options:
   --settings <file>  Settings as the platform lays them down; default: the
-                     path in COPPERWEIR_BOOT
+                     file that the platform names in the environment
   --metrics <port>   Port for metrics; default: the second of the ports that
                      the settings leave free
   --log <levels>     Log levels in the logger's form; default: info
