transport: one exchange with a platform behind both store clients

Sending a call and telling failures without effect from those that may have had one stood twice, in store.rs and platform.rs. It is one function now; tests unchanged, those of lib and platform/ pass.

--- a/lib/src/transport/platform.rs
+++ b/lib/src/transport/platform.rs
@@ -6,16 +6,14 @@
 
 use bytes::Bytes;
 use http::Method;
-use http::Request;
 use http::StatusCode;
-use http::header;
-use http_body_util::Full;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-use super::backend::Attempt;
 use super::backend::Client;
+use super::store;
+use crate::protocol::adapter;
 use crate::protocol::platform::BoxList;
 use crate::protocol::platform::Directory;
 use crate::protocol::platform::Entry;
@@ -85,30 +83,10 @@
     }
 
     async fn send(&self, call: Call) -> Result<(StatusCode, Bytes), PlatformError> {
-        let body = call.body.map(|body| body.to_string()).unwrap_or_default();
-        let request = Request::builder()
-            .method(call.method)
-            .uri(call.path)
-            .header(header::HOST, self.address.to_string())
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
         let timeout = call.wait + CALL_TIMEOUT;
-        let answer = tokio::time::timeout(timeout, self.client.fetch(self.address, request)).await;
-        let response = match answer {
-            Err(_) => return Err(PlatformError::Lost("no answer in time".to_owned())),
-            Ok(Err(Attempt::Unsent(text))) => return Err(PlatformError::Unreachable(text)),
-            Ok(Err(Attempt::Lost(text))) => return Err(PlatformError::Lost(text)),
-            Ok(Ok(response)) => response,
-        };
-        match response.status() {
-            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Limited),
-            StatusCode::SERVICE_UNAVAILABLE => {
-                Err(PlatformError::Unreachable("the platform is out of service".to_owned()))
-            }
-            status if status.is_server_error() => Err(PlatformError::Lost(status.to_string())),
-            status => Ok((status, response.into_body())),
-        }
+        let body = call.body.map(|body| body.to_string()).unwrap_or_default();
+        let call = adapter::Call { method: call.method, path: call.path, body: body.into() };
+        store::exchange(&self.client, self.address, call, timeout).await
     }
 
     async fn find(&self, call: Call) -> Result<Option<Entry>, PlatformError> {
--- a/lib/src/transport/store.rs
+++ b/lib/src/transport/store.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
 use http::header;
@@ -14,6 +15,7 @@
 use super::backend;
 use super::backend::Attempt;
 use crate::protocol::adapter::Answer;
+use crate::protocol::adapter::Call;
 use crate::protocol::adapter::Codec;
 use crate::protocol::adapter::Operation;
 use crate::protocol::platform::PlatformError;
@@ -71,31 +73,42 @@
 
     async fn send(&self, operation: &Operation) -> Result<Answer, PlatformError> {
         let call = self.codec.encode(operation);
-        let request = Request::builder()
-            .method(call.method)
-            .uri(call.path)
-            .header(header::HOST, self.address.to_string())
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(call.body))
-            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
         let timeout = match operation {
             Operation::Watch { wait, .. } => *wait + CALL_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
-        let answer = tokio::time::timeout(timeout, self.http.fetch(self.address, request)).await;
-        let response = match answer {
-            Err(_) => return Err(PlatformError::Lost("no answer in time".to_owned())),
-            Ok(Err(Attempt::Unsent(text))) => return Err(PlatformError::Unreachable(text)),
-            Ok(Err(Attempt::Lost(text))) => return Err(PlatformError::Lost(text)),
-            Ok(Ok(response)) => response,
-        };
-        match response.status() {
-            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Limited),
-            StatusCode::SERVICE_UNAVAILABLE => {
-                Err(PlatformError::Unreachable("the store is out of service".to_owned()))
-            }
-            status if status.is_server_error() => Err(PlatformError::Lost(status.to_string())),
-            status => self.codec.decode(operation, status, response.body()),
+        let (status, body) = exchange(&self.http, self.address, call, timeout).await?;
+        self.codec.decode(operation, status, &body)
+    }
+}
+
+/// Makes one call to a platform and tells failures apart: those that certainly had no effect
+/// from those that may have had one.
+pub(super) async fn exchange(
+    http: &backend::Client,
+    address: SocketAddr,
+    call: Call,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), PlatformError> {
+    let request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(call.body))
+        .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+    let response = match tokio::time::timeout(timeout, http.fetch(address, request)).await {
+        Err(_) => return Err(PlatformError::Lost("no answer in time".to_owned())),
+        Ok(Err(Attempt::Unsent(text))) => return Err(PlatformError::Unreachable(text)),
+        Ok(Err(Attempt::Lost(text))) => return Err(PlatformError::Lost(text)),
+        Ok(Ok(response)) => response,
+    };
+    match response.status() {
+        StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Limited),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            Err(PlatformError::Unreachable("the platform is out of service".to_owned()))
         }
+        status if status.is_server_error() => Err(PlatformError::Lost(status.to_string())),
+        status => Ok((status, response.into_body())),
     }
 }
