--- a/lib/src/coordination/mix.rs
+++ b/lib/src/coordination/mix.rs
@@ -15,6 +15,9 @@
 /// Part of the shared text that is taken to be read anew; most of it is kept at its engine.
 const READ_ANEW: f64 = 0.25;
 
+/// Steps in which engines are divided, as a part of them: what the averages of boxes differ by.
+const STEP: f64 = 1.0 / 16.0;
+
 /// Part of the way to another box's averages that each word of it moves these: boxes agree
 /// within a second, and none of them decides alone.
 const YIELDING: f64 = 0.1;
@@ -69,13 +72,36 @@
         self.seen = self.seen.max(part * other.seen).min(MEMORY);
     }
 
+    /// Part of the reading that long prompts are; 0 if there were none.
+    pub fn long_share(&self) -> f64 {
+        let total = self.long_reading + self.short_reading;
+        if total > 0.0 { self.long_reading / total } else { 0.0 }
+    }
+}
+
+/// How the engines of a service are divided. It follows the mix in steps and only when that
+/// has clearly moved: each change moves shared texts to other engines.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Division {
+    /// Part of the engines that is set aside for long prompts.
+    share: f64,
+}
+
+impl Division {
+    /// Follows the mix.
+    pub fn follow(&mut self, mix: &Mix) {
+        let wanted = mix.long_share();
+        if (wanted - self.share).abs() > STEP || wanted <= 0.0 {
+            self.share = (wanted / STEP).round() * STEP;
+        }
+    }
+
     /// How many of the engines are set aside for long prompts.
     pub fn set_aside(&self, engines: usize) -> usize {
-        if engines < 2 || self.long_reading <= 0.0 {
+        if engines < 2 || self.share <= 0.0 {
             return 0;
         }
-        let total = self.long_reading + self.short_reading;
-        let share = self.long_reading / total * engines as f64;
-        (share.round() as usize).clamp(1, engines - 1)
+        let count = self.share * engines as f64;
+        (count.round() as usize).clamp(1, engines - 1)
     }
 }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -25,6 +25,7 @@
 use crate::coordination::drain;
 use crate::coordination::drain::Drain;
 use crate::coordination::drain::Stage;
+use crate::coordination::mix::Division;
 use crate::coordination::mix::Mix;
 use crate::coordination::placement::Placement;
 use crate::coordination::retries::Budget;
@@ -431,6 +432,7 @@
                 let state = services.entry(name.clone()).or_insert_with(|| Service {
                     placement: Placement::default(),
                     mix: Mix::default(),
+                    division: Division::default(),
                     budget: Budget::new(settings.retries, now),
                 });
                 let servers = known.remove(name).unwrap_or_default();
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -254,7 +254,8 @@
     let engines = job.snapshot.order.get(&job.service).map_or(0, Vec::len);
     let prompt = shared.with_service(&job.service, |service| {
         let long = service.mix.observe(&job.ask.parts);
-        Prompt { long, set_aside: service.mix.set_aside(engines) }
+        service.division.follow(&service.mix);
+        Prompt { long, set_aside: service.division.set_aside(engines) }
     });
     prompt.unwrap_or_default()
 }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use crate::coordination::candidate::Outcome;
 use crate::coordination::drain::Stage;
 use crate::coordination::loads::Loads;
+use crate::coordination::mix::Division;
 use crate::coordination::mix::Mix;
 use crate::coordination::placement::Place;
 use crate::coordination::placement::Placement;
@@ -55,6 +56,8 @@
     pub placement: Placement,
     /// The prompts that it gets.
     pub mix: Mix,
+    /// How its servers are divided among long and short prompts.
+    pub division: Division,
     /// Sends beyond the first.
     pub budget: Budget,
 }
