--- a/lib/src/coordination/mix.rs
+++ b/lib/src/coordination/mix.rs
@@ -15,6 +15,11 @@
 /// Part of the shared text that is taken to be read anew; most of it is kept at its engine.
 const READ_ANEW: f64 = 0.25;
 
+/// Weight of the newest count of running requests, at least: they change within seconds.
+const RUNNING_NEWEST: f64 = 0.01;
+/// Reading of long prompts against the same reading of short ones: one long prompt makes all
+/// that run beside it pause, while short ones are read between two tokens.
+const HARM: f64 = 2.0;
 /// Steps in which engines are divided, as a part of them: what the averages of boxes differ by.
 const STEP: f64 = 1.0 / 16.0;
 
@@ -37,11 +42,15 @@
     /// The same for short ones.
     #[prost(double, tag = "4")]
     short_reading: f64,
+    /// Short requests that a box has on servers.
+    #[prost(double, tag = "5")]
+    short_running: f64,
 }
 
 impl Mix {
-    /// Takes a prompt into account; says whether it is a long one.
-    pub fn observe(&mut self, parts: &[Part]) -> bool {
+    /// Takes a prompt into account, and how many short ones this box has on servers; says
+    /// whether it is a long one.
+    pub fn observe(&mut self, parts: &[Part], short_running: u32) -> bool {
         let Some((own, shared)) = parts.split_last() else { return false };
         let shared: f64 = shared.iter().map(|part| f64::from(part.tokens)).sum();
         let own = f64::from(own.tokens);
@@ -54,13 +63,16 @@
         let (to_long, to_short) = if long { (reading, 0.0) } else { (0.0, reading) };
         self.long_reading += newest * (to_long - self.long_reading);
         self.short_reading += newest * (to_short - self.short_reading);
+        let newest = newest.max(RUNNING_NEWEST);
+        self.short_running += newest * (f64::from(short_running) - self.short_running);
         long
     }
 
     /// Another box's averages.
     pub fn hear(&mut self, other: &Mix) {
-        let numbers = [other.seen, other.log_length, other.long_reading, other.short_reading];
-        if other.seen < 1.0 || numbers.iter().any(|number| !number.is_finite()) {
+        let Mix { seen, log_length, long_reading, short_reading, short_running } = *other;
+        let numbers = [seen, log_length, long_reading, short_reading, short_running];
+        if seen < 1.0 || numbers.iter().any(|number| !number.is_finite()) {
             return;
         }
         // A box that has seen little takes over what another knows.
@@ -69,13 +81,22 @@
         self.log_length += part * (other.log_length - self.log_length);
         self.long_reading += part * (other.long_reading - self.long_reading);
         self.short_reading += part * (other.short_reading - self.short_reading);
+        self.short_running += part * (other.short_running - self.short_running);
         self.seen = self.seen.max(part * other.seen).min(MEMORY);
     }
 
-    /// Part of the reading that long prompts are; 0 if there were none.
-    pub fn long_share(&self) -> f64 {
-        let total = self.long_reading + self.short_reading;
-        if total > 0.0 { self.long_reading / total } else { 0.0 }
+    /// Part of the engines that long prompts should have: more than their part of the reading,
+    /// as long as the short ones have slots for all that they run. `slots` are those of all
+    /// engines, for `boxes`.
+    pub fn long_share(&self, slots: f64, boxes: usize) -> f64 {
+        if self.long_reading <= 0.0 {
+            return 0.0;
+        }
+        let harm = self.long_reading * HARM;
+        let wanted = harm / (harm + self.short_reading);
+        let left_by_short = 1.0 - self.short_running * boxes as f64 / slots.max(1.0);
+        let least = self.long_reading / (self.long_reading + self.short_reading);
+        wanted.min(left_by_short).max(least)
     }
 }
 
@@ -88,9 +109,8 @@
 }
 
 impl Division {
-    /// Follows the mix.
-    pub fn follow(&mut self, mix: &Mix) {
-        let wanted = mix.long_share();
+    /// Follows the part that is wanted.
+    pub fn follow(&mut self, wanted: f64) {
         if (wanted - self.share).abs() > STEP || wanted <= 0.0 {
             self.share = (wanted / STEP).round() * STEP;
         }
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -91,6 +91,7 @@
     work: f64,
     chosen_at: Instant,
     waiting: bool,
+    long: bool,
 }
 
 /// Why there is no place.
@@ -106,6 +107,8 @@
 #[derive(Default)]
 pub struct Placement {
     servers: BTreeMap<ServerId, Candidate>,
+    /// Requests of this box with short prompts.
+    short_running: u32,
     sharers: usize,
     max_connections: f64,
 }
@@ -193,6 +196,7 @@
     ) -> Place {
         let candidate = self.servers.get_mut(&id).expect("chosen from the same map");
         candidate.take(demand.parts, work, now);
+        self.short_running += u32::from(!demand.long);
         Place {
             server: id,
             address: candidate.known.server.address,
@@ -203,6 +207,7 @@
             candidates,
             chosen_at: now,
             waiting: true,
+            long: demand.long,
         }
     }
 
@@ -218,6 +223,7 @@
 
     /// Gives a place back.
     pub fn finish(&mut self, place: &mut Place, outcome: Outcome, now: Instant) {
+        self.short_running = self.short_running.saturating_sub(u32::from(!place.long));
         let Some(candidate) = self.servers.get_mut(&place.server) else { return };
         if std::mem::take(&mut place.waiting) {
             candidate.read(place.unread);
@@ -234,6 +240,11 @@
         }
     }
 
+    /// Requests of this box with short prompts that are on servers.
+    pub fn short_running(&self) -> u32 {
+        self.short_running
+    }
+
     /// What this box has on each server, by the hash of its name.
     pub fn own_loads(&self) -> impl Iterator<Item = (u64, Load)> {
         let busy = self.servers.values().filter(|candidate| candidate.in_flight > 0);
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -1,6 +1,7 @@
 //! Requests of callers and of other boxes, from the head to the answer.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use http::HeaderValue;
 use http::Request;
@@ -18,6 +19,7 @@
 use super::run::Course;
 use super::shared::Progress;
 use super::shared::Shared;
+use super::stream::Pace;
 use super::stream::Relay;
 use crate::coordination::drain::Stage;
 use crate::error::Failure;
@@ -89,9 +91,10 @@
             Answer::whole(bytes)
         }
         Payload::Stream(stream) => {
-            shared.latencies.record(Timing::FirstEvent, job.arrived.elapsed());
+            let pace = Pace::begin(job.arrived, Instant::now());
+            shared.latencies.record(Timing::FirstEvent, pace.first);
             let shared = Arc::clone(shared);
-            let relay = Relay { shared, job, stream: *stream, course, progress };
+            let relay = Relay { shared, job, stream: *stream, course, progress, pace };
             Answer::Channel(relay.start())
         }
     };
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -6,6 +6,7 @@
 
 use super::job::Job;
 use super::run::Course;
+use super::stream::Pace;
 use crate::coordination::placement::Place;
 use crate::error::Failure;
 use crate::transport::body::Cut;
@@ -125,16 +126,24 @@
 }
 
 /// A stream ended, well or not.
-pub fn stream_ended(job: &Job, course: &Course, server: Option<&str>, ended: &Result<(), Cut>) {
+pub fn stream_ended(
+    job: &Job,
+    course: &Course,
+    server: Option<&str>,
+    pace: &Pace,
+    ended: &Result<(), Cut>,
+) {
     let cause = ended.as_ref().err().map_or(String::new(), |cut| format!(" cause=\"{cut}\""));
     log::info!(
         target: TARGET,
-        "event=stream_ended request={} route={} server={} whole={} sends={} age_ms={}{cause}",
+        "event=stream_ended request={} route={} server={} whole={} sends={} first_ms={} pause_ms={} age_ms={}{cause}",
         job.ask.id,
         job.route.name,
         server.unwrap_or("-"),
         ended.is_ok(),
         course.sends,
+        pace.first.as_millis(),
+        pace.longest_pause.as_millis(),
         age(job),
     );
 }
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -252,9 +252,11 @@
         return Prompt { long: set_aside > 0, set_aside };
     }
     let engines = job.snapshot.order.get(&job.service).map_or(0, Vec::len);
+    let slots = job.snapshot.slots.get(&job.service);
+    let slots = slots.map_or(0.0, |slots| slots.values().copied().map(f64::from).sum());
     let prompt = shared.with_service(&job.service, |service| {
-        let long = service.mix.observe(&job.ask.parts);
-        service.division.follow(&service.mix);
+        let long = service.mix.observe(&job.ask.parts, service.placement.short_running());
+        service.division.follow(service.mix.long_share(slots, job.snapshot.fleet));
         Prompt { long, set_aside: service.division.set_aside(engines) }
     });
     prompt.unwrap_or_default()
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -107,6 +108,33 @@
     pub course: run::Course,
     /// Counts the request as in progress.
     pub progress: Progress<A>,
+    /// How the events came.
+    pub pace: Pace,
+}
+
+/// When the events of a stream came, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// From the request to the first event.
+    pub first: Duration,
+    /// Longest time from one event to the next.
+    pub longest_pause: Duration,
+    last_at: Instant,
+}
+
+impl Pace {
+    /// The first event has come.
+    pub fn begin(arrived: Instant, now: Instant) -> Pace {
+        let first = now.saturating_duration_since(arrived);
+        Pace { first, longest_pause: Duration::ZERO, last_at: now }
+    }
+
+    /// Another event has come.
+    pub fn event(&mut self, now: Instant) {
+        let pause = now.saturating_duration_since(self.last_at);
+        self.longest_pause = self.longest_pause.max(pause);
+        self.last_at = now;
+    }
 }
 
 impl<A: Adapter> Relay<A> {
@@ -133,7 +161,7 @@
             Err(Cut::GivenUp) => counters.count(Counter::CallerGone),
             Err(_) => counters.count(Counter::Cut),
         }
-        record::stream_ended(&self.job, &self.course, self.stream.server(), &ended);
+        record::stream_ended(&self.job, &self.course, self.stream.server(), &self.pace, &ended);
         // The caller may be gone already.
         let _ = match ended {
             Ok(()) => caller.send(None).await,
@@ -148,6 +176,7 @@
             match self.stream.next().await {
                 Ok(Some(events)) => {
                     last_id = self.stream.last_id().or(last_id);
+                    self.pace.event(Instant::now());
                     if caller.send(Some(Ok(events))).await.is_err() {
                         return Err(Cut::GivenUp);
                     }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -10,6 +10,7 @@
 use copperweir_lib::coordination::loads::Load;
 use copperweir_lib::coordination::loads::Loads;
 use copperweir_lib::coordination::loads::Report;
+use copperweir_lib::coordination::mix::Division;
 use copperweir_lib::coordination::mix::Mix;
 use copperweir_lib::coordination::placement::Blocked;
 use copperweir_lib::coordination::placement::Demand;
@@ -295,21 +296,58 @@
     assert!(budget.repeat(1, now));
 }
 
+/// Engines of 10 slots that one box sets aside.
+fn set_aside(mix: &Mix, engines: usize) -> usize {
+    let mut division = Division::default();
+    division.follow(mix.long_share(10.0 * engines as f64, 1));
+    division.set_aside(engines)
+}
+
+#[test]
+fn short_requests_that_run_keep_slots_for_themselves() {
+    let short = [Part { id: 1, tokens: 90 }, Part { id: 2, tokens: 300 }];
+    let mut idle = Mix::default();
+    let mut busy = Mix::default();
+    for number in 0..1000 {
+        let parts = if number % 25 == 0 { &prompt(9) } else { &short[..] };
+        idle.observe(parts, 0);
+        busy.observe(parts, 60);
+    }
+    let (idle, busy) = (set_aside(&idle, 12), set_aside(&busy, 12));
+    assert!(busy < idle, "{busy} of 12 beside 60 short ones in 120 slots, {idle} beside none");
+    assert!(busy > 0);
+}
+
+#[test]
+fn the_division_of_engines_moves_in_steps() {
+    let mut division = Division::default();
+    division.follow(0.5);
+    assert_eq!(division.set_aside(64), 32);
+    for wanted in [0.55, 0.46, 0.52] {
+        division.follow(wanted);
+        assert_eq!(division.set_aside(64), 32, "{wanted} is within a step");
+    }
+    division.follow(0.6);
+    assert_eq!(division.set_aside(64), 40);
+    division.follow(0.0);
+    assert_eq!(division.set_aside(64), 0);
+}
+
 #[test]
 fn long_prompts_are_told_from_short_ones() {
     let mut mix = Mix::default();
     let short = [Part { id: 1, tokens: 90 }, Part { id: 2, tokens: 300 }];
     for _ in 0..100 {
-        assert!(!mix.observe(&short));
+        assert!(!mix.observe(&short, 0));
     }
-    assert_eq!(mix.set_aside(12), 0, "nothing is set aside for what never comes");
+    assert_eq!(set_aside(&mix, 12), 0, "nothing is set aside for what never comes");
     for _ in 0..4 {
-        assert!(mix.observe(&prompt(9)));
-        (0..25).for_each(|_| assert!(!mix.observe(&short)));
+        assert!(mix.observe(&prompt(9), 0));
+        (0..25).for_each(|_| assert!(!mix.observe(&short, 0)));
     }
-    let set_aside = mix.set_aside(12);
-    assert!((1..12).contains(&set_aside), "{set_aside}");
-    assert_eq!(mix.set_aside(1), 0, "a single server serves all");
+    let count = set_aside(&mix, 12);
+    assert!((1..12).contains(&count), "{count}");
+    assert_eq!(set_aside(&mix, 1), 0, "a single server serves all");
 }
 
 #[test]
@@ -319,13 +357,13 @@
     let short = [Part { id: 2, tokens: 300 }];
     let long = prompt(9);
     (0..200).for_each(|number| {
-        one.observe(if number % 20 == 0 { &long } else { &short });
-        other.observe(if number % 60 == 0 { &long } else { &short });
+        one.observe(if number % 20 == 0 { &long } else { &short }, 0);
+        other.observe(if number % 60 == 0 { &long } else { &short }, 0);
     });
     for _ in 0..60 {
         let told = one;
         one.hear(&other);
         other.hear(&told);
     }
-    assert_eq!(one.set_aside(40), other.set_aside(40));
+    assert_eq!(set_aside(&one, 40), set_aside(&other, 40));
 }
