--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -135,7 +135,7 @@
         let outbound = Outbound {
             left: self.left(Instant::now()),
             instance,
-            priority: self.route.priority.min(9),
+            priority: 5,
             last_event,
         };
         let mut request = self.request();
