--- a/lib/src/coordination/mix.rs
+++ b/lib/src/coordination/mix.rs
@@ -100,6 +100,22 @@
     }
 }
 
+/// A prompt against the others of its service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Prompt {
+    /// Whether it is a long one.
+    pub long: bool,
+    /// How many engines, by rank, are set aside for long ones.
+    pub set_aside: usize,
+}
+
+impl Prompt {
+    /// Whether the engine of this rank is meant for such prompts.
+    pub fn is_in_place(&self, rank: usize) -> bool {
+        (rank < self.set_aside) == self.long
+    }
+}
+
 /// How the engines of a service are divided. It follows the mix in steps and only when that
 /// has clearly moved: each change moves shared texts to other engines.
 #[derive(Clone, Copy, Debug, Default)]
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -21,6 +21,7 @@
 use super::candidate::Work;
 use super::loads::Load;
 use super::loads::Loads;
+use super::mix::Prompt;
 use super::rendezvous;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Part;
@@ -45,21 +46,12 @@
     pub parts: &'a [Part],
     /// Servers that had the request already.
     pub tried: &'a [ServerId],
-    /// Whether its prompt is a long one.
-    pub long: bool,
-    /// How many engines, by rank, are set aside for long prompts.
-    pub set_aside: usize,
+    /// Its prompt against others.
+    pub prompt: Prompt,
     /// What other boxes have on the servers.
     pub loads: &'a Loads,
 }
 
-impl Demand<'_> {
-    /// Whether a server is meant for prompts of this kind.
-    fn is_in_place(&self, known: &Known) -> bool {
-        (known.rank < self.set_aside) == self.long
-    }
-}
-
 /// Which servers are looked at. Those that failed lately come last: they are only better
 /// than a refusal.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -169,7 +161,7 @@
                 // A little chance, so that boxes with equal views do not all choose alike.
                 let cost = candidate.cost(work, usual) * (1.0 + 0.02 * rng.random::<f64>());
                 let cost =
-                    if demand.is_in_place(&candidate.known) { cost } else { cost * OUT_OF_PLACE };
+                    if demand.prompt.is_in_place(candidate.known.rank) { cost } else { cost * OUT_OF_PLACE };
                 if chosen.as_ref().is_none_or(|(least, ..)| cost < *least) {
                     chosen = Some((cost, id, work));
                 }
@@ -196,7 +188,7 @@
     ) -> Place {
         let candidate = self.servers.get_mut(&id).expect("chosen from the same map");
         candidate.take(demand.parts, work, now);
-        self.short_running += u32::from(!demand.long);
+        self.short_running += u32::from(!demand.prompt.long);
         Place {
             server: id,
             address: candidate.known.server.address,
@@ -207,7 +199,7 @@
             candidates,
             chosen_at: now,
             waiting: true,
-            long: demand.long,
+            long: demand.prompt.long,
         }
     }
 
@@ -254,13 +246,13 @@
     /// The servers that are compared first, by their hashes; `None` for all. A long prompt
     /// stays at its homes; others go to any of a few.
     fn preferred(&self, demand: Demand<'_>, homes: &[u64], rng: &mut impl Rng) -> Option<Vec<u64>> {
-        if demand.long && !homes.is_empty() {
+        if demand.prompt.long && !homes.is_empty() {
             return Some(homes.to_vec());
         }
         let fitting: Vec<&Candidate> = self
             .servers
             .values()
-            .filter(|candidate| candidate.known.usable && demand.is_in_place(&candidate.known))
+            .filter(|candidate| candidate.known.usable && demand.prompt.is_in_place(candidate.known.rank))
             .collect();
         if fitting.len() <= FEW {
             return None;
@@ -284,7 +276,7 @@
         let Some(shared) = shared.first() else { return Vec::new() };
         let usable = self.servers.values().filter(|candidate| candidate.known.usable);
         let weight = |candidate: &Candidate| {
-            (demand.is_in_place(&candidate.known), rendezvous::mix(candidate.hash, shared.id))
+            (demand.prompt.is_in_place(candidate.known.rank), rendezvous::mix(candidate.hash, shared.id))
         };
         let mut weights: Vec<_> =
             usable.map(|candidate| (weight(candidate), candidate.hash)).collect();
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Uri;
@@ -19,6 +20,7 @@
 
 use super::shared::Shared;
 use super::shared::Snapshot;
+use crate::coordination::mix::Prompt;
 use crate::error::Failure;
 use crate::error::Kind;
 use crate::protocol::adapter::Adapter;
@@ -30,9 +32,12 @@
 use crate::protocol::routing::ServiceId;
 
 /// Marks a request that another box has passed on; it goes no further than this region. The
-/// value says how many engines are set aside for its kind of prompt, 0 if it is not a long one,
-/// so that both boxes have the same engines in mind.
+/// value says what its prompt is and how many engines are set aside for long ones, so that both
+/// boxes have the same engines in mind: `long 5`, `short 5`.
 pub const PASSED_ON: HeaderName = HeaderName::from_static("copperweir-passed-on");
+/// Words for a prompt in [`PASSED_ON`].
+const LONG: &str = "long";
+const SHORT: &str = "short";
 /// How often a box sent a request that it failed to get an answer to.
 pub const SENDS: HeaderName = HeaderName::from_static("copperweir-sends");
 /// How long a caller waits that does not say so.
@@ -53,8 +58,8 @@
     pub ask: Ask,
     /// Who sent it.
     pub origin: Origin,
-    /// For a long prompt from another box, how many engines are set aside for such.
-    pub set_aside: Option<usize>,
+    /// What the box that passed it on says of its prompt.
+    pub prompt: Option<Prompt>,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that runs it.
@@ -97,7 +102,10 @@
         Ok(Job {
             ask,
             origin,
-            set_aside: set_aside(&head.headers),
+            prompt: match origin {
+                Origin::Caller => None,
+                Origin::Peer => Some(read_prompt(&head.headers)),
+            },
             route,
             service,
             version: routing.version,
@@ -135,7 +143,7 @@
         let outbound = Outbound {
             left: self.left(Instant::now()),
             instance,
-            priority: 5,
+            priority: self.route.priority.min(9),
             last_event,
         };
         let mut request = self.request();
@@ -147,13 +155,13 @@
     pub fn for_peer<A: Adapter>(
         &self,
         adapter: &A,
-        set_aside: usize,
+        prompt: Prompt,
         last_event: Option<u64>,
     ) -> Request<http_body_util::Full<Bytes>> {
         let mut request = self.request();
         let headers = request.headers_mut();
         adapter.shorten(headers, self.left(Instant::now()));
-        headers.insert(PASSED_ON, set_aside.into());
+        headers.insert(PASSED_ON, write_prompt(prompt));
         if let Some(id) = last_event {
             headers.insert("last-event-id", id.into());
         }
@@ -169,9 +177,22 @@
     }
 }
 
-fn set_aside(headers: &HeaderMap) -> Option<usize> {
-    let count = headers.get(PASSED_ON)?.to_str().ok()?.parse().ok()?;
-    (count > 0).then_some(count)
+fn write_prompt(prompt: Prompt) -> HeaderValue {
+    let kind = if prompt.long { LONG } else { SHORT };
+    let value = format!("{kind} {}", prompt.set_aside);
+    HeaderValue::try_from(value).expect("a word and a number are a valid header")
+}
+
+fn read_prompt(headers: &HeaderMap) -> Prompt {
+    let value = headers.get(PASSED_ON).and_then(|value| value.to_str().ok());
+    let parsed = value.and_then(|value| {
+        let (kind, set_aside) = value.split_once(' ')?;
+        Some(Prompt { long: kind == LONG, set_aside: set_aside.parse().ok()? })
+    });
+    parsed.unwrap_or_else(|| {
+        log::warn!("event=unreadable_prompt value={value:?}");
+        Prompt::default()
+    })
 }
 
 fn routing(snapshot: &Snapshot) -> Result<Arc<Routing>, Failure> {
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -19,6 +19,7 @@
 use super::shared::Held;
 use super::shared::Shared;
 use super::shared::lock;
+use crate::coordination::mix::Prompt;
 use crate::coordination::placement::Blocked;
 use crate::coordination::placement::Demand;
 use crate::error::Failure;
@@ -52,15 +53,6 @@
     pub prompt: Prompt,
 }
 
-/// A prompt against the others of its service.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Prompt {
-    /// Whether it is a long one.
-    pub long: bool,
-    /// How many engines, by rank, are set aside for long ones.
-    pub set_aside: usize,
-}
-
 /// Where a request goes next.
 enum Target<A> {
     Server(Box<Held<A>>),
@@ -151,9 +143,7 @@
         Target::Peer(address) => {
             course.boxes.push(address);
             record::passed_on(job, course, address);
-            let Prompt { long, set_aside } = course.prompt;
-            let set_aside = if long { set_aside } else { 0 };
-            attempt::to_peer(shared, job, address, set_aside, after).await
+            attempt::to_peer(shared, job, address, course.prompt, after).await
         }
     };
     let failure = match tried {
@@ -190,12 +180,12 @@
         return Ok(Target::Peer(address));
     }
     let blocked = if here {
-        let Prompt { long, set_aside } = course.prompt;
+        let prompt = course.prompt;
         let now = Instant::now();
         let chosen = shared.with_service(&job.service, |service| {
             let loads = &lock(&shared.loads);
             let tried = &course.tried;
-            let demand = Demand { parts: &job.ask.parts, tried, long, set_aside, loads };
+            let demand = Demand { parts: &job.ask.parts, tried, prompt, loads };
             service.placement.choose(demand, now, &mut rand::rng())
         });
         match chosen {
@@ -247,9 +237,8 @@
 }
 
 fn observe<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job) -> Prompt {
-    if job.origin == Origin::Peer {
-        let set_aside = job.set_aside.unwrap_or(0);
-        return Prompt { long: set_aside > 0, set_aside };
+    if let Some(prompt) = job.prompt {
+        return prompt;
     }
     let engines = job.snapshot.order.get(&job.service).map_or(0, Vec::len);
     let slots = job.snapshot.slots.get(&job.service);
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -12,6 +12,7 @@
 use copperweir_lib::coordination::loads::Report;
 use copperweir_lib::coordination::mix::Division;
 use copperweir_lib::coordination::mix::Mix;
+use copperweir_lib::coordination::mix::Prompt;
 use copperweir_lib::coordination::placement::Blocked;
 use copperweir_lib::coordination::placement::Demand;
 use copperweir_lib::coordination::placement::Place;
@@ -64,7 +65,8 @@
 
     fn choose(&mut self, parts: &[Part], long: bool, set_aside: usize) -> Result<Place, Blocked> {
         let loads = &self.loads;
-        let demand = Demand { parts, tried: &[], long, set_aside, loads };
+        let prompt = Prompt { long, set_aside };
+        let demand = Demand { parts, tried: &[], prompt, loads };
         self.placement.choose(demand, self.now, &mut self.rng)
     }
 
