--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -37,7 +37,7 @@
 /// Homes of a shared part: one that keeps it, and one for when that is busy or gone.
 const HOMES: usize = 2;
 /// What a server costs more that is set aside for prompts of the other kind, as a factor.
-const OUT_OF_PLACE: f64 = 6.0;
+const OUT_OF_PLACE: f64 = 2.5;
 
 /// What is to be placed.
 #[derive(Clone, Copy, Debug)]
