--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -29,6 +29,9 @@
 const USUAL_SLOWNESS: f64 = 2.0;
 /// Weight of the newest observation in smoothed figures.
 const SMOOTHING: f64 = 0.15;
+/// What a server in another failure domain costs more, as a factor: bytes on the way there are
+/// dear, but not so dear that servers here should wait with much more work.
+const FAR: f64 = 1.25;
 /// Part of a shared text that counts as unread at its rendezvous server when this
 /// box has not sent it there: another box most likely has.
 const HOME_UNREAD: f64 = 0.1;
@@ -49,6 +52,8 @@
     pub cold_share: u32,
     /// Its place in the order in which engines are set aside for long prompts.
     pub rank: usize,
+    /// Whether it stands in the failure domain of this box.
+    pub near: bool,
 }
 
 /// How an exchange with a server ended.
@@ -183,7 +188,8 @@
             _ => 1.0,
         };
         let slowness = slowness.clamp(1.0, MAX_SLOWNESS);
-        (work.ahead + work.wasted) * slowness * (1.0 + FAILURE_COST * self.failing)
+        let distance = if self.known.near { 1.0 } else { FAR };
+        (work.ahead + work.wasted) * slowness * distance * (1.0 + FAILURE_COST * self.failing)
     }
 
     /// A request goes there.
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -53,9 +53,12 @@
 /// Longest wait of a watch. Each return costs a call; a connection that died unnoticed
 /// is found by then at the latest, and by a failed renewal much earlier.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Least time from one watch to the next: changes that come close together cost one call.
-/// The shortest of the users' bounds on following the store is some seconds.
-const WATCH_GAP: Duration = Duration::from_millis(700);
+/// Part of the store's reading calls that watches of all boxes may take while changes come close
+/// together; those within the pause that follows from it cost one call.
+const WATCH_PART: f64 = 0.01;
+/// Longest such pause, as a part of the time within which changes must count: a lost call leaves
+/// time for another.
+const LONGEST_WATCH_GAP: f64 = 0.3;
 /// Pause after a failed call.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between looks at what has been missing for long enough and at a stop's progress.
@@ -253,7 +256,7 @@
                 wait: WATCH_WAIT,
             };
             let store = self.store.clone();
-            let not_before = asked_at.map(|asked| asked + WATCH_GAP);
+            let not_before = asked_at.map(|asked| asked + self.watch_gap());
             let call = async {
                 if let Some(instant) = not_before {
                     tokio::time::sleep_until(instant.into()).await;
@@ -302,6 +305,14 @@
         }
     }
 
+    /// Least time from one watch to the next.
+    fn watch_gap(&self) -> Duration {
+        let settings = &self.shared.settings;
+        let fleet = self.shared.snapshot.load().fleet as f64;
+        let by_rate = fleet / (settings.store_reads * WATCH_PART).max(1.0);
+        Duration::from_secs_f64(by_rate).min(settings.follow_within.mul_f64(LONGEST_WATCH_GAP))
+    }
+
     fn changed(&mut self, change: Change) {
         let now = Instant::now();
         match change {
--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -330,6 +330,7 @@
                 usable: self.is_usable(entry),
                 cold_until: entry.cold_until,
                 cold_share: cold_share(view, service, server, &sharers),
+                near: server.failure_domain == view.own.failure_domain,
                 rank: order
                     .get(&server.service)
                     .and_then(|ranked| ranked.iter().position(|ranked| ranked.id == server.id))
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -52,6 +52,11 @@
     pub cold_slack: f64,
     /// Time between the request to stop and the end by force.
     pub stop_limit: Duration,
+    /// Longest time until a change in the store must count here: the least of the bounds on
+    /// configuration, leaving servers and evacuated failure domains.
+    pub follow_within: Duration,
+    /// Reading calls a second that the store allows all boxes together.
+    pub store_reads: f64,
     /// How long callers keep an answer of the directory at most.
     pub directory_life: Duration,
 }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -38,7 +38,7 @@
         cold_left: Duration::ZERO,
     };
     let server = Arc::new(server);
-    Known { server, usable: true, cold_until: None, cold_share: 2, rank: number }
+    Known { server, usable: true, cold_until: None, cold_share: 2, rank: number, near: true }
 }
 
 fn placement(count: usize, slots: u32, sharers: usize) -> Placement {
