regions: short prompts overflow into a region with room

A box tells one box of another region, beside the mix of prompts, how full the servers for short prompts are here; from 0.8 requests a slot on, a part of the requests goes to the emptiest region that is allowed.

--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -49,6 +49,15 @@
     /// What prompts the services get, in the order of their hashes.
     #[prost(message, repeated, tag = "8")]
     pub prompts: Vec<Mix>,
+    /// Region of the sender; only told to boxes of other regions, as what follows.
+    #[prost(string, tag = "9")]
+    pub region: String,
+    /// Requests on the servers of each service in that region.
+    #[prost(uint32, repeated, tag = "10")]
+    pub region_in_flight: Vec<u32>,
+    /// Slots of these servers.
+    #[prost(uint32, repeated, tag = "11")]
+    pub region_slots: Vec<u32>,
 }
 
 #[derive(Debug)]
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -24,6 +24,7 @@
 pub mod policy;
 pub mod pool;
 pub mod queue;
+pub mod regions;
 pub mod rendezvous;
 pub mod retries;
 pub mod rollout;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -22,6 +22,7 @@
 use super::loads::Load;
 use super::loads::Loads;
 use super::mix::Prompt;
+use super::regions::Fullness;
 use super::rendezvous;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Part;
@@ -39,6 +40,10 @@
 /// What a server costs more that is set aside for prompts of the other kind, as a factor.
 const OUT_OF_PLACE: f64 = 2.5;
 
+/// What such a server costs beyond that, tokens: a few running requests more or less are no
+/// reason to mix prompts of both kinds.
+const DISORDER: f64 = 1000.0;
+
 /// What is to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
@@ -160,8 +165,8 @@
                 let work = candidate.work(demand.parts, home, load, now);
                 // A little chance, so that boxes with equal views do not all choose alike.
                 let cost = candidate.cost(work, usual) * (1.0 + 0.02 * rng.random::<f64>());
-                let cost =
-                    if demand.prompt.is_in_place(candidate.known.rank) { cost } else { cost * OUT_OF_PLACE };
+                let in_place = demand.prompt.is_in_place(candidate.known.rank);
+                let cost = if in_place { cost } else { cost * OUT_OF_PLACE + DISORDER };
                 if chosen.as_ref().is_none_or(|(least, ..)| cost < *least) {
                     chosen = Some((cost, id, work));
                 }
@@ -232,6 +237,19 @@
         }
     }
 
+    /// How full the servers are that are meant for such prompts.
+    pub fn fullness(&self, prompt: Prompt, loads: &Loads) -> Fullness {
+        let unheard = self.sharers.saturating_sub(1 + loads.heard());
+        let mut fullness = Fullness::default();
+        for candidate in self.servers.values() {
+            if candidate.known.usable && prompt.is_in_place(candidate.known.rank) {
+                fullness.in_flight += f64::from(candidate.load(loads, unheard).in_flight);
+                fullness.slots += f64::from(candidate.known.server.slots);
+            }
+        }
+        fullness
+    }
+
     /// Requests of this box with short prompts that are on servers.
     pub fn short_running(&self) -> u32 {
         self.short_running
@@ -252,7 +270,9 @@
         let fitting: Vec<&Candidate> = self
             .servers
             .values()
-            .filter(|candidate| candidate.known.usable && demand.prompt.is_in_place(candidate.known.rank))
+            .filter(|candidate| {
+                candidate.known.usable && demand.prompt.is_in_place(candidate.known.rank)
+            })
             .collect();
         if fitting.len() <= FEW {
             return None;
@@ -276,7 +296,10 @@
         let Some(shared) = shared.first() else { return Vec::new() };
         let usable = self.servers.values().filter(|candidate| candidate.known.usable);
         let weight = |candidate: &Candidate| {
-            (demand.prompt.is_in_place(candidate.known.rank), rendezvous::mix(candidate.hash, shared.id))
+            (
+                demand.prompt.is_in_place(candidate.known.rank),
+                rendezvous::mix(candidate.hash, shared.id),
+            )
         };
         let mut weights: Vec<_> =
             usable.map(|candidate| (weight(candidate), candidate.hash)).collect();
--- a/lib/src/gateway/elsewhere.rs
+++ b/lib/src/gateway/elsewhere.rs
@@ -1,13 +1,16 @@
 //! Which box of another region gets a request that cannot run here.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
+use rand::Rng;
 use rand::seq::IndexedRandom;
 
 use super::job::Job;
 use super::job::Origin;
 use super::run::Course;
 use super::shared::Shared;
+use super::shared::lock;
 use crate::coordination::rendezvous;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
@@ -41,6 +44,33 @@
     chosen.choose(&mut rand::rng()).map(|other| other.peers)
 }
 
+/// A box of a region that has room while the servers here are full, for a part of the requests.
+/// Long prompts follow their texts instead, and later sends go where there is any place.
+pub fn overflow<A: Adapter>(
+    shared: &Shared<A>,
+    job: &Job,
+    course: &Course,
+    now: Instant,
+) -> Option<SocketAddr> {
+    let first = course.tried.is_empty() && course.boxes.is_empty();
+    if !first || job.origin == Origin::Peer || course.prompt.long {
+        return None;
+    }
+    let own = shared.with_service(&job.service, |service| {
+        service.placement.fullness(course.prompt, &lock(&shared.loads))
+    })?;
+    let service = rendezvous::weight(&job.service, "");
+    let regions = lock(&shared.regions);
+    let (region, part) = regions.overflow(service, own, |region| job.route.allows(region), now)?;
+    if rand::rng().random::<f64>() >= part {
+        return None;
+    }
+    let boxes = job.snapshot.boxes.iter();
+    let there: Vec<&BoxRecord> =
+        boxes.filter(|other| other.region == region && !other.leaving).collect();
+    there.choose(&mut rand::rng()).map(|other| other.peers)
+}
+
 /// Chooses a region by the slots that may get work there, and one of its boxes.
 pub fn choose<A: Adapter>(
     shared: &Shared<A>,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -126,6 +126,7 @@
             items: Mutex::default(),
             services: Mutex::default(),
             loads: Mutex::default(),
+            regions: Mutex::default(),
             servers: backend::Client::new(SERVER_CONNECT),
             peers: backend::Client::new(PEER_CONNECT),
             in_flight: AtomicUsize::new(0),
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -179,6 +179,9 @@
     if let Some(address) = elsewhere::home(shared, job, course) {
         return Ok(Target::Peer(address));
     }
+    if let Some(address) = elsewhere::overflow(shared, job, course, Instant::now()) {
+        return Ok(Target::Peer(address));
+    }
     let blocked = if here {
         let prompt = course.prompt;
         let now = Instant::now();
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use crate::coordination::mix::Mix;
 use crate::coordination::placement::Place;
 use crate::coordination::placement::Placement;
+use crate::coordination::regions::Regions;
 use crate::coordination::retries::Budget;
 pub use crate::daemon::shared::lock;
 use crate::protocol::Incarnation;
@@ -78,6 +79,8 @@
     pub services: Mutex<HashMap<ServiceId, Service>>,
     /// What other boxes have on these servers. Locked after `services`, never before.
     pub loads: Mutex<Loads>,
+    /// How full the servers of other regions are.
+    pub regions: Mutex<Regions>,
     /// Connections to backend servers.
     pub servers: backend::Client,
     /// Connections to other boxes.
