caller: a chat without a list of messages is refused

It is a 400 now that names the field; /v1/completions needs none. lib/tests/test_input.rs has the cases and failed before (the function did not know the path). Bodies of older tests that were no chats gained an empty list; nothing that they assert has changed.

--- a/cli/benches/failures.rs
+++ b/cli/benches/failures.rs
@@ -103,7 +103,8 @@
         while began.elapsed() < SETTLE {
             for number in 0..3 {
                 prompt += 1;
-                let body = json!({"model": "log", "max_tokens": 0, "prompt": prompt});
+                let body =
+                    json!({"model": "log", "messages": [], "max_tokens": 0, "prompt": prompt});
                 self.fleet.complete(self.fleet.plan.callers(0, number), &[], &body);
             }
             if engine.completions() > seen {
--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -120,8 +120,7 @@
     let model = if bound { "log-first" } else { "log" };
     let (stream, tokens) = (rng.random_bool(0.5), rng.random_range(1..30));
     let prompt: u64 = rng.random();
-    let body: Value =
-        json!({"model": model, "stream": stream, "max_tokens": tokens, "prompt": prompt});
+    let body: Value = json!({"model": model, "messages": [], "stream": stream, "max_tokens": tokens, "prompt": prompt});
     let body = body.to_string();
     let headers = [("copperweir-timeout-ms", "3000")];
     let reply = send(client, at, Method::POST, "/v1/chat/completions", &headers, &body).await;
--- a/lib/src/daemon/call.rs
+++ b/lib/src/daemon/call.rs
@@ -241,7 +241,7 @@
     team: &Team,
     incoming: &Incoming,
 ) -> Result<Target, Failure> {
-    let completion = Completion::parse(&incoming.body)?;
+    let completion = Completion::parse(&incoming.path, &incoming.body)?;
     let name = completion.model;
     let model = configuration
         .models
--- a/lib/src/protocol/caller.rs
+++ b/lib/src/protocol/caller.rs
@@ -8,7 +8,9 @@
 use http::Method;
 use http::header;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::IgnoredAny;
 use serde_json::json;
 
 use super::BoxId;
@@ -18,6 +20,8 @@
 use crate::error::Failure;
 use crate::error::Kind;
 
+/// Path of chats.
+const CHAT: &str = "/v1/chat/completions";
 /// Key under which a request runs at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Deadline, milliseconds from arrival.
@@ -70,7 +74,7 @@
             return service(rest);
         }
         let (endpoint, expected) = match path {
-            "/v1/chat/completions" | "/v1/completions" => (Endpoint::Completion, Method::POST),
+            CHAT | "/v1/completions" => (Endpoint::Completion, Method::POST),
             "/v1/models" => (Endpoint::Models, Method::GET),
             "/v1/boxes" => (Endpoint::Boxes, Method::GET),
             "/healthz" => (Endpoint::Health, Method::GET),
@@ -194,17 +198,37 @@
     /// Whether the answer is a stream.
     #[serde(default)]
     pub stream: bool,
+    /// The chat so far; what it says is for the engine.
+    #[serde(default)]
+    messages: Option<List>,
+}
+
+/// A list of anything.
+#[derive(Clone, Debug)]
+struct List;
+
+impl<'de> Deserialize<'de> for List {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<List, D::Error> {
+        Vec::<IgnoredAny>::deserialize(deserializer)
+            .map(|_| List)
+            .map_err(|error| serde::de::Error::custom(format!("messages: {error}")))
+    }
 }
 
 impl Completion {
-    /// Reads a body.
-    pub fn parse(body: &[u8]) -> Result<Completion, Failure> {
-        serde_json::from_slice(body).map_err(|error| {
+    /// Reads the body of a request for this path.
+    pub fn parse(path: &str, body: &[u8]) -> Result<Completion, Failure> {
+        let completion: Completion = serde_json::from_slice(body).map_err(|error| {
             let place = format!("line {}, column {}", error.line(), error.column());
             let message = error.to_string();
             let message = message.split(" at line ").next().unwrap_or_default();
             bad(format!("the body at {place}: {message}"))
-        })
+        })?;
+        let chat = path.split('?').next() == Some(CHAT);
+        if chat && completion.messages.is_none() {
+            return Err(bad("messages: a chat needs a list of them".to_owned()));
+        }
+        Ok(completion)
     }
 }
 
--- a/lib/tests/test_gateway.rs
+++ b/lib/tests/test_gateway.rs
@@ -60,7 +60,7 @@
     assert_eq!(reply.header("copperweir-box"), "north-0");
     assert_eq!(reply.header("copperweir-config-version"), "1");
 
-    let body = json!({"model": "log", "max_tokens": 200, "stream": true});
+    let body = json!({"model": "log", "messages": [], "max_tokens": 200, "stream": true});
     let prompt = engine::hash(body.to_string().as_bytes());
     let reply = fleet.complete(at, &[], &body);
     let text = String::from_utf8_lossy(&reply.body).into_owned();
@@ -74,7 +74,7 @@
 fn http2_is_spoken_too() {
     let fleet = Fleet::start(Plan::new(22));
     let at = fleet.plan.callers(0, 0);
-    let body = json!({"model": "log", "max_tokens": 3, "stream": true}).to_string();
+    let body = json!({"model": "log", "messages": [], "max_tokens": 3, "stream": true}).to_string();
     let text = fleet.block_on(async {
         let stream = TokioIo::new(tokio::net::TcpStream::connect(at).await.expect("a connection"));
         let handshake = hyper::client::conn::http2::handshake(TokioExecutor::new(), stream).await;
@@ -112,11 +112,11 @@
     fails(&malformed, "bad_request", "no");
     let message = malformed.json()["error"]["message"].to_string();
     assert!(message.contains("line 2, column 3"), "{message}");
-    fails(&post(&[], "{\"model\":\"none\"}"), "unknown_model", "no");
+    fails(&post(&[], "{\"model\":\"none\",\"messages\":[]}"), "unknown_model", "no");
     fails(&fleet.get(at, "/services/none/x"), "unknown_service", "no");
     fails(&fleet.get(at, "/nowhere"), "not_found", "no");
     fails(&fleet.get(at, "/v1/chat/completions"), "method_not_allowed", "no");
-    let well = "{\"model\":\"log\"}";
+    let well = "{\"model\":\"log\",\"messages\":[]}";
     for timeout in ["0", "-1", "soon", "99999999999999999999"] {
         fails(&post(&[("copperweir-timeout-ms", timeout)], well), "bad_request", "no");
     }
@@ -184,7 +184,7 @@
     fleet.apply("main", &configuration).expect("applied");
     fleet.wait_for_version(2);
     let complete = |headers: &[(&str, &str)], model: &str| {
-        fleet.complete(at, headers, &json!({"model": model, "max_tokens": 1}))
+        fleet.complete(at, headers, &json!({"model": model, "messages": [], "max_tokens": 1}))
     };
     fails(&complete(&[], "log"), "unauthorized", "no");
     fails(&complete(&[("authorization", "Bearer b-key")], "log"), "unauthorized", "no");
@@ -204,7 +204,8 @@
 fn a_stream_that_breaks_off_ends_with_an_error() {
     let fleet = Fleet::start(Plan::new(16));
     let at = fleet.plan.callers(0, 0);
-    let body = json!({"model": "log", "max_tokens": 50, "stream": true}).to_string();
+    let body =
+        json!({"model": "log", "messages": [], "max_tokens": 50, "stream": true}).to_string();
     for faults in [
         engine::Faults { cut_after: 5, ..engine::Faults::default() },
         engine::Faults { end_after: 5, ..engine::Faults::default() },
@@ -237,7 +238,11 @@
     let fleet = Fleet::start(Plan::new(17));
     let at = fleet.plan.callers(0, 0);
     fleet.engines[0][0].set_faults(engine::Faults { hang: true, ..engine::Faults::default() });
-    let reply = fleet.complete(at, &[("copperweir-timeout-ms", "300")], &json!({"model": "log"}));
+    let reply = fleet.complete(
+        at,
+        &[("copperweir-timeout-ms", "300")],
+        &json!({"model": "log", "messages": []}),
+    );
     fails(&reply, "backend_timeout", "unknown");
     assert_eq!(reply.header("retry-after"), "");
 }
@@ -250,7 +255,7 @@
     let at = fleet.plan.callers(0, 0);
     let lose = |count| engine::Faults { lose_answers: count, ..engine::Faults::default() };
     // One answer is lost: the work may be repeated, and is, on the other engine.
-    let body = json!({"model": "log", "max_tokens": 1});
+    let body = json!({"model": "log", "messages": [], "max_tokens": 1});
     for engine in &fleet.engines[0] {
         engine.set_faults(lose(1));
         assert_eq!(fleet.complete(at, &[], &body).status, StatusCode::OK);
@@ -269,14 +274,16 @@
     let at = fleet.plan.callers(0, 0);
     fleet.engines[0][0].set_faults(engine::Faults { leaving: true, ..engine::Faults::default() });
     eventually("the leaving server is known", || {
-        fleet.complete(at, &[], &json!({"model": "log", "max_tokens": 1})).code() == "no_server"
+        fleet.complete(at, &[], &json!({"model": "log", "messages": [], "max_tokens": 1})).code()
+            == "no_server"
     });
-    let reply = fleet.complete(at, &[], &json!({"model": "log"}));
+    let reply = fleet.complete(at, &[], &json!({"model": "log", "messages": []}));
     fails(&reply, "no_server", "no");
     assert_eq!(reply.header("retry-after"), "5");
     fleet.engines[0][0].set_faults(engine::Faults::default());
     eventually("the server is back", || {
-        fleet.complete(at, &[], &json!({"model": "log", "max_tokens": 1})).status == StatusCode::OK
+        fleet.complete(at, &[], &json!({"model": "log", "messages": [], "max_tokens": 1})).status
+            == StatusCode::OK
     });
 }
 
@@ -289,7 +296,7 @@
     fleet.apply("main", &configuration).expect("applied");
     fleet.wait_for_version(2);
     let replies: Vec<Reply> = (0..40)
-        .map(|_| fleet.complete(at, &[], &json!({"model": "log", "max_tokens": 0})))
+        .map(|_| fleet.complete(at, &[], &json!({"model": "log", "messages": [], "max_tokens": 0})))
         .collect();
     let limited: Vec<&Reply> =
         replies.iter().filter(|reply| reply.status == StatusCode::TOO_MANY_REQUESTS).collect();
@@ -311,7 +318,7 @@
     configuration["pools"]["logs"]["queue_limit"] = json!(2);
     fleet.apply("main", &configuration).expect("applied");
     fleet.wait_for_version(2);
-    let body = json!({"model": "log", "max_tokens": 20}).to_string();
+    let body = json!({"model": "log", "messages": [], "max_tokens": 20}).to_string();
     let replies = fleet.block_on(async {
         let ask = |priority: &'static str| {
             let (client, body) = (fleet.client.clone(), body.clone());
--- a/lib/tests/test_input.rs
+++ b/lib/tests/test_input.rs
@@ -31,6 +31,24 @@
     result.unwrap_or_else(|error| panic!("{error}"));
 }
 
+#[test]
+fn a_chat_has_a_list_of_messages_and_a_text_need_not() {
+    let parse = |path: &str, body: &str| {
+        Completion::parse(path, body.as_bytes()).map_err(|failure| failure.to_string())
+    };
+    let chat = "/v1/chat/completions";
+    assert!(parse(chat, r#"{"model": "m", "messages": [{"role": "user"}]}"#).is_ok());
+    assert!(parse("/v1/completions", r#"{"model": "m", "prompt": "x"}"#).is_ok());
+    for body in [r#"{"model": "m"}"#, r#"{"model": "m", "messages": null}"#] {
+        let failure = parse(chat, body).expect_err("no messages");
+        assert!(failure.contains("messages"), "{failure}");
+    }
+    for body in [r#"{"model": "m", "messages": "hello"}"#, r#"{"model": "m", "messages": {}}"#] {
+        let failure = parse(chat, body).expect_err("not a list");
+        assert!(failure.contains("messages"), "{failure}");
+    }
+}
+
 #[test]
 fn files_of_any_text_are_read_or_refused() {
     let pieces = prop::sample::select(vec![
@@ -73,7 +91,7 @@
 #[test]
 fn requests_of_any_bytes_are_read_or_refused() {
     holds((prop::collection::vec(any::<u8>(), 0..200), "/.{0,80}"), |(bytes, path)| {
-        let _ = Completion::parse(&bytes);
+        let _ = Completion::parse("/v1/chat/completions", &bytes);
         let _ = Endpoint::parse(&Method::POST, &path);
         let mut headers = HeaderMap::new();
         if let Ok(value) = HeaderValue::from_bytes(&bytes) {
--- a/lib/tests/test_peers.rs
+++ b/lib/tests/test_peers.rs
@@ -27,7 +27,7 @@
         method: "POST".to_owned(),
         path_and_query: "/v1/chat/completions".to_owned(),
         headers: Vec::new(),
-        body: Bytes::from(json!({"model": model, "max_tokens": 1}).to_string()),
+        body: Bytes::from(json!({"model": model, "messages": [], "max_tokens": 1}).to_string()),
         timeout_ms: 2000,
         target_region: common::REGIONS[region].to_owned(),
         target_incarnation: u64::from_str_radix(incarnation, 16).expect("an incarnation"),
--- a/lib/tests/test_regions.rs
+++ b/lib/tests/test_regions.rs
@@ -25,7 +25,7 @@
 fn a_request_runs_only_where_its_rule_allows() {
     let fleet = Fleet::start(three_regions(50));
     fleet.wait_for_members();
-    let bound = json!({"model": "log-first", "max_tokens": 2});
+    let bound = json!({"model": "log-first", "messages": [], "max_tokens": 2});
     for region in 0..3 {
         let reply = fleet.complete(fleet.plan.callers(region, 0), &[], &bound);
         assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
@@ -40,7 +40,7 @@
     let fleet = Fleet::start(three_regions(51));
     fleet.wait_for_members();
     fleet.cut_region(0, true);
-    let bound = json!({"model": "log-first", "max_tokens": 2});
+    let bound = json!({"model": "log-first", "messages": [], "max_tokens": 2});
     let deadline = [("copperweir-timeout-ms", "3000")];
     for region in 1..3 {
         let reply = fleet.complete(fleet.plan.callers(region, 0), &deadline, &bound);
@@ -60,7 +60,7 @@
     fleet.wait_for_members();
     fleet.engines[1][0].set_faults(engine::Faults { leaving: true, ..Default::default() });
     eventually("work goes to another region", || {
-        let body = json!({"model": "log", "max_tokens": 2, "stream": true});
+        let body = json!({"model": "log", "messages": [], "max_tokens": 2, "stream": true});
         let reply = fleet.complete(fleet.plan.callers(1, 0), &[], &body);
         reply.status == StatusCode::OK && reply.header("copperweir-region") != "south"
     });
@@ -76,7 +76,8 @@
     let at = plan.callers(0, 0);
     eventually("the others are gone", || fleet.boxes_at(at).boxes.len() == 2);
     for _ in 0..20 {
-        let reply = fleet.complete(at, &[], &json!({"model": "log", "max_tokens": 2}));
+        let reply =
+            fleet.complete(at, &[], &json!({"model": "log", "messages": [], "max_tokens": 2}));
         assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
     }
     let ticket = fleet.ticket(at);
@@ -86,7 +87,11 @@
     fleet.kill_box(0, 1);
     fleet.start_box(0, 1);
     eventually("the replaced box is ready", || fleet.is_ready(0, 1));
-    let reply = fleet.complete(plan.callers(0, 1), &[], &json!({"model": "log", "max_tokens": 2}));
+    let reply = fleet.complete(
+        plan.callers(0, 1),
+        &[],
+        &json!({"model": "log", "messages": [], "max_tokens": 2}),
+    );
     assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
     // A change meanwhile is in force elsewhere, and here as soon as the cut is mended.
     let mut configuration = plan.configuration();
@@ -178,7 +183,8 @@
     eventually("the boxes know each other", || fleet.boxes_at(plan.callers(0, 1)).boxes.len() == 2);
     let at = plan.callers(0, 0);
     let (client, runtime) = (fleet.client.clone(), fleet.runtime.handle().clone());
-    let body = json!({"model": "log", "max_tokens": 100, "stream": true}).to_string();
+    let body =
+        json!({"model": "log", "messages": [], "max_tokens": 100, "stream": true}).to_string();
     let streams: Vec<_> = (0..5)
         .map(|_| {
             let (client, body) = (client.clone(), body.clone());
@@ -194,7 +200,8 @@
         fleet.boxes_at(plan.callers(0, 1)).boxes.len() == 1
     });
     eventually("the leaving box refuses new work", || {
-        let reply = fleet.complete(at, &[], &json!({"model": "log", "max_tokens": 1}));
+        let reply =
+            fleet.complete(at, &[], &json!({"model": "log", "messages": [], "max_tokens": 1}));
         reply.code() == "leaving" && reply.header("copperweir-ran") == "no"
     });
     for stream in streams {
@@ -215,7 +222,7 @@
     fleet.engines[0][1].set_faults(engine::Faults { leaving: true, ..Default::default() });
     let ask = |number: usize, count: usize| {
         for at in 0..count {
-            let body = json!({"model": "log", "max_tokens": 0, "prompt": number * 1000 + at});
+            let body = json!({"model": "log", "messages": [], "max_tokens": 0, "prompt": number * 1000 + at});
             let reply = fleet.complete(plan.callers(0, number), &[], &body);
             assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
         }
@@ -240,7 +247,7 @@
         let before = fleet.engines[0][0].completions();
         for prompt in 0..20 {
             last += 1;
-            let body = json!({"model": "log", "max_tokens": 0, "prompt": last * 100 + prompt});
+            let body = json!({"model": "log", "messages": [], "max_tokens": 0, "prompt": last * 100 + prompt});
             fleet.complete(plan.callers(0, 0), &[], &body);
         }
         fleet.engines[0][0].completions() == before
