--- /dev/null
+++ b/lib/src/gateway/control/follow.rs
@@ -0,0 +1,197 @@
+//! Reads the store and follows its changes.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::mpsc;
+
+use super::BOXES;
+use super::Control;
+use super::Event;
+use super::ROSTER;
+use super::TICK;
+use crate::gateway::shared::lock;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::adapter::Answer;
+use crate::protocol::adapter::Change;
+use crate::protocol::adapter::Item;
+use crate::protocol::adapter::Operation;
+use crate::protocol::adapter::Subject;
+use crate::protocol::fleet::BoxRecord;
+use crate::protocol::platform::PlatformError;
+use crate::protocol::platform::Revision;
+
+/// All keys are followed by one watch: each change wakes a box once.
+const EVERYTHING: &str = "";
+/// Longest wait of a watch. Each return costs a call; a connection that died unnoticed
+/// is found by then at the latest, and by a failed renewal much earlier.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Part of the store's reading calls that watches of all boxes may take while changes come close
+/// together; those within the pause that follows from it cost one call.
+const WATCH_PART: f64 = 0.01;
+/// Longest such pause, as a part of the time within which changes must count: a lost call leaves
+/// time for another.
+const LONGEST_WATCH_GAP: f64 = 0.3;
+
+/// How a span of following the store ended.
+pub(super) enum Followed {
+    /// The history is gone, or a whole read is needed for another reason.
+    ReadAgain,
+    /// The process ends.
+    Ended,
+}
+
+impl<A: Adapter> Control<A> {
+    /// Reads all that the store holds; gives the revision to follow it from.
+    pub(super) async fn read_all(&mut self) -> Result<Revision, PlatformError> {
+        let mut after = None;
+        let mut first_revision = None;
+        let mut seen = BTreeSet::new();
+        let mut boxes = BTreeSet::new();
+        let mut keys = BTreeSet::new();
+        loop {
+            let prefix = EVERYTHING.to_owned();
+            let answer = self.store.call(&Operation::Range { prefix, after }).await?;
+            let Answer::Page { items, more, revision } = answer else {
+                return Err(PlatformError::Malformed("not a page".to_owned()));
+            };
+            after = items.last().map(|item| item.key.clone());
+            // Pages are no snapshot: changes since the first one are watched for.
+            let revision = *first_revision.get_or_insert(revision);
+            for item in items {
+                match item.key.strip_prefix(BOXES) {
+                    Some(name) => boxes.insert(name.to_owned()),
+                    None => seen.insert(self.shared.adapter.subject(&item.key)),
+                };
+                keys.insert(item.key.clone());
+                self.written(item);
+            }
+            if !more || after.is_none() {
+                self.facts.keep_only(&seen, &boxes, Instant::now());
+                lock(&self.shared.items).retain(|key, _| keys.contains(key));
+                return Ok(revision);
+            }
+        }
+    }
+
+    /// Follows changes until they are no longer known.
+    pub(super) async fn follow(
+        &mut self,
+        mut revision: Revision,
+        events: &mut mpsc::Receiver<Event>,
+    ) -> Followed {
+        let mut asked_at: Option<Instant> = None;
+        loop {
+            let watch = Operation::Watch {
+                prefix: EVERYTHING.to_owned(),
+                after: revision,
+                wait: WATCH_WAIT,
+            };
+            let store = self.store.clone();
+            let not_before = asked_at.map(|asked| asked + self.watch_gap());
+            let call = async {
+                if let Some(instant) = not_before {
+                    tokio::time::sleep_until(instant.into()).await;
+                }
+                store.call(&watch).await
+            };
+            tokio::pin!(call);
+            let answer = loop {
+                tokio::select! {
+                    answer = &mut call => break answer,
+                    Some(event) = events.recv() => {
+                        self.handle(event);
+                        if event == Event::StoreBack {
+                            return Followed::ReadAgain;
+                        }
+                    }
+                    () = tokio::time::sleep(TICK) => {}
+                }
+                if self.tick() {
+                    return Followed::Ended;
+                }
+            };
+            match answer {
+                Ok(Answer::Changes { changes, revision: newest }) => {
+                    asked_at = Some(Instant::now());
+                    self.store_answered();
+                    revision = newest;
+                    if !changes.is_empty() {
+                        changes.into_iter().for_each(|change| self.changed(change));
+                        self.publish();
+                    }
+                }
+                Ok(_) => return Followed::ReadAgain,
+                Err(PlatformError::HistoryGone) => {
+                    log::warn!("event=history_gone after={revision}");
+                    return Followed::ReadAgain;
+                }
+                Err(error) => {
+                    self.store_failed(&error);
+                    if self.pause(events).await {
+                        return Followed::Ended;
+                    }
+                    return Followed::ReadAgain;
+                }
+            }
+        }
+    }
+
+    /// Least time from one watch to the next.
+    fn watch_gap(&self) -> Duration {
+        let settings = &self.shared.settings;
+        let fleet = self.shared.snapshot.load().fleet as f64;
+        let by_rate = fleet / (settings.store_reads * WATCH_PART).max(1.0);
+        Duration::from_secs_f64(by_rate).min(settings.follow_within.mul_f64(LONGEST_WATCH_GAP))
+    }
+
+    fn changed(&mut self, change: Change) {
+        let now = Instant::now();
+        match change {
+            Change::Written(item) => self.written(item),
+            Change::Removed(key) => match self.forget_item(&key).strip_prefix(BOXES) {
+                Some(name) if name == self.own.name => {
+                    log::warn!("event=record_lost reason=\"the store has removed it\"");
+                    self.record.send_replace(self.own.clone());
+                }
+                Some(name) => self.facts.forget_box(name, now),
+                None => self.facts.forget(&self.shared.adapter.subject(&key), now),
+            },
+        }
+    }
+
+    fn forget_item<'a>(&self, key: &'a str) -> &'a str {
+        lock(&self.shared.items).remove(key);
+        key
+    }
+
+    /// Takes in a key that was written.
+    pub(super) fn written(&mut self, item: Item) {
+        lock(&self.shared.items).insert(item.key.clone(), item.value.clone());
+        if let Some((region, name)) =
+            item.key.strip_prefix(ROSTER).and_then(|entry| entry.split_once('/'))
+        {
+            self.facts.learn_roster(region, name);
+            return;
+        }
+        if item.key.starts_with(BOXES) {
+            match serde_json::from_slice::<BoxRecord>(&item.value) {
+                Ok(record) => self.facts.learn_box(record),
+                Err(error) => log::error!("event=unreadable key={} error=\"{error}\"", item.key),
+            }
+            return;
+        }
+        let subject = self.shared.adapter.subject(&item.key);
+        if subject == Subject::Other {
+            return;
+        }
+        match self.shared.adapter.fact(&subject, &item.value) {
+            Ok(Some(fact)) => {
+                self.facts.learn(fact, Instant::now());
+            }
+            Ok(None) => {}
+            Err(error) => log::error!("event=unreadable key={} error=\"{error}\"", item.key),
+        }
+    }
+}
