--- a/lib/src/gateway/elsewhere.rs
+++ b/lib/src/gateway/elsewhere.rs
@@ -1,4 +1,5 @@
-//! Which box of another region gets a request that cannot run here.
+//! Which box of another region gets a request: one that cannot run here, a long prompt whose
+//! engine stands there, or a short one while that region has room and this one has not.
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -18,11 +19,21 @@
 /// Most boxes of other regions that one request is sent to: each costs a way there and back.
 const MAX_BOXES: usize = 2;
 
+/// Whether a caller's request has been sent nowhere yet.
+fn is_first_send(job: &Job, course: &Course) -> bool {
+    job.origin == Origin::Caller && course.tried.is_empty() && course.boxes.is_empty()
+}
+
+/// The boxes of a region that take requests.
+fn boxes_of<'a>(job: &'a Job, region: &str) -> Vec<&'a BoxRecord> {
+    let boxes = job.snapshot.boxes.iter();
+    boxes.filter(|other| other.region == region && !other.leaving).collect()
+}
+
 /// The box for a long prompt whose engine stands in another region. Only the first send follows
 /// the prompt; after that any place will do.
 pub fn home<A: Adapter>(shared: &Shared<A>, job: &Job, course: &Course) -> Option<SocketAddr> {
-    let first = course.tried.is_empty() && course.boxes.is_empty();
-    if !first || job.origin == Origin::Peer || !course.prompt.long {
+    if !is_first_send(job, course) || !course.prompt.long {
         return None;
     }
     let part = job.ask.parts.split_last()?.1.first()?;
@@ -34,9 +45,7 @@
     if engine.region == shared.settings.region {
         return None;
     }
-    let boxes = job.snapshot.boxes.iter();
-    let there: Vec<&BoxRecord> =
-        boxes.filter(|other| other.region == engine.region && !other.leaving).collect();
+    let there = boxes_of(job, &engine.region);
     // Beside the engine, the prompt crosses no further failure domain.
     let beside = there.iter().filter(|other| other.failure_domain == engine.failure_domain);
     let beside: Vec<&BoxRecord> = beside.copied().collect();
@@ -52,8 +61,7 @@
     course: &Course,
     now: Instant,
 ) -> Option<SocketAddr> {
-    let first = course.tried.is_empty() && course.boxes.is_empty();
-    if !first || job.origin == Origin::Peer || course.prompt.long {
+    if !is_first_send(job, course) || course.prompt.long {
         return None;
     }
     let own = shared.with_service(&job.service, |service| {
@@ -65,10 +73,7 @@
     if rand::rng().random::<f64>() >= part {
         return None;
     }
-    let boxes = job.snapshot.boxes.iter();
-    let there: Vec<&BoxRecord> =
-        boxes.filter(|other| other.region == region && !other.leaving).collect();
-    there.choose(&mut rand::rng()).map(|other| other.peers)
+    boxes_of(job, region).choose(&mut rand::rng()).map(|other| other.peers)
 }
 
 /// Chooses a region by the slots that may get work there, and one of its boxes.
