record: a request that leaves its region says why

Read as an engineer on call: passed_on named the box and not the reason, and since short prompts overflow there are three.

--- a/lib/src/gateway/elsewhere.rs
+++ b/lib/src/gateway/elsewhere.rs
@@ -1,6 +1,7 @@
 //! Which box of another region gets a request: one that cannot run here, a long prompt whose
 //! engine stands there, or a short one while that region has room and this one has not.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use super::run::Course;
 use super::shared::Shared;
 use super::shared::lock;
+use crate::coordination::regions::Fullness;
 use crate::coordination::rendezvous;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
@@ -19,6 +21,34 @@
 /// Most boxes of other regions that one request is sent to: each costs a way there and back.
 const MAX_BOXES: usize = 2;
 
+/// Why a request goes to another region, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reason {
+    /// The engine that keeps its text stands there.
+    Home,
+    /// The servers here are full; so they are here, and this part of the requests goes there.
+    Overflow {
+        /// Requests and slots of the servers of this region.
+        own: Fullness,
+        /// Part of the requests that goes there.
+        part: f64,
+    },
+    /// No server here may or can take it.
+    NoPlace,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Home => f.write_str("home"),
+            Reason::Overflow { own, part } => {
+                write!(f, "overflow in_flight={} slots={} part={part:.2}", own.in_flight, own.slots)
+            }
+            Reason::NoPlace => f.write_str("no_place"),
+        }
+    }
+}
+
 /// Whether a caller's request has been sent nowhere yet.
 fn is_first_send(job: &Job, course: &Course) -> bool {
     job.origin == Origin::Caller && course.tried.is_empty() && course.boxes.is_empty()
@@ -60,7 +90,7 @@
     job: &Job,
     course: &Course,
     now: Instant,
-) -> Option<SocketAddr> {
+) -> Option<(SocketAddr, Reason)> {
     if !is_first_send(job, course) || course.prompt.long {
         return None;
     }
@@ -73,7 +103,8 @@
     if rand::rng().random::<f64>() >= part {
         return None;
     }
-    boxes_of(job, region).choose(&mut rand::rng()).map(|other| other.peers)
+    let other = boxes_of(job, region).choose(&mut rand::rng()).map(|other| other.peers)?;
+    Some((other, Reason::Overflow { own, part }))
 }
 
 /// Chooses a region by the slots that may get work there, and one of its boxes.
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use super::elsewhere::Reason;
 use super::job::Job;
 use super::run::Course;
 use super::stream::Pace;
@@ -50,10 +51,10 @@
 }
 
 /// The request goes to a box of another region.
-pub fn passed_on(job: &Job, course: &Course, address: SocketAddr) {
+pub fn passed_on(job: &Job, course: &Course, address: SocketAddr, reason: Reason) {
     log::info!(
         target: TARGET,
-        "event=passed_on request={} route={} service={} box={address} send={} long={} set_aside={} version={} left_ms={}",
+        "event=passed_on request={} route={} service={} box={address} reason={reason} send={} long={} set_aside={} version={} left_ms={}",
         job.ask.id,
         job.route.name,
         job.service,
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -13,6 +13,7 @@
 use super::attempt::Reply;
 use super::attempt::Tried;
 use super::elsewhere;
+use super::elsewhere::Reason;
 use super::job::Job;
 use super::job::Origin;
 use super::record;
@@ -56,7 +57,7 @@
 /// Where a request goes next.
 enum Target<A> {
     Server(Box<Held<A>>),
-    Peer(std::net::SocketAddr),
+    Peer(std::net::SocketAddr, Reason),
 }
 
 /// Runs a request to an answer or a failure.
@@ -140,9 +141,9 @@
             record::placed(job, course, &held.place);
             attempt::to_server(shared, job, *held, after).await
         }
-        Target::Peer(address) => {
+        Target::Peer(address, reason) => {
             course.boxes.push(address);
-            record::passed_on(job, course, address);
+            record::passed_on(job, course, address, reason);
             attempt::to_peer(shared, job, address, course.prompt, after).await
         }
     };
@@ -177,10 +178,10 @@
 ) -> Result<Target<A>, Failure> {
     let here = job.route.allows(&shared.settings.region);
     if let Some(address) = elsewhere::home(shared, job, course) {
-        return Ok(Target::Peer(address));
+        return Ok(Target::Peer(address, Reason::Home));
     }
-    if let Some(address) = elsewhere::overflow(shared, job, course, Instant::now()) {
-        return Ok(Target::Peer(address));
+    if let Some((address, reason)) = elsewhere::overflow(shared, job, course, Instant::now()) {
+        return Ok(Target::Peer(address, reason));
     }
     let blocked = if here {
         let prompt = course.prompt;
@@ -204,7 +205,7 @@
     if job.origin == Origin::Caller
         && let Some(address) = elsewhere::choose(shared, job, &course.boxes)
     {
-        return Ok(Target::Peer(address));
+        return Ok(Target::Peer(address, Reason::NoPlace));
     }
     Err(refusal(job, blocked))
 }
