presence: boxes say by datagram that they leave, or are back

Cause: while the store does not answer, a box that stops cannot write so. Change: reports carry whether the sender leaves; a change goes to all boxes five times in a row. The directory and passing-on heed it; boxes that said so less than 1.5 s ago are the last resort before a region that is no home. Ruled out: a longer life of the answers (they are given for 1 s there).

--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -44,10 +44,13 @@
     /// Hashes of the services that the region's figures are about.
     #[prost(fixed64, repeated, tag = "7")]
     pub services: Vec<u64>,
-    /// Region of the sender; only told to boxes of other regions, as what follows.
+    /// Region of the sender.
     #[prost(string, tag = "9")]
     pub region: String,
-    /// Requests on the servers of each service in that region.
+    /// Whether the sender leaves; `None` until it takes requests.
+    #[prost(bool, optional, tag = "12")]
+    pub leaving: Option<bool>,
+    /// Only told to boxes of other regions, as what follows: requests on the servers of each service in that region.
     #[prost(uint32, repeated, tag = "10")]
     pub region_in_flight: Vec<u32>,
     /// Slots of these servers.
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -22,6 +22,7 @@
 pub mod placement;
 pub mod policy;
 pub mod pool;
+pub mod presence;
 pub mod queue;
 pub mod regions;
 pub mod rendezvous;
--- /dev/null
+++ b/lib/src/coordination/presence.rs
@@ -0,0 +1,91 @@
+//! What boxes say of themselves in datagrams, beside what the store says of them.
+//!
+//! While the store does not answer, a box that stops cannot write that it leaves,
+//! and one that is back cannot write that it serves. Both reach the others by
+//! datagram all the same. A word counts for one life of a box; a newer life in
+//! the store, or another word, supersedes it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::rendezvous;
+use crate::protocol::Incarnation;
+use crate::protocol::fleet::BoxRecord;
+
+/// How long a box that leaves is still worth naming: it accepts for 2.5 s after it said so, and
+/// callers keep the answer for another second.
+const ACCEPTS: Duration = Duration::from_millis(1500);
+
+/// How long a word about leaving counts: the longest stop and a start. Incarnations follow the
+/// clock, so after a jump back of the clock a newer life looks older, and only time heals it.
+const LIFE: Duration = Duration::from_secs(15);
+
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    incarnation: Incarnation,
+    /// Since when it leaves.
+    leaving_since: Option<Instant>,
+}
+
+/// The newest word of each box.
+#[derive(Debug, Default)]
+pub struct Presence {
+    words: HashMap<u64, Word>,
+}
+
+/// What stands for a box in datagrams.
+pub fn box_hash(name: &str) -> u64 {
+    rendezvous::weight(name, "")
+}
+
+impl Presence {
+    /// A box says whether it leaves. Says whether that is news.
+    pub fn hear(
+        &mut self,
+        sender: u64,
+        incarnation: Incarnation,
+        leaving: bool,
+        now: Instant,
+    ) -> bool {
+        let known = self.words.get(&sender).copied();
+        let same_life = known.filter(|word| word.incarnation == incarnation);
+        let older = known.is_some_and(|word| word.incarnation > incarnation);
+        // A stop is never taken back, and datagrams may overtake each other.
+        let settled = same_life.is_some_and(|word| !leaving || word.leaving_since.is_some());
+        if older || settled {
+            return false;
+        }
+        self.words.insert(sender, Word { incarnation, leaving_since: leaving.then_some(now) });
+        true
+    }
+
+    /// Drops old words.
+    pub fn expire(&mut self, now: Instant) {
+        let counts = |word: &Word| word.leaving_since.is_none_or(|since| now < since + LIFE);
+        self.words.retain(|_, word| counts(word));
+    }
+
+    /// Whether callers may be sent to a box.
+    pub fn serves(&self, record: &BoxRecord) -> bool {
+        match self.word(record) {
+            Some(word) => word.leaving_since.is_none(),
+            None => !record.leaving,
+        }
+    }
+
+    /// Whether a box that leaves has said so so lately that it still accepts requests.
+    pub fn accepts(&self, record: &BoxRecord, now: Instant) -> bool {
+        let since = self.word(record).and_then(|word| word.leaving_since);
+        since.is_some_and(|since| now < since + ACCEPTS)
+    }
+
+    /// The word that counts against a record: one of the same life says more only when it
+    /// leaves, and one of a newer life says all.
+    fn word(&self, record: &BoxRecord) -> Option<Word> {
+        let word = *self.words.get(&box_hash(&record.name))?;
+        let counts = word.incarnation > record.incarnation
+            || (word.incarnation == record.incarnation && word.leaving_since.is_some());
+        counts.then_some(word)
+    }
+}
--- a/lib/src/gateway/directory.rs
+++ b/lib/src/gateway/directory.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use http::HeaderValue;
 use http::Request;
@@ -13,7 +14,9 @@
 
 use super::shared::Shared;
 use super::shared::Snapshot;
+use super::shared::lock;
 use crate::coordination::drain::Stage;
+use crate::coordination::presence::Presence;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Question;
 use crate::protocol::fleet::BoxRecord;
@@ -50,7 +53,10 @@
     let Some(question) = shared.adapter.question(request.method(), request.uri()) else {
         return status(StatusCode::NOT_FOUND);
     };
-    let (addresses, near) = addresses(&shared.snapshot.load(), &own, &question);
+    let (addresses, near) = {
+        let presence = lock(&shared.presence);
+        addresses(&shared.snapshot.load(), &presence, &own, &question, Instant::now())
+    };
     let life = if near { shared.settings.directory_life } else { FAR_LIFE };
     let body = shared.adapter.directory(&addresses, life);
     let mut response = Response::new(Answer::whole(body));
@@ -63,16 +69,24 @@
 /// else of its region, else of the regions where most of what it may ask for can run. Routes of a
 /// host may have different homes, so that no region may run them all: naming every box then led 71
 /// of 804 requests with homes to a region that was none (40 are allowed), replayed by the seed in
-/// docs/findings.md.
+/// docs/findings.md. For the same reason boxes there that have only just said that they leave come
+/// before serving ones elsewhere.
 pub fn addresses(
     snapshot: &Snapshot,
+    presence: &Presence,
     own: &BoxRecord,
     question: &Question,
+    now: Instant,
 ) -> (Vec<SocketAddr>, bool) {
+    let boxes = snapshot.boxes.iter();
     let mut serving: Vec<&BoxRecord> =
-        snapshot.boxes.iter().filter(|record| !record.leaving).collect();
-    if snapshot.stage == Stage::Serving {
-        serving.push(own);
+        boxes.clone().filter(|record| presence.serves(record)).collect();
+    let mut accepting: Vec<&BoxRecord> =
+        boxes.filter(|record| presence.accepts(record, now)).collect();
+    match snapshot.stage {
+        Stage::Serving => serving.push(own),
+        Stage::Announced => accepting.push(own),
+        Stage::Closing | Stage::Done | Stage::Cut => {}
     }
     let near = callers(&serving, |record| record.failure_domain == question.failure_domain);
     if near.len() >= ENOUGH {
@@ -86,8 +100,12 @@
         let routing = snapshot.routing.as_ref();
         routing.map_or(0, |routing| routing.routes_of_host_in(&question.host, &record.region))
     };
-    let most = serving.iter().map(|record| routes(record)).max();
-    (callers(&serving, |record| Some(routes(record)) == most), false)
+    let most = serving.iter().chain(&accepting).map(|record| routes(record)).max();
+    let named = callers(&serving, |record| Some(routes(record)) == most);
+    if !named.is_empty() {
+        return (named, false);
+    }
+    (callers(&accepting, |record| Some(routes(record)) == most), false)
 }
 
 fn callers(serving: &[&BoxRecord], wanted: impl Fn(&BoxRecord) -> bool) -> Vec<SocketAddr> {
--- a/lib/src/gateway/elsewhere.rs
+++ b/lib/src/gateway/elsewhere.rs
@@ -56,9 +56,10 @@
 }
 
 /// The boxes of a region that take requests.
-fn boxes_of<'a>(job: &'a Job, region: &str) -> Vec<&'a BoxRecord> {
+fn boxes_of<'a, A>(shared: &Shared<A>, job: &'a Job, region: &str) -> Vec<&'a BoxRecord> {
+    let presence = lock(&shared.presence);
     let boxes = job.snapshot.boxes.iter();
-    boxes.filter(|other| other.region == region && !other.leaving).collect()
+    boxes.filter(|other| other.region == region && presence.serves(other)).collect()
 }
 
 /// The box beside the home of the request's text, if that stands in another region. Only the
@@ -76,7 +77,7 @@
     if engine.region == shared.settings.region {
         return None;
     }
-    let there = boxes_of(job, &engine.region);
+    let there = boxes_of(shared, job, &engine.region);
     // Beside the engine, the prompt crosses no further failure domain.
     let beside = there.iter().filter(|other| other.failure_domain == engine.failure_domain);
     let beside: Vec<&BoxRecord> = beside.copied().collect();
@@ -104,7 +105,7 @@
     if rand::rng().random::<f64>() >= part {
         return None;
     }
-    let other = boxes_of(job, region).choose(&mut rand::rng()).map(|other| other.peers)?;
+    let other = boxes_of(shared, job, region).choose(&mut rand::rng()).map(|other| other.peers)?;
     Some((other, Reason::Overflow { own, part }))
 }
 
@@ -118,9 +119,10 @@
         return None;
     }
     let slots = job.snapshot.slots.get(&job.service)?;
+    let presence = lock(&shared.presence);
     let eligible = |other: &&BoxRecord| {
         other.region != shared.settings.region
-            && !other.leaving
+            && presence.serves(other)
             && !tried.contains(&other.peers)
             && job.route.allows(&other.region)
             && slots.get(&other.region).is_some_and(|slots| *slots > 0)
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -127,6 +127,7 @@
             services: Mutex::default(),
             loads: Mutex::default(),
             regions: Mutex::default(),
+            presence: Mutex::default(),
             servers: backend::Client::new(SERVER_CONNECT),
             peers: backend::Client::new(PEER_CONNECT),
             in_flight: AtomicUsize::new(0),
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -13,7 +13,9 @@
 
 use super::shared::Shared;
 use super::shared::lock;
+use crate::coordination::drain::Stage;
 use crate::coordination::loads::Report;
+use crate::coordination::presence;
 use crate::coordination::regions::Fullness;
 use crate::coordination::rendezvous;
 use crate::protocol::adapter::Adapter;
@@ -24,6 +26,9 @@
 /// Most boxes that are told each time, so that the cost does not grow with the region;
 /// more are told in turn.
 const MOST: usize = 32;
+/// Reports in a row in which a change of the own state goes to all boxes of other regions: some
+/// datagrams are lost. After that they hear of it in turn, or from the store.
+const ANNOUNCED: u32 = 5;
 /// Largest datagram: some hundred servers.
 const DATAGRAM: usize = 8 << 10;
 
@@ -37,12 +42,15 @@
     let mut ticks = tokio::time::interval(PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut number = 0;
+    let mut herald = Herald::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
                 number += 1;
-                lock(&shared.loads).expire(Instant::now());
-                tell(&shared, &socket, number);
+                let now = Instant::now();
+                lock(&shared.loads).expire(now);
+                lock(&shared.presence).expire(now);
+                tell(&shared, &socket, number, &mut herald);
             }
             readable = socket.readable() => {
                 if let Err(error) = readable {
@@ -62,18 +70,27 @@
     while let Ok((length, from)) = socket.try_recv_from(buffer) {
         match Report::decode(&buffer[..length]) {
             Ok(report) => {
-                lock(&shared.loads).hear(&report, now);
-                hear_region(shared, report, now);
+                hear_presence(shared, &report, now);
+                if report.region == shared.settings.region {
+                    lock(&shared.loads).hear(&report, now);
+                } else {
+                    hear_region(shared, report, now);
+                }
             }
             Err(error) => log::warn!("event=unreadable_report from={from} error=\"{error}\""),
         }
     }
 }
 
-fn hear_region<A: Adapter>(shared: &Shared<A>, report: Report, now: Instant) {
-    if report.region.is_empty() {
-        return;
+fn hear_presence<A: Adapter>(shared: &Shared<A>, report: &Report, now: Instant) {
+    let Some(leaving) = report.leaving else { return };
+    let Report { sender, incarnation, .. } = *report;
+    if lock(&shared.presence).hear(sender, incarnation, leaving, now) {
+        log::info!("event=box_says box={sender:x} incarnation={incarnation:x} leaving={leaving}");
     }
+}
+
+fn hear_region<A: Adapter>(shared: &Shared<A>, report: Report, now: Instant) {
     let mut regions = lock(&shared.regions);
     let told = report.region_in_flight.iter().zip(&report.region_slots);
     for (service, (in_flight, slots)) in report.services.iter().zip(told) {
@@ -82,12 +99,33 @@
     }
 }
 
-fn tell<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64) {
+/// Follows the own state, and says when all must hear of it.
+#[derive(Default)]
+struct Herald {
+    leaving: Option<bool>,
+    left: u32,
+}
+
+impl Herald {
+    /// Whether this report goes to all boxes.
+    fn follow(&mut self, leaving: Option<bool>) -> bool {
+        if self.leaving != leaving {
+            self.leaving = leaving;
+            self.left = ANNOUNCED;
+        }
+        let announce = leaving.is_some() && self.left > 0;
+        self.left = self.left.saturating_sub(1);
+        announce
+    }
+}
+
+fn tell<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64, herald: &mut Herald) {
     let snapshot = shared.snapshot.load();
     let own = &shared.settings;
     let region = snapshot.boxes.iter().filter(|other| other.region == own.region);
     let others: Vec<SocketAddr> = region.map(|other| other.peers).collect();
-    let mut report = report(shared, number);
+    let leaving = snapshot.routing.is_some().then_some(snapshot.stage != Stage::Serving);
+    let mut report = Report { leaving, ..report(shared, number) };
     let datagram = report.encode_to_vec();
     let turn = number as usize * MOST % others.len().max(1);
     let told = others.iter().cycle().skip(turn).take(MOST.min(others.len()));
@@ -98,8 +136,13 @@
     report.unread.clear();
     describe_region(shared, &mut report);
     let elsewhere = snapshot.boxes.iter().filter(|other| other.region != own.region);
-    let far = elsewhere.map(|other| &other.peers).choose(&mut rand::rng());
-    send(socket, &report.encode_to_vec(), far.into_iter());
+    let mut far = elsewhere.map(|other| &other.peers);
+    let datagram = report.encode_to_vec();
+    if herald.follow(leaving) {
+        send(socket, &datagram, far);
+    } else {
+        send(socket, &datagram, far.by_ref().choose(&mut rand::rng()).into_iter());
+    }
 }
 
 fn send<'a>(socket: &UdpSocket, datagram: &[u8], to: impl Iterator<Item = &'a SocketAddr>) {
@@ -112,7 +155,6 @@
 }
 
 fn describe_region<A: Adapter>(shared: &Shared<A>, report: &mut Report) {
-    report.region.clone_from(&shared.settings.region);
     for (name, service) in lock(&shared.services).iter() {
         let fullness = service.placement.fullness(&lock(&shared.loads));
         report.services.push(rendezvous::weight(name, ""));
@@ -123,8 +165,9 @@
 
 fn report<A: Adapter>(shared: &Shared<A>, number: u64) -> Report {
     let mut report = Report {
-        sender: rendezvous::weight(&shared.settings.name, ""),
+        sender: presence::box_hash(&shared.settings.name),
         incarnation: shared.incarnation,
+        region: shared.settings.region.clone(),
         number,
         ..Report::default()
     };
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use crate::coordination::loads::Loads;
 use crate::coordination::placement::Place;
 use crate::coordination::placement::Placement;
+use crate::coordination::presence::Presence;
 use crate::coordination::regions::Regions;
 use crate::coordination::retries::Budget;
 pub use crate::daemon::shared::lock;
@@ -75,6 +76,8 @@
     pub loads: Mutex<Loads>,
     /// How full the servers of other regions are.
     pub regions: Mutex<Regions>,
+    /// What other boxes say of themselves.
+    pub presence: Mutex<Presence>,
     /// Connections to backend servers.
     pub servers: backend::Client,
     /// Connections to other boxes.
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -5,9 +5,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use copperweir_lib::coordination::drain::Stage;
-use copperweir_lib::gateway::directory::addresses;
+use copperweir_lib::coordination::presence::Presence;
+use copperweir_lib::coordination::presence::box_hash;
+use copperweir_lib::gateway::directory;
 use copperweir_lib::gateway::shared::Snapshot;
 use copperweir_lib::protocol::adapter::Question;
 use copperweir_lib::protocol::fleet::BoxRecord;
@@ -65,6 +68,10 @@
     }
 }
 
+fn addresses(snapshot: &Snapshot, own: &BoxRecord, question: &Question) -> (Vec<SocketAddr>, bool) {
+    directory::addresses(snapshot, &Presence::default(), own, question, Instant::now())
+}
+
 fn question(region: &str) -> Question {
     Question {
         host: "h".to_owned(),
@@ -112,3 +119,38 @@
     let named = addresses(&snapshot, &record(1, "west", false), &question("north"));
     assert_eq!(named, (vec![address(3)], false));
 }
+
+#[test]
+fn a_box_that_says_that_it_leaves_is_not_named_though_the_store_has_not_heard() {
+    let boxes = vec![record(2, "north", false), record(3, "north", false)];
+    let snapshot = snapshot(boxes, &[]);
+    let now = Instant::now();
+    let mut presence = Presence::default();
+    assert!(presence.hear(box_hash("b2"), 1, true, now));
+    assert!(!presence.hear(box_hash("b2"), 1, false, now), "an older datagram that came late");
+    let named = |presence: &Presence, now| {
+        let own = record(1, "south", false);
+        directory::addresses(&snapshot, presence, &own, &question("north"), now).0
+    };
+    assert_eq!(named(&presence, now), vec![address(3)]);
+    assert!(presence.hear(box_hash("b2"), 2, false, now), "it is back in a new life");
+    assert_eq!(named(&presence, now), vec![address(2), address(3)]);
+    assert!(!presence.hear(box_hash("b2"), 1, true, now), "a word of the life before");
+    presence.hear(box_hash("b3"), 1, true, now);
+    presence.expire(now + Duration::from_secs(60));
+    assert_eq!(named(&presence, now), vec![address(2), address(3)], "old words no longer count");
+}
+
+/// All boxes where the routes have their homes leave in turn, and another region is whole.
+#[test]
+fn a_home_box_that_still_accepts_comes_before_regions_that_are_no_home() {
+    let boxes = vec![record(2, "north", true), record(3, "south", true), record(4, "west", false)];
+    let snapshot = snapshot(boxes, &["north", "south"]);
+    let (now, own) = (Instant::now(), record(1, "west", false));
+    let mut presence = Presence::default();
+    presence.hear(box_hash("b3"), 1, true, now);
+    let named = |now| directory::addresses(&snapshot, &presence, &own, &question("north"), now);
+    assert_eq!(named(now), (vec![address(3)], false));
+    let later = now + Duration::from_secs(2);
+    assert_eq!(named(later), (vec![address(4), address(1)], false), "it accepts no more");
+}
