--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -9,7 +9,6 @@
 use super::kept::Kept;
 use super::loads::Load;
 use super::loads::Loads;
-use super::pulse::Pulse;
 use super::rendezvous;
 use super::warmup::Warmup;
 use crate::protocol::adapter::Part;
@@ -103,8 +102,6 @@
     pace: Option<f64>,
     /// Share of its answers that failed, smoothed.
     failing: f64,
-    /// What is heard of it.
-    pub pulse: Arc<Pulse>,
     ejection: Ejection,
     warmup: Warmup,
     kept: Kept,
@@ -122,7 +119,7 @@
 
 impl Candidate {
     /// A server that nothing was sent to yet.
-    pub fn new(known: Known, memory_tokens: Option<u64>, now: Instant) -> Candidate {
+    pub fn new(known: Known, memory_tokens: Option<u64>) -> Candidate {
         Candidate {
             hash: server_hash(&known.server.id),
             limit: ceiling(&known),
@@ -131,7 +128,6 @@
             unread: 0.0,
             pace: None,
             failing: 0.0,
-            pulse: Arc::new(Pulse::new(now)),
             ejection: Ejection::default(),
             warmup: Warmup::default(),
             kept: Kept::new(memory_tokens.unwrap_or(0)),
@@ -199,7 +195,6 @@
         self.in_flight += 1;
         self.unread += work.unread;
         self.ejection.tried(now);
-        self.pulse.tried(now);
         if self.is_cold(now) {
             self.warmup.sent(now);
         }
@@ -223,13 +218,6 @@
         self.pace
     }
 
-    /// It has stopped, with all that runs there.
-    pub fn stopped(&mut self, now: Instant) {
-        if self.ejection.admits(now) {
-            self.ejection.unreachable(now);
-        }
-    }
-
     /// An exchange with it ended.
     pub fn account(&mut self, outcome: Outcome, now: Instant) {
         let failing = match outcome {
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -23,7 +23,6 @@
 pub mod policy;
 pub mod pool;
 pub mod presence;
-pub mod pulse;
 pub mod queue;
 pub mod regions;
 pub mod rendezvous;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -9,7 +9,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,7 +21,6 @@
 use super::candidate::Work;
 use super::loads::Load;
 use super::loads::Loads;
-use super::pulse::Pulse;
 use super::regions::Fullness;
 use super::text::Text;
 use crate::protocol::ServerId;
@@ -80,18 +78,6 @@
     work: f64,
     chosen_at: Instant,
     waiting: bool,
-    /// What is heard of the server.
-    pub pulse: Arc<Pulse>,
-    streaming: bool,
-}
-
-impl Place {
-    /// A stream has begun.
-    pub fn stream_begun(&mut self) {
-        if !std::mem::replace(&mut self.streaming, true) {
-            self.pulse.stream_begun();
-        }
-    }
 }
 
 /// Why there is no place.
@@ -115,7 +101,7 @@
 
 impl Placement {
     /// Takes over what control knows; `sharers` boxes send to these servers.
-    pub fn update(&mut self, known: Vec<Known>, sharers: usize, service: &Service, now: Instant) {
+    pub fn update(&mut self, known: Vec<Known>, sharers: usize, service: &Service) {
         self.sharers = sharers;
         self.max_connections = service.max_connections as f64 * CONNECTIONS;
         let mut before = std::mem::take(&mut self.servers);
@@ -126,7 +112,7 @@
                     candidate.known = known;
                     candidate
                 }
-                None => Candidate::new(known, service.memory_tokens, now),
+                None => Candidate::new(known, service.memory_tokens),
             };
             self.servers.insert(id, candidate);
         }
@@ -213,8 +199,6 @@
             at_home: false,
             chosen_at: now,
             waiting: true,
-            pulse: Arc::clone(&candidate.pulse),
-            streaming: false,
         }
     }
 
@@ -230,9 +214,6 @@
 
     /// Gives a place back.
     pub fn finish(&mut self, place: &mut Place, outcome: Outcome, now: Instant) {
-        if std::mem::take(&mut place.streaming) {
-            place.pulse.stream_ended();
-        }
         let Some(candidate) = self.servers.get_mut(&place.server) else { return };
         if std::mem::take(&mut place.waiting) {
             candidate.read(place.unread);
@@ -241,13 +222,6 @@
         candidate.account(outcome, now);
     }
 
-    /// Takes note that a server has stopped.
-    pub fn stopped(&mut self, server: &str, now: Instant) {
-        if let Some(candidate) = self.servers.get_mut(server) {
-            candidate.stopped(now);
-        }
-    }
-
     /// Takes note that a server says it is cold.
     pub fn cold(&mut self, server: &str, left: Duration, now: Instant) {
         if let Some(candidate) = self.servers.get_mut(server) {
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -67,32 +67,8 @@
     Lost(Failure),
 }
 
-/// Sends to a backend server. Where another one may run the request as well, a server that has
-/// stopped is not waited for.
+/// Sends to a backend server.
 pub async fn to_server<A: Adapter>(
-    shared: &Arc<Shared<A>>,
-    job: &Job,
-    held: Held<A>,
-    last_event: Option<u64>,
-) -> Tried<A> {
-    let (server, pulse) = (held.place.server.clone(), Arc::clone(&held.place.pulse));
-    let answer = exchange(shared, job, held, last_event);
-    if !job.route.repeatable() {
-        return answer.await;
-    }
-    tokio::select! {
-        tried = answer => tried,
-        () = pulse.stop() => {
-            let now = Instant::now();
-            log::info!("event=server_silent server={server}");
-            shared.with_service(&job.service, |service| service.placement.stopped(&server, now));
-            let message = format!("{server}: all its answers have stopped");
-            Tried::Lost(Failure::new(Kind::BackendTimeout, message).with_ran(Ran::Unknown))
-        }
-    }
-}
-
-async fn exchange<A: Adapter>(
     shared: &Arc<Shared<A>>,
     job: &Job,
     mut held: Held<A>,
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -270,7 +270,7 @@
                     budget: Budget::new(settings.retries, now),
                 });
                 let servers = known.remove(name).unwrap_or_default();
-                state.placement.update(servers, sharers, service, now);
+                state.placement.update(servers, sharers, service);
             }
         }
         self.shared.snapshot.store(Arc::new(Snapshot {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -139,19 +139,6 @@
         self.outcome = outcome;
     }
 
-    /// Something came from the server.
-    pub fn heard(&self) {
-        self.place.pulse.heard(Instant::now());
-    }
-
-    /// The server has stopped: it gets nothing new, and this exchange ends.
-    pub fn stopped(&mut self) {
-        let server = &self.place.server;
-        log::info!("event=server_silent server={server}");
-        let now = Instant::now();
-        self.shared.with_service(&self.service, |service| service.placement.stopped(server, now));
-    }
-
     /// The answer has begun.
     pub fn first_byte(&mut self) {
         let place = &mut self.place;
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -17,7 +17,6 @@
 use super::shared::Progress;
 use super::shared::Shared;
 use crate::coordination::candidate::Outcome;
-use crate::coordination::pulse::Pulse;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::events::Splitter;
 use crate::state::counters::Counter;
@@ -49,7 +48,6 @@
     pub async fn begin(&mut self) -> Result<(), Cut> {
         self.first = self.read().await?;
         if let Some(held) = &mut self.held {
-            held.place.stream_begun();
             held.first_byte();
         }
         Ok(())
@@ -68,18 +66,6 @@
         self.splitter.last_id()
     }
 
-    /// What is heard of the server, if it is one of this region.
-    pub fn pulse(&self) -> Option<Arc<Pulse>> {
-        self.held.as_ref().map(|held| Arc::clone(&held.place.pulse))
-    }
-
-    /// The server has stopped.
-    pub fn stopped(&mut self) {
-        if let Some(held) = &mut self.held {
-            held.stopped();
-        }
-    }
-
     /// Says how the exchange ended.
     pub fn set_outcome(&mut self, outcome: Outcome) {
         if let Some(held) = &mut self.held {
@@ -97,9 +83,6 @@
             let Some(frame) = self.exchange.body().frame().await else { break };
             let frame = frame.map_err(|error| Cut::Broken(error.to_string()))?;
             let Ok(bytes) = frame.into_data() else { continue };
-            if let Some(held) = &self.held {
-                held.heard();
-            }
             if let Some(events) = self.splitter.push(bytes) {
                 return Ok(Some(events));
             }
@@ -190,7 +173,7 @@
     async fn pass_on(&mut self, caller: &mpsc::Sender<Option<Part>>) -> Result<(), Cut> {
         let mut last_id = self.job.ask.last_event;
         loop {
-            match self.next().await {
+            match self.stream.next().await {
                 Ok(Some(events)) => {
                     last_id = self.stream.last_id().or(last_id);
                     self.pace.event(Instant::now());
@@ -200,29 +183,13 @@
                 }
                 Ok(None) => return Ok(()),
                 Err(cut) => {
-                    let silent = cut == Cut::Silent;
-                    self.stream.set_outcome(if silent { Outcome::Silent } else { Outcome::Lost });
+                    self.stream.set_outcome(Outcome::Lost);
                     self.stream = self.resume(last_id, cut).await?;
                 }
             }
         }
     }
 
-    /// The next whole events. Where another server may go on, one that has stopped is not waited
-    /// for: until the deadline that took 4.8 to 15 s, after which callers had left.
-    async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
-        let pulse = self.stream.pulse().filter(|_| self.job.route.resumable);
-        let Some(pulse) = pulse else { return self.stream.next().await };
-        let next = tokio::select! {
-            next = self.stream.next() => next,
-            () = pulse.stop() => Err(Cut::Silent),
-        };
-        if next == Err(Cut::Silent) {
-            self.stream.stopped();
-        }
-        next
-    }
-
     /// The rest of the stream from another server.
     async fn resume(&mut self, last_id: Option<u64>, cut: Cut) -> Result<Stream<A>, Cut> {
         if !self.job.route.resumable {
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -15,7 +15,6 @@
 use copperweir_lib::coordination::placement::Demand;
 use copperweir_lib::coordination::placement::Place;
 use copperweir_lib::coordination::placement::Placement;
-use copperweir_lib::coordination::pulse::Pulse;
 use copperweir_lib::coordination::retries;
 use copperweir_lib::coordination::retries::Budget;
 use copperweir_lib::coordination::text::Text;
@@ -46,7 +45,7 @@
     let servers = (0..count).map(|number| known(number, slots)).collect();
     let service =
         Service { max_connections: 100, memory_tokens: Some(300_000), ..Service::default() };
-    placement.update(servers, sharers, &service, Instant::now());
+    placement.update(servers, sharers, &service);
     placement
 }
 
@@ -314,34 +313,3 @@
     now += Duration::from_secs(2);
     assert!(budget.repeat(1, now));
 }
-
-#[test]
-fn a_server_has_stopped_when_all_its_streams_are_silent() {
-    let now = Instant::now();
-    let pulse = Pulse::new(now);
-    let at = |ms| now + Duration::from_millis(ms);
-    assert!(!pulse.has_stopped(at(60_000)), "nothing runs there");
-    pulse.heard(at(60_000));
-    pulse.stream_begun();
-    assert!(!pulse.has_stopped(at(61_500)), "a single stream may have been put back");
-    pulse.stream_begun();
-    pulse.heard(at(61_600));
-    assert!(!pulse.has_stopped(at(62_500)), "one of two was heard");
-    assert!(pulse.has_stopped(at(62_700)));
-    pulse.stream_ended();
-    pulse.stream_ended();
-    assert!(pulse.has_stopped(at(62_800)), "until it is heard again");
-    pulse.tried(at(63_000));
-    assert!(!pulse.has_stopped(at(63_100)), "a trial gets its time");
-}
-
-#[test]
-fn a_server_that_has_stopped_gets_no_more_until_a_trial() {
-    let mut test = Test::new(placement(1, 8, 1));
-    assert!(test.short().is_ok());
-    test.placement.stopped("i-0", test.now);
-    test.placement.stopped("i-0", test.now);
-    assert_eq!(test.short().unwrap_err(), Blocked::Failing);
-    test.now += Duration::from_millis(300);
-    assert!(test.short().is_ok(), "saying it twice does not make the pause longer");
-}
