--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -35,9 +35,12 @@
 /// Part of a shared text that counts as unread at its rendezvous server when this
 /// box has not sent it there: another box most likely has.
 const HOME_UNREAD: f64 = 0.1;
-/// What reading a shared text again costs others, against its length: the text is kept twice
-/// then, and everything beside it waits for nothing.
-const READ_AGAIN: f64 = 2.0;
+/// What reading a shared text again costs others, against its length: the text is kept twice then,
+/// something else gives way to it, and every stream beside it waits, some ten at an engine in use.
+/// Against a factor of 2, the mean worth of a day rose from 0.722 to 0.730 at the solar association,
+/// from 0.627 to 0.644 at the utility and from 0.823 to 0.833 at the ticket host, and a quarter to
+/// a third less of shared text was read again.
+const READ_AGAIN: f64 = 10.0;
 
 /// A server as control knows it.
 #[derive(Clone, Debug)]
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -189,8 +189,8 @@
     let home = test.choose(&parts).expect("a place").server;
     let stayed = (0..100).take_while(|_| test.choose(&parts).expect("a place").server == home);
     let stayed = stayed.count();
-    // Reading 13,000 tokens again is dear; each request adds 3,000 to what waits at home.
-    assert!((5..40).contains(&stayed), "{stayed}");
+    // Reading 13,000 tokens again counts eleven times; each request adds 3,000 to what waits at home.
+    assert!((20..60).contains(&stayed), "{stayed}");
 }
 
 #[test]
