--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -80,6 +80,26 @@
     waiting: bool,
 }
 
+/// What holds for all servers while one is chosen.
+#[derive(Clone, Copy, Debug)]
+struct View {
+    /// Median pace of the servers.
+    usual: Option<f64>,
+    /// Boxes whose load is not known.
+    unheard: usize,
+    /// Home of the request's text in this region, by its hash.
+    home: Option<u64>,
+    now: Instant,
+}
+
+/// A server that may be chosen.
+struct Choice {
+    id: ServerId,
+    work: Work,
+    at_home: bool,
+    candidates: usize,
+}
+
 /// Why there is no place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Blocked {
@@ -131,53 +151,68 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Result<Place, Blocked> {
-        let usual = self.usual_pace();
-        let unheard = self.sharers.saturating_sub(1 + demand.loads.heard());
-        let home = self.home(demand.parts);
+        let view = View {
+            usual: self.usual_pace(),
+            unheard: self.sharers.saturating_sub(1 + demand.loads.heard()),
+            home: self.home(demand.parts),
+            now,
+        };
         // A few are compared first, and all others only if none of these has room.
-        let few = self.few(home, rng);
-        for few in few.iter().map(Some).chain([None]) {
-            let mut candidates = 0;
-            let mut chosen: Option<(f64, &ServerId, Work, bool)> = None;
-            for (id, candidate) in &mut self.servers {
-                let passed_over = few.is_some_and(|few| !few.contains(&candidate.hash));
-                if passed_over || !candidate.known.usable || demand.tried.contains(id) {
-                    continue;
-                }
-                let load = candidate.load(demand.loads, unheard);
-                let connected = f64::from(load.in_flight) < self.max_connections;
-                let sound = demand.among == Among::Any || candidate.is_sound(now);
-                if !connected || !sound || !candidate.has_room(load, now) {
-                    continue;
-                }
-                candidates += 1;
-                let at_home = home == Some(candidate.hash);
-                let work = candidate.work(demand.parts, at_home, load, now);
-                // A little chance, so that boxes with equal views do not all choose alike.
-                let cost = candidate.cost(work, usual) * (1.0 + 0.02 * rng.random::<f64>());
-                if chosen.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                    chosen = Some((cost, id, work, at_home));
-                }
+        let mut choice = None;
+        if let Some(few) = self.few(view.home, rng) {
+            choice = self.cheapest(demand, view, |hash| few.contains(&hash), rng);
+        }
+        if choice.is_none() {
+            choice = self.cheapest(demand, view, |_| true, rng);
+        }
+        match choice {
+            Some(choice) => Ok(self.take(choice, demand, now)),
+            None => Err(self.blocked(demand, view)),
+        }
+    }
+
+    /// The server that costs the request least, of those whose hash `compared` accepts.
+    fn cheapest(
+        &mut self,
+        demand: Demand<'_>,
+        view: View,
+        compared: impl Fn(u64) -> bool,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        let mut candidates = 0;
+        let mut least: Option<(f64, Choice)> = None;
+        for (id, candidate) in &mut self.servers {
+            let usable = candidate.known.usable && !demand.tried.contains(id);
+            if !usable || !compared(candidate.hash) {
+                continue;
+            }
+            let load = candidate.load(demand.loads, view.unheard);
+            let connected = f64::from(load.in_flight) < self.max_connections;
+            let sound = demand.among == Among::Any || candidate.is_sound(view.now);
+            if !connected || !sound || !candidate.has_room(load, view.now) {
+                continue;
             }
-            if let Some((_, id, work, at_home)) = chosen {
-                let id = id.clone();
-                let mut place = self.take(id, work, demand, now);
-                (place.candidates, place.at_home) = (candidates, at_home);
-                return Ok(place);
+            candidates += 1;
+            let at_home = view.home == Some(candidate.hash);
+            let work = candidate.work(demand.parts, at_home, load, view.now);
+            // A little chance, so that boxes with equal views do not all choose alike.
+            let cost = candidate.cost(work, view.usual) * (1.0 + 0.02 * rng.random::<f64>());
+            if least.as_ref().is_none_or(|(least, _)| cost < *least) {
+                least = Some((cost, Choice { id: id.clone(), work, at_home, candidates: 0 }));
             }
         }
-        Err(self.blocked(demand, unheard, now))
+        least.map(|(_, choice)| Choice { candidates, ..choice })
     }
 
     /// Why there is no place.
-    fn blocked(&mut self, demand: Demand<'_>, unheard: usize, now: Instant) -> Blocked {
+    fn blocked(&mut self, demand: Demand<'_>, view: View) -> Blocked {
         let untried = self.servers.values_mut().filter(|candidate| {
             candidate.known.usable && !demand.tried.contains(&candidate.known.server.id)
         });
         let mut blocked = Blocked::NoServer;
         for candidate in untried {
-            let load = candidate.load(demand.loads, unheard);
-            if !candidate.is_sound(now) && candidate.has_room(load, now) {
+            let load = candidate.load(demand.loads, view.unheard);
+            if !candidate.is_sound(view.now) && candidate.has_room(load, view.now) {
                 return Blocked::Failing;
             }
             blocked = Blocked::Full;
@@ -185,7 +220,8 @@
         blocked
     }
 
-    fn take(&mut self, id: ServerId, work: Work, demand: Demand<'_>, now: Instant) -> Place {
+    fn take(&mut self, choice: Choice, demand: Demand<'_>, now: Instant) -> Place {
+        let Choice { id, work, at_home, candidates } = choice;
         let candidate = self.servers.get_mut(&id).expect("chosen from the same map");
         candidate.take(demand.parts, work, now);
         Place {
@@ -195,8 +231,8 @@
             work: work.ahead,
             in_flight: candidate.in_flight,
             others: demand.loads.on(candidate.hash).in_flight,
-            candidates: 1,
-            at_home: false,
+            candidates,
+            at_home,
             chosen_at: now,
             waiting: true,
         }
