placement: slowness and failed answers cost a server nothing more

Both are worth nothing: a server that leaves its home has texts read again, and ejection finds those that fail. No test covered them.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -2,7 +2,6 @@
 //! how it answered lately, and what a request would cost there.
 
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use super::ejection::Ejection;
@@ -21,14 +20,6 @@
 const BACK_OFF: f64 = 0.8;
 /// Tokens read that a running request costs others, by its part in each step.
 const RUNNING_TOKENS: f64 = 150.0;
-/// What a share of failed answers adds to a server's cost, as a factor.
-const FAILURE_COST: f64 = 4.0;
-/// Most that slowness adds to a server's cost, as a factor.
-const MAX_SLOWNESS: f64 = 8.0;
-/// Slowness against the median that still counts as usual: answers differ by more than their work.
-const USUAL_SLOWNESS: f64 = 2.0;
-/// Weight of the newest observation in smoothed figures.
-const SMOOTHING: f64 = 0.15;
 /// What a server in another failure domain costs more, as a factor: bytes on the way there are
 /// dear, but not so dear that servers here should wait with much more work.
 const FAR: f64 = 1.25;
@@ -101,10 +92,6 @@
     pub unread: f64,
     /// Requests of all boxes that the server seems to take.
     limit: f64,
-    /// Seconds to the first byte for each token of work that was ahead of it, smoothed.
-    pace: Option<f64>,
-    /// Share of its answers that failed, smoothed.
-    failing: f64,
     ejection: Ejection,
     warmup: Warmup,
     kept: Kept,
@@ -129,8 +116,6 @@
             known,
             in_flight: 0,
             unread: 0.0,
-            pace: None,
-            failing: 0.0,
             ejection: Ejection::default(),
             warmup: Warmup::default(),
             kept: Kept::new(memory_tokens.unwrap_or(0)),
@@ -182,15 +167,10 @@
         Work { unread, ahead, wasted }
     }
 
-    /// What a request costs there, tokens; `usual` is the median pace of the service's servers.
-    pub fn cost(&self, work: Work, usual: Option<f64>) -> f64 {
-        let slowness = match (self.pace, usual) {
-            (Some(own), Some(usual)) if usual > 0.0 => own / usual / USUAL_SLOWNESS,
-            _ => 1.0,
-        };
-        let slowness = slowness.clamp(1.0, MAX_SLOWNESS);
+    /// What a request costs there, tokens.
+    pub fn cost(&self, work: Work) -> f64 {
         let distance = if self.known.near { 1.0 } else { FAR };
-        (work.ahead + work.wasted) * slowness * distance * (1.0 + FAILURE_COST * self.failing)
+        (work.ahead + work.wasted) * distance
     }
 
     /// A request goes there.
@@ -209,26 +189,8 @@
         self.unread = (self.unread - tokens).max(0.0);
     }
 
-    /// The first token came after so long, with so much work ahead of it.
-    pub fn first_token(&mut self, ahead: f64, took: Duration) {
-        let pace = took.as_secs_f64() / ahead.max(1.0);
-        let smoothed = self.pace.unwrap_or(pace);
-        self.pace = Some(smoothed + SMOOTHING * (pace - smoothed));
-    }
-
-    /// Time to the first byte for each token of work that was ahead of it, seconds.
-    pub fn pace(&self) -> Option<f64> {
-        self.pace
-    }
-
     /// An exchange with it ended.
     pub fn account(&mut self, outcome: Outcome, now: Instant) {
-        let failing = match outcome {
-            Outcome::Answered => 0.0,
-            Outcome::Failed | Outcome::Lost | Outcome::Unreachable | Outcome::Silent => 1.0,
-            Outcome::Shed | Outcome::Abandoned | Outcome::Replaced => self.failing,
-        };
-        self.failing += SMOOTHING * (failing - self.failing);
         match outcome {
             Outcome::Answered | Outcome::Failed => {
                 self.limit = (self.limit + 1.0 / self.limit).min(ceiling(&self.known));
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -3,7 +3,7 @@
 //! A server's cost for a request is the work that would be ahead of its first
 //! token: prompt tokens that boxes still wait for there, those of the
 //! request that the server does not keep yet, and what the requests that run
-//! there add to each step. Slow and failing servers cost more. A shared text
+//! there add to each step. Servers of another failure domain cost more. A shared text
 //! belongs to one server by rendezvous, so all boxes send it to the same place
 //! unless that place is much busier than others.
 
@@ -74,17 +74,12 @@
     pub candidates: usize,
     /// Whether the server is the home of its text.
     pub at_home: bool,
-    /// Tokens of work that were ahead of its first one.
-    work: f64,
-    chosen_at: Instant,
     waiting: bool,
 }
 
 /// What holds for all servers while one is chosen.
 #[derive(Clone, Copy, Debug)]
 struct View {
-    /// Median pace of the servers.
-    usual: Option<f64>,
     /// Boxes whose load is not known.
     unheard: usize,
     /// Home of the request's text in this region, by its hash.
@@ -152,7 +147,6 @@
         rng: &mut impl Rng,
     ) -> Result<Place, Blocked> {
         let view = View {
-            usual: self.usual_pace(),
             unheard: self.sharers.saturating_sub(1 + demand.loads.heard()),
             home: self.home(demand.parts),
             now,
@@ -196,7 +190,7 @@
             let at_home = view.home == Some(candidate.hash);
             let work = candidate.work(demand.parts, at_home, load, view.now);
             // A little chance, so that boxes with equal views do not all choose alike.
-            let cost = candidate.cost(work, view.usual) * (1.0 + 0.02 * rng.random::<f64>());
+            let cost = candidate.cost(work) * (1.0 + 0.02 * rng.random::<f64>());
             if least.as_ref().is_none_or(|(least, _)| cost < *least) {
                 least = Some((cost, Choice { id: id.clone(), work, at_home, candidates: 0 }));
             }
@@ -228,24 +222,21 @@
             server: id,
             address: candidate.known.server.address,
             unread: work.unread,
-            work: work.ahead,
             in_flight: candidate.in_flight,
             others: demand.loads.on(candidate.hash).in_flight,
             candidates,
             at_home,
-            chosen_at: now,
             waiting: true,
         }
     }
 
     /// The first byte, or the first event, of an answer has come.
-    pub fn first_byte(&mut self, place: &mut Place, now: Instant) {
+    pub fn first_byte(&mut self, place: &mut Place) {
         if !std::mem::take(&mut place.waiting) {
             return;
         }
         let Some(candidate) = self.servers.get_mut(&place.server) else { return };
         candidate.read(place.unread);
-        candidate.first_token(place.work, now.saturating_duration_since(place.chosen_at));
     }
 
     /// Gives a place back.
@@ -296,14 +287,6 @@
         Some(home.into_iter().chain(drawn).collect())
     }
 
-    /// The median pace of the servers.
-    fn usual_pace(&self) -> Option<f64> {
-        let known = self.servers.values().filter(|candidate| candidate.known.usable);
-        let mut paces: Vec<f64> = known.filter_map(Candidate::pace).collect();
-        let middle = paces.len() / 2;
-        (!paces.is_empty()).then(|| *paces.select_nth_unstable_by(middle, f64::total_cmp).1)
-    }
-
     /// The server of this region that a prompt's shared text belongs to, by its hash.
     fn home(&self, parts: &[Part]) -> Option<u64> {
         let text = Text::of(parts)?;
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -136,12 +136,12 @@
     report.unread.clear();
     describe_region(shared, &mut report);
     let elsewhere = snapshot.boxes.iter().filter(|other| other.region != own.region);
-    let mut far = elsewhere.map(|other| &other.peers);
+    let far = elsewhere.map(|other| &other.peers);
     let datagram = report.encode_to_vec();
     if herald.follow(leaving) {
         send(socket, &datagram, far);
     } else {
-        send(socket, &datagram, far.by_ref().choose(&mut rand::rng()).into_iter());
+        send(socket, &datagram, far.choose(&mut rand::rng()).into_iter());
     }
 }
 
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -142,8 +142,7 @@
     /// The answer has begun.
     pub fn first_byte(&mut self) {
         let place = &mut self.place;
-        let now = Instant::now();
-        self.shared.with_service(&self.service, |service| service.placement.first_byte(place, now));
+        self.shared.with_service(&self.service, |service| service.placement.first_byte(place));
     }
 }
 
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -162,7 +162,7 @@
             let mut place = test.choose(&parts).expect("a place");
             assert_eq!(place.server, home, "shared text {shared}");
             assert!(place.at_home);
-            test.placement.first_byte(&mut place, test.now);
+            test.placement.first_byte(&mut place);
         }
     }
 }
