--- a/lib/src/coordination/presence.rs
+++ b/lib/src/coordination/presence.rs
@@ -74,7 +74,7 @@
         }
     }
 
-    /// Whether a box that leaves has said so so lately that it still accepts requests.
+    /// Whether a box that leaves still accepts requests: it has only just said so.
     pub fn accepts(&self, record: &BoxRecord, now: Instant) -> bool {
         let since = self.word(record).and_then(|word| word.leaving_since);
         since.is_some_and(|since| now < since + ACCEPTS)
--- a/lib/src/coordination/text.rs
+++ b/lib/src/coordination/text.rs
@@ -1,9 +1,9 @@
 //! The text that a prompt shares with others, and the engines that it belongs to.
 //!
-//! An engine reads a shared text once and keeps it. Every text has the same few
-//! homes for all boxes of all regions, by rendezvous of its last shared part: the
-//! parts before it are shared by many texts, and homes by these would gather all
-//! that begin alike at a few engines.
+//! An engine reads a shared text once and keeps it. Every text has one home among
+//! the engines of all regions, the same for all boxes, by rendezvous of its last
+//! shared part: the parts before it are shared by many texts, and homes by these
+//! would gather all that begin alike at a few engines.
 
 use super::rendezvous;
 use crate::protocol::adapter::Part;
