freshness, record: decisions say how old the state is that they follow

Cause: the record of the incident told the hypotheses apart only by the store's list of calls; a box's own lines did not say that its state was 6 s old, nor whether it took the chosen server for cold.

Change: a box notes when its state was last that of the store (a watch that returned, or a renewal while changes are followed). `placed` has `cold=` and `state_ms=`; the metrics page has `copperweir_state_revision` and `copperweir_state_age_ms`.

No decision changes.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -122,7 +122,8 @@
         }
     }
 
-    fn is_cold(&self, now: Instant) -> bool {
+    /// Whether it is cold, as far as known.
+    pub fn is_cold(&self, now: Instant) -> bool {
         self.known.cold_until.is_some_and(|until| now < until)
     }
 
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod ejection;
 pub mod exchange;
+pub mod freshness;
 pub mod health;
 pub mod invariant;
 pub mod kept;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -74,6 +74,8 @@
     pub candidates: usize,
     /// Whether the server is the home of its text.
     pub at_home: bool,
+    /// Whether the server is cold, as far as known.
+    pub cold: bool,
     waiting: bool,
 }
 
@@ -226,6 +228,7 @@
             others: demand.loads.on(candidate.hash).in_flight,
             candidates,
             at_home,
+            cold: candidate.is_cold(now),
             waiting: true,
         }
     }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -112,7 +112,12 @@
         sender: mpsc::Sender<Event>,
         mut events: mpsc::Receiver<Event>,
     ) -> Ending {
-        let keeper = lease::keep(self.store.clone(), self.record.subscribe(), sender);
+        let keeper = lease::keep(
+            Arc::clone(&self.shared),
+            self.store.clone(),
+            self.record.subscribe(),
+            sender,
+        );
         let keeper = tokio::spawn(keeper);
         loop {
             let read = self.read_all().await;
@@ -131,7 +136,9 @@
                     continue;
                 }
             };
-            match self.follow(revision, &mut events).await {
+            let followed = self.follow(revision, &mut events).await;
+            lock(&self.shared.freshness).lost();
+            match followed {
                 Followed::ReadAgain => {}
                 Followed::Ended => break,
             }
--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -82,6 +82,7 @@
         events: &mut mpsc::Receiver<Event>,
     ) -> Followed {
         let mut asked_at: Option<Instant> = None;
+        lock(&self.shared.freshness).followed(revision, Instant::now());
         loop {
             let watch = Operation::Watch {
                 prefix: EVERYTHING.to_owned(),
@@ -117,6 +118,7 @@
                     asked_at = Some(Instant::now());
                     self.store_answered();
                     revision = newest;
+                    lock(&self.shared.freshness).followed(revision, Instant::now());
                     if !changes.is_empty() {
                         changes.into_iter().for_each(|change| self.changed(change));
                         self.publish();
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use super::shared::Shared;
+use super::shared::lock;
 use crate::protocol::adapter::Adapter;
 use crate::state::counters::Counter;
 use crate::transport::body::Answer;
@@ -39,6 +40,8 @@
     let _ = writeln!(text, "copperweir_in_flight {}", shared.in_flight.load(Ordering::Relaxed));
     let _ = writeln!(text, "copperweir_configuration_version {version}");
     let _ = writeln!(text, "copperweir_boxes {}", snapshot.fleet);
+    let _ = writeln!(text, "copperweir_state_revision {}", lock(&shared.freshness).revision());
+    let _ = writeln!(text, "copperweir_state_age_ms {}", shared.state_age_ms());
     shared.latencies.page(&mut text);
     text
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -128,6 +128,7 @@
             loads: Mutex::default(),
             regions: Mutex::default(),
             presence: Mutex::default(),
+            freshness: Mutex::default(),
             servers: backend::Client::new(SERVER_CONNECT),
             peers: backend::Client::new(PEER_CONNECT),
             in_flight: AtomicUsize::new(0),
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -26,11 +26,11 @@
 }
 
 /// A backend server was chosen.
-pub fn placed(job: &Job, course: &Course, place: &Place) {
+pub fn placed(job: &Job, course: &Course, place: &Place, state_age_ms: i64) {
     log::info!(
         target: TARGET,
         "event=placed request={} route={} service={} server={} send={} in_flight={} others={} unread={:.0} \
-         candidates={} at_home={} text={:x} version={} boxes={} left_ms={}",
+         candidates={} at_home={} cold={} text={:x} version={} boxes={} state_ms={state_age_ms} left_ms={}",
         job.ask.id,
         job.route.name,
         job.service,
@@ -41,6 +41,7 @@
         place.unread,
         place.candidates,
         place.at_home,
+        place.cold,
         text(job),
         job.version,
         job.snapshot.fleet,
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -135,7 +135,7 @@
     let tried = match target(shared, job, course).map_err(Step::Stop)? {
         Target::Server(held) => {
             course.tried.push(held.place.server.clone());
-            record::placed(job, course, &held.place);
+            record::placed(job, course, &held.place, shared.state_age_ms());
             attempt::to_server(shared, job, *held, after).await
         }
         Target::Peer(address, reason) => {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -17,6 +17,7 @@
 use super::settings::Settings;
 use crate::coordination::candidate::Outcome;
 use crate::coordination::drain::Stage;
+use crate::coordination::freshness::Freshness;
 use crate::coordination::loads::Loads;
 use crate::coordination::placement::Place;
 use crate::coordination::placement::Placement;
@@ -78,6 +79,8 @@
     pub regions: Mutex<Regions>,
     /// What other boxes say of themselves.
     pub presence: Mutex<Presence>,
+    /// How recent the state from the store is.
+    pub freshness: Mutex<Freshness>,
     /// Connections to backend servers.
     pub servers: backend::Client,
     /// Connections to other boxes.
@@ -100,6 +103,12 @@
         lock(&self.services).get_mut(service).map(work)
     }
 
+    /// Age of the state from the store, milliseconds; -1 before there is any.
+    pub fn state_age_ms(&self) -> i64 {
+        let age = lock(&self.freshness).age(Instant::now());
+        age.map_or(-1, |age| age.as_millis() as i64)
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub fn progress(self: &Arc<Self>) -> Progress<A> {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
