warmup: a started box takes its share of a cold server as used

Cause: a box that is killed serves again half a second later and gives each cold server a whole share once more; two lives within a second are two shares.

What a server got while it was not known to be cold counts as well: once a box hears of the coldness, it may have sent more than its share in that second already.

Ruled out: a shorter wait, by what a start takes: the former life's last sends are not known here.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -108,8 +108,8 @@
 }
 
 impl Candidate {
-    /// A server that nothing was sent to yet.
-    pub fn new(known: Known, memory_tokens: Option<u64>) -> Candidate {
+    /// A server that nothing was sent to yet by a box that started then.
+    pub fn new(known: Known, memory_tokens: Option<u64>, started_at: Instant) -> Candidate {
         Candidate {
             hash: server_hash(&known.server.id),
             limit: ceiling(&known),
@@ -117,7 +117,7 @@
             in_flight: 0,
             unread: 0.0,
             ejection: Ejection::default(),
-            warmup: Warmup::default(),
+            warmup: Warmup::new(started_at),
             kept: Kept::new(memory_tokens.unwrap_or(0)),
         }
     }
@@ -179,9 +179,7 @@
         self.in_flight += 1;
         self.unread += work.unread;
         self.ejection.tried(now);
-        if self.is_cold(now) {
-            self.warmup.sent(now);
-        }
+        self.warmup.sent(now);
         self.kept.read(parts, now);
     }
 
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -109,14 +109,19 @@
 }
 
 /// The servers of one service in this region, as one box sees them.
-#[derive(Default)]
 pub struct Placement {
     servers: BTreeMap<ServerId, Candidate>,
     sharers: usize,
     max_connections: f64,
+    started_at: Instant,
 }
 
 impl Placement {
+    /// No servers yet, in a box that started then.
+    pub fn new(started_at: Instant) -> Placement {
+        Placement { servers: BTreeMap::new(), sharers: 0, max_connections: 0.0, started_at }
+    }
+
     /// Takes over what control knows; `sharers` boxes send to these servers.
     pub fn update(&mut self, known: Vec<Known>, sharers: usize, service: &Service) {
         self.sharers = sharers;
@@ -129,7 +134,7 @@
                     candidate.known = known;
                     candidate
                 }
-                None => Candidate::new(known, service.memory_tokens),
+                None => Candidate::new(known, service.memory_tokens, self.started_at),
             };
             self.servers.insert(id, candidate);
         }
--- a/lib/src/coordination/warmup.rs
+++ b/lib/src/coordination/warmup.rs
@@ -33,23 +33,38 @@
     }
 }
 
-/// Sends to one server while it is cold.
-#[derive(Clone, Debug, Default)]
+/// Sends to one server, whether it is cold or not: it may be cold for a while before this box
+/// hears of it, and what it got until then counts.
+#[derive(Clone, Debug)]
 pub struct Warmup {
+    /// Until then, sends of a former life of this box may count, which this life does not know of.
+    unknown_until: Instant,
     sent: VecDeque<Instant>,
 }
 
 impl Warmup {
+    /// Sends of a box that started then. Boxes that are killed serve again within half a second;
+    /// with a share for each life, a server that all boxes may send 6 requests in a second got 7
+    /// when these were killed twice within a second.
+    pub fn new(started_at: Instant) -> Warmup {
+        Warmup { unknown_until: started_at + WINDOW, sent: VecDeque::new() }
+    }
+
     /// Whether another request may be sent now under a share of so many in a second.
     pub fn admits(&mut self, share: u32, now: Instant) -> bool {
-        while self.sent.front().is_some_and(|sent| now >= *sent + WINDOW) {
-            self.sent.pop_front();
-        }
-        self.sent.len() < share as usize
+        self.forget(now);
+        now >= self.unknown_until && self.sent.len() < share as usize
     }
 
     /// A request is sent now.
     pub fn sent(&mut self, now: Instant) {
+        self.forget(now);
         self.sent.push_back(now);
     }
+
+    fn forget(&mut self, now: Instant) {
+        while self.sent.front().is_some_and(|sent| now >= *sent + WINDOW) {
+            self.sent.pop_front();
+        }
+    }
 }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -273,7 +273,7 @@
             services.retain(|name, _| routing.services.contains_key(name));
             for (name, service) in &routing.services {
                 let state = services.entry(name.clone()).or_insert_with(|| Service {
-                    placement: Placement::default(),
+                    placement: Placement::new(self.started_at),
                     budget: Budget::new(settings.retries, now),
                 });
                 let servers = known.remove(name).unwrap_or_default();
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -41,7 +41,7 @@
 }
 
 fn placement(count: usize, slots: u32, sharers: usize) -> Placement {
-    let mut placement = Placement::default();
+    let mut placement = Placement::new(Instant::now());
     let servers = (0..count).map(|number| known(number, slots)).collect();
     let service =
         Service { max_connections: 100, memory_tokens: Some(300_000), ..Service::default() };
@@ -49,6 +49,9 @@
     placement
 }
 
+/// Time from a box's start to a test's first request: its former life counts no longer.
+const SINCE_START: Duration = Duration::from_secs(10);
+
 struct Test {
     placement: Placement,
     loads: Loads,
@@ -59,7 +62,7 @@
 impl Test {
     fn new(placement: Placement) -> Test {
         let rng = SmallRng::seed_from_u64(7);
-        Test { placement, loads: Loads::default(), now: Instant::now(), rng }
+        Test { placement, loads: Loads::default(), now: Instant::now() + SINCE_START, rng }
     }
 
     fn choose(&mut self, parts: &[Part]) -> Result<Place, Blocked> {
@@ -274,6 +277,33 @@
     assert!(sent.len() >= 6, "it is used all the same: {}", sent.len());
 }
 
+#[test]
+fn what_a_server_got_before_it_was_known_to_be_cold_counts() {
+    let mut test = Test::new(placement(1, 64, 1));
+    for _ in 0..5 {
+        test.short().expect("a place on a warm server");
+    }
+    test.placement.cold("i-0", Duration::from_secs(60), test.now);
+    test.now += Duration::from_millis(900);
+    assert_eq!(test.short().unwrap_err(), Blocked::Full);
+    test.now += Duration::from_millis(400);
+    assert!(test.short().is_ok());
+}
+
+#[test]
+fn a_box_that_has_just_started_leaves_cold_servers_to_others() {
+    let mut test = Test::new(placement(2, 64, 1));
+    test.now -= SINCE_START;
+    test.placement.cold("i-0", Duration::from_secs(60), test.now);
+    for _ in 0..10 {
+        assert_eq!(test.short().expect("a place on the warm server").server, "i-1");
+    }
+    test.placement.cold("i-1", Duration::from_secs(60), test.now);
+    assert_eq!(test.short().unwrap_err(), Blocked::Full);
+    test.now += Duration::from_millis(1300);
+    assert!(test.short().is_ok());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
 
