control, freshness: a box without the store takes the state of one that has it

Cause: only the store tells a box that a failure domain is evacuated or a server cold. Boxes that lost the store sent on to engines that the others had long left, and flooded them when they turned cold.

Change: datagrams between boxes say which state of the store the sender has (revision, digest of keys and revisions) and how long ago that was the store's. A box that hears of a newer state, while its store does not answer or its watch does not bring it (1 s beyond the pause between watches), asks that box for all of it and takes it in like a whole read. A state that nobody exceeds is as recent as the most recent word for it. Boxes whose record is gone from the store are told on, and go on counting among those that share a bound, while they are heard: their leases run out after 4 s, and from then on nobody would tell them anything. The copy of the store that a box hands out has a module of its own and keeps revisions.

Ruled out: comparing revisions alone, since the store's grows without a change of a key and boxes that are equal would read everything again; asking all boxes in turn, since most have the same state.

--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -1,29 +1,60 @@
-//! How recent the state is that a box has from the store.
+//! How recent the state is that a box has from the store, and who has a newer one.
 //!
 //! A box that loses the store goes on with what it knows, and nothing in that
 //! state says that it no longer holds. So each box notes until when its state
-//! was that of the store.
+//! was that of the store, and tells the others which state it has. One that
+//! knows no newer state vouches for it; one that does is worth asking.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::protocol::platform::Revision;
 
+/// Which state of the store a box has.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Version {
+    /// Revision of the store that it was read at.
+    pub revision: Revision,
+    /// Digest of all keys and their revisions: the store's revision may grow without a change.
+    pub digest: u64,
+}
+
+impl Version {
+    /// Whether this state has changes that another one lacks.
+    pub fn is_ahead_of(&self, other: &Version) -> bool {
+        self.revision > other.revision && self.digest != other.digest
+    }
+}
+
+/// What another box says of its state.
+#[derive(Clone, Copy, Debug)]
+pub struct Word {
+    /// What stands for the box in datagrams.
+    pub sender: u64,
+    /// Its state.
+    pub version: Version,
+    /// How long ago that was the store's.
+    pub age: Duration,
+}
+
 /// What is known of the age of a box's state.
 #[derive(Debug, Default)]
 pub struct Freshness {
-    revision: Revision,
+    version: Version,
     /// When the state was last that of the store.
     current_at: Option<Instant>,
     /// Whether changes are being watched for, so that a store that answers has none to tell.
     following: bool,
+    /// The box with the newest state, if that is newer than this one's.
+    ahead: Option<Word>,
+    /// Since when this box is behind without having learned anything.
+    behind_since: Option<Instant>,
 }
 
 impl Freshness {
-    /// The state is that of the store at a revision; changes are followed from there.
-    pub fn followed(&mut self, revision: Revision, now: Instant) {
-        self.revision = revision;
-        self.current_at = Some(now);
+    /// The state is that of the store; changes are followed from there.
+    pub fn followed(&mut self, version: Version, now: Instant) {
+        self.take(version, now, now);
         self.following = true;
     }
 
@@ -32,16 +63,58 @@
         self.following = false;
     }
 
+    /// The state was taken from another box, and was the store's at that time.
+    pub fn taken(&mut self, version: Version, at: Instant, now: Instant) {
+        self.take(version, at, now);
+    }
+
+    fn take(&mut self, version: Version, at: Instant, now: Instant) {
+        self.version = version;
+        self.current_at = self.current_at.max(Some(at));
+        self.ahead = self.ahead.filter(|word| word.version.is_ahead_of(&version));
+        self.behind_since = self.ahead.map(|_| now);
+    }
+
     /// The store answered a call that began then.
     pub fn answered(&mut self, began: Instant) {
         if self.following {
-            self.current_at = self.current_at.max(Some(began));
+            self.vouched(began);
         }
     }
 
-    /// Revision of the state.
-    pub fn revision(&self) -> Revision {
-        self.revision
+    /// A box says which state it has.
+    pub fn hear(&mut self, word: &Word, now: Instant) {
+        if word.version.is_ahead_of(&self.version) {
+            let newest = self.ahead.is_none_or(|ahead| !ahead.version.is_ahead_of(&word.version));
+            self.ahead = if newest { Some(*word) } else { self.ahead };
+            self.behind_since.get_or_insert(now);
+        } else if let Some(at) = now.checked_sub(word.age) {
+            self.vouched(at);
+        }
+    }
+
+    /// Nothing newer than this state was known then, unless some box knows more.
+    fn vouched(&mut self, at: Instant) {
+        if self.ahead.is_none() {
+            self.current_at = self.current_at.max(Some(at));
+        }
+    }
+
+    /// The box that has a newer state, if this one has been behind it for so long.
+    pub fn ahead(&self, patience: Duration, now: Instant) -> Option<u64> {
+        let since = self.behind_since?;
+        self.ahead.filter(|_| now >= since + patience).map(|word| word.sender)
+    }
+
+    /// The box that was ahead does not answer; another may.
+    pub fn forget_ahead(&mut self) {
+        self.ahead = None;
+        self.behind_since = None;
+    }
+
+    /// The state.
+    pub fn version(&self) -> Version {
+        self.version
     }
 
     /// Age of the state; `None` before there is any.
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -56,6 +56,15 @@
     /// Slots of these servers.
     #[prost(uint32, repeated, tag = "11")]
     pub region_slots: Vec<u32>,
+    /// Revision of the sender's state from the store.
+    #[prost(uint64, tag = "13")]
+    pub state_revision: u64,
+    /// Digest of that state.
+    #[prost(fixed64, tag = "14")]
+    pub state_digest: u64,
+    /// How long ago that state was the store's, milliseconds; `None` before there is any.
+    #[prost(uint64, optional, tag = "15")]
+    pub state_age_ms: Option<u64>,
 }
 
 #[derive(Debug)]
--- a/lib/src/coordination/presence.rs
+++ b/lib/src/coordination/presence.rs
@@ -21,6 +21,10 @@
 /// clock, so after a jump back of the clock a newer life looks older, and only time heals it.
 const LIFE: Duration = Duration::from_secs(15);
 
+/// How long a box counts as heard after its last datagram: with five a second to each box of the
+/// region, some have been lost by then.
+const HEARD: Duration = Duration::from_secs(2);
+
 #[derive(Clone, Copy, Debug)]
 struct Word {
     incarnation: Incarnation,
@@ -32,6 +36,7 @@
 #[derive(Debug, Default)]
 pub struct Presence {
     words: HashMap<u64, Word>,
+    heard_at: HashMap<u64, Instant>,
 }
 
 /// What stands for a box in datagrams.
@@ -60,8 +65,20 @@
         true
     }
 
+    /// A datagram of a box has come.
+    pub fn heard(&mut self, sender: u64, now: Instant) {
+        self.heard_at.insert(sender, now);
+    }
+
+    /// Whether a box was heard lately.
+    pub fn is_heard(&self, name: &str, now: Instant) -> bool {
+        let at = self.heard_at.get(&box_hash(name));
+        at.is_some_and(|at| now < *at + HEARD)
+    }
+
     /// Drops old words.
     pub fn expire(&mut self, now: Instant) {
+        self.heard_at.retain(|_, at| now < *at + HEARD);
         let counts = |word: &Word| word.leaving_since.is_none_or(|since| now < since + LIFE);
         self.words.retain(|_, word| counts(word));
     }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -19,6 +19,7 @@
 use super::facts::Facts;
 use super::facts::View;
 use super::handover;
+use super::handover::State;
 use super::lease;
 use super::shared::Service;
 use super::shared::Shared;
@@ -31,7 +32,6 @@
 use crate::coordination::retries::Budget;
 use crate::daemon::Ending;
 use crate::protocol::adapter::Adapter;
-use crate::protocol::adapter::Item;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::PlatformError;
 use crate::transport::listen::Stop;
@@ -45,6 +45,8 @@
 const FRESH: Duration = Duration::from_secs(10);
 /// Pause after a failed call.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// How much longer than the pause between watches a box may lag behind another one: some slow calls.
+const LAG: Duration = Duration::from_secs(1);
 /// Time between looks at what has been missing for long enough and at a stop's progress.
 const TICK: Duration = Duration::from_millis(200);
 /// How long a leaving box still takes new connections: callers are told of it for a while yet.
@@ -120,6 +122,7 @@
         );
         let keeper = tokio::spawn(keeper);
         loop {
+            self.catch_up().await;
             let read = self.read_all().await;
             let revision = match read {
                 Ok(revision) => {
@@ -186,11 +189,52 @@
             return;
         }
         let seeds = &self.shared.settings.seeds;
-        let Some((from, items)) = handover::ask(&self.shared.peers, seeds).await else { return };
-        log::info!("event=learned_from_box seed={from} items={}", items.len());
-        for (key, value) in items {
-            self.written(Item { key, value, revision: 0 });
+        if let Some(state) = handover::ask_any(&self.shared.peers, seeds).await {
+            self.take(state);
         }
+    }
+
+    /// Takes the state of a box that knows more than this one, which the store does not tell, or
+    /// whose watch has died unnoticed. Boxes that lost the store sent on to a failure domain that
+    /// was evacuated 6 s before, and gave engines there that had turned cold 22 requests in a
+    /// second instead of 17, on every way to lose the store that left others with it.
+    async fn catch_up(&mut self) {
+        let Some(sender) = self.ahead() else { return };
+        let state = match self.facts.handover_of(sender) {
+            Some(address) => handover::ask(&self.shared.peers, address).await,
+            None => None,
+        };
+        match state {
+            Some(state) => self.take(state),
+            None => lock(&self.shared.freshness).forget_ahead(),
+        }
+    }
+
+    /// The box that this one is behind of for longer than following the store explains.
+    fn ahead(&self) -> Option<u64> {
+        let patience = match self.store_away_since {
+            Some(_) => Duration::ZERO,
+            None => self.watch_gap() + LAG,
+        };
+        lock(&self.shared.freshness).ahead(patience, Instant::now())
+    }
+
+    /// Takes in the whole state that another box has.
+    fn take(&mut self, state: handover::State) {
+        let State { revision, age, items } = state;
+        let now = Instant::now();
+        let known = lock(&self.shared.replica).version().revision;
+        log::info!(
+            "event=state_taken revision={revision} before={known} age_ms={} items={}",
+            age.as_millis(),
+            items.len()
+        );
+        // What that box lacks may have lapsed while the store was away from it.
+        self.facts.store_is_back(now);
+        self.replace(items, revision);
+        let version = lock(&self.shared.replica).version();
+        let at = now.checked_sub(age).unwrap_or(now);
+        lock(&self.shared.freshness).taken(version, at, now);
         self.publish();
     }
 
@@ -234,6 +278,7 @@
     fn tick(&mut self) -> bool {
         let now = Instant::now();
         let grown = self.fresh && now >= self.started_at + FRESH;
+        self.keep_heard(now);
         if self.facts.expire(now) || grown {
             self.fresh &= !grown;
             self.publish();
@@ -255,6 +300,12 @@
         stage.ended()
     }
 
+    /// Boxes whose records are gone, but that still say something, have only lost the store.
+    fn keep_heard(&mut self, now: Instant) {
+        let presence = lock(&self.shared.presence);
+        self.facts.keep_lost(|name| presence.is_heard(name, now), now);
+    }
+
     /// Publishes what is known to traffic.
     fn publish(&mut self) {
         let settings = &self.shared.settings;
@@ -283,6 +334,7 @@
         self.shared.snapshot.store(Arc::new(Snapshot {
             routing: self.facts.routing.clone(),
             boxes: self.facts.others(&self.own),
+            lost: self.facts.lost(&self.own),
             fleet,
             slots: self.facts.slots(),
             servers: self.facts.located(),
--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -47,9 +47,7 @@
     pub(super) async fn read_all(&mut self) -> Result<Revision, PlatformError> {
         let mut after = None;
         let mut first_revision = None;
-        let mut seen = BTreeSet::new();
-        let mut boxes = BTreeSet::new();
-        let mut keys = BTreeSet::new();
+        let mut all = Vec::new();
         loop {
             let prefix = EVERYTHING.to_owned();
             let answer = self.store.call(&Operation::Range { prefix, after }).await?;
@@ -59,22 +57,33 @@
             after = items.last().map(|item| item.key.clone());
             // Pages are no snapshot: changes since the first one are watched for.
             let revision = *first_revision.get_or_insert(revision);
-            for item in items {
-                match item.key.strip_prefix(BOXES) {
-                    Some(name) => boxes.insert(name.to_owned()),
-                    None => seen.insert(self.shared.adapter.subject(&item.key)),
-                };
-                keys.insert(item.key.clone());
-                self.written(item);
-            }
+            all.extend(items);
             if !more || after.is_none() {
-                self.facts.keep_only(&seen, &boxes, Instant::now());
-                lock(&self.shared.items).retain(|key, _| keys.contains(key));
+                self.replace(all, revision);
                 return Ok(revision);
             }
         }
     }
 
+    /// Takes in the whole state at a revision; what it does not show is gone.
+    pub(super) fn replace(&mut self, items: Vec<Item>, revision: Revision) {
+        let mut seen = BTreeSet::new();
+        let mut boxes = BTreeSet::new();
+        let mut keys = BTreeSet::new();
+        for item in items {
+            match item.key.strip_prefix(BOXES) {
+                Some(name) => boxes.insert(name.to_owned()),
+                None => seen.insert(self.shared.adapter.subject(&item.key)),
+            };
+            keys.insert(item.key.clone());
+            self.written(item);
+        }
+        self.facts.keep_only(&seen, &boxes, Instant::now());
+        let mut replica = lock(&self.shared.replica);
+        replica.keep_only(&keys);
+        replica.reached(revision);
+    }
+
     /// Follows changes until they are no longer known.
     pub(super) async fn follow(
         &mut self,
@@ -82,7 +91,7 @@
         events: &mut mpsc::Receiver<Event>,
     ) -> Followed {
         let mut asked_at: Option<Instant> = None;
-        lock(&self.shared.freshness).followed(revision, Instant::now());
+        self.followed();
         loop {
             let watch = Operation::Watch {
                 prefix: EVERYTHING.to_owned(),
@@ -112,15 +121,21 @@
                 if self.tick() {
                     return Followed::Ended;
                 }
+                if self.ahead().is_some() {
+                    log::warn!("event=watch_behind after={revision}");
+                    return Followed::ReadAgain;
+                }
             };
             match answer {
                 Ok(Answer::Changes { changes, revision: newest }) => {
                     asked_at = Some(Instant::now());
                     self.store_answered();
                     revision = newest;
-                    lock(&self.shared.freshness).followed(revision, Instant::now());
-                    if !changes.is_empty() {
-                        changes.into_iter().for_each(|change| self.changed(change));
+                    let changed = !changes.is_empty();
+                    changes.into_iter().for_each(|change| self.changed(change));
+                    lock(&self.shared.replica).reached(revision);
+                    self.followed();
+                    if changed {
                         self.publish();
                     }
                 }
@@ -140,8 +155,14 @@
         }
     }
 
+    /// The state is the store's now.
+    fn followed(&self) {
+        let version = lock(&self.shared.replica).version();
+        lock(&self.shared.freshness).followed(version, Instant::now());
+    }
+
     /// Least time from one watch to the next.
-    fn watch_gap(&self) -> Duration {
+    pub(super) fn watch_gap(&self) -> Duration {
         let settings = &self.shared.settings;
         let fleet = self.shared.snapshot.load().fleet as f64;
         let by_rate = fleet / (settings.store_reads * WATCH_PART).max(1.0);
@@ -164,13 +185,13 @@
     }
 
     fn forget_item<'a>(&self, key: &'a str) -> &'a str {
-        lock(&self.shared.items).remove(key);
+        lock(&self.shared.replica).remove(key);
         key
     }
 
     /// Takes in a key that was written.
     pub(super) fn written(&mut self, item: Item) {
-        lock(&self.shared.items).insert(item.key.clone(), item.value.clone());
+        lock(&self.shared.replica).insert(&item);
         if let Some((region, name)) =
             item.key.strip_prefix(ROSTER).and_then(|entry| entry.split_once('/'))
         {
--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::coordination::candidate;
 use crate::coordination::candidate::Known;
+use crate::coordination::presence;
 use crate::coordination::rendezvous;
 use crate::coordination::warmup;
 use crate::protocol::BoxId;
@@ -151,6 +153,13 @@
         }
     }
 
+    /// Where a box tells what it has from the store, by what stands for it in datagrams.
+    pub fn handover_of(&self, sender: u64) -> Option<SocketAddr> {
+        let gone = self.gone_boxes.values().map(|(record, _)| record);
+        let mut records = self.boxes.values().chain(gone);
+        records.find(|record| presence::box_hash(&record.name) == sender)?.handover
+    }
+
     /// A box was started at some time.
     pub fn learn_roster(&mut self, region: &str, name: &str) {
         self.roster.insert((region.to_owned(), name.to_owned()));
@@ -243,6 +252,24 @@
         self.servers.len() + self.gone_boxes.len() != before
     }
 
+    /// Boxes whose records are gone from the store for less than some seconds, or that are heard.
+    pub fn lost(&self, own: &BoxRecord) -> Vec<BoxRecord> {
+        let lost = self.gone_boxes.values().map(|(record, _)| record);
+        lost.filter(|record| record.name != own.name).cloned().collect()
+    }
+
+    /// Boxes that are heard are not gone: they send to servers like any other, and need the word
+    /// of others more than these do. With a lease of 4 s and shares that grew 30 s after its end,
+    /// two boxes of four without the store for so long would send 20 requests in a second where 17
+    /// are allowed (worked out, not run).
+    pub fn keep_lost(&mut self, is_heard: impl Fn(&str) -> bool, now: Instant) {
+        for (name, (_, since)) in &mut self.gone_boxes {
+            if is_heard(name) {
+                *since = now;
+            }
+        }
+    }
+
     /// Boxes that live, this one left out.
     pub fn others(&self, own: &BoxRecord) -> Vec<BoxRecord> {
         self.boxes.values().filter(|record| record.name != own.name).cloned().collect()
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -40,7 +40,8 @@
     let _ = writeln!(text, "copperweir_in_flight {}", shared.in_flight.load(Ordering::Relaxed));
     let _ = writeln!(text, "copperweir_configuration_version {version}");
     let _ = writeln!(text, "copperweir_boxes {}", snapshot.fleet);
-    let _ = writeln!(text, "copperweir_state_revision {}", lock(&shared.freshness).revision());
+    let _ =
+        writeln!(text, "copperweir_state_revision {}", lock(&shared.freshness).version().revision);
     let _ = writeln!(text, "copperweir_state_age_ms {}", shared.state_age_ms());
     shared.latencies.page(&mut text);
     text
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod metrics;
 pub mod record;
+pub mod replica;
 pub mod reports;
 pub mod run;
 pub mod settings;
@@ -118,12 +119,13 @@
             snapshot: ArcSwap::from_pointee(Snapshot {
                 routing: None,
                 boxes: Vec::new(),
+                lost: Vec::new(),
                 fleet: 1,
                 slots: HashMap::new(),
                 servers: HashMap::new(),
                 stage: Stage::Serving,
             }),
-            items: Mutex::default(),
+            replica: Mutex::default(),
             services: Mutex::default(),
             loads: Mutex::default(),
             regions: Mutex::default(),
@@ -233,6 +235,7 @@
         failure_domain: settings.failure_domain.clone(),
         callers: settings.listen.callers,
         peers: settings.listen.peers,
+        handover: Some(settings.listen.handover),
         leaving: false,
         weight: settings.weight,
     }
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -14,6 +14,8 @@
 use super::shared::Shared;
 use super::shared::lock;
 use crate::coordination::drain::Stage;
+use crate::coordination::freshness::Version;
+use crate::coordination::freshness::Word;
 use crate::coordination::loads::Report;
 use crate::coordination::presence;
 use crate::coordination::regions::Fullness;
@@ -71,6 +73,7 @@
         match Report::decode(&buffer[..length]) {
             Ok(report) => {
                 hear_presence(shared, &report, now);
+                hear_state(shared, &report, now);
                 if report.region == shared.settings.region {
                     lock(&shared.loads).hear(&report, now);
                 } else {
@@ -83,13 +86,22 @@
 }
 
 fn hear_presence<A: Adapter>(shared: &Shared<A>, report: &Report, now: Instant) {
-    let Some(leaving) = report.leaving else { return };
     let Report { sender, incarnation, .. } = *report;
-    if lock(&shared.presence).hear(sender, incarnation, leaving, now) {
+    let mut presence = lock(&shared.presence);
+    presence.heard(sender, now);
+    let Some(leaving) = report.leaving else { return };
+    if presence.hear(sender, incarnation, leaving, now) {
         log::info!("event=box_says box={sender:x} incarnation={incarnation:x} leaving={leaving}");
     }
 }
 
+fn hear_state<A: Adapter>(shared: &Shared<A>, report: &Report, now: Instant) {
+    let Some(age_ms) = report.state_age_ms else { return };
+    let version = Version { revision: report.state_revision, digest: report.state_digest };
+    let word = Word { sender: report.sender, version, age: Duration::from_millis(age_ms) };
+    lock(&shared.freshness).hear(&word, now);
+}
+
 fn hear_region<A: Adapter>(shared: &Shared<A>, report: Report, now: Instant) {
     let mut regions = lock(&shared.regions);
     let told = report.region_in_flight.iter().zip(&report.region_slots);
@@ -122,7 +134,9 @@
 fn tell<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64, herald: &mut Herald) {
     let snapshot = shared.snapshot.load();
     let own = &shared.settings;
-    let region = snapshot.boxes.iter().filter(|other| other.region == own.region);
+    // A box that has lost the store hears from the others what it does not hear from there.
+    let boxes = || snapshot.boxes.iter().chain(&snapshot.lost);
+    let region = boxes().filter(|other| other.region == own.region);
     let others: Vec<SocketAddr> = region.map(|other| other.peers).collect();
     let leaving = snapshot.routing.is_some().then_some(snapshot.stage != Stage::Serving);
     let mut report = Report { leaving, ..report(shared, number) };
@@ -135,7 +149,7 @@
     report.in_flight.clear();
     report.unread.clear();
     describe_region(shared, &mut report);
-    let elsewhere = snapshot.boxes.iter().filter(|other| other.region != own.region);
+    let elsewhere = boxes().filter(|other| other.region != own.region);
     let far = elsewhere.map(|other| &other.peers);
     let datagram = report.encode_to_vec();
     if herald.follow(leaving) {
@@ -164,11 +178,15 @@
 }
 
 fn report<A: Adapter>(shared: &Shared<A>, number: u64) -> Report {
+    let version = lock(&shared.freshness).version();
     let mut report = Report {
         sender: presence::box_hash(&shared.settings.name),
         incarnation: shared.incarnation,
         region: shared.settings.region.clone(),
         number,
+        state_revision: version.revision,
+        state_digest: version.digest,
+        state_age_ms: u64::try_from(shared.state_age_ms()).ok(),
         ..Report::default()
     };
     for service in lock(&shared.services).values() {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -13,7 +13,7 @@
 use arc_swap::ArcSwap;
 
 use super::facts::Located;
-use super::handover::Items;
+use super::replica::Replica;
 use super::settings::Settings;
 use crate::coordination::candidate::Outcome;
 use crate::coordination::drain::Stage;
@@ -41,6 +41,8 @@
     pub routing: Option<Arc<Routing>>,
     /// Other boxes that live.
     pub boxes: Vec<BoxRecord>,
+    /// Boxes whose records are gone from the store, and that may only have lost it.
+    pub lost: Vec<BoxRecord>,
     /// Boxes of all regions that bounds are shared among, this one included.
     pub fleet: usize,
     /// Slots that may get work by service and region.
@@ -69,8 +71,8 @@
     pub incarnation: Incarnation,
     /// What control knows.
     pub snapshot: ArcSwap<Snapshot>,
-    /// What the store last held, for boxes that start while it does not answer.
-    pub items: Mutex<Items>,
+    /// What the store last held, also for boxes that it does not answer.
+    pub replica: Mutex<Replica>,
     /// Servers of this region by service.
     pub services: Mutex<HashMap<ServiceId, Service>>,
     /// What other boxes have on these servers. Locked after `services`, never before.
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -27,6 +27,7 @@
         failure_domain: format!("hall-{region}"),
         callers: address(number),
         peers: ([10, 0, 0, number], 81).into(),
+        handover: None,
         leaving,
         weight: 1.0,
     }
@@ -62,6 +63,7 @@
         routing: Some(Arc::new(routing)),
         fleet: boxes.len() + 1,
         boxes,
+        lost: Vec::new(),
         slots: HashMap::new(),
         servers: HashMap::new(),
         stage: Stage::Serving,
--- a/lib/tests/test_facts.rs
+++ b/lib/tests/test_facts.rs
@@ -50,6 +50,7 @@
         failure_domain: "z".to_owned(),
         callers: ([10, 0, 0, 2], 80).into(),
         peers: ([10, 0, 0, 2], 81).into(),
+        handover: None,
         leaving: false,
         weight: 1.0,
     }
@@ -93,6 +94,28 @@
     assert!(cold_share(&facts, &own, false) > shared);
 }
 
+#[test]
+fn a_box_that_is_gone_from_the_store_and_still_heard_goes_on_counting() {
+    let mut now = Instant::now();
+    let own = record("b1");
+    let mut facts = facts();
+    facts.learn(Fact::Server(server(Duration::from_secs(3))), now);
+    facts.learn_box(record("b2"));
+    facts.forget_box("b2", now);
+    for _ in 0..100 {
+        now += Duration::from_secs(1);
+        facts.keep_lost(|name| name == "b2", now);
+        facts.expire(now);
+    }
+    assert_eq!(cold_share(&facts, &own, false), 7);
+    assert_eq!(facts.lost(&own), [record("b2")]);
+    now += Duration::from_secs(31);
+    facts.keep_lost(|_| false, now);
+    facts.expire(now);
+    assert_eq!(cold_share(&facts, &own, false), 14);
+    assert!(facts.lost(&own).is_empty());
+}
+
 #[test]
 fn entries_that_lapsed_while_the_store_was_away_get_two_seconds() {
     let mut facts = facts();
--- /dev/null
+++ b/lib/tests/test_freshness.rs
@@ -0,0 +1,124 @@
+//! How recent a box's state is, and whom it asks for a newer one.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use copperweir_lib::coordination::freshness::Freshness;
+use copperweir_lib::coordination::freshness::Version;
+use copperweir_lib::coordination::freshness::Word;
+use copperweir_lib::gateway::replica::Replica;
+use copperweir_lib::protocol::adapter::Item;
+use copperweir_lib::protocol::platform::Revision;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn version(revision: Revision) -> Version {
+    Version { revision, digest: revision }
+}
+
+fn word(sender: u64, version: Version, age: Duration) -> Word {
+    Word { sender, version, age }
+}
+
+#[test]
+fn the_state_ages_from_the_last_word_of_the_store() {
+    let mut now = Instant::now();
+    let mut freshness = Freshness::default();
+    assert_eq!(freshness.age(now), None);
+    freshness.followed(version(5), now);
+    now += SECOND;
+    assert_eq!(freshness.age(now), Some(SECOND));
+    freshness.answered(now);
+    assert_eq!(freshness.age(now), Some(Duration::ZERO));
+}
+
+#[test]
+fn a_store_that_answers_says_nothing_of_changes_that_are_not_followed() {
+    let now = Instant::now();
+    let mut freshness = Freshness::default();
+    freshness.followed(version(5), now);
+    freshness.lost();
+    freshness.answered(now + SECOND);
+    assert_eq!(freshness.age(now + SECOND), Some(SECOND));
+}
+
+#[test]
+fn a_box_that_knows_nothing_newer_vouches_for_the_state() {
+    let now = Instant::now() + 10 * SECOND;
+    let mut freshness = Freshness::default();
+    freshness.followed(version(5), now);
+    let later = now + 9 * SECOND;
+    freshness.hear(&word(1, version(5), SECOND), later);
+    assert_eq!(freshness.age(later), Some(SECOND));
+    freshness.hear(&word(2, version(4), Duration::ZERO), later);
+    assert_eq!(freshness.age(later), Some(Duration::ZERO));
+    assert_eq!(freshness.ahead(Duration::ZERO, later), None);
+}
+
+#[test]
+fn a_box_that_knows_more_is_asked_and_nothing_vouches_for_the_state_until_then() {
+    let now = Instant::now() + 10 * SECOND;
+    let mut freshness = Freshness::default();
+    freshness.followed(version(5), now);
+    freshness.hear(&word(1, version(7), Duration::ZERO), now);
+    freshness.hear(&word(2, version(6), Duration::ZERO), now);
+    freshness.hear(&word(3, version(5), Duration::ZERO), now + SECOND);
+    freshness.answered(now + SECOND);
+    let later = now + 2 * SECOND;
+    assert_eq!(freshness.age(later), Some(2 * SECOND));
+    assert_eq!(freshness.ahead(3 * SECOND, later), None);
+    assert_eq!(freshness.ahead(2 * SECOND, later), Some(1));
+    freshness.taken(version(7), now, later);
+    assert_eq!(freshness.ahead(Duration::ZERO, later), None);
+}
+
+#[test]
+fn a_box_that_catches_up_step_by_step_is_not_behind_for_long() {
+    let mut now = Instant::now();
+    let mut freshness = Freshness::default();
+    for revision in 1..10 {
+        freshness.followed(version(revision), now);
+        freshness.hear(&word(1, version(revision + 1), Duration::ZERO), now);
+        now += SECOND;
+        assert_eq!(freshness.ahead(2 * SECOND, now), None);
+    }
+}
+
+#[test]
+fn a_box_that_is_ahead_and_does_not_answer_is_not_asked_again_at_once() {
+    let now = Instant::now();
+    let mut freshness = Freshness::default();
+    freshness.followed(version(5), now);
+    freshness.hear(&word(1, version(7), Duration::ZERO), now);
+    freshness.forget_ahead();
+    assert_eq!(freshness.ahead(Duration::ZERO, now), None);
+    freshness.hear(&word(2, version(6), Duration::ZERO), now);
+    assert_eq!(freshness.ahead(Duration::ZERO, now), Some(2));
+}
+
+fn item(key: &str, revision: Revision) -> Item {
+    Item { key: key.to_owned(), value: Bytes::new(), revision }
+}
+
+#[test]
+fn replicas_are_alike_whatever_way_they_came_about() {
+    let mut one = Replica::default();
+    one.insert(&item("a", 1));
+    one.insert(&item("b", 2));
+    one.insert(&item("a", 3));
+    one.remove("b");
+    one.reached(4);
+    let mut other = Replica::default();
+    other.insert(&item("gone", 1));
+    other.insert(&item("a", 3));
+    other.keep_only(&BTreeSet::from(["a".to_owned()]));
+    // The store's revision may grow without a change of a key.
+    other.reached(6);
+    assert_eq!(one.version().digest, other.version().digest);
+    assert!(!other.version().is_ahead_of(&one.version()));
+    other.insert(&item("b", 6));
+    assert!(other.version().is_ahead_of(&one.version()));
+    assert!(!one.version().is_ahead_of(&other.version()));
+}
