handover, replica: a box without the store asks only for what was written since

Cause: a box that was behind asked for the whole state at each change, 0.3 MB for each of some 340 boxes at the size of two years (worked out: 600 servers, 340 boxes, one configuration).

Change: the question names the revision that the box has; the answer holds the keys written after it and the hashes of all keys, 8 bytes each, which tell what was removed. They are taken in like changes of a watch.

Ruled out: a list of removed keys with their revisions, which has to be kept for as long as a box may be away.

--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -32,8 +32,10 @@
 use crate::coordination::retries::Budget;
 use crate::daemon::Ending;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::adapter::Change;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::PlatformError;
+use crate::protocol::platform::Revision;
 use crate::transport::listen::Stop;
 use crate::transport::store;
 
@@ -201,7 +203,7 @@
     async fn catch_up(&mut self) {
         let Some(sender) = self.ahead() else { return };
         let state = match self.facts.handover_of(sender) {
-            Some(address) => handover::ask(&self.shared.peers, address).await,
+            Some(address) => handover::ask(&self.shared.peers, address, self.revision()).await,
             None => None,
         };
         match state {
@@ -219,19 +221,28 @@
         lock(&self.shared.freshness).ahead(patience, Instant::now())
     }
 
-    /// Takes in the whole state that another box has.
-    fn take(&mut self, state: handover::State) {
-        let State { revision, age, items } = state;
-        let now = Instant::now();
-        let known = lock(&self.shared.replica).version().revision;
+    /// Revision of what is known from the store.
+    fn revision(&self) -> Revision {
+        lock(&self.shared.replica).version().revision
+    }
+
+    /// Takes in what another box has.
+    fn take(&mut self, state: State) {
+        let State { revision, age, written, keys } = state;
+        let removed = lock(&self.shared.replica).keys_not_in(&keys);
         log::info!(
-            "event=state_taken revision={revision} before={known} age_ms={} items={}",
+            "event=state_taken revision={revision} before={} age_ms={} written={} removed={}",
+            self.revision(),
             age.as_millis(),
-            items.len()
+            written.len(),
+            removed.len()
         );
+        let now = Instant::now();
         // What that box lacks may have lapsed while the store was away from it.
         self.facts.store_is_back(now);
-        self.replace(items, revision);
+        removed.into_iter().for_each(|key| self.changed(Change::Removed(key)));
+        written.into_iter().for_each(|item| self.changed(Change::Written(item)));
+        lock(&self.shared.replica).reached(revision);
         let version = lock(&self.shared.replica).version();
         lock(&self.shared.freshness).taken(version, now.checked_sub(age), now);
         self.publish();
--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -66,7 +66,7 @@
     }
 
     /// Takes in the whole state at a revision; what it does not show is gone.
-    pub(super) fn replace(&mut self, items: Vec<Item>, revision: Revision) {
+    fn replace(&mut self, items: Vec<Item>, revision: Revision) {
         let mut seen = BTreeSet::new();
         let mut boxes = BTreeSet::new();
         let mut keys = BTreeSet::new();
@@ -169,7 +169,8 @@
         Duration::from_secs_f64(by_rate).min(settings.follow_within.mul_f64(LONGEST_WATCH_GAP))
     }
 
-    fn changed(&mut self, change: Change) {
+    /// Takes in a change of a key.
+    pub(super) fn changed(&mut self, change: Change) {
         let now = Instant::now();
         match change {
             Change::Written(item) => self.written(item),
@@ -190,7 +191,7 @@
     }
 
     /// Takes in a key that was written.
-    pub(super) fn written(&mut self, item: Item) {
+    fn written(&mut self, item: Item) {
         lock(&self.shared.replica).insert(&item);
         if let Some((region, name)) =
             item.key.strip_prefix(ROSTER).and_then(|entry| entry.split_once('/'))
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use bytes::Bytes;
 
@@ -59,16 +60,32 @@
         self.version
     }
 
-    /// All keys.
-    pub fn items(&self) -> impl Iterator<Item = Item> {
-        self.entries.iter().map(|(key, entry)| Item {
+    /// Keys that were written after a revision; all for 0.
+    pub fn written_after(&self, revision: Revision) -> impl Iterator<Item = Item> {
+        let written = self.entries.iter().filter(move |(_, entry)| entry.revision > revision);
+        written.map(|(key, entry)| Item {
             key: key.clone(),
             value: entry.value.clone(),
             revision: entry.revision,
         })
     }
+
+    /// Hashes of all keys: they tell another box which of its keys were removed.
+    pub fn key_hashes(&self) -> impl Iterator<Item = u64> {
+        self.entries.keys().map(|key| key_hash(key))
+    }
+
+    /// Keys whose hashes are not among these.
+    pub fn keys_not_in(&self, hashes: &HashSet<u64>) -> Vec<String> {
+        let missing = self.entries.keys().filter(|key| !hashes.contains(&key_hash(key)));
+        missing.cloned().collect()
+    }
+}
+
+fn key_hash(key: &str) -> u64 {
+    rendezvous::weight(key, "")
 }
 
 fn digest(key: &str, revision: Revision) -> u64 {
-    rendezvous::mix(rendezvous::weight(key, ""), revision)
+    rendezvous::mix(key_hash(key), revision)
 }
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -123,6 +123,28 @@
     assert!(!one.version().is_ahead_of(&other.version()));
 }
 
+#[test]
+fn what_a_replica_lacks_is_told_by_what_was_written_and_the_keys_that_are_left() {
+    let mut one = Replica::default();
+    let mut other = Replica::default();
+    for replica in [&mut one, &mut other] {
+        replica.insert(&item("a", 1));
+        replica.insert(&item("b", 2));
+        replica.reached(2);
+    }
+    other.remove("a");
+    other.insert(&item("c", 4));
+    other.reached(4);
+    for key in one.keys_not_in(&other.key_hashes().collect()) {
+        one.remove(&key);
+    }
+    let written: Vec<Item> = other.written_after(one.version().revision).collect();
+    assert_eq!(written, [item("c", 4)]);
+    written.iter().for_each(|item| one.insert(item));
+    one.reached(4);
+    assert_eq!(one.version(), other.version());
+}
+
 #[test]
 fn servers_are_asked_before_the_state_is_stale() {
     let now = Instant::now();
