facts: an entry that was written again is news though it says the same

Cause: a server that turns cold a second time writes the same entry again. A box that missed the entry between (without the store, or its history forgotten) took it for known and the server for warm.

Change: an entry is known by its revision too. Figures: the test fails without the change (cold until the end of the first time, 57 s before) and passes with it. Ruled out: counting every reading of a cold entry as news, since whole reads would keep it cold.

--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -212,7 +212,7 @@
         }
         match self.shared.adapter.fact(&subject, &item.value) {
             Ok(Some(fact)) => {
-                self.facts.learn(fact, Instant::now());
+                self.facts.learn(fact, item.revision, Instant::now());
             }
             Ok(None) => {}
             Err(error) => log::error!("event=unreadable key={} error=\"{error}\"", item.key),
--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -21,6 +21,7 @@
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::FailureDomainId;
 use crate::protocol::fleet::Server;
+use crate::protocol::platform::Revision;
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::Service;
 use crate::protocol::routing::ServiceId;
@@ -46,6 +47,8 @@
 #[derive(Clone, Debug)]
 struct Entry {
     server: Arc<Server>,
+    /// Revision at which it was written.
+    revision: Revision,
     cold_until: Option<Instant>,
     /// Since when it is missing, while its absence is not yet believed.
     missing_since: Option<Instant>,
@@ -90,8 +93,8 @@
         self.store_back_at = Some(now);
     }
 
-    /// Takes in something that was written. Says whether it is news.
-    pub fn learn(&mut self, fact: Fact, now: Instant) -> bool {
+    /// Takes in something that was written at a revision. Says whether it is news.
+    pub fn learn(&mut self, fact: Fact, revision: Revision, now: Instant) -> bool {
         match fact {
             Fact::Routing(routing) => {
                 let known = self.routing.as_ref().map_or(0, |routing| routing.version);
@@ -107,7 +110,7 @@
                 }
                 newer
             }
-            Fact::Server(server) => self.learn_server(server, now),
+            Fact::Server(server) => self.learn_server(server, revision, now),
             Fact::Evacuated(domain) => {
                 log::info!("event=evacuated failure_domain={domain}");
                 self.evacuated.insert(domain)
@@ -115,10 +118,14 @@
         }
     }
 
-    fn learn_server(&mut self, server: Server, now: Instant) -> bool {
+    /// An entry that was written again is news though it says the same: a server that turns cold
+    /// for the second time says "cold for 3 s" again, and a box that was without the store between
+    /// has seen nothing else.
+    fn learn_server(&mut self, server: Server, revision: Revision, now: Instant) -> bool {
         let before = self.servers.get_mut(&server.id);
         if let Some(entry) = before
             && *entry.server == server
+            && entry.revision == revision
         {
             return entry.missing_since.take().is_some();
         }
@@ -133,7 +140,7 @@
             server.cold_left.as_millis(),
         );
         let id = server.id.clone();
-        let entry = Entry { server: Arc::new(server), cold_until, missing_since: None };
+        let entry = Entry { server: Arc::new(server), revision, cold_until, missing_since: None };
         self.servers.insert(id, entry);
         true
     }
--- a/lib/tests/test_facts.rs
+++ b/lib/tests/test_facts.rs
@@ -27,7 +27,7 @@
     };
     let services = BTreeMap::from([("s".to_owned(), service)]);
     let routing = Routing::new(1, Vec::new(), services, Limits::default());
-    facts.learn(Fact::Routing(Box::new(routing)), Instant::now());
+    facts.learn(Fact::Routing(Box::new(routing)), 1, Instant::now());
     facts
 }
 
@@ -68,7 +68,7 @@
 #[test]
 fn boxes_that_start_together_share_a_cold_server_from_the_first_moment() {
     let mut facts = facts();
-    facts.learn(Fact::Server(server(Duration::from_secs(3))), Instant::now());
+    facts.learn(Fact::Server(server(Duration::from_secs(3))), 1, Instant::now());
     let own = record("b1");
     facts.learn_box(own.clone());
     let alone = cold_share(&facts, &own, true);
@@ -84,7 +84,7 @@
 #[test]
 fn a_box_that_is_gone_still_counts_for_a_while() {
     let mut facts = facts();
-    facts.learn(Fact::Server(server(Duration::from_secs(3))), Instant::now());
+    facts.learn(Fact::Server(server(Duration::from_secs(3))), 1, Instant::now());
     let own = record("b1");
     facts.learn_box(record("b2"));
     let now = Instant::now();
@@ -100,7 +100,7 @@
     let mut now = Instant::now();
     let own = record("b1");
     let mut facts = facts();
-    facts.learn(Fact::Server(server(Duration::from_secs(3))), now);
+    facts.learn(Fact::Server(server(Duration::from_secs(3))), 1, now);
     facts.learn_box(record("b2"));
     facts.forget_box("b2", now);
     for _ in 0..100 {
@@ -121,7 +121,7 @@
 fn entries_that_lapsed_while_the_store_was_away_get_two_seconds() {
     let mut facts = facts();
     let now = Instant::now();
-    facts.learn(Fact::Server(server(Duration::ZERO)), now);
+    facts.learn(Fact::Server(server(Duration::ZERO)), 1, now);
     facts.store_is_back(now);
     facts.keep_only(&BTreeSet::new(), &BTreeSet::new(), now);
     assert_eq!(facts.slots()["s"]["r"], 4, "it may be back in a moment");
@@ -133,7 +133,7 @@
 #[test]
 fn an_entry_that_goes_while_the_store_is_well_is_gone() {
     let mut facts = facts();
-    facts.learn(Fact::Server(server(Duration::ZERO)), Instant::now());
+    facts.learn(Fact::Server(server(Duration::ZERO)), 1, Instant::now());
     facts.forget(&Subject::Server("i-1".to_owned()), Instant::now());
     assert!(facts.slots().is_empty());
 }
@@ -142,8 +142,8 @@
 fn servers_come_cold_out_of_an_evacuation() {
     let mut facts = facts();
     let now = Instant::now();
-    facts.learn(Fact::Server(server(Duration::ZERO)), now);
-    facts.learn(Fact::Evacuated("z".to_owned()), now);
+    facts.learn(Fact::Server(server(Duration::ZERO)), 1, now);
+    facts.learn(Fact::Evacuated("z".to_owned()), 1, now);
     let own = record("b1");
     let known = |facts: &Facts| facts.known(&view(&own, false))["s"][0].clone();
     assert!(!known(&facts).usable);
@@ -152,10 +152,24 @@
     assert!(known(&facts).cold_until >= Some(now + Duration::from_secs(3)));
 }
 
+#[test]
+fn a_server_that_turns_cold_again_in_the_same_words_is_cold_again() {
+    let now = Instant::now();
+    let own = record("b1");
+    let cold_left = Duration::from_secs(3);
+    let mut facts = facts();
+    facts.learn(Fact::Server(server(cold_left)), 5, now);
+    let later = now + Duration::from_secs(60);
+    facts.learn(Fact::Server(server(cold_left)), 5, later);
+    assert_eq!(facts.known(&view(&own, false))["s"][0].cold_until, Some(now + cold_left));
+    facts.learn(Fact::Server(server(cold_left)), 9, later);
+    assert_eq!(facts.known(&view(&own, false))["s"][0].cold_until, Some(later + cold_left));
+}
+
 #[test]
 fn an_older_configuration_is_not_taken() {
     let mut facts = facts();
     let older = Routing::new(0, Vec::new(), BTreeMap::new(), Limits::default());
-    assert!(!facts.learn(Fact::Routing(Box::new(older)), Instant::now()));
+    assert!(!facts.learn(Fact::Routing(Box::new(older)), 1, Instant::now()));
     assert_eq!(facts.routing.as_ref().map(|routing| routing.version), Some(1));
 }
