facts, freshness: a box that is heard counts, whether the store shows it or not

Cause: a box that starts without the store learns from a box that may have lost it long ago, and then knows nothing of boxes that came later.

Change: boxes of the region whose datagrams arrive count among those that share a bound, by what stands for them there. Where a box can be asked for its state is told in the datagram, not in its record, so that a box which nobody has a record of can be asked.

The tests of facts and freshness cover the count. Ruled out: asking several boxes at the start, all of which may be as old.

--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -6,6 +6,7 @@
 //! knows no newer state vouches for it; one that does is worth asking.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -44,6 +45,8 @@
 pub struct Word {
     /// What stands for the box in datagrams.
     pub sender: u64,
+    /// Where it can be asked for that state.
+    pub address: SocketAddr,
     /// Its state.
     pub version: Version,
     /// How long ago that was the store's.
@@ -122,10 +125,10 @@
         }
     }
 
-    /// The box that has a newer state, if this one has been behind it for so long.
-    pub fn ahead(&self, patience: Duration, now: Instant) -> Option<u64> {
+    /// Where a box that has a newer state can be asked, if this one has been behind it for so long.
+    pub fn ahead(&self, patience: Duration, now: Instant) -> Option<SocketAddr> {
         let since = self.behind_since?;
-        self.ahead.filter(|_| now >= since + patience).map(|word| word.sender)
+        self.ahead.filter(|_| now >= since + patience).map(|word| word.address)
     }
 
     /// The box that was ahead does not answer; another may.
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -65,6 +65,9 @@
     /// How long ago that state was the store's, milliseconds; `None` before there is any.
     #[prost(uint64, optional, tag = "15")]
     pub state_age_ms: Option<u64>,
+    /// Port where the sender can be asked for that state.
+    #[prost(uint32, tag = "19")]
+    pub handover_port: u32,
     /// Hashes of servers that have told the sender how they are; only for boxes of its region.
     #[prost(fixed64, repeated, tag = "16")]
     pub asked: Vec<u64>,
@@ -149,4 +152,9 @@
     pub fn heard(&self) -> usize {
         self.senders.len()
     }
+
+    /// What stands for each of them.
+    pub fn senders(&self) -> impl Iterator<Item = u64> {
+        self.senders.keys().copied()
+    }
 }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -6,6 +6,7 @@
 
 mod follow;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -201,19 +202,16 @@
     /// was evacuated 6 s before, and gave engines there that had turned cold 22 requests in a
     /// second instead of 17, on every way to lose the store that left others with it.
     async fn catch_up(&mut self) {
-        let Some(sender) = self.ahead() else { return };
-        let state = match self.facts.handover_of(sender) {
-            Some(address) => handover::ask(&self.shared.peers, address, self.revision()).await,
-            None => None,
-        };
-        match state {
+        let Some(address) = self.ahead() else { return };
+        match handover::ask(&self.shared.peers, address, self.revision()).await {
             Some(state) => self.take(state),
             None => lock(&self.shared.freshness).forget_ahead(),
         }
     }
 
-    /// The box that this one is behind of for longer than following the store explains.
-    fn ahead(&self) -> Option<u64> {
+    /// Where a box can be asked that this one is behind of for longer than following the store
+    /// explains.
+    fn ahead(&self) -> Option<SocketAddr> {
         let patience = match self.store_away_since {
             Some(_) => Duration::ZERO,
             None => self.watch_gap() + LAG,
@@ -288,8 +286,8 @@
     fn tick(&mut self) -> bool {
         let now = Instant::now();
         let grown = self.fresh && now >= self.started_at + FRESH;
-        self.keep_heard(now);
-        if self.facts.expire(now) || grown {
+        let new = self.keep_heard(now);
+        if self.facts.expire(now) || grown || new {
             self.fresh &= !grown;
             self.publish();
         }
@@ -310,10 +308,13 @@
         stage.ended()
     }
 
-    /// Boxes whose records are gone, but that still say something, have only lost the store.
-    fn keep_heard(&mut self, now: Instant) {
+    /// Boxes that say something count, though the store does not, or no longer, show them. Says
+    /// whether one is new.
+    fn keep_heard(&mut self, now: Instant) -> bool {
+        let new = self.facts.hear_boxes(lock(&self.shared.loads).senders(), now);
         let presence = lock(&self.shared.presence);
         self.facts.keep_lost(|name| presence.is_heard(name, now), now);
+        new
     }
 
     /// Publishes what is known to traffic.
--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -63,6 +62,8 @@
     evacuated: BTreeSet<FailureDomainId>,
     boxes: BTreeMap<BoxId, BoxRecord>,
     gone_boxes: BTreeMap<BoxId, (BoxRecord, Instant)>,
+    /// Boxes of this region that were heard, by what stands for them in datagrams.
+    heard: BTreeMap<u64, Instant>,
     /// Boxes that were ever started, by region and name.
     roster: BTreeSet<(RegionId, BoxId)>,
     /// Region of each failure domain that is known.
@@ -160,13 +161,6 @@
         }
     }
 
-    /// Where a box tells what it has from the store, by what stands for it in datagrams.
-    pub fn handover_of(&self, sender: u64) -> Option<SocketAddr> {
-        let gone = self.gone_boxes.values().map(|(record, _)| record);
-        let mut records = self.boxes.values().chain(gone);
-        records.find(|record| presence::box_hash(&record.name) == sender)?.handover
-    }
-
     /// A box was started at some time.
     pub fn learn_roster(&mut self, region: &str, name: &str) {
         self.roster.insert((region.to_owned(), name.to_owned()));
@@ -245,7 +239,7 @@
 
     /// Drops what has been missing for long enough. Says whether there was any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let before = self.servers.len() + self.gone_boxes.len();
+        let before = self.servers.len() + self.gone_boxes.len() + self.heard.len();
         self.servers.retain(|id, entry| {
             let keep = entry.missing_since.is_none_or(|since| now < since + RETURN_GRACE);
             if !keep {
@@ -256,7 +250,8 @@
             keep
         });
         self.gone_boxes.retain(|_, (_, since)| now < *since + SHARER_MEMORY);
-        self.servers.len() + self.gone_boxes.len() != before
+        self.heard.retain(|_, at| now < *at + SHARER_MEMORY);
+        self.servers.len() + self.gone_boxes.len() + self.heard.len() != before
     }
 
     /// Boxes whose records are gone from the store for less than some seconds, or that are heard.
@@ -277,6 +272,15 @@
         }
     }
 
+    /// Boxes of this region are heard. One that started without the store may know of them by
+    /// nothing else, and would take the whole of a bound for itself: two boxes gave a cold server 21
+    /// requests in a second where 17 are allowed. Says whether any of them is new.
+    pub fn hear_boxes(&mut self, senders: impl Iterator<Item = u64>, now: Instant) -> bool {
+        let known = self.heard.len();
+        self.heard.extend(senders.map(|sender| (sender, now)));
+        self.heard.len() != known
+    }
+
     /// Boxes that live, this one left out.
     pub fn others(&self, own: &BoxRecord) -> Vec<BoxRecord> {
         self.boxes.values().filter(|record| record.name != own.name).cloned().collect()
@@ -312,24 +316,21 @@
         !entry.server.leaving && !self.evacuated.contains(&entry.server.failure_domain)
     }
 
-    /// Boxes that share the servers of this region, this one included. Boxes that start
-    /// together do not see each other at first, so a fresh one counts all that there ever were.
-    pub fn sharers<'a>(&'a self, view: &View<'a>) -> Vec<&'a str> {
+    /// Boxes that share the servers of this region, this one included, by what stands for them in
+    /// datagrams. Boxes that start together do not see each other at first, so a fresh one counts
+    /// all that there ever were.
+    pub fn sharers(&self, view: &View<'_>) -> BTreeSet<u64> {
         let own = view.own;
         let gone = self.gone_boxes.values().map(|(record, _)| record);
-        let others = self.boxes.values().chain(gone);
-        let mut names: Vec<&str> = others
-            .filter(|record| record.region == own.region && record.name != own.name)
-            .map(|record| record.name.as_str())
-            .collect();
+        let known = self.boxes.values().chain(gone).filter(|record| record.region == own.region);
+        let mut names: Vec<&str> = known.map(|record| record.name.as_str()).collect();
         names.push(&own.name);
         if view.fresh {
             let listed = self.roster.iter().filter(|(region, _)| *region == own.region);
             names.extend(listed.map(|(_, name)| name.as_str()));
         }
-        names.sort_unstable();
-        names.dedup();
-        names
+        let known = names.into_iter().map(presence::box_hash);
+        known.chain(self.heard.keys().copied()).collect()
     }
 
     /// The servers of this region by service.
@@ -359,7 +360,7 @@
     view: &View<'_>,
     service: &Service,
     server: &Server,
-    sharers: &[&str],
+    sharers: &BTreeSet<u64>,
 ) -> Option<u32> {
     if service.warmup_rate <= 0.0 {
         return None;
@@ -369,7 +370,8 @@
         excess: view.cold_excess,
         slack: view.cold_slack,
     };
-    let own = rendezvous::weight(&view.own.name, &server.id);
-    let ahead = |name: &&&str| rendezvous::weight(name, &server.id) > own;
+    let duty = candidate::server_hash(&server.id);
+    let own = rendezvous::mix(presence::box_hash(&view.own.name), duty);
+    let ahead = |other: &&u64| rendezvous::mix(**other, duty) > own;
     Some(bound.share(sharers.len(), sharers.iter().filter(ahead).count()))
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -238,7 +238,6 @@
         failure_domain: settings.failure_domain.clone(),
         callers: settings.listen.callers,
         peers: settings.listen.peers,
-        handover: Some(settings.listen.handover),
         leaving: false,
         weight: settings.weight,
     }
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -11,6 +11,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use super::beside;
 use super::shared::Shared;
 use super::shared::lock;
 use crate::coordination::drain::Stage;
@@ -77,7 +78,7 @@
         match Report::decode(&buffer[..length]) {
             Ok(report) => {
                 hear_presence(shared, &report, now);
-                hear_state(shared, &report, now);
+                hear_state(shared, &report, from, now);
                 if report.region == shared.settings.region {
                     lock(&shared.loads).hear(&report, now);
                     hear_servers(shared, &report, now);
@@ -100,11 +101,13 @@
     }
 }
 
-fn hear_state<A: Adapter>(shared: &Shared<A>, report: &Report, now: Instant) {
+fn hear_state<A: Adapter>(shared: &Shared<A>, report: &Report, from: SocketAddr, now: Instant) {
     let Some(age_ms) = report.state_age_ms else { return };
+    let Ok(port) = u16::try_from(report.handover_port) else { return };
     let version = Version { revision: report.state_revision, digest: report.state_digest };
     let word = Word {
         sender: report.sender,
+        address: beside(from, port),
         version,
         age: Duration::from_millis(age_ms),
         beside: report.region == shared.settings.region,
@@ -214,6 +217,7 @@
         state_revision: version.revision,
         state_digest: version.digest,
         state_age_ms: u64::try_from(shared.state_age_ms()).ok(),
+        handover_port: u32::from(shared.settings.listen.handover.port()),
         ..Report::default()
     };
     for service in lock(&shared.services).values() {
--- a/lib/src/protocol/fleet.rs
+++ b/lib/src/protocol/fleet.rs
@@ -49,9 +49,6 @@
     pub callers: SocketAddr,
     /// Where other boxes reach it.
     pub peers: SocketAddr,
-    /// Where it tells other boxes what it has from the store.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub handover: Option<SocketAddr>,
     /// Whether callers should no longer be sent there.
     pub leaving: bool,
     /// What it can bear, against other boxes; processor share.
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -27,7 +27,6 @@
         failure_domain: format!("hall-{region}"),
         callers: address(number),
         peers: ([10, 0, 0, number], 81).into(),
-        handover: None,
         leaving,
         weight: 1.0,
     }
--- a/lib/tests/test_facts.rs
+++ b/lib/tests/test_facts.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use copperweir_lib::coordination::presence::box_hash;
 use copperweir_lib::gateway::facts::Facts;
 use copperweir_lib::gateway::facts::View;
 use copperweir_lib::protocol::adapter::Fact;
@@ -51,7 +52,6 @@
         failure_domain: "z".to_owned(),
         callers: ([10, 0, 0, 2], 80).into(),
         peers: ([10, 0, 0, 2], 81).into(),
-        handover: None,
         leaving: false,
         weight: 1.0,
     }
@@ -95,6 +95,23 @@
     assert!(cold_share(&facts, &own, false) > shared);
 }
 
+#[test]
+fn a_box_that_the_store_never_showed_counts_once_it_is_heard() {
+    let now = Instant::now();
+    let own = record("b1");
+    let mut facts = facts();
+    facts.learn(Fact::Server(server(Duration::from_secs(3))), 1, now);
+    assert_eq!(cold_share(&facts, &own, false), 14);
+    assert!(facts.hear_boxes([box_hash("b2")].into_iter(), now));
+    assert!(!facts.hear_boxes([box_hash("b2")].into_iter(), now));
+    assert_eq!(cold_share(&facts, &own, false), 7);
+    facts.learn_box(record("b2"));
+    assert_eq!(cold_share(&facts, &own, false), 7, "it is the same box");
+    facts.forget_box("b2", now);
+    facts.expire(now + Duration::from_secs(31));
+    assert_eq!(cold_share(&facts, &own, false), 14);
+}
+
 #[test]
 fn a_box_that_is_gone_from_the_store_and_still_heard_goes_on_counting() {
     let mut now = Instant::now();
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -1,6 +1,7 @@
 //! How recent a box's state is, and whom it asks for a newer one.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,8 +19,13 @@
     Version { revision, digest: revision }
 }
 
+/// Where a box can be asked.
+fn address(sender: u64) -> SocketAddr {
+    ([10, 0, 0, sender as u8], 80).into()
+}
+
 fn word(sender: u64, version: Version, age: Duration) -> Word {
-    Word { sender, version, age, beside: true }
+    Word { sender, address: address(sender), version, age, beside: true }
 }
 
 #[test]
@@ -69,7 +75,7 @@
     let later = now + 2 * SECOND;
     assert_eq!(freshness.age(later), Some(2 * SECOND));
     assert_eq!(freshness.ahead(3 * SECOND, later), None);
-    assert_eq!(freshness.ahead(2 * SECOND, later), Some(1));
+    assert_eq!(freshness.ahead(2 * SECOND, later), Some(address(1)));
     freshness.taken(version(7), Some(now), later);
     assert_eq!(freshness.ahead(Duration::ZERO, later), None);
 }
@@ -95,7 +101,7 @@
     freshness.forget_ahead();
     assert_eq!(freshness.ahead(Duration::ZERO, now), None);
     freshness.hear(&word(2, version(6), Duration::ZERO), now);
-    assert_eq!(freshness.ahead(Duration::ZERO, now), Some(2));
+    assert_eq!(freshness.ahead(Duration::ZERO, now), Some(address(2)));
 }
 
 fn item(key: &str, revision: Revision) -> Item {
