control, freshness: boxes look for changes when none of them has a word of late

Cause: a renewal that is answered says nothing of a watch that is not. Watches that had died unnoticed hid an evacuation until they ran out, and the state counted as current all the while, so no server was asked either. Where all boxes had lost their watches at once, no box was ahead of another.

Change: only what the store tells of changes confirms a state: a watch that returned, or a whole read. When no box has had that for 0.8 s, about two of all boxes end their watch and look at once, twice as many 0.2 s later, and so on; what they see goes round with the datagrams. Asking servers begins at 2 s and a state is stale at 2.5 s (1.5 and 2 before), since words are older now.

Ruled out: shorter watches, whose calls grow with the fleet (85 a second instead of 34 for 340 boxes at 4 s); counting a renewal only for a while after a watch, since in quiet times every state would count as stale.

--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -13,12 +13,19 @@
 use super::rendezvous;
 use crate::protocol::platform::Revision;
 
-/// Age from which a state may hide that a server turned cold. An own renewal confirms the state
-/// every 1.2 s, a box beside several times as often; engines of an evacuated failure domain turned
-/// cold 5 s after the evacuation at the earliest.
-const STALE: Duration = Duration::from_secs(2);
+/// Age of a state from which some box looks whether there are changes. It tells the others if
+/// there are none, so the age stays below this and the time that words need, some 0.5 s.
+const UNCONFIRMED: Duration = Duration::from_millis(800);
+/// Boxes that look at first; twice as many for each [`LOOK_AGAIN`] that the state stays
+/// unconfirmed, so that about as many look in a large fleet as in a small one.
+const LOOKING: f64 = 2.0;
+/// Time from one look at the age to the next.
+pub const LOOK_AGAIN: Duration = Duration::from_millis(200);
 /// Age from which servers are asked, so that their answers are there when the state is stale.
-const AGING: Duration = Duration::from_millis(1500);
+const AGING: Duration = Duration::from_secs(2);
+/// Age from which a state may hide that a server turned cold: engines of an evacuated failure
+/// domain turned cold 5 s after the evacuation.
+const STALE: Duration = Duration::from_millis(2500);
 /// Boxes that ask each server. With one, its loss leaves the others without a word.
 const ASKING: usize = 2;
 /// How long a box counts as asking after its last word: some datagrams are lost.
@@ -61,8 +68,6 @@
     version: Version,
     /// When the state was last that of the store.
     current_at: Option<Instant>,
-    /// Whether changes are being watched for, so that a store that answers has none to tell.
-    following: bool,
     /// The box with the newest state, if that is newer than this one's.
     ahead: Option<Word>,
     /// Since when this box is behind without having learned anything.
@@ -72,36 +77,14 @@
 }
 
 impl Freshness {
-    /// The state is that of the store; changes are followed from there.
-    pub fn followed(&mut self, version: Version, now: Instant) {
-        self.take(version, Some(now), now);
-        self.following = true;
-    }
-
-    /// Changes are no longer followed.
-    pub fn lost(&mut self) {
-        self.following = false;
-    }
-
-    /// The state was taken from another box, and was the store's at that time, if that is known.
+    /// The box has taken in a state that was the store's at that time, if that is known.
     pub fn taken(&mut self, version: Version, at: Option<Instant>, now: Instant) {
-        self.take(version, at, now);
-    }
-
-    fn take(&mut self, version: Version, at: Option<Instant>, now: Instant) {
         self.version = version;
         self.current_at = self.current_at.max(at);
         self.ahead = self.ahead.filter(|word| word.version.is_ahead_of(&version));
         self.behind_since = self.ahead.map(|_| now);
     }
 
-    /// The store answered a call that began then.
-    pub fn answered(&mut self, began: Instant) {
-        if self.following {
-            self.vouched(began);
-        }
-    }
-
     /// A box says which state it has.
     pub fn hear(&mut self, word: &Word, now: Instant) {
         if word.beside && word.age >= AGING {
@@ -142,6 +125,14 @@
         self.version
     }
 
+    /// How likely this box should look for changes now, 0 to 1, as one of so many boxes.
+    pub fn look(&self, boxes: usize, now: Instant) -> f64 {
+        let age = self.age(now).unwrap_or(Duration::MAX);
+        let Some(over) = age.checked_sub(UNCONFIRMED) else { return 0.0 };
+        let times = over.as_secs_f64() / LOOK_AGAIN.as_secs_f64();
+        (LOOKING / boxes.max(1) as f64 * 2f64.powf(times.floor())).min(1.0)
+    }
+
     /// Whether servers may have turned cold without this box hearing of it.
     pub fn is_stale(&self, now: Instant) -> bool {
         self.age(now).is_none_or(|age| age >= STALE)
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -117,12 +117,7 @@
         sender: mpsc::Sender<Event>,
         mut events: mpsc::Receiver<Event>,
     ) -> Ending {
-        let keeper = lease::keep(
-            Arc::clone(&self.shared),
-            self.store.clone(),
-            self.record.subscribe(),
-            sender,
-        );
+        let keeper = lease::keep(self.store.clone(), self.record.subscribe(), sender);
         let keeper = tokio::spawn(keeper);
         loop {
             self.catch_up().await;
@@ -142,9 +137,7 @@
                     continue;
                 }
             };
-            let followed = self.follow(revision, &mut events).await;
-            lock(&self.shared.freshness).lost();
-            match followed {
+            match self.follow(revision, &mut events).await {
                 Followed::ReadAgain => {}
                 Followed::Ended => break,
             }
--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::Rng;
 use tokio::sync::mpsc;
 
 use super::BOXES;
 use super::Control;
 use super::Event;
 use super::ROSTER;
-use super::TICK;
+use crate::coordination::freshness::LOOK_AGAIN;
 use crate::gateway::shared::lock;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Answer;
@@ -91,13 +92,12 @@
         events: &mut mpsc::Receiver<Event>,
     ) -> Followed {
         let mut asked_at: Option<Instant> = None;
+        let mut looking = false;
         self.followed();
         loop {
-            let watch = Operation::Watch {
-                prefix: EVERYTHING.to_owned(),
-                after: revision,
-                wait: WATCH_WAIT,
-            };
+            // What a watch would tell is told at once if it need not wait.
+            let wait = if looking { Duration::ZERO } else { WATCH_WAIT };
+            let watch = Operation::Watch { prefix: EVERYTHING.to_owned(), after: revision, wait };
             let store = self.store.clone();
             let not_before = asked_at.map(|asked| asked + self.watch_gap());
             let call = async {
@@ -109,14 +109,14 @@
             tokio::pin!(call);
             let answer = loop {
                 tokio::select! {
-                    answer = &mut call => break answer,
+                    answer = &mut call => break Some(answer),
                     Some(event) = events.recv() => {
                         self.handle(event);
                         if event == Event::StoreBack {
                             return Followed::ReadAgain;
                         }
                     }
-                    () = tokio::time::sleep(TICK) => {}
+                    () = tokio::time::sleep(LOOK_AGAIN) => {}
                 }
                 if self.tick() {
                     return Followed::Ended;
@@ -125,13 +125,22 @@
                     log::warn!("event=watch_behind after={revision}");
                     return Followed::ReadAgain;
                 }
+                if !looking && self.must_look() {
+                    break None;
+                }
+            };
+            let Some(answer) = answer else {
+                looking = true;
+                asked_at = None;
+                continue;
             };
+            looking = false;
             match answer {
                 Ok(Answer::Changes { changes, revision: newest }) => {
-                    asked_at = Some(Instant::now());
                     self.store_answered();
                     revision = newest;
                     let changed = !changes.is_empty();
+                    asked_at = changed.then(Instant::now);
                     changes.into_iter().for_each(|change| self.changed(change));
                     lock(&self.shared.replica).reached(revision);
                     self.followed();
@@ -158,7 +167,18 @@
     /// The state is the store's now.
     fn followed(&self) {
         let version = lock(&self.shared.replica).version();
-        lock(&self.shared.freshness).followed(version, Instant::now());
+        let now = Instant::now();
+        lock(&self.shared.freshness).taken(version, Some(now), now);
+    }
+
+    /// Whether this box should look for changes: a watch that waits may have died unnoticed, and no
+    /// box has said of late that there are none. Watches that had died at all boxes at once hid an
+    /// evacuation for 11 s. A watch that returns at once, by about two boxes a second of all, is
+    /// 0.5 calls a second more at nine boxes than watches that wait.
+    fn must_look(&self) -> bool {
+        let fleet = self.shared.snapshot.load().fleet;
+        let likely = lock(&self.shared.freshness).look(fleet, Instant::now());
+        rand::rng().random::<f64>() < likely
     }
 
     /// Least time from one watch to the next.
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -1,7 +1,6 @@
 //! Keeps this box's record in the store, under a lease that is renewed while
 //! the process lives.
 
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,8 +12,6 @@
 use super::control::RETRY_PAUSE;
 use super::control::listed;
 use super::control::stored;
-use super::shared::Shared;
-use super::shared::lock;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Answer;
 use crate::protocol::adapter::NO_LEASE;
@@ -32,7 +29,6 @@
 
 /// Keeps the newest record in the store until its sender is gone, then takes it out.
 pub async fn keep<A: Adapter>(
-    shared: Arc<Shared<A>>,
     store: store::Client<A>,
     mut record: watch::Receiver<BoxRecord>,
     events: mpsc::Sender<Event>,
@@ -42,7 +38,6 @@
     let mut written = false;
     let mut listed = false;
     loop {
-        let began = Instant::now();
         let done = match lease {
             None => grant(&store).await.map(|granted| {
                 lease = Some(granted);
@@ -59,7 +54,6 @@
         };
         match done {
             Ok(()) => {
-                lock(&shared.freshness).answered(began);
                 if failed_since.take().is_some() && events.send(Event::StoreBack).await.is_err() {
                     return;
                 }
