--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -151,7 +151,8 @@
     /// Whether it is cold, or may be: a state that is `stale` does not say that it is not.
     pub fn is_cold(&self, stale: bool, now: Instant) -> bool {
         let until = self.known.cold_until.max(self.said_cold_until);
-        until.is_some_and(|until| now < until) || (stale && !self.is_said_warm(now))
+        let told = until.is_some_and(|until| now < until);
+        self.known.cold_share.is_some() && (told || (stale && !self.is_said_warm(now)))
     }
 
     fn is_said_warm(&self, now: Instant) -> bool {
@@ -212,10 +213,8 @@
 
     /// Whether it bears another request now.
     pub fn has_room(&mut self, load: Load, stale: bool, now: Instant) -> bool {
-        let bears = match self.known.cold_share {
-            Some(share) if self.is_cold(stale, now) => self.warmup.admits(share, now),
-            _ => true,
-        };
+        let share = self.known.cold_share.filter(|_| self.is_cold(stale, now));
+        let bears = share.is_none_or(|share| self.warmup.admits(share, now));
         bears && f64::from(load.in_flight) < self.limit
     }
 
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -66,16 +66,16 @@
     #[prost(uint64, optional, tag = "15")]
     pub state_age_ms: Option<u64>,
     /// Port where the sender can be asked for that state.
-    #[prost(uint32, tag = "19")]
+    #[prost(uint32, tag = "16")]
     pub handover_port: u32,
     /// Hashes of servers that have told the sender how they are; only for boxes of its region.
-    #[prost(fixed64, repeated, tag = "16")]
+    #[prost(fixed64, repeated, tag = "17")]
     pub asked: Vec<u64>,
     /// How much longer they are cold, in their order, milliseconds; 0 if they are not.
-    #[prost(uint32, repeated, tag = "17")]
+    #[prost(uint32, repeated, tag = "18")]
     pub cold_ms: Vec<u32>,
     /// How long ago they said so, in their order, milliseconds.
-    #[prost(uint32, repeated, tag = "18")]
+    #[prost(uint32, repeated, tag = "19")]
     pub asked_ms: Vec<u32>,
 }
 
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -260,7 +260,7 @@
             others: demand.loads.on(candidate.hash).in_flight,
             candidates,
             at_home,
-            cold: candidate.known.cold_share.is_some() && candidate.is_cold(view.stale, view.now),
+            cold: candidate.is_cold(view.stale, view.now),
             waiting: true,
         }
     }
@@ -288,12 +288,12 @@
     /// turned cold by that.
     pub fn said(&mut self, server: &str, left: Duration, now: Instant) -> bool {
         let Some(candidate) = self.servers.get_mut(server) else { return false };
-        let turned = candidate.answered(left, now);
-        let failure_domain = candidate.known.server.failure_domain.clone();
-        if turned {
+        let turned_cold = candidate.answered(left, now);
+        if turned_cold {
+            let failure_domain = candidate.known.server.failure_domain.clone();
             self.doubt(&failure_domain, now);
         }
-        turned
+        turned_cold
     }
 
     /// A server, by its hash, told another box then how much longer it is cold.
--- a/lib/src/gateway/probe.rs
+++ b/lib/src/gateway/probe.rs
@@ -58,9 +58,9 @@
             _ = ticks.tick() => {}
             _ = stop.wait_for(|stop| *stop != Stop::No) => return,
         }
-        let begins = lock(&shared.freshness).is_aging(Instant::now());
-        if begins != asking {
-            asking = begins;
+        let aging = lock(&shared.freshness).is_aging(Instant::now());
+        if aging != asking {
+            asking = aging;
             log::info!("event=asking_servers asking={asking} state_ms={}", shared.state_age_ms());
         }
         asked.retain(|_, question| !question.is_finished());
@@ -116,8 +116,8 @@
         return;
     }
     let left = verdict.cold_left.unwrap_or_default();
-    let told = shared.with_service(service, |state| state.placement.said(server, left, now));
-    if told == Some(true) {
+    let turned_cold = shared.with_service(service, |state| state.placement.said(server, left, now));
+    if turned_cold == Some(true) {
         log::info!("event=server_says server={server} cold_ms={}", left.as_millis());
         shared.news.notify_one();
     }
@@ -130,12 +130,11 @@
         .inspect_err(|error| log::error!("event=bad_health_path error=\"{error}\""))
         .ok()?;
     let answer = shared.servers.fetch(duty.address, request);
-    match tokio::time::timeout(TIMEOUT, answer).await {
-        Ok(Ok(answer)) => Some(answer),
-        Ok(Err(error)) => {
-            log::debug!("event=server_not_asked server={} error=\"{error}\"", duty.server);
-            None
-        }
-        Err(_) => None,
-    }
+    let error = match tokio::time::timeout(TIMEOUT, answer).await {
+        Ok(Ok(answer)) => return Some(answer),
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no answer in time".to_owned(),
+    };
+    log::debug!("event=server_does_not_say server={} error=\"{error}\"", duty.server);
+    None
 }
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -19,7 +19,7 @@
     pub directory: SocketAddr,
     /// For other boxes.
     pub peers: SocketAddr,
-    /// For boxes that start while the store does not answer.
+    /// For boxes that the store does not answer.
     pub handover: SocketAddr,
     /// For counters as text.
     pub metrics: SocketAddr,
@@ -38,7 +38,7 @@
     pub listen: Listen,
     /// The platform's store.
     pub store: SocketAddr,
-    /// Where some boxes answer those that start while the store does not; may be old.
+    /// Where some boxes answer those that start without the store; may be old.
     pub seeds: Vec<SocketAddr>,
     /// What the box can bear, against others: its processor share.
     pub weight: f64,
