--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -2,7 +2,8 @@
 //! is written there, and publishes what follows from it.
 //!
 //! The store may be away for as long as it likes: what was known stays in
-//! force, and is read afresh once it answers again.
+//! force, is made up from boxes that know more, and is read afresh once the
+//! store answers again.
 
 mod follow;
 
--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -25,8 +25,8 @@
 
 /// All keys are followed by one watch: each change wakes a box once.
 const EVERYTHING: &str = "";
-/// Longest wait of a watch. Each return costs a call; a connection that died unnoticed
-/// is found by then at the latest, and by a failed renewal much earlier.
+/// Longest wait of a watch. Each return costs a call. One whose connection died unnoticed is given
+/// up earlier: when another box is ahead, or when no box has a word of the store.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Part of the store's reading calls that watches of all boxes may take while changes come close
 /// together; those within the pause that follows from it cost one call.
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -1,5 +1,6 @@
-//! Tells the other boxes of the region what this one has on its servers, and
-//! hears the same from them, by datagrams.
+//! Tells the other boxes what this one has on its servers, which state it has
+//! from the store and, without the store, what servers say of themselves; hears
+//! the same from them. All by datagrams.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
