reports, unlisted: a box that the store does not show is answered and named

Cause: boxes that lose the store before their records are in it are in nobody's state. Those that had it knew nothing of them and sent them nothing, so two of a region each took themselves for alone and gave a cold server the whole of its bound: 28 requests in a second, 17 allowed. Change: whoever hears a box that the store does not show answers it and names it, with the age of its last word, in its own datagrams. Boxes that are named count among those that share a bound. Ruled out: an answer that also vouches for how recent the state is. With it the two boxes trusted the word of one box elsewhere, and a server that said its coldness only when asked got 60 requests in a second; so the answer says where newer state is, not that there is none.

--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::unlisted::Named;
+
 /// Age at which a report no longer counts: several have been lost by then, or the box is gone.
 const LIFE: Duration = Duration::from_millis(1500);
 
@@ -77,6 +79,9 @@
     /// How long ago they said so, in their order, milliseconds.
     #[prost(uint32, repeated, tag = "19")]
     pub asked_ms: Vec<u32>,
+    /// Boxes that are heard though the store does not show them.
+    #[prost(message, repeated, tag = "20")]
+    pub unlisted: Vec<Named>,
 }
 
 #[derive(Debug)]
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -32,4 +32,5 @@
 pub mod server;
 pub mod text;
 pub mod ticket;
+pub mod unlisted;
 pub mod warmup;
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -31,6 +31,7 @@
 use crate::coordination::drain::Drain;
 use crate::coordination::drain::Stage;
 use crate::coordination::placement::Placement;
+use crate::coordination::presence;
 use crate::coordination::retries::Budget;
 use crate::daemon::Ending;
 use crate::protocol::adapter::Adapter;
@@ -310,7 +311,10 @@
     /// Boxes that say something count, though the store does not, or no longer, show them. Says
     /// whether one is new.
     fn keep_heard(&mut self, now: Instant) -> bool {
-        let new = self.facts.hear_boxes(lock(&self.shared.loads).senders(), now);
+        let unlisted = lock(&self.shared.unlisted);
+        let beside = unlisted.neighbors().filter(|other| other.region == self.own.region);
+        let beside = beside.map(|other| other.box_hash);
+        let new = self.facts.hear_boxes(lock(&self.shared.loads).senders().chain(beside), now);
         let presence = lock(&self.shared.presence);
         self.facts.keep_lost(|name| presence.is_heard(name, now), now);
         new
@@ -341,10 +345,14 @@
                 state.placement.update(servers, sharers, service, now);
             }
         }
+        let (boxes, lost) = (self.facts.others(&self.own), self.facts.lost(&self.own));
+        let listed = boxes.iter().chain(&lost).chain([&self.own]);
+        let listed = listed.map(|record| presence::box_hash(&record.name)).collect();
+        lock(&self.shared.unlisted).list(listed);
         self.shared.snapshot.store(Arc::new(Snapshot {
             routing: self.facts.routing.clone(),
-            boxes: self.facts.others(&self.own),
-            lost: self.facts.lost(&self.own),
+            boxes,
+            lost,
             fleet,
             slots: self.facts.slots(),
             servers: self.facts.located(),
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -132,6 +132,7 @@
             loads: Mutex::default(),
             regions: Mutex::default(),
             presence: Mutex::default(),
+            unlisted: Mutex::default(),
             freshness: Mutex::default(),
             news: Notify::new(),
             servers: backend::Client::new(SERVER_CONNECT),
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -22,6 +22,7 @@
 use crate::coordination::presence;
 use crate::coordination::regions::Fullness;
 use crate::coordination::rendezvous;
+use crate::coordination::unlisted::Neighbor;
 use crate::protocol::adapter::Adapter;
 use crate::transport::listen::Stop;
 
@@ -54,6 +55,7 @@
                 let now = Instant::now();
                 lock(&shared.loads).expire(now);
                 lock(&shared.presence).expire(now);
+                lock(&shared.unlisted).expire(now);
                 tell(&shared, &socket, number, &mut herald);
             }
             () = shared.news.notified() => {
@@ -80,6 +82,7 @@
             Ok(report) => {
                 hear_presence(shared, &report, now);
                 hear_state(shared, &report, from, now);
+                hear_unlisted(shared, &report, from, now);
                 if report.region == shared.settings.region {
                     lock(&shared.loads).hear(&report, now);
                     hear_servers(shared, &report, now);
@@ -103,19 +106,44 @@
 }
 
 fn hear_state<A: Adapter>(shared: &Shared<A>, report: &Report, from: SocketAddr, now: Instant) {
-    let Some(age_ms) = report.state_age_ms else { return };
+    let same_region = report.region == shared.settings.region;
+    let age = match report.state_age_ms {
+        Some(age_ms) => Duration::from_millis(age_ms),
+        None if same_region => return,
+        // It does not say how old its state is, and vouches for nothing.
+        None => Duration::MAX,
+    };
     let Ok(port) = u16::try_from(report.handover_port) else { return };
     let version = Version { revision: report.state_revision, digest: report.state_digest };
     let word = Word {
         sender: report.sender,
         address: beside(from, port),
         version,
-        age: Duration::from_millis(age_ms),
-        beside: report.region == shared.settings.region,
+        age,
+        beside: same_region,
     };
     lock(&shared.freshness).hear(&word, now);
 }
 
+/// Takes in that a box is heard, and which others the sender has heard, that the store does not
+/// show. Two boxes that each took themselves for alone in their region gave a cold server 28
+/// requests in a second, where 17 are allowed.
+fn hear_unlisted<A: Adapter>(shared: &Shared<A>, report: &Report, from: SocketAddr, now: Instant) {
+    let mut unlisted = lock(&shared.unlisted);
+    let region = report.region.clone();
+    unlisted.hear(Neighbor { box_hash: report.sender, region, address: from }, now);
+    for named in &report.unlisted {
+        let Ok(address) = named.address.parse() else {
+            log::warn!("event=unreadable_name from={from} address={:?}", named.address);
+            continue;
+        };
+        let age = Duration::from_millis(u64::from(named.heard_ms));
+        let Some(at) = now.checked_sub(age) else { continue };
+        let (box_hash, region) = (named.box_hash, named.region.clone());
+        unlisted.hear(Neighbor { box_hash, region, address }, at);
+    }
+}
+
 fn hear_servers<A: Adapter>(shared: &Shared<A>, report: &Report, now: Instant) {
     let said = report.cold_ms.iter().zip(&report.asked_ms);
     for (server, (cold_ms, asked_ms)) in report.asked.iter().zip(said) {
@@ -164,7 +192,9 @@
     // A box that has lost the store hears from the others what it does not hear from there.
     let boxes = || snapshot.boxes.iter().chain(&snapshot.lost);
     let region = boxes().filter(|other| other.region == own.region);
-    let others: Vec<SocketAddr> = region.map(|other| other.peers).collect();
+    let mut others: Vec<SocketAddr> = region.map(|other| other.peers).collect();
+    let (beside, away) = unlisted(shared);
+    others.extend(beside);
     let leaving = snapshot.routing.is_some().then_some(snapshot.stage != Stage::Serving);
     let mut report = Report { leaving, ..report(shared, number) };
     let datagram = report.encode_to_vec();
@@ -187,6 +217,20 @@
     } else {
         send(socket, &datagram, far.choose(&mut rand::rng()).into_iter());
     }
+    // A box of another region that the store does not show hears of its like from here, and whom to
+    // ask for newer state. It gets no word for long whenever it is not heard, so none vouches
+    // for the state that it has, and it asks servers whether they are cold.
+    report.state_age_ms = None;
+    send(socket, &report.encode_to_vec(), away.iter().take(MOST));
+}
+
+/// Where the boxes are reached that the store does not show: those of this region, and others.
+fn unlisted<A: Adapter>(shared: &Shared<A>) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let unlisted = lock(&shared.unlisted);
+    let (beside, away): (Vec<&Neighbor>, Vec<&Neighbor>) =
+        unlisted.neighbors().partition(|other| other.region == shared.settings.region);
+    let addresses = |others: Vec<&Neighbor>| others.iter().map(|other| other.address).collect();
+    (addresses(beside), addresses(away))
 }
 
 fn send<'a>(socket: &UdpSocket, datagram: &[u8], to: impl Iterator<Item = &'a SocketAddr>) {
@@ -219,6 +263,7 @@
         state_digest: version.digest,
         state_age_ms: u64::try_from(shared.state_age_ms()).ok(),
         handover_port: u32::from(shared.settings.listen.handover.port()),
+        unlisted: lock(&shared.unlisted).named(now),
         ..Report::default()
     };
     for service in lock(&shared.services).values() {
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -25,6 +25,7 @@
 use crate::coordination::presence::Presence;
 use crate::coordination::regions::Regions;
 use crate::coordination::retries::Budget;
+use crate::coordination::unlisted::Unlisted;
 pub use crate::daemon::shared::lock;
 use crate::protocol::Incarnation;
 use crate::protocol::RegionId;
@@ -82,6 +83,8 @@
     pub regions: Mutex<Regions>,
     /// What other boxes say of themselves.
     pub presence: Mutex<Presence>,
+    /// Boxes that are heard though the store does not show them.
+    pub unlisted: Mutex<Unlisted>,
     /// How recent the state from the store is.
     pub freshness: Mutex<Freshness>,
     /// There is something that the other boxes of the region must hear at once.
--- /dev/null
+++ b/lib/tests/test_unlisted.rs
@@ -0,0 +1,60 @@
+//! Boxes that are heard though the store does not show them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use copperweir_lib::coordination::unlisted::NAMED;
+use copperweir_lib::coordination::unlisted::Neighbor;
+use copperweir_lib::coordination::unlisted::Unlisted;
+
+fn neighbor(box_hash: u64) -> Neighbor {
+    Neighbor { box_hash, region: "r".to_owned(), address: ([10, 0, 0, 1], 80).into() }
+}
+
+/// Takes in what another box names, as a datagram does.
+fn tell(from: &Unlisted, to: &mut Unlisted, now: Instant) {
+    for named in from.named(now) {
+        let at = now.checked_sub(Duration::from_millis(u64::from(named.heard_ms)));
+        to.hear(neighbor(named.box_hash), at.expect("a moment"));
+    }
+}
+
+#[test]
+fn boxes_that_name_a_dead_box_to_each_other_do_not_keep_it() {
+    let begin = Instant::now() + Duration::from_secs(60);
+    let (mut first, mut second) = (Unlisted::default(), Unlisted::default());
+    first.hear(neighbor(7), begin);
+    for number in 0..100 {
+        let now = begin + Duration::from_millis(200) * number;
+        tell(&first, &mut second, now);
+        tell(&second, &mut first, now);
+        first.expire(now);
+        second.expire(now);
+        let kept = first.neighbors().count() + second.neighbors().count();
+        let expected = if number < 50 { 2 } else { 0 };
+        assert_eq!(kept, expected, "after {number} datagrams");
+    }
+}
+
+#[test]
+fn a_box_that_the_store_shows_is_not_unlisted() {
+    let now = Instant::now();
+    let mut unlisted = Unlisted::default();
+    unlisted.hear(neighbor(7), now);
+    unlisted.list([7].into());
+    assert_eq!(unlisted.neighbors().count(), 0);
+    unlisted.hear(neighbor(7), now);
+    assert_eq!(unlisted.neighbors().count(), 0);
+}
+
+#[test]
+fn a_datagram_names_a_bounded_number_of_boxes_the_newest_first() {
+    let begin = Instant::now();
+    let mut unlisted = Unlisted::default();
+    for number in 0..100 {
+        unlisted.hear(neighbor(number), begin + Duration::from_millis(number));
+    }
+    let named = unlisted.named(begin + Duration::from_millis(100));
+    let hashes: Vec<u64> = named.iter().map(|named| named.box_hash).collect();
+    assert_eq!(hashes, (0..100).rev().take(NAMED).collect::<Vec<u64>>());
+}
