probe, warmup: servers are asked as often as they are used

Cause: without the store two boxes asked each server every 150 ms whether it was cold. At 300 requests a second 40 went there between two questions, where a cold server may get 17 in a second. Change: the time between questions is what lets 0.4 of a cold server's rate pass, at most 150 ms, at least 10 ms; each box takes its own sends times the boxes that share the server for the rate. Ruled out: a bound on sends between two words at each box, which is safe whatever the rate, but lets through 65 requests a second where words come every 200 ms, and nothing at boxes whose share is none.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -190,6 +190,11 @@
         Some((cold.unwrap_or_default(), at))
     }
 
+    /// Requests a second that this box sent there lately.
+    pub fn sent_per_second(&mut self, now: Instant) -> f64 {
+        self.warmup.sent_per_second(now)
+    }
+
     /// What this box has there.
     pub fn own_load(&self) -> Load {
         Load { in_flight: self.in_flight, unread: self.unread as u32 }
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -23,6 +23,7 @@
 use super::loads::Loads;
 use super::regions::Fullness;
 use super::text::Text;
+use super::warmup;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Part;
 use crate::protocol::fleet::Server;
@@ -105,6 +106,19 @@
     candidates: usize,
 }
 
+/// A server that may turn cold.
+#[derive(Clone, Debug)]
+pub struct Turning<'a> {
+    /// The server.
+    pub server: &'a ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// What stands for it among boxes.
+    pub hash: u64,
+    /// Time between questions to it whether it is cold.
+    pub pause: Duration,
+}
+
 /// Why there is no place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Blocked {
@@ -122,6 +136,8 @@
     sharers: usize,
     max_connections: f64,
     health_path: Option<String>,
+    /// Requests a second that a cold server bears.
+    cold_rate: f64,
     started_at: Instant,
     /// Servers that were removed, and when. One that comes back may have got its share just before:
     /// their entries lapse and return while the store is away.
@@ -136,6 +152,7 @@
             sharers: 0,
             max_connections: 0.0,
             health_path: None,
+            cold_rate: 0.0,
             started_at,
             removed: BTreeMap::new(),
         }
@@ -145,6 +162,7 @@
     pub fn update(&mut self, known: Vec<Known>, sharers: usize, service: &Service, now: Instant) {
         self.sharers = sharers;
         self.health_path.clone_from(&service.health_path);
+        self.cold_rate = service.warmup_rate;
         self.max_connections = service.max_connections as f64 * CONNECTIONS;
         let mut before = std::mem::take(&mut self.servers);
         for known in known {
@@ -331,11 +349,18 @@
         self.health_path.as_deref()
     }
 
-    /// The usable servers that may turn cold: name, address and hash.
-    pub fn turning_cold(&self) -> impl Iterator<Item = (&ServerId, SocketAddr, u64)> {
-        let usable = self.servers.iter().filter(|(_, candidate)| candidate.known.usable);
+    /// The usable servers that may turn cold.
+    pub fn turning_cold(&mut self, now: Instant) -> impl Iterator<Item = Turning<'_>> {
+        // Boxes are taken to use a server alike.
+        let (rate, sharers) = (self.cold_rate, self.sharers.max(1) as f64);
+        let usable = self.servers.iter_mut().filter(|(_, candidate)| candidate.known.usable);
         let turning = usable.filter(|(_, candidate)| candidate.known.cold_share.is_some());
-        turning.map(|(id, candidate)| (id, candidate.known.server.address, candidate.hash))
+        turning.map(move |(server, candidate)| Turning {
+            server,
+            address: candidate.known.server.address,
+            hash: candidate.hash,
+            pause: warmup::pause(rate, candidate.sent_per_second(now) * sharers),
+        })
     }
 
     /// Another instance has a server's address.
--- a/lib/src/coordination/warmup.rs
+++ b/lib/src/coordination/warmup.rs
@@ -23,6 +23,23 @@
     pub slack: f64,
 }
 
+/// Longest time between questions to a server whether it is cold, by one box.
+pub const LONGEST_PAUSE: Duration = Duration::from_millis(150);
+/// Shortest such time: some answers' time, so that questions do not fill the server.
+pub const SHORTEST_PAUSE: Duration = Duration::from_millis(10);
+/// Part of a cold server's rate that may pass between two questions; the rest is for the time
+/// that its word takes to all boxes.
+const UNHEARD: f64 = 0.4;
+
+/// Time between questions to a server that bears `rate` requests a second while it is cold and is
+/// used at `used` requests a second by all boxes. At 300 a second, with 150 ms between questions,
+/// servers got 20 to 68 requests in the second in which they turned cold, where 17 are allowed.
+pub fn pause(rate: f64, used: f64) -> Duration {
+    let seconds = rate * UNHEARD / used.max(f64::MIN_POSITIVE);
+    let longest = LONGEST_PAUSE.as_secs_f64();
+    Duration::from_secs_f64(seconds.min(longest)).max(SHORTEST_PAUSE)
+}
+
 impl Bound {
     /// The share of the box that is `rank`th of `sharers` for the server: an even part,
     /// or one request for the first boxes where there is less than one for each.
@@ -57,6 +74,12 @@
         self.unknown_until.is_none_or(|until| now >= until) && self.sent.len() < share as usize
     }
 
+    /// Requests a second that were sent lately.
+    pub fn sent_per_second(&mut self, now: Instant) -> f64 {
+        self.forget(now);
+        self.sent.len() as f64 / WINDOW.as_secs_f64()
+    }
+
     /// A request is sent now.
     pub fn sent(&mut self, now: Instant) {
         self.forget(now);
--- a/lib/src/gateway/probe.rs
+++ b/lib/src/gateway/probe.rs
@@ -24,16 +24,13 @@
 use super::shared::Shared;
 use super::shared::lock;
 use crate::coordination::presence;
+use crate::coordination::warmup;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::routing::ServiceId;
 use crate::state::counters::Counter;
 use crate::transport::listen::Stop;
 
-/// Time between questions to a server by one box. A cold server may get 6 to 17 requests in a
-/// second and a warm one gets up to 80, so a tenth of a second is what can pass unheard; two boxes
-/// ask each server.
-const PERIOD: Duration = Duration::from_millis(150);
 /// Longest wait for an answer; a server without a free slot answers late.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -45,52 +42,65 @@
     hash: u64,
     address: SocketAddr,
     path: String,
+    /// Time between questions.
+    pause: Duration,
+}
+
+/// A question to a server.
+struct Question {
+    task: JoinHandle<()>,
+    /// When the next one is due.
+    next_at: Instant,
 }
 
 /// Asks until told to stop.
 pub async fn ask_servers<A: Adapter>(shared: Arc<Shared<A>>, mut stop: watch::Receiver<Stop>) {
-    let mut ticks = tokio::time::interval(PERIOD);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut asked: HashMap<ServerId, JoinHandle<()>> = HashMap::new();
+    let mut asked: HashMap<ServerId, Question> = HashMap::new();
     let mut asking = false;
     loop {
+        let tick = if asking { warmup::SHORTEST_PAUSE } else { warmup::LONGEST_PAUSE };
         tokio::select! {
-            _ = ticks.tick() => {}
+            () = tokio::time::sleep(tick) => {}
             _ = stop.wait_for(|stop| *stop != Stop::No) => return,
         }
-        let aging = lock(&shared.freshness).is_aging(Instant::now());
+        let now = Instant::now();
+        let aging = lock(&shared.freshness).is_aging(now);
         if aging != asking {
             asking = aging;
             log::info!("event=asking_servers asking={asking} state_ms={}", shared.state_age_ms());
         }
-        asked.retain(|_, question| !question.is_finished());
+        asked.retain(|_, question| !question.task.is_finished() || now < question.next_at);
         if !asking {
             continue;
         }
-        for duty in duties(&shared) {
-            if !asked.contains_key(&duty.server) {
-                let server = duty.server.clone();
-                asked.insert(server, tokio::spawn(ask(Arc::clone(&shared), duty)));
+        for duty in duties(&shared, now) {
+            if asked.contains_key(&duty.server) {
+                continue;
             }
+            // The boxes that ask a server would do so at the same moment otherwise.
+            let next_at = now + duty.pause.mul_f64(0.5 + rand::rng().random::<f64>());
+            let server = duty.server.clone();
+            let task = tokio::spawn(ask(Arc::clone(&shared), duty));
+            asked.insert(server, Question { task, next_at });
         }
     }
 }
 
 /// The servers that this box asks.
-fn duties<A: Adapter>(shared: &Shared<A>) -> Vec<Duty> {
+fn duties<A: Adapter>(shared: &Shared<A>, now: Instant) -> Vec<Duty> {
     let mut duties = Vec::new();
-    for (service, state) in lock(&shared.services).iter() {
-        let Some(path) = state.placement.health_path() else { continue };
-        duties.extend(state.placement.turning_cold().map(|(server, address, hash)| Duty {
+    for (service, state) in lock(&shared.services).iter_mut() {
+        let Some(path) = state.placement.health_path().map(str::to_owned) else { continue };
+        duties.extend(state.placement.turning_cold(now).map(|turning| Duty {
             service: service.clone(),
-            server: server.clone(),
-            hash,
-            address,
-            path: path.to_owned(),
+            server: turning.server.clone(),
+            hash: turning.hash,
+            address: turning.address,
+            path: path.clone(),
+            pause: turning.pause,
         }));
     }
     let own = presence::box_hash(&shared.settings.name);
-    let now = Instant::now();
     let freshness = lock(&shared.freshness);
     duties.retain(|duty| freshness.asks(own, duty.hash, now));
     duties
@@ -98,9 +108,6 @@
 
 /// Asks one server, and tells the other boxes at once if it has turned cold.
 async fn ask<A: Adapter>(shared: Arc<Shared<A>>, duty: Duty) {
-    // The boxes that ask a server would do so at the same moment otherwise.
-    let wait = PERIOD.mul_f64(rand::rng().random::<f64>());
-    tokio::time::sleep(wait).await;
     shared.counters.count(Counter::Probes);
     let Some(answer) = fetch(&shared, &duty).await else { return };
     let verdict = shared.adapter.verdict(answer.status(), answer.headers());
