run, candidate: what one server refused runs at another; a replaced server stays replaced

A refusal counted as an attempt, so requests that may run once ended there. The server's entry stays in the store for seconds, and each word from the store made it usable again. And a box that had been cut off for 12 s told its region that the store was back, which kept the entries of servers that were gone for 2.2 s more everywhere. Change: only sends that may have run use up attempts; refused ones are paid for from the retry budget, four offers at most. A server with another instance at its address stays out for good. A return of the store that another box tells of counts only for a box that had no recent state itself. Ruled out: the offers as a matter of load; engines had room (refusals by full servers were 189).

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -96,6 +96,8 @@
     pub known: Known,
     /// What stands for it where shared parts find their homes.
     pub hash: u64,
+    /// Whether another instance has its address. The store may show its entry for seconds more.
+    replaced: bool,
     /// Requests of this box.
     pub in_flight: u32,
     /// Prompt tokens of this box whose first token has not come.
@@ -136,6 +138,7 @@
             hash: server_hash(&known.server.id),
             limit: ceiling(&known),
             known,
+            replaced: false,
             in_flight: 0,
             unread: 0.0,
             ejection: Ejection::default(),
@@ -195,6 +198,18 @@
         self.warmup.sent_per_second(now)
     }
 
+    /// Takes over what control knows now.
+    pub fn update(&mut self, known: Known) {
+        self.known = known;
+        self.known.usable &= !self.replaced;
+    }
+
+    /// Another instance has its address, so it never comes back.
+    pub fn replace(&mut self) {
+        self.replaced = true;
+        self.known.usable = false;
+    }
+
     /// What this box has there.
     pub fn own_load(&self) -> Load {
         Load { in_flight: self.in_flight, unread: self.unread as u32 }
@@ -270,7 +285,7 @@
             }
             Outcome::Unreachable => self.ejection.unreachable(now),
             Outcome::Lost | Outcome::Silent => self.ejection.lost(now),
-            Outcome::Replaced => self.known.usable = false,
+            Outcome::Replaced => self.replace(),
             Outcome::Abandoned => {}
         }
     }
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -169,7 +169,7 @@
             let id = known.server.id.clone();
             let candidate = match before.remove(&id) {
                 Some(mut candidate) => {
-                    candidate.known = known;
+                    candidate.update(known);
                     candidate
                 }
                 None => {
@@ -366,7 +366,7 @@
     /// Another instance has a server's address.
     pub fn replaced(&mut self, server: &str) {
         if let Some(candidate) = self.servers.get_mut(server) {
-            candidate.known.usable = false;
+            candidate.replace();
         }
     }
 
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -51,7 +51,7 @@
 /// Pause after a failed call.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Shortest time without the store after which entries of servers may have lapsed, from the first
-/// failed call on. One broken connection among 295 boxes kept servers that were gone for 2.2 s.
+/// failed call on. One broken connection among 295 boxes kept servers that were gone for 2.2 s more.
 const OUTAGE: Duration = Duration::from_millis(500);
 /// How much longer than the pause between watches a box that watches may lag behind another one:
 /// some slow calls.
@@ -287,8 +287,10 @@
             removed.len()
         );
         let now = Instant::now();
-        // What that box lacks may have lapsed while the store was away, and be written again soon.
-        if let Some(at) = returned.and_then(|ago| now.checked_sub(ago)) {
+        // What that box lacks may have lapsed while the store was away for all, and be written again
+        // soon. If this box has a recent state, the store was away for that box only.
+        let without = lock(&self.shared.freshness).is_aging(now);
+        if let Some(at) = returned.filter(|_| without).and_then(|ago| now.checked_sub(ago)) {
             self.facts.store_is_back(at);
             self.tell_store_is_back();
         }
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -122,7 +122,7 @@
     let mut response = Response::new(Answer::whole(caller::failure_body(failure)));
     *response.status_mut() = failure.status();
     caller::failure_headers(failure, response.headers_mut());
-    response.headers_mut().insert(SENDS, course.sends.into());
+    response.headers_mut().insert(SENDS, course.arrivals().into());
     shared.adapter.mark(response.headers_mut(), id, failure.retry_after());
     response
 }
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -35,7 +35,7 @@
         job.route.name,
         job.service,
         place.server,
-        course.sends + 1,
+        course.arrivals() + 1,
         place.in_flight,
         place.others,
         place.unread,
@@ -57,7 +57,7 @@
         job.ask.id,
         job.route.name,
         job.service,
-        course.sends + 1,
+        course.arrivals() + 1,
         text(job),
         job.version,
         job.left(Instant::now()).as_millis(),
@@ -72,7 +72,7 @@
         job.ask.id,
         job.route.name,
         course.tried.last().map_or("-", String::as_str),
-        course.sends,
+        course.arrivals(),
         course.maybe_ran,
         age(job),
     );
@@ -86,7 +86,7 @@
         job.map_or("-", |job| job.route.name.as_str()),
         failure.status().as_u16(),
         failure.ran().as_str(),
-        course.sends,
+        course.arrivals(),
         course.unsent,
         job.map_or(0, |job| job.version),
         job.map_or(0, age),
@@ -101,7 +101,7 @@
         job.ask.id,
         job.route.name,
         course.tried.last().map_or("-", String::as_str),
-        course.sends,
+        course.arrivals(),
         age(job),
     );
 }
@@ -120,7 +120,7 @@
         job.ask.id,
         job.route.name,
         server.unwrap_or("-"),
-        course.sends,
+        course.arrivals(),
         age(job),
     );
 }
@@ -141,7 +141,7 @@
         job.route.name,
         server.unwrap_or("-"),
         ended.is_ok(),
-        course.sends,
+        course.arrivals(),
         pace.first.as_millis(),
         pace.longest_pause.as_millis(),
         age(job),
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -30,8 +30,8 @@
 use crate::protocol::adapter::Adapter;
 use crate::state::counters::Counter;
 
-/// Most servers that a request is offered to without a send; each may take as long as a connection.
-const MAX_UNSENT: usize = 4;
+/// Most servers that a request is offered to in vain; each may take as long as a connection.
+const MAX_OFFERS: usize = 4;
 /// Part of the latency objective after which a refused caller is asked to come back.
 const COME_BACK: u32 = 2;
 /// Least time that is worth a send.
@@ -44,14 +44,23 @@
     pub tried: Vec<ServerId>,
     /// Boxes of other regions that had it.
     pub boxes: Vec<std::net::SocketAddr>,
-    /// Sends.
+    /// Sends that may have run.
     pub sends: usize,
+    /// Sends that the other side refused, and did not run.
+    pub refused: usize,
     /// Offers that failed before anything was sent.
     pub unsent: usize,
     /// Whether a send may have run.
     pub maybe_ran: bool,
 }
 
+impl Course {
+    /// Sends that arrived somewhere, or may have.
+    pub fn arrivals(&self) -> usize {
+        self.sends + self.refused
+    }
+}
+
 /// Where a request goes next.
 enum Target<A> {
     Server(Box<Held<A>>),
@@ -77,12 +86,7 @@
             Ok(reply) => return Ok(reply),
             Err(Step::Stop(failure)) => failure,
             Err(Step::Again(failure)) => {
-                let again = if course.sends == 0 {
-                    course.unsent < MAX_UNSENT
-                } else {
-                    may_repeat(shared, job, course)
-                };
-                if again {
+                if may_go_on(shared, job, course) {
                     continue;
                 }
                 failure
@@ -154,13 +158,16 @@
             record::attempt_failed(job, course, &failure);
             return Err(Step::Again(failure));
         }
-        Tried::Refused(failure) => failure,
+        Tried::Refused(failure) => {
+            course.refused += 1;
+            failure
+        }
         Tried::Lost(failure) => {
+            course.sends += 1;
             course.maybe_ran = true;
             failure
         }
     };
-    course.sends += 1;
     record::attempt_failed(job, course, &failure);
     if course.maybe_ran && !job.route.repeatable() {
         return Err(Step::Stop(failure));
@@ -238,6 +245,17 @@
     whole && reply.status.is_server_error() && job.route.repeatable()
 }
 
+/// Whether a request that got no answer goes on. An attempt is a send that may have run: what was
+/// refused or never sent uses none up, but what arrived somewhere is paid for from the budget. With
+/// refusals counted as attempts, requests that may run once were refused at the first server that
+/// was full or had been replaced, 2,325 of them in 8 s while 22 of 128 servers came back under new names.
+fn may_go_on<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job, course: &Course) -> bool {
+    if course.unsent + course.refused >= MAX_OFFERS {
+        return false;
+    }
+    course.arrivals() == 0 || may_repeat(shared, job, course)
+}
+
 /// Takes a further send from the budget, if the route and the time left allow one.
 fn may_repeat<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job, course: &Course) -> bool {
     let now = Instant::now();
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -269,6 +269,16 @@
     assert_eq!(test.short().unwrap_err(), Blocked::NoServer);
 }
 
+/// The store shows the entry of a server that was replaced for seconds more.
+#[test]
+fn a_replaced_server_gets_no_more_whatever_the_store_shows() {
+    let mut test = Test::new(placement(1, 8, 1));
+    let mut place = test.short().expect("a place");
+    test.placement.finish(&mut place, Outcome::Replaced, test.now);
+    test.placement.update(vec![known(0, 8)], 1, &Service::default(), test.now);
+    assert_eq!(test.short().unwrap_err(), Blocked::NoServer);
+}
+
 #[test]
 fn a_cold_server_gets_its_share_in_any_second() {
     let mut test = Test::new(placement(1, 64, 1));
