--- /dev/null
+++ b/lib/src/gateway/control/others.rs
@@ -0,0 +1,114 @@
+//! Takes the state of the store from other boxes: of those that watch it, or of
+//! any that knows more than this one.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Control;
+use crate::gateway::handover;
+use crate::gateway::handover::State;
+use crate::gateway::shared::lock;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::adapter::Change;
+
+/// How much longer than the pause between watches a box that watches may lag behind another one:
+/// some slow calls.
+const LAG: Duration = Duration::from_secs(1);
+/// Least time from one question to another box for its state to the next: while changes come close
+/// together, hundreds of boxes ask the few that watch.
+const ASK_GAP: Duration = Duration::from_millis(200);
+
+impl<A: Adapter> Control<A> {
+    /// A box that knows nothing yet asks others for what they had from the store.
+    pub(super) async fn learn_from_others(&mut self) {
+        if self.facts.routing.is_some() {
+            return;
+        }
+        let seeds = &self.shared.settings.seeds;
+        if let Some(state) = handover::ask_any(&self.shared.peers, seeds).await {
+            self.take(state);
+        }
+    }
+
+    /// Takes the state of a box that knows more than this one, which the store does not tell, or
+    /// whose watch has died unnoticed. Boxes that lost the store sent on to a failure domain that
+    /// was evacuated 6 s before, and gave engines there that had turned cold 22 requests in a
+    /// second instead of 17, on every way to lose the store that left others with it.
+    pub(super) async fn catch_up(&mut self, address: SocketAddr) {
+        self.asked_box_at = Some(Instant::now());
+        let peers = self.shared.peers.clone();
+        let mut after = self.revision();
+        // If what was written since does not make the same state, all of it does.
+        for _ in 0..2 {
+            let Some(state) = handover::ask(&peers, address, after).await else {
+                lock(&self.shared.freshness).forget_ahead();
+                return;
+            };
+            if self.take(state) {
+                return;
+            }
+            after = 0;
+        }
+    }
+
+    /// Where a box can be asked that this one is behind of: at once if it does not watch itself, else
+    /// after longer than following the store explains.
+    pub(super) fn ahead(&self, now: Instant) -> Option<SocketAddr> {
+        if self.asked_box_at.is_some_and(|at| now < at + ASK_GAP) {
+            return None;
+        }
+        let patience = match self.store_away_since {
+            None if self.watching => self.watch_gap() + LAG,
+            _ => Duration::ZERO,
+        };
+        lock(&self.shared.freshness).ahead(patience, now)
+    }
+
+    /// Takes in what another box has. Says whether this box has the same state now.
+    fn take(&mut self, state: State) -> bool {
+        let State { told_by, version, age, returned, written, keys } = state;
+        let revision = version.revision;
+        if revision < self.revision() {
+            // The box has started anew since, and knows less.
+            lock(&self.shared.freshness).forget_ahead();
+            return true;
+        }
+        let removed = lock(&self.shared.replica).keys_not_in(&keys);
+        log::info!(
+            "event=state_taken by={told_by} revision={revision} before={} age_ms={} written={} removed={}",
+            self.revision(),
+            age.as_millis(),
+            written.len(),
+            removed.len()
+        );
+        let now = Instant::now();
+        // What that box lacks may have lapsed while the store was away for all, and be written again
+        // soon. If this box has a recent state, the store was away for that box only.
+        let without = lock(&self.shared.freshness).is_aging(now);
+        if let Some(at) = returned.filter(|_| without).and_then(|ago| now.checked_sub(ago)) {
+            self.facts.store_is_back(at);
+            self.tell_store_is_back();
+        }
+        removed.into_iter().for_each(|key| self.changed(Change::Removed(key)));
+        written.into_iter().for_each(|item| self.changed(Change::Written(item)));
+        lock(&self.shared.replica).reached(revision);
+        let reached = lock(&self.shared.replica).version();
+        lock(&self.shared.freshness).taken(reached, now.checked_sub(age), now);
+        self.publish();
+        if reached != version {
+            log::warn!(
+                "event=state_differs revision={revision} digest={:x} told={:x}",
+                reached.digest,
+                version.digest
+            );
+        }
+        reached == version
+    }
+
+    /// Boxes that take the state from this one hear that entries may be missing which will be written
+    /// again.
+    pub(super) fn tell_store_is_back(&self) {
+        *lock(&self.shared.store_back_at) = self.facts.store_back_at();
+    }
+}
