headers, record: a rate that a server names is read and in the log

The log could not tell whether nobody read the word or it was lost on some ways: no line said anything of it. Now each answer that names one gives event=rate_named with the server, the rate and the answer's status, whether it is an answer, a stream or a refusal. Nothing is decided by it yet.

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -19,6 +19,7 @@
 use super::job::SENDS;
 use super::job::passed_on;
 use super::quarantine;
+use super::record;
 use super::shared::Held;
 use super::shared::Shared;
 use super::stream::Stream;
@@ -197,6 +198,9 @@
             service.placement.said(&held.place.server, left, clock::now());
         });
     }
+    if let (Some(rate), Some(held)) = (verdict.rate, &held) {
+        record::rate_named(job, &held.place.server, rate, head.status);
+    }
     if verdict.other_instance {
         set_outcome(&mut held, Outcome::Replaced);
         let message = "another instance has the address";
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 
+use http::StatusCode;
+
 use super::elsewhere::Reason;
 use super::job::Job;
 use super::run::Course;
@@ -136,6 +138,18 @@
     );
 }
 
+/// The answer to a request names a rate that its server takes from all boxes together.
+pub fn rate_named(job: &Job, server: &str, rate: f64, status: StatusCode) {
+    log::info!(
+        target: TARGET,
+        "event=rate_named request={} route={} server={server} rate={rate} status={} age_ms={}",
+        job.ask.id,
+        job.route.name,
+        status.as_u16(),
+        age(job),
+    );
+}
+
 /// Most requests that a line names.
 const NAMED: usize = 16;
 
--- a/lib/src/protocol/adapter.rs
+++ b/lib/src/protocol/adapter.rs
@@ -78,6 +78,8 @@
     pub cold_left: Option<Duration>,
     /// How long an idle connection is kept, if it says so.
     pub keep_alive: Option<Duration>,
+    /// Requests a second that the server takes from all boxes together, if it names a limit.
+    pub rate: Option<f64>,
 }
 
 /// A question of a caller that looks for a box.
