throttle: a rate that a server names holds over all boxes of its region

Cause: an answer's head was read for its id, its seal, coldness and idle time, and a rate is none of these; servers that name one were placed by load alone. Now each box keeps an account of what such a server has left over all boxes (coordination/throttle): its own sends count at once, those of others as they tell, and until then a request goes by chance, which is what is left against what the others are asked for in the time that news takes. Boxes that fall silent keep a part by their usual demand. Words, counts and demands travel in the reports. Requests that find no server with something left go where another region has room, else they are refused at once with a time to come back that follows from the rate.

Ruled out: a part of the rate for each box (85 boxes at three a second: a bucket of one request each lets 85 in at once; one box with most of the demand uses its part only).

--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -11,6 +11,7 @@
 use super::quarantine::told;
 use super::quota::Count;
 use super::quota::Flow;
+use super::throttle::told::News;
 use super::unlisted::Named;
 
 /// Age at which a report no longer counts: several have been lost by then, or the box is gone.
@@ -100,6 +101,13 @@
     /// Servers that run a request of the sender's under which others ended.
     #[prost(string, repeated, tag = "25")]
     pub trials: Vec<String>,
+    /// Servers that name a rate, and what the sender sent them; only for boxes of its region.
+    #[prost(message, optional, tag = "26")]
+    pub throttle: Option<News>,
+    /// Hashes of services whose servers in the sender's region get as much as they say they take; only
+    /// for boxes of other regions.
+    #[prost(fixed64, repeated, tag = "27")]
+    pub throttled: Vec<u64>,
 }
 
 #[derive(Debug)]
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -22,7 +22,9 @@
 use super::loads::Load;
 use super::loads::Loads;
 use super::regions::Fullness;
+use super::rendezvous;
 use super::text::Text;
+use super::throttle::Throttles;
 use super::warmup;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Part;
@@ -37,6 +39,9 @@
 /// Servers up to which all are compared.
 const FEW: usize = 6;
 
+/// Time that a request is taken to keep a slot busy at a server that names a rate.
+const LONGEST: Duration = Duration::from_secs(1);
+
 /// How long it counts when a server was removed: longer than what was sent to it does.
 const REMOVED_MEMORY: Duration = Duration::from_secs(5);
 
@@ -49,6 +54,8 @@
     pub tried: &'a [ServerId],
     /// What other boxes have on the servers.
     pub loads: &'a Loads,
+    /// What servers that name a rate have left.
+    pub throttles: &'a Throttles,
     /// Servers that may be chosen.
     pub among: Among,
     /// Whether servers may have turned cold without this box hearing of it.
@@ -99,9 +106,18 @@
     home: Option<u64>,
     /// Whether servers count as cold that have not said lately that they are not.
     stale: bool,
+    /// Drawn for the request: with a server's life it says whether chance lets it in there.
+    luck: u64,
     now: Instant,
 }
 
+impl View {
+    /// Drawn evenly from 0 to 1 for the request at a server, the same whenever it is looked at.
+    fn luck_at(&self, life: u64) -> f64 {
+        rendezvous::mix(self.luck, life) as f64 / u64::MAX as f64
+    }
+}
+
 /// A server that may be chosen.
 struct Choice {
     id: ServerId,
@@ -130,6 +146,8 @@
     NoServer,
     /// All have as much as they bear.
     Full,
+    /// Servers with room get as many requests as they say they take.
+    Throttled,
     /// Only servers that failed lately have room.
     Failing,
 }
@@ -209,6 +227,7 @@
             home: self.home(demand.parts),
             // Servers that cannot be asked would be limited for as long as the store is away.
             stale: demand.stale && self.health_path.is_some(),
+            luck: rng.random(),
             now,
         };
         // A few are compared first, and all others only if none of these has room.
@@ -246,6 +265,9 @@
             if !connected || !sound || !candidate.has_room(load, view.stale, view.now) {
                 continue;
             }
+            if !demand.throttles.admits(candidate.life, view.luck_at(candidate.life), view.now) {
+                continue;
+            }
             candidates += 1;
             let at_home = view.home == Some(candidate.hash);
             let work = candidate.work(demand.parts, at_home, load, view.now);
@@ -266,10 +288,16 @@
         let mut blocked = Blocked::NoServer;
         for candidate in untried {
             let load = candidate.load(demand.loads, view.unheard);
-            if !candidate.is_sound(view.now) && candidate.has_room(load, view.stale, view.now) {
+            let has_room = candidate.has_room(load, view.stale, view.now);
+            if !candidate.is_sound(view.now) && has_room {
                 return Blocked::Failing;
             }
-            blocked = Blocked::Full;
+            let is_throttled = has_room && demand.throttles.rate(candidate.life).is_some();
+            blocked = match blocked {
+                Blocked::Throttled => blocked,
+                _ if is_throttled => Blocked::Throttled,
+                _ => Blocked::Full,
+            };
         }
         blocked
     }
@@ -387,19 +415,43 @@
         }
     }
 
-    /// How full the servers are.
-    pub fn fullness(&self, loads: &Loads) -> Fullness {
+    /// The lives of the servers that may get work.
+    pub fn lives(&self) -> impl Iterator<Item = u64> {
+        let usable = self.servers.values().filter(|candidate| candidate.known.usable);
+        usable.map(|candidate| candidate.life)
+    }
+
+    /// How full the servers are. One that names a rate counts with the slots that it keeps busy.
+    pub fn fullness(&self, loads: &Loads, throttles: &Throttles) -> Fullness {
         let unheard = self.sharers.saturating_sub(1 + loads.heard());
         let mut fullness = Fullness::default();
         for candidate in self.servers.values() {
             if candidate.known.usable {
+                let slots = f64::from(candidate.known.server.slots);
+                let busy = throttles.rate(candidate.life).map(|rate| rate * LONGEST.as_secs_f64());
                 fullness.in_flight += f64::from(candidate.load(loads, unheard).in_flight);
-                fullness.slots += f64::from(candidate.known.server.slots);
+                fullness.slots += busy.unwrap_or(slots).min(slots);
             }
         }
         fullness
     }
 
+    /// Whether servers name rates, have nothing left of them, and no other has room.
+    pub fn is_throttled(&mut self, loads: &Loads, throttles: &Throttles, now: Instant) -> bool {
+        let unheard = self.sharers.saturating_sub(1 + loads.heard());
+        let mut throttled = false;
+        for candidate in self.servers.values_mut().filter(|candidate| candidate.known.usable) {
+            let load = candidate.load(loads, unheard);
+            if candidate.is_sound(now) && candidate.has_room(load, false, now) {
+                if throttles.has_left(candidate.life, now) {
+                    return false;
+                }
+                throttled = true;
+            }
+        }
+        throttled
+    }
+
     /// What this box has on each server, by the hash of its life.
     pub fn own_loads(&self) -> impl Iterator<Item = (u64, Load)> {
         let busy = self.servers.values().filter(|candidate| candidate.in_flight > 0);
--- a/lib/src/coordination/quota.rs
+++ b/lib/src/coordination/quota.rs
@@ -19,7 +19,6 @@
 //! are smaller than one request.
 
 mod account;
-mod rate;
 mod source;
 
 use std::collections::HashMap;
--- a/lib/src/coordination/quota/account.rs
+++ b/lib/src/coordination/quota/account.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use super::rate::Rate;
+use super::super::rate::Rate;
 use crate::protocol::team::Limit;
 
 /// Time over which demand is smoothed: some reports long, so that a flood shows within one second.
--- a/lib/src/error.rs
+++ b/lib/src/error.rs
@@ -110,6 +110,7 @@
     KeyReused "key_reused" 422 "invalid_request_error" NO, NEVER, "The key was used before with another request.";
     RateLimited "rate_limited" 429 "rate_limit_error" NO, Retry::After(1), "The team is over its limit.";
     QueueFull "queue_full" 503 "overloaded_error" NO, Retry::After(2), "The pool's queue is full.";
+    Throttled "throttled" 503 "overloaded_error" NO, Retry::After(1), "The backend servers get as many requests as they say they take.";
     WouldBeLate "would_be_late" 503 "overloaded_error" NO, Retry::After(2), "The request cannot be answered before its deadline.";
     NoServer "no_server" 503 "overloaded_error" NO, Retry::After(5), "No backend server that may run the request can be reached.";
     NotReady "not_ready" 503 "unavailable_error" NO, Retry::After(1), "The box has no configuration yet.";
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -23,6 +23,7 @@
 use super::shared::Held;
 use super::shared::Shared;
 use super::stream::Stream;
+use super::throttle;
 use crate::coordination::candidate::Outcome;
 use crate::error::Failure;
 use crate::error::Kind;
@@ -174,7 +175,17 @@
         (_, StatusCode::GATEWAY_TIMEOUT) => Kind::BackendTimeout,
         _ => Kind::BackendFailed,
     };
-    Some(Failure::new(kind, message).with_ran(ran))
+    let failure = Failure::new(kind, message).with_ran(ran);
+    Some(match come_back(response.headers()) {
+        Some(come_back) => failure.with_retry_after(come_back),
+        None => failure,
+    })
+}
+
+/// When another box asked the caller to come back.
+fn come_back(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
 }
 
 /// Reads an answer as far as it is needed to decide what becomes of it.
@@ -201,6 +212,9 @@
     if let (Some(rate), Some(held)) = (verdict.rate, &held) {
         record::rate_named(job, &held.place.server, rate, head.status);
     }
+    if let Some(held) = held.as_ref().filter(|_| !verdict.other_instance) {
+        throttle::learn(shared, job, &held.place, &verdict);
+    }
     if verdict.other_instance {
         set_outcome(&mut held, Outcome::Replaced);
         let message = "another instance has the address";
--- a/lib/src/gateway/elsewhere.rs
+++ b/lib/src/gateway/elsewhere.rs
@@ -18,6 +18,7 @@
 use crate::coordination::text::Text;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
+use crate::state::clock;
 
 /// Most boxes of other regions that one request is sent to: each costs a way there and back.
 const MAX_BOXES: usize = 2;
@@ -62,6 +63,12 @@
     boxes.filter(|other| other.region == region && presence.serves(other)).collect()
 }
 
+/// Whether the servers of another region have room for a request, as far as heard.
+fn has_room<A>(shared: &Shared<A>, job: &Job, region: &str) -> bool {
+    let service = rendezvous::weight(&job.service, "");
+    lock(&shared.regions).has_room(service, region, clock::now())
+}
+
 /// The box beside the home of the request's text, if that stands in another region. Only the
 /// first send follows the text; after that any place will do.
 pub fn home<A: Adapter>(shared: &Shared<A>, job: &Job, course: &Course) -> Option<SocketAddr> {
@@ -74,7 +81,7 @@
         .iter()
         .filter(|server| job.allows(&server.region))
         .max_by_key(|server| text.weight(server.hash))?;
-    if engine.region == shared.settings.region {
+    if engine.region == shared.settings.region || !has_room(shared, job, &engine.region) {
         return None;
     }
     let there = boxes_of(shared, job, &engine.region);
@@ -97,11 +104,13 @@
     if !is_first_send(job, course) || has_home {
         return None;
     }
-    let own = shared
-        .with_service(&job.service, |service| service.placement.fullness(&lock(&shared.loads)))?;
+    let own = shared.with_service(&job.service, |service| {
+        service.placement.fullness(&lock(&shared.loads), &lock(&shared.throttles))
+    })?;
     let service = rendezvous::weight(&job.service, "");
     let regions = lock(&shared.regions);
-    let (region, part) = regions.overflow(service, own, |region| job.allows(region), now)?;
+    let allowed = |region: &str| job.allows(region) && regions.has_room(service, region, now);
+    let (region, part) = regions.overflow(service, own, allowed, now)?;
     if rand::rng().random::<f64>() >= part {
         return None;
     }
@@ -119,13 +128,15 @@
         return None;
     }
     let slots = job.snapshot.slots.get(&job.service)?;
-    let presence = lock(&shared.presence);
+    let (service, now) = (rendezvous::weight(&job.service, ""), clock::now());
+    let (regions, presence) = (lock(&shared.regions), lock(&shared.presence));
     let eligible = |other: &&BoxRecord| {
         other.region != shared.settings.region
             && presence.serves(other)
             && !tried.contains(&other.peers)
             && job.allows(&other.region)
             && slots.get(&other.region).is_some_and(|slots| *slots > 0)
+            && regions.has_room(service, &other.region, now)
     };
     let boxes: Vec<&BoxRecord> = job.snapshot.boxes.iter().filter(eligible).collect();
     let in_region = |region: &str| boxes.iter().filter(|other| other.region == region).count();
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -45,6 +45,8 @@
     let _ = writeln!(text, "copperweir_state_age_ms {}", shared.state_age_ms());
     let refused = lock(&shared.quarantine).len();
     let _ = writeln!(text, "copperweir_quarantined_contents {refused}");
+    let throttled = lock(&shared.throttles).len();
+    let _ = writeln!(text, "copperweir_throttled_servers {throttled}");
     shared.latencies.page(&mut text);
     text
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod settings;
 pub mod shared;
 pub mod stream;
+pub mod throttle;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -51,6 +52,7 @@
 use crate::coordination::drain::Stage;
 use crate::coordination::quota;
 use crate::coordination::quota::Quotas;
+use crate::coordination::throttle::Throttles;
 use crate::daemon::Ending;
 use crate::daemon::StartError;
 use crate::daemon::bind;
@@ -143,6 +145,7 @@
             services: Mutex::default(),
             loads: Mutex::default(),
             quotas: Mutex::new(Quotas::new(quota_bound(&settings), clock::now())),
+            throttles: Mutex::new(Throttles::new(rand::random())),
             regions: Mutex::default(),
             presence: Mutex::default(),
             unlisted: Mutex::default(),
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -2,6 +2,7 @@
 //! from the store and, without the store, what servers say of themselves; hears
 //! the same from them. All by datagrams.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +29,7 @@
 use crate::coordination::rendezvous;
 use crate::coordination::unlisted::Neighbor;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::fleet::BoxRecord;
 use crate::state::clock;
 use crate::transport::listen::Stop;
 use crate::transport::timer;
@@ -40,6 +42,9 @@
 /// Reports in a row in which a change of the own state goes to all boxes of other regions: some
 /// datagrams are lost. After that they hear of it in turn, or from the store.
 const ANNOUNCED: u32 = 5;
+/// Number of a datagram that answers a box which has just started. It says nothing else, and comes in no
+/// order with the sender's reports.
+const UNNUMBERED: u64 = 0;
 /// Largest datagram: some hundred servers.
 const DATAGRAM: usize = 8 << 10;
 
@@ -63,6 +68,7 @@
                 lock(&shared.presence).expire(now);
                 lock(&shared.unlisted).expire(now);
                 lock(&shared.quotas).tick(fleet(&shared), now);
+                tick_throttles(&shared, now);
                 quarantine::tick(&shared, now);
                 tell(&shared, &socket, number, &mut herald);
             }
@@ -91,6 +97,10 @@
     let now = clock::now();
     while let Ok((length, from)) = socket.try_recv_from(buffer) {
         match Report::decode(&buffer[..length]) {
+            Ok(report) if report.number == UNNUMBERED => {
+                let news = report.throttle.unwrap_or_default();
+                lock(&shared.throttles).hear_words(&news.words, now);
+            }
             Ok(report) => {
                 hear_presence(shared, &report, now);
                 hear_state(shared, &report, from, now);
@@ -100,6 +110,7 @@
                     lock(&shared.loads).hear(&report, now);
                     hear_servers(shared, &report, now);
                     hear_counts(shared, &report, now);
+                    hear_throttle(shared, socket, &report, from, now);
                 } else {
                     hear_region(shared, report, now);
                 }
@@ -191,9 +202,39 @@
     lock(&shared.quotas).hear_box(teller, &report.counts, now);
 }
 
+/// Takes in what another box knows of rates; one that has just started is told at once what this
+/// one knows.
+fn hear_throttle<A: Adapter>(
+    shared: &Shared<A>,
+    socket: &UdpSocket,
+    report: &Report,
+    from: SocketAddr,
+    now: Instant,
+) {
+    let Report { sender, incarnation, number, .. } = *report;
+    let teller = Teller { sender, incarnation, number };
+    let news = report.throttle.clone().unwrap_or_default();
+    let mut throttles = lock(&shared.throttles);
+    let is_new = throttles.hear(teller, &news, now);
+    if !is_new || throttles.is_empty() {
+        return;
+    }
+    let answer = Report {
+        number: UNNUMBERED,
+        sender: presence::box_hash(&shared.settings.name),
+        incarnation: shared.incarnation,
+        region: shared.settings.region.clone(),
+        throttle: Some(throttles.all_words(now)),
+        ..Report::default()
+    };
+    drop(throttles);
+    send(socket, &answer.encode_to_vec(), std::iter::once(&from));
+}
+
 fn hear_region<A: Adapter>(shared: &Shared<A>, report: Report, now: Instant) {
     lock(&shared.quotas).hear_region(&report.region, &report.flows, now);
     let mut regions = lock(&shared.regions);
+    regions.hear_throttled(report.region.clone(), report.throttled.clone(), now);
     let told = report.region_in_flight.iter().zip(&report.region_slots);
     for (service, (in_flight, slots)) in report.services.iter().zip(told) {
         let fullness = Fullness { in_flight: f64::from(*in_flight), slots: f64::from(*slots) };
@@ -272,6 +313,7 @@
     report.cold_ms.clear();
     report.asked_ms.clear();
     report.counts.clear();
+    report.throttle = None;
     report.flows = lock(&shared.quotas).flows(now);
     report.ends = lock(&shared.quarantine).told_ends(Reach::Everyone, now);
     describe_region(shared, report);
@@ -285,6 +327,27 @@
     elsewhere.map(|other| other.peers).collect()
 }
 
+/// Tells the accounts of servers that name a rate which boxes send to them.
+fn tick_throttles<A: Adapter>(shared: &Shared<A>, now: Instant) {
+    let snapshot = shared.snapshot.load();
+    let mut others: HashSet<u64> = HashSet::new();
+    {
+        let presence = lock(&shared.presence);
+        let boxes = snapshot.boxes.iter().chain(&snapshot.lost);
+        let region = boxes.filter(|other| other.region == shared.settings.region);
+        // A box that has left no longer sends, once it is silent.
+        let sends =
+            |other: &&BoxRecord| presence.serves(other) || presence.is_heard(&other.name, now);
+        others.extend(region.filter(sends).map(|other| presence::box_hash(&other.name)));
+    }
+    let unlisted = lock(&shared.unlisted);
+    let region = unlisted.neighbors().filter(|other| other.region == shared.settings.region);
+    others.extend(region.map(|other| other.box_hash));
+    drop(unlisted);
+    let rounds = others.len().div_ceil(MOST) as u32;
+    lock(&shared.throttles).tick(&others, rounds, now);
+}
+
 /// How many boxes there are, and in how many reports those of this region are told.
 fn fleet<A: Adapter>(shared: &Shared<A>) -> Fleet {
     let others = beside_addresses(shared).len();
@@ -301,8 +364,13 @@
 }
 
 fn describe_region<A: Adapter>(shared: &Shared<A>, report: &mut Report) {
-    for (name, service) in lock(&shared.services).iter() {
-        let fullness = service.placement.fullness(&lock(&shared.loads));
+    let now = clock::now();
+    for (name, service) in lock(&shared.services).iter_mut() {
+        let (loads, throttles) = (lock(&shared.loads), lock(&shared.throttles));
+        let fullness = service.placement.fullness(&loads, &throttles);
+        if service.placement.is_throttled(&loads, &throttles, now) {
+            report.throttled.push(rendezvous::weight(name, ""));
+        }
         report.services.push(rendezvous::weight(name, ""));
         report.region_in_flight.push(fullness.in_flight as u32);
         report.region_slots.push(fullness.slots as u32);
@@ -337,6 +405,7 @@
         handover_port: u32::from(shared.settings.listen.handover.port()),
         unlisted: lock(&shared.unlisted).named(now),
         counts: lock(&shared.quotas).counts(now),
+        throttle: Some(lock(&shared.throttles).news(now)).filter(|news| !news.is_empty()),
         ..Report::default()
     };
     let quarantine = lock(&shared.quarantine);
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::shared::Held;
 use super::shared::Shared;
 use super::shared::lock;
+use super::throttle;
 use crate::coordination::placement::Among;
 use crate::coordination::placement::Blocked;
 use crate::coordination::placement::Demand;
@@ -191,12 +192,13 @@
     if let Some((address, reason)) = elsewhere::overflow(shared, job, course, clock::now()) {
         return Ok(Target::Peer(address, reason));
     }
+    lock(&shared.throttles).asked(throttle::service_hash(&job.service), clock::now());
     let blocked = match place(shared, job, course, Among::Sound) {
         Ok(held) => return Ok(Target::Server(held)),
         Err(blocked) => blocked,
     };
     if job.origin == Origin::Peer {
-        return Err(refusal(job, blocked));
+        return Err(refusal(shared, job, blocked));
     }
     // A sound server in another region comes before one here that failed lately: offering requests
     // to ten servers that had gone silent cost 400 ms each, up to four times a request.
@@ -208,7 +210,7 @@
     {
         return Ok(Target::Server(held));
     }
-    Err(refusal(job, blocked))
+    Err(refusal(shared, job, blocked))
 }
 
 /// A place on a server of this region.
@@ -234,17 +236,28 @@
     };
     let chosen = shared.with_service(&job.service, |service| {
         let loads = &lock(&shared.loads);
-        let demand = Demand { parts: &job.ask.parts, tried: &tried, loads, among, stale };
-        service.placement.choose(demand, now, &mut rand::rng())
+        let mut throttles = lock(&shared.throttles);
+        let demand = Demand {
+            parts: &job.ask.parts,
+            tried: &tried,
+            loads,
+            throttles: &throttles,
+            among,
+            stale,
+        };
+        let place = service.placement.choose(demand, now, &mut rand::rng())?;
+        throttles.sent(place.life, now);
+        Ok(place)
     });
     let place = chosen.unwrap_or(Err(Blocked::NoServer))?;
     let held = Held::new(shared, &job.service, place);
     Ok(Box::new(if suspicious { held.on_trial(job.fingerprint) } else { held }))
 }
 
-fn refusal(job: &Job, blocked: Blocked) -> Failure {
+fn refusal<A: Adapter>(shared: &Shared<A>, job: &Job, blocked: Blocked) -> Failure {
     let come_back = job.route.objective / COME_BACK;
     match blocked {
+        Blocked::Throttled => return throttle::refuse(shared, job),
         Blocked::NoServer => {
             Failure::new(Kind::NoServer, "no backend server may run the request now")
         }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -29,6 +29,7 @@
 use crate::coordination::quota::Quotas;
 use crate::coordination::regions::Regions;
 use crate::coordination::retries::Budget;
+use crate::coordination::throttle::Throttles;
 use crate::coordination::unlisted::Unlisted;
 pub use crate::daemon::shared::lock;
 use crate::protocol::Incarnation;
@@ -86,6 +87,8 @@
     pub loads: Mutex<Loads>,
     /// What teams have left of their limits.
     pub quotas: Mutex<Quotas>,
+    /// Rates that servers of this region name. Locked after `services` and `loads`, never before.
+    pub throttles: Mutex<Throttles>,
     /// How full the servers of other regions are.
     pub regions: Mutex<Regions>,
     /// What other boxes say of themselves.
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -44,6 +44,7 @@
     Quarantined "quarantined" "Requests refused because backend servers ended under them.";
     Unauthorized "unauthorized" "Requests refused for want of a key that is held.";
     OverLimit "over_limit" "Requests refused because their team was over its limit.";
+    Throttled "throttled" "Requests refused because all backend servers with room get as many as they say they take.";
     Cut "cut" "Answers that ended before their end.";
     CallerGone "caller_gone" "Callers that went away before the end of their answer.";
     Attempts "attempts" "Attempts on backend servers of this region.";
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -19,6 +19,7 @@
 use copperweir_lib::coordination::retries;
 use copperweir_lib::coordination::retries::Budget;
 use copperweir_lib::coordination::text::Text;
+use copperweir_lib::coordination::throttle::Throttles;
 use copperweir_lib::coordination::warmup;
 use copperweir_lib::protocol::adapter::Part;
 use copperweir_lib::protocol::fleet::Server;
@@ -61,6 +62,7 @@
 struct Test {
     placement: Placement,
     loads: Loads,
+    throttles: Throttles,
     now: Instant,
     rng: SmallRng,
     stale: bool,
@@ -72,6 +74,7 @@
         Test {
             placement,
             loads: Loads::default(),
+            throttles: Throttles::new(0.0),
             now: Instant::now() + SINCE_START,
             rng,
             stale: false,
@@ -84,7 +87,8 @@
 
     fn choose_among(&mut self, parts: &[Part], among: Among) -> Result<Place, Blocked> {
         let loads = &self.loads;
-        let demand = Demand { parts, tried: &[], loads, among, stale: self.stale };
+        let throttles = &self.throttles;
+        let demand = Demand { parts, tried: &[], loads, throttles, among, stale: self.stale };
         self.placement.choose(demand, self.now, &mut self.rng)
     }
 
@@ -487,3 +491,36 @@
     assert_eq!((loads.len(), loads[0].1.in_flight), (1, 1), "its own request is still there");
     assert_ne!(loads[0].0, first_life[0]);
 }
+
+/// Of two servers, one names a rate: what is beyond it goes to the other, and is refused only once that
+/// one is full.
+#[test]
+fn a_server_that_names_a_rate_gets_no_more_while_others_have_room() {
+    let mut test = Test::new(placement(2, 4, 1));
+    let life = test.placement.lives().next().expect("a server");
+    test.throttles.said(life, 1, Some(2.0), test.now);
+    for _ in 0..12 {
+        assert_eq!(test.short().expect("a place on the other").server, "i-1");
+    }
+    assert_eq!(test.short().unwrap_err(), Blocked::Throttled);
+    let is_throttled =
+        |test: &mut Test| test.placement.is_throttled(&test.loads, &test.throttles, test.now);
+    assert!(is_throttled(&mut test));
+    test.now += Duration::from_millis(500);
+    assert!(!is_throttled(&mut test), "it has one left");
+    let place = test.short().expect("a place");
+    assert_eq!(place.server, "i-0");
+    test.throttles.sent(place.life, test.now);
+    assert_eq!(test.short().unwrap_err(), Blocked::Throttled);
+    test.throttles.said(life, 1, None, test.now);
+    assert!(test.short().is_ok());
+}
+
+/// With all its slots counted, a region whose only free server names a rate would look idle to others.
+#[test]
+fn a_server_that_names_a_rate_counts_with_the_slots_that_it_keeps_busy() {
+    let mut test = Test::new(placement(2, 64, 1));
+    let life = test.placement.lives().next().expect("a server");
+    test.throttles.said(life, 1, Some(3.0), test.now);
+    assert_eq!(test.placement.fullness(&test.loads, &test.throttles).slots, 67.0);
+}
