throttle: rates that servers name are in the store, for boxes that all start anew

Cause: boxes that start hear of rates from others; when all of a region start at once there are none. Now one box after the other, by rank for the server, writes the word under a lease of ten minutes until the store shows it: two calls for each change by more than half. A word from the store counts as older than whatever was heard. Ruled out: letting boxes that have just started send one request each to servers that they don't know (85 at once).

--- a/lib/src/coordination/throttle.rs
+++ b/lib/src/coordination/throttle.rs
@@ -12,7 +12,8 @@
 //!
 //! A box that falls silent is taken to go on, and keeps a part of the rate by its usual demand;
 //! so do the others for it, if it is only cut off from them. Words, counts and
-//! demands travel in the reports that boxes send each other anyway.
+//! demands travel in the reports that boxes send each other anyway; words are in the store as
+//! well, for boxes that start when no other is left to tell them.
 //!
 //! What this answers: engines that named 4.5 and 3.1 requests a second and got seven
 //! times as much from two boxes; 100 boxes with 600 requests a second before a server that
@@ -27,6 +28,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use self::account::Account;
 use self::account::Difference;
 use self::account::Said;
@@ -36,6 +40,7 @@
 use self::told::News;
 use self::told::Word;
 use super::quota::Teller;
+use super::rendezvous;
 
 /// What stands for one life of a server.
 pub type ServerLife = u64;
@@ -62,6 +67,13 @@
 const DEMANDS: usize = 8;
 /// Most servers with an account, far above those of one region.
 const SERVERS: usize = 1024;
+/// Time from one box to the next one that writes a word to the store: by then a write of the one before
+/// has come back to all.
+const WRITE_GAP: Duration = Duration::from_millis(500);
+/// Boxes that would write a word after one another, should those before fail.
+const WRITERS: usize = 10;
+/// Age that a word from the store counts with: whatever was heard is newer.
+const STORED_AGE: Duration = Duration::from_secs(60);
 /// Shortest and longest time after which a refused caller is asked to come back.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(10));
 
@@ -75,6 +87,17 @@
     demands: HashMap<ServiceHash, Asked>,
 }
 
+/// A word as the store keeps it, for boxes that start when all others have forgotten it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Stored {
+    /// The life of the server.
+    pub server: ServerLife,
+    /// Its service.
+    pub service: ServiceHash,
+    /// Requests a second; `None` for no rate any more.
+    pub rate: Option<f64>,
+}
+
 /// The accounts of one box.
 #[derive(Debug)]
 pub struct Throttles {
@@ -149,6 +172,7 @@
             && difference != Difference::Same
         {
             account.tell_word = rounds + REPEATS;
+            account.compare_stored(now);
         }
         difference
     }
@@ -252,6 +276,44 @@
         services
     }
 
+    /// The store shows a word of a server, or none any more.
+    pub fn stored(&mut self, word: Stored, now: Instant) {
+        let Stored { server, service, rate } = word;
+        if rate.is_some() && !self.servers.contains_key(&server) {
+            let at = now.checked_sub(STORED_AGE).unwrap_or(now);
+            self.hear_word(server, service, Said { rate, at }, now);
+        }
+        if let Some(account) = self.servers.get_mut(&server) {
+            account.stored = rate;
+            account.compare_stored(now);
+        }
+    }
+
+    /// What this box should write to the store now: words that it shows otherwise. One box after the
+    /// other does so, by its rank for the server, until the word is there.
+    pub fn unwritten(&self, own: u64, now: Instant) -> Vec<Stored> {
+        let due = self.servers.iter().filter(|(server, account)| {
+            let rank = self.rank(own, **server);
+            let writes = rank < WRITERS;
+            writes
+                && account
+                    .unstored_since
+                    .is_some_and(|since| now >= since + WRITE_GAP * rank as u32)
+        });
+        let word = |(server, account): (&ServerLife, &Account)| Stored {
+            server: *server,
+            service: account.service,
+            rate: account.said.rate,
+        };
+        due.take(WORDS).map(word).collect()
+    }
+
+    /// Boxes that come before this one where one box is to act for a server.
+    fn rank(&self, own: u64, server: ServerLife) -> usize {
+        let own = rendezvous::mix(own, server);
+        self.boxes.keys().filter(|other| rendezvous::mix(**other, server) > own).count()
+    }
+
     /// What to tell the other boxes of the region in the next report.
     pub fn news(&mut self, now: Instant) -> News {
         let mut news = News::default();
--- a/lib/src/coordination/throttle/account.rs
+++ b/lib/src/coordination/throttle/account.rs
@@ -13,6 +13,9 @@
 /// Seconds of a server's rate that it may be in debt, or one request. When a rate is first named, 85 boxes send more than
 /// that until all have heard of it; with four seconds' debt the server then got 0.81 of its rate for 16 s.
 const DEBT: f64 = 2.0;
+/// Factor between a rate and what the store shows of it up to which it is not written anew: boxes that
+/// start hear the rest with their first answers.
+const STORED_ABOUT: f64 = 1.5;
 /// Part by which a rate must fall to be told at once; less waits for the next report.
 const FALL: f64 = 0.1;
 
@@ -45,6 +48,10 @@
     pub said: Said,
     /// Requests of this box since there is an account.
     pub sent: u64,
+    /// What the store shows of its rate.
+    pub stored: Option<f64>,
+    /// Since when that has differed from the word.
+    pub unstored_since: Option<Instant>,
     /// How often the word is still to be told.
     pub tell_word: u32,
     /// How often the count is still to be told.
@@ -64,6 +71,8 @@
             service,
             said,
             sent: 0,
+            stored: None,
+            unstored_since: None,
             tell_word: 0,
             tell_count: 0,
             rest: 1.0,
@@ -84,6 +93,22 @@
         self.rest = rest;
     }
 
+    /// Notes since when the store has shown something else than the server said.
+    pub fn compare_stored(&mut self, now: Instant) {
+        let differs = match (self.stored, self.said.rate) {
+            (None, None) => false,
+            (Some(stored), Some(rate)) => {
+                rate.max(stored) > STORED_ABOUT * rate.min(stored).max(LEAST_RATE)
+            }
+            _ => true,
+        };
+        if differs {
+            self.unstored_since.get_or_insert(now);
+        } else {
+            self.unstored_since = None;
+        }
+    }
+
     /// Requests a second that boxes which hear each other may send; `None` without a limit.
     pub fn rate(&self) -> Option<f64> {
         self.said.rate.map(|rate| rate.max(LEAST_RATE) * self.rest)
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -27,6 +27,7 @@
 use super::shared::Shared;
 use super::shared::Snapshot;
 use super::shared::lock;
+use super::throttle;
 use crate::coordination::drain;
 use crate::coordination::drain::Drain;
 use crate::coordination::drain::Stage;
@@ -138,6 +139,7 @@
         let keeper = lease::keep(self.store.clone(), self.record.subscribe(), sender);
         let keeper = tokio::spawn(keeper);
         tokio::spawn(quarantine::keep(Arc::clone(&self.shared), self.store.clone()));
+        tokio::spawn(throttle::keep(Arc::clone(&self.shared), self.store.clone()));
         if self.begin(&mut events).await {
             self.follow(&mut events).await;
         }
--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -16,6 +16,7 @@
 use crate::coordination::watchers;
 use crate::gateway::quarantine;
 use crate::gateway::shared::lock;
+use crate::gateway::throttle;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Answer;
 use crate::protocol::adapter::Change;
@@ -243,6 +244,10 @@
         let now = clock::now();
         match change {
             Change::Written(item) => self.written(item),
+            Change::Removed(key) if key.starts_with(throttle::KEYS) => {
+                self.forget_item(&key);
+                throttle::forgotten(&self.shared, &key);
+            }
             Change::Removed(key) => match self.forget_item(&key).strip_prefix(BOXES) {
                 Some(name) if name == self.own.name => {
                     log::warn!("event=record_lost reason=\"the store has removed it\"");
@@ -281,6 +286,12 @@
             }
             return;
         }
+        if item.key.starts_with(throttle::KEYS) {
+            if let Err(error) = throttle::stored(&self.shared, &item.value) {
+                self.unreadable.note(&item.key, &error.to_string());
+            }
+            return;
+        }
         let subject = self.shared.adapter.subject(&item.key);
         if subject == Subject::Other {
             return;
--- a/lib/src/gateway/throttle.rs
+++ b/lib/src/gateway/throttle.rs
@@ -1,18 +1,40 @@
-//! Learns from servers' answers which rates they name, and asks what they have left.
+//! Learns from servers' answers which rates they name, refuses what they have no room for, and keeps
+//! their words in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
 
 use super::job::Job;
 use super::shared::Service;
 use super::shared::Shared;
 use super::shared::lock;
 use crate::coordination::placement::Place;
+use crate::coordination::presence;
 use crate::coordination::rendezvous;
+use crate::coordination::throttle::ServerLife;
 use crate::coordination::throttle::ServiceHash;
+use crate::coordination::throttle::Stored;
 use crate::error::Failure;
 use crate::error::Kind;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::adapter::Answer;
+use crate::protocol::adapter::Operation;
+use crate::protocol::adapter::Row;
 use crate::protocol::adapter::Verdict;
+use crate::protocol::platform::PlatformError;
 use crate::state::clock;
 use crate::state::counters::Counter;
+use crate::transport::store;
+use crate::transport::timer;
+
+/// Beginning of the keys of rates that servers name.
+pub const KEYS: &str = "copperweir/rates/";
+/// How long the store keeps a word; one that still holds then is written again.
+const STORED_LIFE: Duration = Duration::from_secs(600);
+/// Time between looks whether there is something to write.
+const LOOK: Duration = Duration::from_millis(500);
 
 /// What stands for a service among boxes.
 pub fn service_hash(service: &str) -> ServiceHash {
@@ -55,3 +77,57 @@
         None => failure,
     }
 }
+
+/// Takes in a key of the store.
+pub fn stored<A: Adapter>(shared: &Shared<A>, value: &[u8]) -> Result<(), serde_json::Error> {
+    let word = serde_json::from_slice(value)?;
+    lock(&shared.throttles).stored(word, clock::now());
+    Ok(())
+}
+
+/// A key of the store is gone.
+pub fn forgotten<A: Adapter>(shared: &Shared<A>, key: &str) {
+    let server = key.strip_prefix(KEYS).and_then(|life| ServerLife::from_str_radix(life, 16).ok());
+    if let Some(server) = server {
+        let word = Stored { server, service: 0, rate: None };
+        lock(&shared.throttles).stored(word, clock::now());
+    }
+}
+
+/// Writes words to the store, for as long as the box runs.
+pub async fn keep<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
+    let own = presence::box_hash(&shared.settings.name);
+    loop {
+        timer::sleep(LOOK).await;
+        let words = lock(&shared.throttles).unwritten(own, clock::now());
+        if words.is_empty() {
+            continue;
+        }
+        match write(&store, &words).await {
+            Ok(()) => {
+                let mut throttles = lock(&shared.throttles);
+                words.iter().for_each(|word| throttles.stored(*word, clock::now()));
+            }
+            Err(error) => {
+                log::warn!("event=rates_not_written count={} error=\"{error}\"", words.len());
+            }
+        }
+    }
+}
+
+async fn write<A: Adapter>(
+    store: &store::Client<A>,
+    words: &[Stored],
+) -> Result<(), PlatformError> {
+    let Answer::Lease(lease) = store.call(&Operation::Grant { life: STORED_LIFE }).await? else {
+        return Err(PlatformError::Malformed("not a lease".to_owned()));
+    };
+    let row = |word: &Stored| Row {
+        key: format!("{KEYS}{:016x}", word.server),
+        // Numbers cannot fail to be written.
+        value: Bytes::from(serde_json::to_vec(word).unwrap_or_default()),
+        lease,
+    };
+    let rows = words.iter().map(row).collect();
+    store.call(&Operation::Put(rows)).await.map(|_| ())
+}
