--- a/lib/src/coordination/throttle.rs
+++ b/lib/src/coordination/throttle.rs
@@ -250,7 +250,7 @@
     /// `others` stand for the other boxes of the region that may send to its servers.
     pub fn tick(&mut self, others: &HashSet<u64>, rounds: u32, now: Instant) {
         self.rounds = rounds.max(1);
-        self.servers.retain(|_, account| now < account.said.at + WORD_LIFE);
+        self.forget_servers(now);
         let (news_takes, silent_after) = (self.news_takes(), self.silent_after());
         let is_heard = |source: &Source| now < source.heard_at + silent_after;
         self.boxes.retain(|hash, source| is_heard(source) || others.contains(hash));
@@ -272,6 +272,22 @@
         }
     }
 
+    /// Drops servers that were not heard for long, and what others sent them.
+    fn forget_servers(&mut self, now: Instant) {
+        let servers = &mut self.servers;
+        let mut gone = HashSet::new();
+        servers.retain(|server, account| {
+            let stays = now < account.said.at + WORD_LIFE;
+            stays || !gone.insert(*server)
+        });
+        if gone.is_empty() {
+            return;
+        }
+        for source in self.boxes.values_mut() {
+            source.counts.retain(|server, _| !gone.contains(server));
+        }
+    }
+
     fn limited_services(&self) -> Vec<ServiceHash> {
         let limited = self.servers.values().filter(|account| account.said.rate.is_some());
         let mut services: Vec<ServiceHash> = limited.map(|account| account.service).collect();
