throttle: words don't look newer each time that they are told; files split

Read in the code, and shown: the way of a datagram is not in the age that it tells, so a word that boxes told each other again and again stayed new. Two boxes 20 ms apart took one for 0 ms old ten seconds after the server had said it; a server's next word might then have lost against it. A word must have stood for half a second before it is written to the store, so that one that comes and goes costs no calls.

--- a/lib/src/coordination/throttle.rs
+++ b/lib/src/coordination/throttle.rs
@@ -21,6 +21,8 @@
 
 mod account;
 mod demand;
+mod exchange;
+mod region;
 pub mod told;
 
 use std::collections::HashMap;
@@ -34,12 +36,9 @@
 use self::account::Account;
 use self::account::Difference;
 use self::account::Said;
-use self::demand::Asked;
 use self::demand::Demand;
-use self::told::Count;
-use self::told::News;
-use self::told::Word;
-use super::quota::Teller;
+use self::region::Region;
+use self::region::Source;
 use super::rendezvous;
 
 /// What stands for one life of a server.
@@ -55,41 +54,22 @@
 const SILENT: Duration = Duration::from_millis(1500);
 /// The same in reports, where boxes are told in turn.
 const SILENT_REPORTS: u32 = 3;
-/// Part of a rate that boxes share evenly while some are silent: demand moves on then, and nobody hears of it.
-const EVEN_IN_SILENCE: f64 = 0.3;
 /// How often what is new is told beyond once: some reports are lost.
 const REPEATS: u32 = 2;
-/// Reports after its start within which all that a box has sent is new to those that hear it first.
-const FIRST_REPORTS: u64 = 10;
-/// Most words, counts and demands in a report: 30, 13 and 17 bytes each. A box sends some 160 reports a
-/// second, and 12 KB in all.
-const WORDS: usize = 16;
-const COUNTS: usize = 32;
-const DEMANDS: usize = 2;
-/// Reports from one word that is not new to the next.
-const RETOLD: usize = 5;
 /// Most servers with an account, far above those of one region.
 const SERVERS: usize = 1024;
-/// Time from one box to the next one that writes a word to the store: by then a write of the one before
-/// has come back to all.
+/// Time that a word must have stood before the first box writes it to the store, and from one box to the next:
+/// by then a write of the one before has come back to all.
 const WRITE_GAP: Duration = Duration::from_millis(500);
 /// Boxes that would write a word after one another, should those before fail.
 const WRITERS: usize = 10;
+/// Most words in one write.
+const WRITTEN: usize = 16;
 /// Age that a word from the store counts with: whatever was heard is newer.
 const STORED_AGE: Duration = Duration::from_secs(60);
 /// Shortest and longest time after which a refused caller is asked to come back.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(10));
 
-/// What another box of the region said.
-#[derive(Debug)]
-struct Source {
-    incarnation: u64,
-    number: u64,
-    heard_at: Instant,
-    counts: HashMap<ServerLife, u64>,
-    demands: HashMap<ServiceHash, Asked>,
-}
-
 /// A word as the store keeps it, for boxes that start when all others have forgotten it.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Stored {
@@ -312,20 +292,18 @@
     /// What this box should write to the store now: words that it shows otherwise. One box after the
     /// other does so, by its rank for the server, until the word is there.
     pub fn unwritten(&self, own: u64, now: Instant) -> Vec<Stored> {
-        let due = self.servers.iter().filter(|(server, account)| {
-            let rank = self.rank(own, **server);
-            let writes = rank < WRITERS;
-            writes
-                && account
-                    .unstored_since
-                    .is_some_and(|since| now >= since + WRITE_GAP * rank as u32)
-        });
+        let is_due = |server: ServerLife, account: &Account| {
+            let rank = self.rank(own, server);
+            let pause = WRITE_GAP * (rank as u32 + 1);
+            rank < WRITERS && account.unstored_since.is_some_and(|since| now >= since + pause)
+        };
+        let due = self.servers.iter().filter(|(server, account)| is_due(**server, account));
         let word = |(server, account): (&ServerLife, &Account)| Stored {
             server: *server,
             service: account.service,
             rate: account.said.rate,
         };
-        due.take(WORDS).map(word).collect()
+        due.take(WRITTEN).map(word).collect()
     }
 
     /// Boxes that come before this one where one box is to act for a server.
@@ -333,180 +311,4 @@
         let own = rendezvous::mix(own, server);
         self.boxes.keys().filter(|other| rendezvous::mix(**other, server) > own).count()
     }
-
-    /// What to tell the other boxes of the region in the next report.
-    pub fn news(&mut self, now: Instant) -> News {
-        let mut news = News::default();
-        let mut servers: Vec<ServerLife> = self.servers.keys().copied().collect();
-        servers.sort_unstable();
-        for server in &servers {
-            let Some(account) = self.servers.get_mut(server) else { continue };
-            if account.tell_word > 0 && news.words.len() < WORDS {
-                account.tell_word -= 1;
-                news.words.push(word(*server, account, now));
-            }
-            if account.tell_count > 0 && news.counts.len() < COUNTS {
-                account.tell_count -= 1;
-                news.counts.push(Count { server: *server, sent: account.sent });
-            }
-        }
-        self.turn = self.turn.wrapping_add(1);
-        // A box may have lost all reports that told it of a word.
-        if self.turn.is_multiple_of(RETOLD) && news.words.is_empty() && !servers.is_empty() {
-            let server = servers[self.turn / RETOLD % servers.len()];
-            news.words.extend(self.servers.get(&server).map(|account| word(server, account, now)));
-        }
-        let limited = self.limited_services();
-        let first = self.turn * DEMANDS % limited.len().max(1);
-        let told = limited.iter().cycle().skip(first).take(limited.len().min(DEMANDS));
-        let own = |service: &ServiceHash| {
-            let own = self.services.get(service).map_or(Asked::default(), |asked| asked.own(now));
-            told::Demand {
-                service: *service,
-                per_minute: (own.lately * 60.0).ceil() as u32,
-                usual_per_minute: (own.usual * 60.0).ceil() as u32,
-            }
-        };
-        news.demands.extend(told.map(own));
-        news
-    }
-
-    /// What to tell a box that has just started: whatever there is room for.
-    pub fn all_words(&self, now: Instant) -> News {
-        let limited = self.servers.iter().filter(|(_, account)| account.said.rate.is_some());
-        let words = limited.take(WORDS).map(|(server, account)| word(*server, account, now));
-        News { words: words.collect(), ..News::default() }
-    }
-
-    /// Another box of the region told something. Says whether it is new to this one, so that it
-    /// should hear what servers said.
-    pub fn hear(&mut self, teller: Teller, news: &News, now: Instant) -> bool {
-        let Teller { sender, incarnation, number } = teller;
-        let known = self.boxes.get(&sender).map(|source| (source.incarnation, source.number));
-        if known.is_some_and(|known| known >= (incarnation, number)) {
-            return false;
-        }
-        let same_life = known.is_some_and(|(life, _)| life == incarnation);
-        let silent_after = self.silent_after();
-        let source = self.boxes.entry(sender).or_insert_with(|| Source {
-            incarnation,
-            number,
-            heard_at: now,
-            counts: HashMap::new(),
-            demands: HashMap::new(),
-        });
-        // What a box sent while it was silent was taken off the rate already.
-        let was_heard = now < source.heard_at + silent_after;
-        let counts_all = (same_life || number <= FIRST_REPORTS) && was_heard;
-        if !same_life {
-            source.counts.clear();
-        }
-        (source.incarnation, source.number, source.heard_at) = (incarnation, number, now);
-        let asked = |told: &told::Demand| Asked {
-            lately: f64::from(told.per_minute) / 60.0,
-            usual: f64::from(told.usual_per_minute) / 60.0,
-        };
-        source.demands.extend(news.demands.iter().map(|told| (told.service, asked(told))));
-        let mut sent = Vec::new();
-        for Count { server, sent: count } in &news.counts {
-            let before = source.counts.insert(*server, *count).unwrap_or(0);
-            sent.push((*server, count.saturating_sub(before)));
-        }
-        self.hear_words(&news.words, now);
-        let news_takes = self.news_takes();
-        for (server, requests) in sent.into_iter().filter(|_| counts_all) {
-            if let Some(account) = self.servers.get_mut(&server) {
-                account.charge(requests as f64, now, news_takes);
-            }
-        }
-        !same_life
-    }
-
-    /// Another box of the region told what servers said.
-    pub fn hear_words(&mut self, words: &[Word], now: Instant) {
-        words.iter().for_each(|told| self.hear_word_told(told, now));
-    }
-
-    fn hear_word_told(&mut self, told: &Word, now: Instant) {
-        let age = Duration::from_millis(u64::from(told.said_ms));
-        let Some(at) = now.checked_sub(age).filter(|_| age < WORD_LIFE) else { return };
-        let rate = told.rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
-        let own = self.servers.get(&told.server).map(|account| account.said);
-        let difference = self.hear_word(told.server, told.service, Said { rate, at }, now);
-        if difference != Difference::Same {
-            log::info!(
-                "event=server_rate life={:x} rate={rate:?} before={:?} said_ms={} by=box",
-                told.server,
-                own.and_then(|said| said.rate),
-                told.said_ms
-            );
-        }
-        // Who tells of an older word has not heard the newer one.
-        let rounds = self.rounds;
-        if let Some(account) = self.servers.get_mut(&told.server)
-            && account.said.at > at
-            && account.said.rate != rate
-        {
-            account.tell_word = account.tell_word.max(rounds);
-        }
-    }
-}
-
-fn word(server: ServerLife, account: &Account, now: Instant) -> Word {
-    let said_ms = now.saturating_duration_since(account.said.at).as_millis();
-    Word {
-        server,
-        service: account.service,
-        rate: account.said.rate,
-        said_ms: u32::try_from(said_ms).unwrap_or(u32::MAX),
-    }
-}
-
-/// What was heard of one service.
-#[derive(Clone, Copy, Debug, Default)]
-struct Region {
-    /// Boxes that are heard.
-    heard: usize,
-    /// Those of them that have not said what they are asked for.
-    unsaid: usize,
-    /// What they are asked for, in sum.
-    demand: Asked,
-    /// Boxes that have fallen silent.
-    silent: usize,
-    /// Requests a second that these usually were asked for when last heard.
-    silent_usual: f64,
-}
-
-impl Region {
-    fn add(&mut self, asked: Option<Asked>, is_heard: bool) {
-        if !is_heard {
-            self.silent += 1;
-            self.silent_usual += asked.map_or(0.0, |asked| asked.usual);
-            return;
-        }
-        self.heard += 1;
-        match asked {
-            Some(asked) => {
-                self.demand.lately += asked.lately;
-                self.demand.usual += asked.usual;
-            }
-            None => self.unsaid += 1,
-        }
-    }
-
-    /// Part of a rate that boxes which hear each other may use, this one with its own demand among
-    /// them. Those that were never heard are taken to be asked for as much as the others in the mean.
-    fn rest(&self, own_usual: f64, unknown: usize) -> f64 {
-        let away = (self.silent + unknown) as f64;
-        if away == 0.0 {
-            return 1.0;
-        }
-        let known = (1 + self.heard + self.silent) as f64;
-        let known_usual = own_usual + self.demand.usual + self.silent_usual;
-        let unknown_usual = unknown as f64 * known_usual / known;
-        let even = away / (known + unknown as f64);
-        let all = known_usual + unknown_usual;
-        let by_demand = if all > 0.0 { (self.silent_usual + unknown_usual) / all } else { even };
-        1.0 - EVEN_IN_SILENCE * even - (1.0 - EVEN_IN_SILENCE) * by_demand
-    }
 }
--- a/lib/tests/test_throttle.rs
+++ b/lib/tests/test_throttle.rs
@@ -438,3 +438,20 @@
     assert_eq!(told, [250, 500, 750]);
     assert_eq!(come_back(&mut throttles, now + Duration::from_secs(5)), 250);
 }
+
+/// The way of a datagram is not in the age of the words that it tells. Two boxes that tell each other of a
+/// word, each 20 ms later, would take it for new ten seconds after the server said it.
+#[test]
+fn a_word_grows_old_however_often_boxes_tell_each_other_of_it() {
+    let start = Instant::now();
+    let (mut one, mut other) = (Throttles::new(0.0), Throttles::new(0.0));
+    one.said(SERVER, SERVICE, Some(3.0), start);
+    let way = Duration::from_millis(20);
+    for step in 0..250 {
+        let now = start + 2 * step * way;
+        other.hear_words(&one.all_words(now).words, now + way);
+        one.hear_words(&other.all_words(now + way).words, now + 2 * way);
+    }
+    let told = one.all_words(start + Duration::from_secs(10)).words[0];
+    assert!(told.said_ms > 9_000, "{} ms", told.said_ms);
+}
