record, store: the log says which state a request was placed by, and the store's era

The hypotheses on servers that get requests after they said that they leave cannot be told apart: no line says whether the store is another one than before, nor who vouched for a state.

'placed' names the state's revision and the box that last vouched for it; the adapter reads the era from the head of each answer, errors too, a change of it is one line, and metrics show it. No decision reads either.

--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -6,6 +6,7 @@
 //! knows no newer state vouches for it; one that does is worth asking.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -82,12 +83,36 @@
     }
 }
 
+/// The state that a box decides by.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing {
+    /// Revision of the store that it was read at.
+    pub revision: Revision,
+    /// How long ago it was the store's; `None` before there is any.
+    pub age: Option<Duration>,
+    /// The box that said so; `None` if the store did, or the box that the state was taken from.
+    pub vouched_by: Option<u64>,
+}
+
+impl fmt::Display for Standing {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let age_ms = self.age.map_or(-1, |age| age.as_millis() as i64);
+        write!(formatter, "state={} state_ms={age_ms} state_by=", self.revision)?;
+        match self.vouched_by {
+            Some(sender) => write!(formatter, "{sender:x}"),
+            None => formatter.write_str("store"),
+        }
+    }
+}
+
 /// What is known of the age of a box's state.
 #[derive(Debug, Default)]
 pub struct Freshness {
     version: Version,
     /// When the state was last that of the store.
     current_at: Option<Instant>,
+    /// The box that said so; `None` if the store did, or the box that the state was taken from.
+    vouched_by: Option<u64>,
     /// The box with the newest state, if that is newer than this one's.
     ahead: Option<Word>,
     /// Since when this box is behind without having learned anything.
@@ -100,7 +125,10 @@
     /// The box has taken in a state that was the store's at that time, if that is known.
     pub fn taken(&mut self, version: Version, at: Option<Instant>, now: Instant) {
         self.version = version;
-        self.current_at = self.current_at.max(at);
+        if at > self.current_at {
+            self.current_at = at;
+            self.vouched_by = None;
+        }
         self.ahead = self.ahead.filter(|word| word.version.is_ahead_of(&version));
         self.behind_since = self.ahead.map(|_| now);
     }
@@ -122,15 +150,16 @@
             self.ahead = if better { Some(*word) } else { self.ahead };
             self.behind_since.get_or_insert(now);
         } else if let Some(at) = now.checked_sub(word.age) {
-            self.vouched(at);
+            self.vouched(word.sender, at);
         }
         !was_behind && self.behind_since.is_some()
     }
 
     /// Nothing newer than this state was known then, unless some box knows more.
-    fn vouched(&mut self, at: Instant) {
-        if self.ahead.is_none() {
-            self.current_at = self.current_at.max(Some(at));
+    fn vouched(&mut self, sender: u64, at: Instant) {
+        if self.ahead.is_none() && Some(at) > self.current_at {
+            self.current_at = Some(at);
+            self.vouched_by = Some(sender);
         }
     }
 
@@ -188,6 +217,15 @@
         others.filter(|(other, _)| rendezvous::mix(**other, server) > weight).count() < ASKING
     }
 
+    /// The state, for the log.
+    pub fn standing(&self, now: Instant) -> Standing {
+        Standing {
+            revision: self.version.revision,
+            age: self.age(now),
+            vouched_by: self.vouched_by,
+        }
+    }
+
     /// Age of the state; `None` before there is any.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.current_at.map(|at| now.saturating_duration_since(at))
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -44,6 +44,7 @@
     let _ =
         writeln!(text, "copperweir_state_revision {}", lock(&shared.freshness).version().revision);
     let _ = writeln!(text, "copperweir_state_age_ms {}", shared.state_age_ms());
+    let _ = writeln!(text, "copperweir_store_era {}", shared.eras.newest());
     let refused = lock(&shared.quarantine).len();
     let _ = writeln!(text, "copperweir_quarantined_contents {refused}");
     let throttled = lock(&shared.throttles).len();
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -75,6 +75,7 @@
 use crate::transport::http1::Bounds;
 use crate::transport::listen::Stop;
 use crate::transport::store;
+use crate::transport::store::Eras;
 use crate::transport::timer;
 
 /// Longest wait for a connection to a backend server: they stand in the same region, and a
@@ -134,7 +135,8 @@
         let latencies = Arc::new(Latencies::default());
         let measures =
             store::Measures { counters: Arc::clone(&counters), latencies: Arc::clone(&latencies) };
-        let store = store::Client::new(settings.store, adapter.clone(), measures);
+        let eras = Eras::default();
+        let store = store::Client::new(settings.store, adapter.clone(), measures, eras.clone());
         let shared = Arc::new(Shared {
             incarnation: own.incarnation,
             adapter,
@@ -159,6 +161,7 @@
             freshness: Mutex::default(),
             broken: Mutex::default(),
             store_back_at: Mutex::default(),
+            eras,
             quarantine: Mutex::default(),
             news: Notify::new(),
             alarm: Notify::new(),
--- a/lib/src/gateway/record.rs
+++ b/lib/src/gateway/record.rs
@@ -10,6 +10,7 @@
 use super::job::Job;
 use super::pace::Pace;
 use crate::coordination::broken::Run;
+use crate::coordination::freshness::Standing;
 use crate::coordination::learning::Note;
 use crate::coordination::placement::Place;
 use crate::coordination::quarantine::Suspicion;
@@ -48,11 +49,11 @@
 }
 
 /// A backend server was chosen.
-pub fn placed(job: &Job, course: &Course, place: &Place, state_age_ms: i64) {
+pub fn placed(job: &Job, course: &Course, place: &Place, state: Standing) {
     log::info!(
         target: TARGET,
         "event=placed request={} route={} team={} service={} server={} send={} in_flight={} others={} unread={:.0} \
-         candidates={} at_home={} cold={} text={:x} content={} version={} boxes={} state_ms={state_age_ms} left_ms={}",
+         candidates={} at_home={} cold={} text={:x} content={} version={} boxes={} {state} left_ms={}",
         job.ask.id,
         job.route.name,
         team(job),
--- a/lib/src/gateway/run.rs
+++ b/lib/src/gateway/run.rs
@@ -125,7 +125,8 @@
     let tried = match target(shared, job, course).map_err(Step::Stop)? {
         Target::Server(held) => {
             course.tried.push(held.place.server.clone());
-            record::placed(job, course, &held.place, shared.state_age_ms());
+            let state = lock(&shared.freshness).standing(clock::now());
+            record::placed(job, course, &held.place, state);
             attempt::to_server(shared, job, *held, after).await
         }
         Target::Peer(address, reason) => {
--- a/lib/src/protocol/adapter.rs
+++ b/lib/src/protocol/adapter.rs
@@ -14,6 +14,7 @@
 use super::ServerId;
 use super::fleet::FailureDomainId;
 use super::fleet::Server;
+use super::platform::Era;
 use super::platform::LeaseId;
 use super::platform::PlatformError;
 use super::platform::Revision;
@@ -258,6 +259,9 @@
         body: &[u8],
     ) -> Result<Answer, PlatformError>;
 
+    /// The era of the store that sent these headers; `None` if they do not tell it.
+    fn era(&self, headers: &HeaderMap) -> Option<Era>;
+
     /// What a key is about.
     fn subject(&self, key: &str) -> Subject;
 
--- a/lib/src/protocol/platform.rs
+++ b/lib/src/protocol/platform.rs
@@ -12,6 +12,9 @@
 
 /// Revision of a key; grows with each write. 0 stands for "absent".
 pub type Revision = u64;
+/// Number of the store's history. It rises when the store comes back from an older copy and gives
+/// revisions out again; 0 for a store that does not tell it.
+pub type Era = u64;
 /// Id of a lease in the store.
 pub type LeaseId = u64;
 
--- a/lib/src/transport/store.rs
+++ b/lib/src/transport/store.rs
@@ -3,10 +3,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
@@ -17,6 +20,7 @@
 use crate::protocol::adapter::Call;
 use crate::protocol::adapter::Codec;
 use crate::protocol::adapter::Operation;
+use crate::protocol::platform::Era;
 use crate::protocol::platform::PlatformError;
 use crate::state::clock;
 use crate::state::counters::Counter;
@@ -39,6 +43,25 @@
     codec: C,
     http: backend::Client,
     measures: Measures,
+    eras: Eras,
+}
+
+/// The newest era that any answer of the store has told.
+#[derive(Clone, Debug, Default)]
+pub struct Eras(Arc<AtomicU64>);
+
+impl Eras {
+    /// The newest era so far; 0 if none was told.
+    pub fn newest(&self) -> Era {
+        self.0.load(Ordering::Acquire)
+    }
+
+    fn hear(&self, era: Era) {
+        let before = self.0.fetch_max(era, Ordering::AcqRel);
+        if before < era {
+            log::info!("event=store_era era={era} before={before} by=store");
+        }
+    }
 }
 
 /// Where calls are counted and timed.
@@ -52,8 +75,8 @@
 
 impl<C: Codec> Client<C> {
     /// A store; calls are counted.
-    pub fn new(address: SocketAddr, codec: C, measures: Measures) -> Client<C> {
-        Client { address, codec, http: backend::Client::default(), measures }
+    pub fn new(address: SocketAddr, codec: C, measures: Measures, eras: Eras) -> Client<C> {
+        Client { address, codec, http: backend::Client::default(), measures, eras }
     }
 
     /// Makes a call.
@@ -81,7 +104,11 @@
             Operation::Watch { wait, .. } => *wait + CALL_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
-        let (status, body) = exchange(&self.http, self.address, call, timeout).await?;
+        let response = fetch(&self.http, self.address, call, timeout).await?;
+        if let Some(era) = self.codec.era(response.headers()) {
+            self.eras.hear(era);
+        }
+        let (status, body) = answered(response)?;
         self.codec.decode(operation, status, &body)
     }
 }
@@ -94,6 +121,15 @@
     call: Call,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), PlatformError> {
+    answered(fetch(http, address, call, timeout).await?)
+}
+
+async fn fetch(
+    http: &backend::Client,
+    address: SocketAddr,
+    call: Call,
+    timeout: Duration,
+) -> Result<Response<Bytes>, PlatformError> {
     let request = Request::builder()
         .method(call.method)
         .uri(call.path)
@@ -101,12 +137,15 @@
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(call.body))
         .map_err(|error| PlatformError::Malformed(error.to_string()))?;
-    let response = match timer::timeout(timeout, http.fetch(address, request)).await {
-        Err(_) => return Err(PlatformError::Lost("no answer in time".to_owned())),
-        Ok(Err(Attempt::Lost(text))) => return Err(PlatformError::Lost(text)),
-        Ok(Err(unsent)) => return Err(PlatformError::Unreachable(unsent.to_string())),
-        Ok(Ok(response)) => response,
-    };
+    match timer::timeout(timeout, http.fetch(address, request)).await {
+        Err(_) => Err(PlatformError::Lost("no answer in time".to_owned())),
+        Ok(Err(Attempt::Lost(text))) => Err(PlatformError::Lost(text)),
+        Ok(Err(unsent)) => Err(PlatformError::Unreachable(unsent.to_string())),
+        Ok(Ok(response)) => Ok(response),
+    }
+}
+
+fn answered(response: Response<Bytes>) -> Result<(StatusCode, Bytes), PlatformError> {
     match response.status() {
         StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Limited),
         StatusCode::SERVICE_UNAVAILABLE => {
