--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -12,7 +12,8 @@
 use std::time::Instant;
 
 use super::rendezvous;
-use crate::protocol::platform::Revision;
+use crate::protocol::platform::Era;
+use crate::protocol::platform::Position;
 
 /// Age of a state from which some box looks whether there are changes. It tells the others if
 /// there are none, so the age stays below this and the time that words need, some 0.5 s.
@@ -42,16 +43,16 @@
 /// Which state of the store a box has.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Version {
-    /// Revision of the store that it was read at.
-    pub revision: Revision,
-    /// Digest of all keys and their revisions: the store's revision may grow without a change.
+    /// Place in the store's history that it was read at.
+    pub position: Position,
+    /// Digest of all keys, their revisions and values: the store's revision may grow without a change.
     pub digest: u64,
 }
 
 impl Version {
     /// Whether this state has changes that another one lacks.
     pub fn is_ahead_of(&self, other: &Version) -> bool {
-        self.revision > other.revision && self.digest != other.digest
+        self.position > other.position && self.digest != other.digest
     }
 }
 
@@ -86,8 +87,8 @@
 /// The state that a box decides by.
 #[derive(Clone, Copy, Debug)]
 pub struct Standing {
-    /// Revision of the store that it was read at.
-    pub revision: Revision,
+    /// Place in the store's history that it was read at.
+    pub position: Position,
     /// How long ago it was the store's; `None` before there is any.
     pub age: Option<Duration>,
     /// The box that said so; `None` if the store did, or the box that the state was taken from.
@@ -97,7 +98,7 @@
 impl fmt::Display for Standing {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let age_ms = self.age.map_or(-1, |age| age.as_millis() as i64);
-        write!(formatter, "state={} state_ms={age_ms} state_by=", self.revision)?;
+        write!(formatter, "state={} state_ms={age_ms} state_by=", self.position)?;
         match self.vouched_by {
             Some(sender) => write!(formatter, "{sender:x}"),
             None => formatter.write_str("store"),
@@ -109,6 +110,8 @@
 #[derive(Debug, Default)]
 pub struct Freshness {
     version: Version,
+    /// The newest era that was heard of.
+    newest_era: Era,
     /// When the state was last that of the store.
     current_at: Option<Instant>,
     /// The box that said so; `None` if the store did, or the box that the state was taken from.
@@ -122,9 +125,20 @@
 }
 
 impl Freshness {
+    /// The store is in this era, if no newer one was heard of.
+    pub fn hear_era(&mut self, era: Era) {
+        self.newest_era = self.newest_era.max(era);
+    }
+
+    /// Whether the store has gone back to an older copy since this state was read.
+    pub fn is_superseded(&self) -> bool {
+        self.version.position.era < self.newest_era
+    }
+
     /// The box has taken in a state that was the store's at that time, if that is known.
     pub fn taken(&mut self, version: Version, at: Option<Instant>, now: Instant) {
         self.version = version;
+        self.hear_era(version.position.era);
         if at > self.current_at {
             self.current_at = at;
             self.vouched_by = None;
@@ -136,6 +150,7 @@
     /// A box says which state it has. Says whether this box has only now fallen behind.
     pub fn hear(&mut self, word: &Word, now: Instant) -> bool {
         let was_behind = self.behind_since.is_some();
+        self.hear_era(word.version.position.era);
         if word.beside && word.age >= AGING {
             self.asking.insert(word.sender, now);
         } else {
@@ -143,21 +158,24 @@
         }
         if word.version.digest == self.version.digest {
             // Nothing that is followed has changed up to there.
-            self.version.revision = self.version.revision.max(word.version.revision);
+            self.version.position = self.version.position.max(word.version.position);
         }
         if word.version.is_ahead_of(&self.version) {
             let better = self.ahead.is_none_or(|ahead| word.is_better_than(&ahead));
             self.ahead = if better { Some(*word) } else { self.ahead };
             self.behind_since.get_or_insert(now);
-        } else if let Some(at) = now.checked_sub(word.age) {
+        } else if let Some(at) = now.checked_sub(word.age)
+            && word.version.position.era == self.version.position.era
+        {
             self.vouched(word.sender, at);
         }
         !was_behind && self.behind_since.is_some()
     }
 
-    /// Nothing newer than this state was known then, unless some box knows more.
+    /// Nothing newer than this state was known then, unless some box knows more. A box that still has the
+    /// history from before the store went back cannot know.
     fn vouched(&mut self, sender: u64, at: Instant) {
-        if self.ahead.is_none() && Some(at) > self.current_at {
+        if self.ahead.is_none() && !self.is_superseded() && Some(at) > self.current_at {
             self.current_at = Some(at);
             self.vouched_by = Some(sender);
         }
@@ -220,7 +238,7 @@
     /// The state, for the log.
     pub fn standing(&self, now: Instant) -> Standing {
         Standing {
-            revision: self.version.revision,
+            position: self.version.position,
             age: self.age(now),
             vouched_by: self.vouched_by,
         }
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -114,6 +114,9 @@
     /// Servers that say that they leave; only for boxes of its region.
     #[prost(message, repeated, tag = "28")]
     pub leaving_servers: Vec<Leaving>,
+    /// Era of the store that the sender's state was read in.
+    #[prost(uint64, tag = "29")]
+    pub state_era: u64,
 }
 
 impl Report {
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -37,6 +37,7 @@
 pub mod regions;
 pub mod rendezvous;
 pub mod rest;
+pub mod restored;
 pub mod retries;
 pub mod returns;
 pub mod rollout;
--- a/lib/src/coordination/quarantine.rs
+++ b/lib/src/coordination/quarantine.rs
@@ -473,6 +473,15 @@
         self.unwritten.remove(&target);
     }
 
+    /// The store no longer has a verdict. One that still holds is to be written again.
+    pub fn lost(&mut self, target: Target, now: Instant) {
+        let Some(verdict) = self.verdicts.get_mut(&target) else { return };
+        verdict.stored = false;
+        if now < verdict.until {
+            self.unwritten.insert(target);
+        }
+    }
+
     fn learn(&mut self, target: Target, left: Duration, stored: bool, now: Instant) {
         if self.acquitted.contains_key(&target) {
             return;
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -39,8 +39,9 @@
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::PlatformError;
-use crate::protocol::platform::Revision;
+use crate::protocol::platform::Position;
 use crate::state::clock;
+use crate::state::counters::Counter;
 use crate::transport::listen::Stop;
 use crate::transport::store;
 use crate::transport::timer;
@@ -201,10 +202,18 @@
         }
     }
 
-    /// Revision of what is known from the store; other boxes may have said that nothing has changed
-    /// since the last call.
-    fn revision(&self) -> Revision {
-        lock(&self.shared.freshness).version().revision
+    /// Place in the store's history of what is known from there; other boxes may have said that nothing
+    /// has changed since the last call.
+    fn position(&self) -> Position {
+        lock(&self.shared.freshness).version().position
+    }
+
+    /// What is known is of a history that the store no longer has, up to `before`.
+    fn begin_era(&mut self, at: Instant, before: Position) {
+        log::warn!("event=store_restored before={before}");
+        self.shared.counters.count(Counter::StoreRestored);
+        self.facts.store_is_restored(at);
+        self.tell_store_is_back();
     }
 
     fn store_failed(&mut self, error: &PlatformError) {
--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -17,6 +17,7 @@
 use crate::gateway::keys::RATES;
 use crate::gateway::keys::ROSTER;
 use crate::gateway::quarantine;
+use crate::gateway::replica;
 use crate::gateway::shared::lock;
 use crate::gateway::throttle;
 use crate::protocol::adapter::Adapter;
@@ -27,8 +28,9 @@
 use crate::protocol::adapter::Subject;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::PlatformError;
-use crate::protocol::platform::Revision;
+use crate::protocol::platform::Position;
 use crate::state::clock;
+use crate::transport::store::Told;
 use crate::transport::timer;
 
 /// All keys are followed by one watch: each change wakes a box once.
@@ -48,7 +50,7 @@
 const SHORTEST_WATCH_GAP: Duration = Duration::from_millis(200);
 
 /// A call to the store that follows its changes.
-type Call = Pin<Box<dyn Future<Output = Result<Answer, PlatformError>>>>;
+type Call = Pin<Box<dyn Future<Output = Result<Told, PlatformError>>>>;
 
 /// What a box waits for from the store.
 enum Following {
@@ -66,21 +68,27 @@
     /// that was evacuated longer ago than it may.
     pub(super) async fn read_all(&mut self) -> Result<(), PlatformError> {
         let mut after = None;
-        let mut oldest = Revision::MAX;
+        let mut oldest: Option<Position> = None;
         let mut all = Vec::new();
         loop {
             let prefix = EVERYTHING.to_owned();
-            let answer = self.store.call(&Operation::Range { prefix, after }).await?;
-            let Answer::Page { items, more, revision } = answer else {
+            let told = self.store.read(&Operation::Range { prefix, after }).await?;
+            let Answer::Page { items, more, revision } = told.answer else {
                 return Err(PlatformError::Malformed("not a page".to_owned()));
             };
+            let era = told.era.unwrap_or_else(|| self.position().era);
+            if era < self.store.era() || oldest.is_some_and(|oldest| oldest.era != era) {
+                return Err(PlatformError::HistoryGone);
+            }
+            let position = Position { era, revision };
             after = items.last().map(|item| item.key.clone());
             // Pages are no snapshot: changes since the oldest one are watched for.
-            oldest = oldest.min(revision);
+            let reached = oldest.map_or(position, |oldest| oldest.min(position));
+            oldest = Some(reached);
             all.extend(items);
             if !more || after.is_none() {
                 self.store_answered();
-                self.replace(all, oldest);
+                self.replace(all, reached);
                 self.followed();
                 self.publish();
                 self.shared.news.notify_one();
@@ -89,8 +97,15 @@
         }
     }
 
-    /// Takes in the whole state at a revision; what it does not show is gone.
-    fn replace(&mut self, items: Vec<Item>, revision: Revision) {
+    /// Takes in the whole state at a place in the history; what it does not show is gone.
+    fn replace(&mut self, items: Vec<Item>, position: Position) {
+        let before = self.position();
+        if before.era != position.era && self.facts.routing.is_some() {
+            self.begin_era(clock::now(), before);
+        }
+        let shown = items.iter().map(|item| replica::key_hash(&item.key)).collect();
+        let gone = lock(&self.shared.replica).keys_not_in(&shown);
+        gone.into_iter().for_each(|key| self.changed(Change::Removed(key)));
         let mut seen = BTreeSet::new();
         let mut boxes = BTreeSet::new();
         let mut keys = BTreeSet::new();
@@ -105,7 +120,8 @@
         self.facts.keep_only(&seen, &boxes, clock::now());
         let mut replica = lock(&self.shared.replica);
         replica.keep_only(&keys);
-        replica.reached(revision);
+        replica.reached(position);
+        log::info!("event=state_read position={position} before={before} keys={}", keys.len());
     }
 
     /// Follows changes, as the store or other boxes tell them, until the process ends.
@@ -128,6 +144,11 @@
             }
             let watching = self.store_away_since.is_none() && self.watches();
             self.note_watching(watching);
+            if (watching || drawn) && self.is_superseded() {
+                following = Following::Idle;
+                drawn = false;
+                self.read_again().await;
+            }
             following = match following {
                 Following::Idle | Following::Watch(_) if drawn => self.look(),
                 Following::Idle
@@ -158,6 +179,14 @@
         }
     }
 
+    /// Whether a call for changes would be one for those of a history that the store no longer has. It
+    /// need not fail: the new history may have passed the revision that is known of the old one.
+    pub(super) fn is_superseded(&self) -> bool {
+        let mut freshness = lock(&self.shared.freshness);
+        freshness.hear_era(self.store.era());
+        freshness.is_superseded()
+    }
+
     /// A call that tells changes as they come.
     fn watch(&self) -> Following {
         Following::Watch(self.changes(WATCH_WAIT))
@@ -170,19 +199,30 @@
 
     fn changes(&self, wait: Duration) -> Call {
         let prefix = EVERYTHING.to_owned();
-        let operation = Operation::Watch { prefix, after: self.revision(), wait };
+        let operation = Operation::Watch { prefix, after: self.position().revision, wait };
         let store = self.store.clone();
-        Box::pin(async move { store.call(&operation).await })
+        Box::pin(async move { store.read(&operation).await })
+    }
+
+    async fn read_again(&mut self) {
+        if let Err(error) = self.read_all().await {
+            self.store_failed(&error);
+        }
     }
 
     /// Takes in what the store answered; says whether there were changes.
-    async fn take_in(&mut self, answer: Result<Answer, PlatformError>) -> bool {
+    async fn take_in(&mut self, answer: Result<Told, PlatformError>) -> bool {
+        let known = self.position();
         match answer {
-            Ok(Answer::Changes { changes, revision }) => {
+            Ok(Told { era, .. }) if era.is_some_and(|era| era != known.era) => {
+                self.read_again().await;
+                true
+            }
+            Ok(Told { answer: Answer::Changes { changes, revision }, .. }) => {
                 self.store_answered();
                 let changed = !changes.is_empty();
                 changes.into_iter().for_each(|change| self.changed(change));
-                lock(&self.shared.replica).reached(revision);
+                lock(&self.shared.replica).reached(Position { revision, ..known });
                 self.followed();
                 if changed {
                     self.publish();
@@ -191,10 +231,8 @@
                 changed
             }
             Ok(_) | Err(PlatformError::HistoryGone) => {
-                log::warn!("event=history_gone after={}", self.revision());
-                if let Err(error) = self.read_all().await {
-                    self.store_failed(&error);
-                }
+                log::warn!("event=history_gone after={known}");
+                self.read_again().await;
                 true
             }
             Err(error) => {
@@ -250,6 +288,12 @@
                 self.forget_item(&key);
                 throttle::forgotten(&self.shared, &key);
             }
+            Change::Removed(key) if key.starts_with(QUARANTINE) => {
+                self.forget_item(&key);
+                if self.facts.is_settling(now) {
+                    quarantine::lost(&self.shared, &key);
+                }
+            }
             Change::Removed(key) => match self.forget_item(&key).strip_prefix(BOXES) {
                 Some(name) if name == self.own.name => {
                     log::warn!("event=record_lost reason=\"the store has removed it\"");
@@ -266,6 +310,17 @@
         key
     }
 
+    /// A store that came back from an older copy may show what this box has said before.
+    fn defend(&mut self, record: &BoxRecord) {
+        if record.name == self.own.name
+            && *record != self.own
+            && self.facts.is_settling(clock::now())
+        {
+            log::warn!("event=record_lost reason=\"the store shows an older one\"");
+            self.record.send_replace(self.own.clone());
+        }
+    }
+
     /// Takes in a key that was written.
     fn written(&mut self, item: Item) {
         lock(&self.shared.replica).insert(&item);
@@ -277,7 +332,10 @@
         }
         if item.key.starts_with(BOXES) {
             match serde_json::from_slice::<BoxRecord>(&item.value) {
-                Ok(record) => self.facts.learn_box(record),
+                Ok(record) => {
+                    self.defend(&record);
+                    self.facts.learn_box(record);
+                }
                 Err(error) => self.unreadable.note(&item.key, &error.to_string()),
             }
             return;
@@ -315,7 +373,7 @@
 
 impl Following {
     /// The store's answer; never one if there is no call.
-    async fn answer(&mut self) -> Result<Answer, PlatformError> {
+    async fn answer(&mut self) -> Result<Told, PlatformError> {
         match self {
             Following::Idle => std::future::pending().await,
             Following::Watch(call) | Following::Look(call) => call.await,
--- a/lib/src/gateway/control/others.rs
+++ b/lib/src/gateway/control/others.rs
@@ -11,6 +11,7 @@
 use crate::gateway::handover;
 use crate::gateway::handover::Gone;
 use crate::gateway::handover::State;
+use crate::gateway::handover::Wanted;
 use crate::gateway::shared::lock;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Change;
@@ -79,20 +80,27 @@
     pub(super) async fn catch_up(&mut self, address: SocketAddr) {
         self.asked_box_at = Some(clock::now());
         let peers = self.shared.peers.clone();
-        let mut after = self.revision();
-        // If what was written since does not make the same state, all of it does.
+        let mut wanted = Wanted::After(self.position());
+        if self.is_superseded() {
+            wanted = self.whatever_differs();
+        }
+        // If what was written since does not make the same state, all that differs does.
         for _ in 0..2 {
-            let Some(state) = handover::ask(&peers, address, after, None).await else {
+            let Some(state) = handover::ask(&peers, address, &wanted, None).await else {
                 lock(&self.shared.freshness).forget_ahead();
                 return;
             };
             if self.take(state) {
                 return;
             }
-            after = 0;
+            wanted = self.whatever_differs();
         }
     }
 
+    fn whatever_differs(&self) -> Wanted {
+        Wanted::Beside(lock(&self.shared.replica).digests().collect())
+    }
+
     /// Where a box can be asked that this one is behind of: at once if it does not watch itself, else
     /// after longer than following the store explains.
     pub(super) fn ahead(&self, now: Instant) -> Option<SocketAddr> {
@@ -112,8 +120,9 @@
         let mut quarantine = lock(&self.shared.quarantine);
         verdicts.iter().for_each(|verdict| quarantine.hear_verdict(verdict, clock::now()));
         drop(quarantine);
-        let revision = version.revision;
-        if revision < self.revision() {
+        let position = version.position;
+        let before = self.position();
+        if position < before {
             // The box has started anew since, and knows less.
             lock(&self.shared.freshness).forget_ahead();
             return true;
@@ -123,8 +132,7 @@
             Gone::AllBut(hashes) => lock(&self.shared.replica).keys_not_in(hashes),
         };
         log::info!(
-            "event=state_taken by={told_by} revision={revision} before={} age_ms={} written={} removed={}",
-            self.revision(),
+            "event=state_taken by={told_by} position={position} before={before} age_ms={} written={} removed={}",
             age.as_millis(),
             written.len(),
             removed.len()
@@ -137,15 +145,19 @@
             self.facts.store_is_back(at);
             self.tell_store_is_back();
         }
+        if position.era != before.era && self.facts.routing.is_some() {
+            let returned = returned.and_then(|ago| now.checked_sub(ago));
+            self.begin_era(returned.unwrap_or(now), before);
+        }
         removed.into_iter().for_each(|key| self.changed(Change::Removed(key)));
         written.into_iter().for_each(|item| self.changed(Change::Written(item)));
-        lock(&self.shared.replica).reached(revision);
+        lock(&self.shared.replica).reached(position);
         let reached = lock(&self.shared.replica).version();
         lock(&self.shared.freshness).taken(reached, now.checked_sub(age), now);
         self.publish();
         if reached != version {
             log::warn!(
-                "event=state_differs revision={revision} digest={:x} told={:x}",
+                "event=state_differs position={position} digest={:x} told={:x}",
                 reached.digest,
                 version.digest
             );
--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -14,6 +14,8 @@
 use crate::coordination::departures;
 use crate::coordination::presence;
 use crate::coordination::rendezvous;
+use crate::coordination::restored::RETURN_GRACE;
+use crate::coordination::restored::Restored;
 use crate::coordination::warmup;
 use crate::protocol::BoxId;
 use crate::protocol::RegionId;
@@ -28,9 +30,6 @@
 use crate::protocol::routing::Service;
 use crate::protocol::routing::ServiceId;
 
-/// How long an entry that is missing when the store comes back counts as living: the
-/// users' word is "about two seconds" after the store's return.
-pub(super) const RETURN_GRACE: Duration = Duration::from_millis(2200);
 /// How long boxes that are gone still count among those that share a bound: they may
 /// live and only have lost the store.
 const SHARER_MEMORY: Duration = Duration::from_secs(30);
@@ -62,13 +61,22 @@
     changed_at: Option<Instant>,
 }
 
+/// A failure domain that is to get no work.
+#[derive(Clone, Copy, Debug)]
+struct Evacuation {
+    /// Revision at which it was written.
+    revision: Revision,
+    /// Since when it is missing, while its absence is not yet believed.
+    missing_since: Option<Instant>,
+}
+
 /// Everything learned from the store.
 #[derive(Debug, Default)]
 pub struct Facts {
     /// The newest configuration.
     pub routing: Option<Arc<Routing>>,
     servers: BTreeMap<ServerId, Entry>,
-    evacuated: BTreeSet<FailureDomainId>,
+    evacuated: BTreeMap<FailureDomainId, Evacuation>,
     boxes: BTreeMap<BoxId, BoxRecord>,
     gone_boxes: BTreeMap<BoxId, (BoxRecord, Instant)>,
     /// Boxes of this region that were heard, by what stands for them in datagrams.
@@ -78,6 +86,7 @@
     /// Region of each failure domain that is known.
     regions: HashMap<FailureDomainId, RegionId>,
     store_back_at: Option<Instant>,
+    restored: Restored,
 }
 
 /// What is decided from the place of one box.
@@ -103,6 +112,17 @@
         self.store_back_at = self.store_back_at.max(Some(at));
     }
 
+    /// The store came back from an older copy then.
+    pub fn store_is_restored(&mut self, at: Instant) {
+        self.restored.begin(at);
+        self.store_is_back(at);
+    }
+
+    /// Whether what the store lost with its return to an older copy may still be written again.
+    pub fn is_settling(&self, now: Instant) -> bool {
+        self.restored.is_settling(now)
+    }
+
     /// When the store last answered again after it did not.
     pub fn store_back_at(&self) -> Option<Instant> {
         self.store_back_at
@@ -110,6 +130,13 @@
 
     /// Takes in something that was written at a revision. Says whether it is news.
     pub fn learn(&mut self, fact: Fact, revision: Revision, now: Instant) -> bool {
+        let subject = subject(&fact);
+        if self.is_outdated(&fact, &subject, revision, now) {
+            log::info!("event=held_back subject={subject:?} revision={revision}");
+            self.restored.hold_back(subject, fact, revision);
+            return false;
+        }
+        self.restored.drop_held(&subject);
         match fact {
             Fact::Routing(routing) => {
                 let known = self.routing.as_ref().map_or(0, |routing| routing.version);
@@ -128,7 +155,37 @@
             Fact::Server(server) => self.learn_server(server, revision, now),
             Fact::Evacuated(domain) => {
                 log::info!("event=evacuated failure_domain={domain}");
-                self.evacuated.insert(domain)
+                let evacuation = Evacuation { revision, missing_since: None };
+                let before = self.evacuated.insert(domain, evacuation);
+                before.is_none_or(|before| before.missing_since.is_some())
+            }
+        }
+    }
+
+    /// Whether the store shows, from the copy that it came back from, what has been superseded since:
+    /// a server as serving that leaves, or an entry that was removed.
+    fn is_outdated(
+        &self,
+        fact: &Fact,
+        subject: &Subject,
+        revision: Revision,
+        now: Instant,
+    ) -> bool {
+        if !self.restored.is_settling(now) {
+            return false;
+        }
+        match fact {
+            // An older version never comes into force.
+            Fact::Routing(_) => false,
+            Fact::Server(server) => match self.servers.get(&server.id) {
+                Some(entry) => {
+                    let same_life = entry.life == candidate::life_hash(server);
+                    same_life && entry.server.leaving && !server.leaving
+                }
+                None => self.restored.is_removed(subject, revision),
+            },
+            Fact::Evacuated(domain) => {
+                !self.evacuated.contains_key(domain) && self.restored.is_removed(subject, revision)
             }
         }
     }
@@ -152,8 +209,16 @@
             return entry.missing_since.take().is_some();
         }
         let life = candidate::life_hash(&server);
-        let changed_at = (known_life == Some(life)).then_some(now);
-        let cold_until = (!server.cold_left.is_zero()).then(|| now + server.cold_left);
+        let mut changed_at = (known_life == Some(life)).then_some(now);
+        let mut cold_until = (!server.cold_left.is_zero()).then(|| now + server.cold_left);
+        if let Some(before) = self.servers.get(&server.id)
+            && self.restored.is_settling(now)
+            && before.life == life
+        {
+            // An entry of the copy is older than what it replaces.
+            changed_at = before.changed_at;
+            cold_until = cold_until.max(before.cold_until);
+        }
         let born = server.born.and_then(|born| born.duration_since(SystemTime::UNIX_EPOCH).ok());
         log::info!(
             "event=server server={} born={} service={} address={} failure_domain={} leaving={} cold_ms={}",
@@ -220,18 +285,30 @@
 
     /// Something that was written is gone.
     pub fn forget(&mut self, subject: &Subject, now: Instant) {
+        self.restored.drop_held(subject);
         match subject {
             Subject::Server(id) => self.forget_server(id, now),
-            Subject::Evacuation(domain) => {
-                if self.evacuated.remove(domain) {
-                    log::info!("event=evacuation_over failure_domain={domain}");
-                    self.cool(&domain.clone(), now);
-                }
-            }
+            Subject::Evacuation(domain) => self.forget_evacuation(domain, now),
             Subject::Routing | Subject::Other => {}
         }
     }
 
+    fn forget_evacuation(&mut self, domain: &FailureDomainId, now: Instant) {
+        if self.restored.is_settling(now) {
+            if let Some(evacuation) = self.evacuated.get_mut(domain) {
+                log::info!("event=evacuation_missing failure_domain={domain}");
+                evacuation.missing_since.get_or_insert(now);
+            }
+            return;
+        }
+        if let Some(evacuation) = self.evacuated.remove(domain) {
+            log::info!("event=evacuation_over failure_domain={domain}");
+            let subject = Subject::Evacuation(domain.clone());
+            self.restored.note_removal(subject, evacuation.revision, now);
+            self.cool(domain, now);
+        }
+    }
+
     /// What is written under a server's name names no server: another writer may have put it there.
     pub fn disown_server(&mut self, id: &str) {
         if self.servers.remove(id).is_some() {
@@ -248,8 +325,9 @@
             }
             return;
         }
-        if self.servers.remove(id).is_some() {
+        if let Some(entry) = self.servers.remove(id) {
             log::info!("event=server_gone server={id}");
+            self.restored.note_removal(Subject::Server(id.clone()), entry.revision, now);
         }
     }
 
@@ -269,7 +347,7 @@
     /// What a whole read of the store does not show is gone.
     pub fn keep_only(&mut self, seen: &BTreeSet<Subject>, boxes: &BTreeSet<BoxId>, now: Instant) {
         let servers = self.servers.keys().cloned().map(Subject::Server);
-        let evacuated = self.evacuated.iter().cloned().map(Subject::Evacuation);
+        let evacuated = self.evacuated.keys().cloned().map(Subject::Evacuation);
         let gone: Vec<Subject> =
             servers.chain(evacuated).filter(|subject| !seen.contains(subject)).collect();
         for subject in gone {
@@ -296,7 +374,32 @@
         });
         self.gone_boxes.retain(|_, (_, since)| now < *since + SHARER_MEMORY);
         self.heard.retain(|_, at| now < *at + SHARER_MEMORY);
-        self.servers.len() + self.gone_boxes.len() + self.heard.len() != before
+        let dropped = self.servers.len() + self.gone_boxes.len() + self.heard.len() != before;
+        self.settle(now) || dropped
+    }
+
+    /// What the store still shows after its return to an older copy counts from now on. Says whether
+    /// that changes anything.
+    fn settle(&mut self, now: Instant) -> bool {
+        if self.restored.is_settling(now) {
+            return false;
+        }
+        let over = |evacuation: &Evacuation| evacuation.missing_since.is_some();
+        let over: Vec<FailureDomainId> = self
+            .evacuated
+            .iter()
+            .filter(|(_, evacuation)| over(evacuation))
+            .map(|(domain, _)| domain.clone())
+            .collect();
+        for domain in &over {
+            self.forget_evacuation(domain, now);
+        }
+        let released = self.restored.release(now);
+        let mut changed = !over.is_empty();
+        for (fact, revision) in released {
+            changed |= self.learn(fact, revision, now);
+        }
+        changed
     }
 
     /// Boxes whose records are gone from the store for less than some seconds, or that are heard.
@@ -373,7 +476,7 @@
     fn is_usable(&self, entry: &Entry) -> bool {
         !entry.server.leaving
             && !entry.said_leaving
-            && !self.evacuated.contains(&entry.server.failure_domain)
+            && !self.evacuated.contains_key(&entry.server.failure_domain)
     }
 
     /// Boxes that share the servers of this region, this one included, by what stands for them in
@@ -416,6 +519,14 @@
     }
 }
 
+fn subject(fact: &Fact) -> Subject {
+    match fact {
+        Fact::Routing(_) => Subject::Routing,
+        Fact::Server(server) => Subject::Server(server.id.clone()),
+        Fact::Evacuated(domain) => Subject::Evacuation(domain.clone()),
+    }
+}
+
 fn cold_share(
     view: &View<'_>,
     service: &Service,
--- a/lib/src/gateway/handover.rs
+++ b/lib/src/gateway/handover.rs
@@ -14,22 +14,24 @@
 use http::HeaderName;
 use http::Request;
 use http::Response;
-use http::Uri;
+use http::StatusCode;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use prost::Message;
 use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
 
-use super::facts::RETURN_GRACE;
 use super::shared::Shared;
 use super::shared::lock;
 use crate::coordination::freshness::Version;
 use crate::coordination::quarantine::told;
+use crate::coordination::restored::RETURN_GRACE;
 use crate::coordination::unlisted::Neighbor;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Item;
-use crate::protocol::platform::Revision;
+use crate::protocol::platform::Position;
 use crate::state::clock;
 use crate::transport::backend;
 use crate::transport::body::Answer;
@@ -44,26 +46,45 @@
 const ASKER_ADDRESS: HeaderName = HeaderName::from_static("copperweir-address");
 /// Path of the question; the port serves nothing else.
 const PATH: &str = "/state";
+/// Longest question, bytes: digests of some hundred thousand keys.
+const LONGEST_QUESTION: usize = 1 << 20;
 /// Longest wait for one box: a way to the farthest region and back, twice.
 const WAIT: Duration = Duration::from_millis(500);
 /// Time after which another box is asked as well: longer than such a way once.
 const NEXT_SEED: Duration = Duration::from_millis(150);
 
+/// What the asker has.
+#[derive(Clone, PartialEq, prost::Message)]
+struct Question {
+    /// Place in the store's history that its state was read at.
+    #[prost(uint64, tag = "1")]
+    era: u64,
+    #[prost(uint64, tag = "2")]
+    revision: u64,
+    /// Digests of what it holds, where the place says too little: it has another history of the store than
+    /// the box that it asks, or holds something else than its place says.
+    #[prost(message, optional, tag = "3")]
+    held: Option<Hashes>,
+}
+
 /// The answer.
 #[derive(Clone, PartialEq, prost::Message)]
 struct Reply {
+    /// Place in the store's history that the state was read at.
+    #[prost(uint64, tag = "10")]
+    era: u64,
     #[prost(uint64, tag = "2")]
     revision: u64,
     /// How long ago this was the store's state, milliseconds.
     #[prost(uint64, optional, tag = "3")]
     age_ms: Option<u64>,
-    /// Keys that were written after the revision that was asked from.
+    /// Keys that were written after the place that was asked from, or that the asker does not hold so.
     #[prost(map = "string, message", tag = "4")]
     entries: HashMap<String, Entry>,
     /// Hashes of all keys, unless the sender knows which ones were removed.
     #[prost(fixed64, repeated, tag = "5")]
     keys: Vec<u64>,
-    /// Hashes of the keys that were removed after the revision that was asked from.
+    /// Hashes of the keys that were removed after the place that was asked from.
     #[prost(message, optional, tag = "8")]
     removed: Option<Hashes>,
     /// Digest of the state.
@@ -104,7 +125,7 @@
     /// How long ago the store was back there, if it was away shortly before: entries may be missing
     /// that will be written again.
     pub returned: Option<Duration>,
-    /// Keys that were written after the revision that was asked from.
+    /// Keys that the asker lacks.
     pub written: Vec<Item>,
     /// Keys that are gone.
     pub gone: Gone,
@@ -112,6 +133,17 @@
     pub verdicts: Vec<told::Verdict>,
 }
 
+/// What is asked of another box.
+#[derive(Clone, Debug)]
+pub enum Wanted {
+    /// All that it has.
+    All,
+    /// What was written after a place in the history that both have.
+    After(Position),
+    /// What differs from these digests of keys with their revisions and values.
+    Beside(HashSet<u64>),
+}
+
 /// Which keys are gone in another box's state, by their hashes.
 #[derive(Clone, Debug)]
 pub enum Gone {
@@ -121,6 +153,21 @@
     AllBut(HashSet<u64>),
 }
 
+impl Wanted {
+    fn to_question(&self) -> Question {
+        match self {
+            Wanted::All => Question::default(),
+            Wanted::After(Position { era, revision }) => {
+                Question { era: *era, revision: *revision, held: None }
+            }
+            Wanted::Beside(digests) => {
+                let hashes = digests.iter().copied().collect();
+                Question { held: Some(Hashes { hashes }), ..Question::default() }
+            }
+        }
+    }
+}
+
 /// Answers another box.
 pub async fn handle<A: Adapter>(
     shared: Arc<Shared<A>>,
@@ -129,33 +176,61 @@
     if let Some(asker) = asker(request.headers()) {
         lock(&shared.unlisted).hear(asker, clock::now());
     }
+    let Some(question) = read(request.into_body()).await else {
+        let mut refusal = Response::new(Answer::whole(Bytes::new()));
+        *refusal.status_mut() = StatusCode::BAD_REQUEST;
+        return refusal;
+    };
+    Response::new(Answer::whole(answer(&shared, question).encode_to_vec()))
+}
+
+/// Reads a question; an empty one comes from a box that has nothing.
+async fn read(body: Incoming) -> Option<Question> {
+    let body = Limited::new(body, LONGEST_QUESTION).collect().await;
+    let body = body.inspect_err(|error| log::info!("event=question_broken error=\"{error}\""));
+    Question::decode(body.ok()?.to_bytes()).ok()
+}
+
+fn answer<A: Adapter>(shared: &Shared<A>, question: Question) -> Reply {
+    let knows_nothing = question == Question::default();
     let age_ms = u64::try_from(shared.state_age_ms()).ok();
     let replica = lock(&shared.replica);
-    let entry = |item: Item| (item.key, Entry { value: item.value, revision: item.revision });
-    let after = after(request.uri());
-    let entries = replica.written_after(after).map(entry).collect();
-    let removed = replica.removed_after(after).map(|hashes| Hashes { hashes: hashes.collect() });
+    let to_entry = |item: Item| (item.key, Entry { value: item.value, revision: item.revision });
+    let after = Position { era: question.era, revision: question.revision };
+    let (entries, removed) = match question.held {
+        Some(Hashes { hashes }) => {
+            let held = hashes.into_iter().collect();
+            (replica.written_beside(&held).map(to_entry).collect(), None)
+        }
+        None => {
+            let removed = replica.removed_after(after);
+            let removed = removed.map(|hashes| Hashes { hashes: hashes.collect() });
+            (replica.written_after(after).map(to_entry).collect(), removed)
+        }
+    };
     let keys = if removed.is_some() { Vec::new() } else { replica.key_hashes().collect() };
     let version = replica.version();
     let known = lock(&shared.freshness).version();
     // Others may have said that nothing has changed for longer than the store itself has.
-    let still = if known.digest == version.digest { known.revision } else { 0 };
-    let Version { revision, digest } = Version { revision: version.revision.max(still), ..version };
+    let same = known.digest == version.digest;
+    let position = if same { version.position.max(known.position) } else { version.position };
     let returned = *lock(&shared.store_back_at);
     let returned = returned.map(clock::since).filter(|ago| *ago < RETURN_GRACE);
     let returned_ms = returned.map(|ago| ago.as_millis() as u64);
     // Others hear of verdicts by datagram and from the store.
     let verdicts =
-        if after == 0 { lock(&shared.quarantine).verdicts(clock::now()) } else { Vec::new() };
-    let reply = Reply { revision, digest, age_ms, returned_ms, entries, keys, removed, verdicts };
-    Response::new(Answer::whole(reply.encode_to_vec()))
-}
-
-/// The revision that the other box has; without one, it has nothing.
-fn after(uri: &Uri) -> Revision {
-    let query = uri.query().unwrap_or_default();
-    let after = query.split('&').find_map(|pair| pair.strip_prefix("after="));
-    after.and_then(|after| after.parse().ok()).unwrap_or(0)
+        if knows_nothing { lock(&shared.quarantine).verdicts(clock::now()) } else { Vec::new() };
+    Reply {
+        era: position.era,
+        revision: position.revision,
+        digest: version.digest,
+        age_ms,
+        returned_ms,
+        entries,
+        keys,
+        removed,
+        verdicts,
+    }
 }
 
 /// The box that asks, if it says who it is.
@@ -182,7 +257,7 @@
     loop {
         if let Some(seed) = seeds.next() {
             let (client, own) = (client.clone(), own.clone());
-            asked.spawn(async move { ask(&client, seed, 0, Some(&own)).await });
+            asked.spawn(async move { ask(&client, seed, &Wanted::All, Some(&own)).await });
         }
         match timer::timeout(NEXT_SEED, asked.join_next()).await {
             Ok(Some(Ok(Some(state)))) => return Some(state),
@@ -193,15 +268,14 @@
     }
 }
 
-/// Asks one box for what was written after a revision; `None` if it knows nothing or does not
-/// answer.
+/// Asks one box for what this one lacks; `None` if it knows nothing or does not answer.
 pub async fn ask(
     client: &backend::Client,
     address: SocketAddr,
-    after: Revision,
+    wanted: &Wanted,
     own: Option<&Neighbor>,
 ) -> Option<State> {
-    let error = match timer::timeout(WAIT, fetch(client, address, after, own)).await {
+    let error = match timer::timeout(WAIT, fetch(client, address, wanted, own)).await {
         Ok(Ok(state)) => return state,
         Ok(Err(error)) => error,
         Err(_) => "no answer in time".to_owned(),
@@ -213,18 +287,18 @@
 async fn fetch(
     client: &backend::Client,
     address: SocketAddr,
-    after: Revision,
+    wanted: &Wanted,
     own: Option<&Neighbor>,
 ) -> Result<Option<State>, String> {
-    let mut request = Request::get(format!("{PATH}?after={after}"))
-        .header(http::header::HOST, address.to_string());
+    let mut request = Request::post(PATH).header(http::header::HOST, address.to_string());
     if let Some(own) = own {
         request = request
             .header(ASKER, format!("{:x}", own.box_hash))
             .header(ASKER_REGION, &own.region)
             .header(ASKER_ADDRESS, own.address.to_string());
     }
-    let request = request.body(Full::default()).map_err(|error| error.to_string())?;
+    let body = Bytes::from(wanted.to_question().encode_to_vec());
+    let request = request.body(Full::from(body)).map_err(|error| error.to_string())?;
     let answer = client.fetch(address, request).await.map_err(|error| error.to_string())?;
     let reply = Reply::decode(answer.into_body()).map_err(|error| error.to_string())?;
     let Some(age_ms) = reply.age_ms else { return Ok(None) };
@@ -234,9 +308,10 @@
     };
     let item =
         |(key, entry): (String, Entry)| Item { key, value: entry.value, revision: entry.revision };
+    let position = Position { era: reply.era, revision: reply.revision };
     Ok(Some(State {
         told_by: address,
-        version: Version { revision: reply.revision, digest: reply.digest },
+        version: Version { position, digest: reply.digest },
         returned: reply.returned_ms.map(Duration::from_millis),
         age: Duration::from_millis(age_ms),
         written: reply.entries.into_iter().map(item).collect(),
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -11,12 +11,14 @@
 
 use super::event::Event;
 use super::keys;
+use crate::coordination::restored::COPY_AGE;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Answer;
 use crate::protocol::adapter::NO_LEASE;
 use crate::protocol::adapter::Operation;
 use crate::protocol::adapter::Row;
 use crate::protocol::fleet::BoxRecord;
+use crate::protocol::platform::Era;
 use crate::protocol::platform::LeaseId;
 use crate::protocol::platform::PlatformError;
 use crate::state::clock;
@@ -28,35 +30,77 @@
 /// Time between renewals: two may be lost before the lease runs out.
 const RENEWAL: Duration = Duration::from_millis(1200);
 
+/// Longest wait before a lease is taken out again that may be lost: all boxes find out at once.
+const SPREAD: Duration = Duration::from_secs(1);
+
+/// A lease, in the history of the store that its number belongs to.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: LeaseId,
+    era: Era,
+    granted_at: Instant,
+    /// When it was last known to be in that history.
+    held_at: Instant,
+}
+
+impl Lease {
+    /// Whether the store may have come back from a copy that lacks this lease; its number may be another
+    /// box's by now, so renewing it proves nothing.
+    fn may_be_lost(&self, era: Era) -> bool {
+        let age = self.held_at.saturating_duration_since(self.granted_at);
+        era != self.era && age < COPY_AGE
+    }
+
+    /// A call with it succeeded.
+    fn confirm(&mut self, era: Era) {
+        if era == self.era {
+            self.held_at = clock::now();
+        }
+    }
+}
+
 /// Keeps the newest record in the store until its sender is gone, then takes it out.
 pub async fn keep<A: Adapter>(
     store: store::Client<A>,
     mut record: watch::Receiver<BoxRecord>,
     events: mpsc::Sender<Event>,
 ) {
-    let mut lease = None;
+    let mut lease: Option<Lease> = None;
     let mut failed_since: Option<Instant> = None;
     let mut pause = store::RETRY_PAUSE;
     let mut written = false;
     let mut listed = false;
     let mut told = false;
     loop {
+        let era = store.era();
+        if lease.as_ref().is_some_and(|lease| lease.may_be_lost(era)) {
+            log::warn!(
+                "event=lease_lost era={era} reason=\"the store came back from an older copy\""
+            );
+            lease = None;
+            listed = false;
+            told = false;
+            let part = rand::rng().random::<f64>();
+            timer::sleep(SPREAD.mul_f64(part)).await;
+        }
         let done = match lease {
             None => grant(&store).await.map(|granted| {
                 lease = Some(granted);
                 written = false;
             }),
-            Some(lease) if !written || record.has_changed().unwrap_or(false) => {
+            Some(Lease { id, .. }) if !written || record.has_changed().unwrap_or(false) => {
                 let newest = record.borrow_and_update().clone();
-                write(&store, &newest, lease, !listed).await.map(|()| {
+                write(&store, &newest, id, !listed).await.map(|()| {
                     written = true;
                     listed = true;
                 })
             }
-            Some(lease) => store.call(&Operation::Renew(lease)).await.map(|_| ()),
+            Some(Lease { id, .. }) => store.call(&Operation::Renew(id)).await.map(|_| ()),
         };
         match done {
             Ok(()) => {
+                let era = store.era();
+                lease.iter_mut().for_each(|lease| lease.confirm(era));
                 pause = store::RETRY_PAUSE;
                 if written && !told {
                     told = true;
@@ -67,7 +111,7 @@
                 if failed_since.take().is_some() && events.send(Event::StoreBack).await.is_err() {
                     return;
                 }
-                if !written {
+                if !written || lease.as_ref().is_some_and(|lease| lease.may_be_lost(era)) {
                     continue;
                 }
                 tokio::select! {
@@ -85,6 +129,7 @@
                 log::warn!("event=lease_over");
                 lease = None;
                 written = false;
+                listed = false;
                 told = false;
             }
             Err(error) => {
@@ -102,16 +147,19 @@
 }
 
 /// Takes the record out of the store, so that others need not wait for the lease's end.
-async fn end<A: Adapter>(store: &store::Client<A>, lease: Option<LeaseId>) {
-    let Some(lease) = lease else { return };
-    if let Err(error) = store.call(&Operation::End(lease)).await {
+async fn end<A: Adapter>(store: &store::Client<A>, lease: Option<Lease>) {
+    let Some(lease) = lease.filter(|lease| !lease.may_be_lost(store.era())) else { return };
+    if let Err(error) = store.call(&Operation::End(lease.id)).await {
         log::info!("event=lease_not_ended error=\"{error}\"");
     }
 }
 
-async fn grant<A: Adapter>(store: &store::Client<A>) -> Result<LeaseId, PlatformError> {
-    match store.call(&Operation::Grant { life: LIFE }).await? {
-        Answer::Lease(lease) => Ok(lease),
+async fn grant<A: Adapter>(store: &store::Client<A>) -> Result<Lease, PlatformError> {
+    let now = clock::now();
+    let told = store.read(&Operation::Grant { life: LIFE }).await?;
+    let era = told.era.unwrap_or_else(|| store.era());
+    match told.answer {
+        Answer::Lease(id) => Ok(Lease { id, era, granted_at: now, held_at: now }),
         _ => Err(PlatformError::Malformed("not a lease".to_owned())),
     }
 }
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -41,8 +41,9 @@
     let _ = writeln!(text, "copperweir_in_flight {}", shared.in_flight.load(Ordering::Relaxed));
     let _ = writeln!(text, "copperweir_configuration_version {version}");
     let _ = writeln!(text, "copperweir_boxes {}", snapshot.fleet);
-    let _ =
-        writeln!(text, "copperweir_state_revision {}", lock(&shared.freshness).version().revision);
+    let position = lock(&shared.freshness).version().position;
+    let _ = writeln!(text, "copperweir_state_era {}", position.era);
+    let _ = writeln!(text, "copperweir_state_revision {}", position.revision);
     let _ = writeln!(text, "copperweir_state_age_ms {}", shared.state_age_ms());
     let _ = writeln!(text, "copperweir_store_era {}", shared.eras.newest());
     let refused = lock(&shared.quarantine).len();
--- a/lib/src/gateway/quarantine.rs
+++ b/lib/src/gateway/quarantine.rs
@@ -15,9 +15,11 @@
 use super::keys::QUARANTINE;
 use super::shared::Shared;
 use super::shared::lock;
+use crate::coordination::presence;
 use crate::coordination::quarantine;
 use crate::coordination::quarantine::Suspicion;
 use crate::coordination::quarantine::Target;
+use crate::coordination::rendezvous;
 use crate::error::Failure;
 use crate::error::Kind;
 use crate::protocol::ServerId;
@@ -31,6 +33,12 @@
 use crate::transport::store;
 use crate::transport::timer;
 
+/// Stands for all callers in a key of the store.
+const ANYONE: &str = "anyone";
+/// Boxes that write a verdict again which the store has lost.
+const WRITERS: usize = 3;
+/// Time after which the next of them does so: a write, and until it is heard of.
+const WRITE_GAP: Duration = Duration::from_secs(1);
 /// Most verdicts in one call.
 const BATCH: usize = 16;
 /// Longest pause between tries to write while the store is away.
@@ -101,6 +109,38 @@
     Ok(())
 }
 
+/// A verdict is missing in a store that came back from an older copy: a few boxes write it again, one after
+/// the other until it is there.
+pub fn lost<A: Adapter>(shared: &Arc<Shared<A>>, key: &str) {
+    let Some(target) = target(key) else { return };
+    let own = rendezvous::mix(presence::box_hash(&shared.settings.name), target.content);
+    let snapshot = shared.snapshot.load();
+    let others = snapshot.boxes.iter().map(|other| presence::box_hash(&other.name));
+    let rank = others.filter(|other| rendezvous::mix(*other, target.content) > own).count();
+    if rank >= WRITERS {
+        return;
+    }
+    let (shared, key) = (Arc::clone(shared), key.to_owned());
+    tokio::spawn(async move {
+        timer::sleep(WRITE_GAP * rank as u32).await;
+        if lock(&shared.replica).get(&key).is_none() {
+            lock(&shared.quarantine).lost(target, clock::now());
+            shared.verdicts.notify_one();
+        }
+    });
+}
+
+/// What a key of the store is a verdict on.
+fn target(key: &str) -> Option<Target> {
+    let (content, who) = key.strip_prefix(QUARANTINE)?.split_once('/')?;
+    let content = u64::from_str_radix(content, 16).ok()?;
+    let caller = match who {
+        ANYONE => None,
+        who => Some(u64::from_str_radix(who, 16).ok()?),
+    };
+    Some(Target { content, caller })
+}
+
 /// Writes verdicts to the store, for as long as it takes.
 pub async fn keep<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
     loop {
@@ -145,7 +185,7 @@
 
 fn row(target: Target, lease: u64) -> Row {
     let Target { content, caller } = target;
-    let who = caller.map_or_else(|| "anyone".to_owned(), |caller| format!("{caller:016x}"));
+    let who = caller.map_or_else(|| ANYONE.to_owned(), |caller| format!("{caller:016x}"));
     // Two numbers cannot fail to be written.
     let value = serde_json::to_vec(&Record { content, caller }).unwrap_or_default();
     Row { key: format!("{QUARANTINE}{content:016x}/{who}"), value: Bytes::from(value), lease }
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -7,10 +7,12 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use rapidhash::v3::rapidhash_v3;
 
 use crate::coordination::freshness::Version;
 use crate::coordination::rendezvous;
 use crate::protocol::adapter::Item;
+use crate::protocol::platform::Position;
 use crate::protocol::platform::Revision;
 
 /// Removals that are remembered: some minutes of a large fleet's.
@@ -41,6 +43,7 @@
 struct Entry {
     value: Bytes,
     revision: Revision,
+    digest: u64,
 }
 
 impl Replica {
@@ -48,8 +51,9 @@
     pub fn insert(&mut self, item: &Item) {
         self.drop_entry(&item.key);
         self.removals.written(key_hash(&item.key));
-        let entry = Entry { value: item.value.clone(), revision: item.revision };
-        self.version.digest ^= digest(&item.key, entry.revision);
+        let digest = digest(item);
+        self.version.digest ^= digest;
+        let entry = Entry { value: item.value.clone(), revision: item.revision, digest };
         self.entries.insert(item.key.clone(), entry);
     }
 
@@ -62,7 +66,7 @@
 
     fn drop_entry(&mut self, key: &str) -> bool {
         let Some(entry) = self.entries.remove(key) else { return false };
-        self.version.digest ^= digest(key, entry.revision);
+        self.version.digest ^= entry.digest;
         true
     }
 
@@ -77,10 +81,14 @@
         self.removals = Removals::default();
     }
 
-    /// All that was written up to a revision is in.
-    pub fn reached(&mut self, revision: Revision) {
-        self.version.revision = revision;
-        self.removals.reached(revision);
+    /// All that was written up to there is in.
+    pub fn reached(&mut self, position: Position) {
+        if position.era != self.version.position.era {
+            // Revisions of another history say nothing of when a key was removed in this one.
+            self.removals = Removals::default();
+        }
+        self.version.position = position;
+        self.removals.reached(position.revision);
     }
 
     /// Which state this is.
@@ -88,23 +96,39 @@
         self.version
     }
 
-    /// Keys that were written after a revision; all for 0.
-    pub fn written_after(&self, revision: Revision) -> impl Iterator<Item = Item> {
+    /// Keys that were written after a place in the history; all if that is another history.
+    pub fn written_after(&self, after: Position) -> impl Iterator<Item = Item> {
+        let revision = if after.era == self.version.position.era { after.revision } else { 0 };
         let written = self.entries.iter().filter(move |(_, entry)| entry.revision > revision);
-        written.map(|(key, entry)| Item {
-            key: key.clone(),
-            value: entry.value.clone(),
-            revision: entry.revision,
-        })
+        written.map(|(key, entry)| to_item(key, entry))
     }
 
-    /// Hashes of the keys that were removed after a revision; `None` if that is too long ago to say.
-    pub fn removed_after(&self, revision: Revision) -> Option<impl Iterator<Item = u64>> {
-        let known = self.removals.complete_after.is_some_and(|after| revision >= after);
+    /// Hashes of the keys that were removed after a place in the history; `None` if that is another
+    /// history, or too long ago to say.
+    pub fn removed_after(&self, after: Position) -> Option<impl Iterator<Item = u64>> {
+        let Position { era, revision } = after;
+        let complete = |after| era == self.version.position.era && revision >= after;
+        let known = self.removals.complete_after.is_some_and(complete);
         let log = self.removals.log.iter();
         known.then(|| log.filter(move |(at, _)| *at > revision).map(|(_, hash)| *hash))
     }
 
+    /// A digest of each key with its revision and value.
+    pub fn digests(&self) -> impl Iterator<Item = u64> {
+        self.entries.values().map(|entry| entry.digest)
+    }
+
+    /// Keys whose digests are not among these.
+    pub fn written_beside(&self, digests: &HashSet<u64>) -> impl Iterator<Item = Item> {
+        let written = self.entries.iter().filter(|(_, entry)| !digests.contains(&entry.digest));
+        written.map(|(key, entry)| to_item(key, entry))
+    }
+
+    /// The value of a key.
+    pub fn get(&self, key: &str) -> Option<&Bytes> {
+        self.entries.get(key).map(|entry| &entry.value)
+    }
+
     /// Keys whose hashes are among these.
     pub fn keys_in(&self, hashes: &HashSet<u64>) -> Vec<String> {
         let meant = self.entries.keys().filter(|key| hashes.contains(&key_hash(key)));
@@ -138,10 +162,17 @@
     }
 }
 
-fn key_hash(key: &str) -> u64 {
+/// What stands for a key between boxes.
+pub fn key_hash(key: &str) -> u64 {
     rendezvous::weight(key, "")
 }
 
-fn digest(key: &str, revision: Revision) -> u64 {
-    rendezvous::mix(key_hash(key), revision)
+/// Two histories may give one revision to one key with different values.
+fn digest(item: &Item) -> u64 {
+    let written = rendezvous::mix(key_hash(&item.key), item.revision);
+    rendezvous::mix(written, rapidhash_v3(&item.value))
+}
+
+fn to_item(key: &str, entry: &Entry) -> Item {
+    Item { key: key.to_owned(), value: entry.value.clone(), revision: entry.revision }
 }
--- a/lib/src/gateway/reports.rs
+++ b/lib/src/gateway/reports.rs
@@ -31,6 +31,7 @@
 use crate::coordination::unlisted::Neighbor;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
+use crate::protocol::platform::Position;
 use crate::state::clock;
 use crate::transport::listen::Stop;
 use crate::transport::timer;
@@ -142,7 +143,8 @@
         None => Duration::MAX,
     };
     let Ok(port) = u16::try_from(report.handover_port) else { return };
-    let version = Version { revision: report.state_revision, digest: report.state_digest };
+    let position = Position { era: report.state_era, revision: report.state_revision };
+    let version = Version { position, digest: report.state_digest };
     let word = Word {
         sender: report.sender,
         address: beside(from, port),
@@ -150,7 +152,10 @@
         age,
         beside: same_region,
     };
-    if lock(&shared.freshness).hear(&word, now) {
+    shared.eras.hear(position.era, from);
+    let mut freshness = lock(&shared.freshness);
+    freshness.hear_era(shared.eras.newest());
+    if freshness.hear(&word, now) {
         shared.behind.notify_one();
     }
 }
@@ -412,7 +417,8 @@
         incarnation: shared.incarnation,
         region: shared.settings.region.clone(),
         number,
-        state_revision: version.revision,
+        state_era: version.position.era,
+        state_revision: version.position.revision,
         state_digest: version.digest,
         state_age_ms: u64::try_from(shared.state_age_ms()).ok(),
         handover_port: u32::from(shared.settings.listen.handover.port()),
--- a/lib/src/protocol/platform.rs
+++ b/lib/src/protocol/platform.rs
@@ -4,6 +4,7 @@
 //! JSON bodies here are those of the HTTP adapter in
 //! [`transport::platform`](crate::transport::platform) and of the stand-in.
 
+use std::fmt;
 use std::future::Future;
 use std::time::Duration;
 
@@ -15,6 +16,22 @@
 /// Number of the store's history. It rises when the store comes back from an older copy and gives
 /// revisions out again; 0 for a store that does not tell it.
 pub type Era = u64;
+
+/// A place in the history of a store. All of a later era is newer than all of an earlier one.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// Number of the history.
+    pub era: Era,
+    /// Revision in that history.
+    pub revision: Revision,
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}", self.era, self.revision)
+    }
+}
+
 /// Id of a lease in the store.
 pub type LeaseId = u64;
 
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -65,6 +65,7 @@
     StoreRenewals "store_renewals" "Renewals of leases in the platform's store.";
     StoreWrites "store_writes" "Writes to the platform's store.";
     StoreFailures "store_failures" "Calls to the platform that failed.";
+    StoreRestored "store_restored" "Times that the platform's store came back from an older copy.";
     ConfigurationsAdopted "configurations_adopted" "Versions of the configuration put in force.";
     OlderOffers "older_offers" "Offers of an older version than the one in force.";
     Orders "orders" "Orders given to backend servers.";
--- a/lib/src/transport/store.rs
+++ b/lib/src/transport/store.rs
@@ -46,7 +46,7 @@
     eras: Eras,
 }
 
-/// The newest era that any answer of the store has told.
+/// The newest era that the store, or another box, has told.
 #[derive(Clone, Debug, Default)]
 pub struct Eras(Arc<AtomicU64>);
 
@@ -56,14 +56,24 @@
         self.0.load(Ordering::Acquire)
     }
 
-    fn hear(&self, era: Era) {
+    /// The store, or a box, at that address has told an era.
+    pub fn hear(&self, era: Era, by: SocketAddr) {
         let before = self.0.fetch_max(era, Ordering::AcqRel);
         if before < era {
-            log::info!("event=store_era era={era} before={before} by=store");
+            log::info!("event=store_era era={era} before={before} by={by}");
         }
     }
 }
 
+/// An answer, and the history of the store that it is about.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The answer.
+    pub answer: Answer,
+    /// The store's era, if it tells one.
+    pub era: Option<Era>,
+}
+
 /// Where calls are counted and timed.
 #[derive(Clone)]
 pub struct Measures {
@@ -81,6 +91,11 @@
 
     /// Makes a call.
     pub async fn call(&self, operation: &Operation) -> Result<Answer, PlatformError> {
+        self.read(operation).await.map(|told| told.answer)
+    }
+
+    /// Makes a call whose answer counts for one history of the store only.
+    pub async fn read(&self, operation: &Operation) -> Result<Told, PlatformError> {
         let counter = match operation {
             Operation::Range { .. } | Operation::Watch { .. } => Counter::StoreReads,
             Operation::Renew(_) => Counter::StoreRenewals,
@@ -98,18 +113,24 @@
         result
     }
 
-    async fn send(&self, operation: &Operation) -> Result<Answer, PlatformError> {
+    async fn send(&self, operation: &Operation) -> Result<Told, PlatformError> {
         let call = self.codec.encode(operation);
         let timeout = match operation {
             Operation::Watch { wait, .. } => *wait + CALL_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
         let response = fetch(&self.http, self.address, call, timeout).await?;
-        if let Some(era) = self.codec.era(response.headers()) {
-            self.eras.hear(era);
+        let era = self.codec.era(response.headers());
+        if let Some(era) = era {
+            self.eras.hear(era, self.address);
         }
         let (status, body) = answered(response)?;
-        self.codec.decode(operation, status, &body)
+        Ok(Told { answer: self.codec.decode(operation, status, &body)?, era })
+    }
+
+    /// The newest era that was told; 0 if none was.
+    pub fn era(&self) -> Era {
+        self.eras.newest()
     }
 }
 
--- a/lib/tests/test_facts.rs
+++ b/lib/tests/test_facts.rs
@@ -217,3 +217,61 @@
     facts.disown_server("i-1");
     assert!(facts.known(&view(&own, false)).is_empty());
 }
+
+#[test]
+fn a_server_that_leaves_is_held_back_from_serving_until_a_restored_store_has_settled() {
+    let (mut facts, now, own) = (facts(), Instant::now(), record("b1"));
+    let leaving = Server { leaving: true, ..server(Duration::ZERO) };
+    facts.learn(Fact::Server(leaving.clone()), 9, now);
+    facts.store_is_restored(now);
+    let usable = |facts: &Facts| facts.known(&view(&own, false))["s"][0].usable;
+    assert!(!facts.learn(Fact::Server(server(Duration::ZERO)), 5, now), "the copy's entry");
+    assert!(!usable(&facts));
+    let settled = now + Duration::from_millis(2500);
+    assert!(facts.expire(settled), "nobody has written otherwise");
+    assert!(usable(&facts));
+    facts.store_is_restored(settled);
+    facts.learn(Fact::Server(server(Duration::ZERO)), 5, settled);
+    facts.learn(Fact::Server(leaving), 6, settled);
+    facts.expire(settled + Duration::from_secs(3));
+    assert!(!usable(&facts), "the server has said so again");
+}
+
+#[test]
+fn what_was_removed_comes_back_with_a_restored_store_only_if_it_stays_there() {
+    let (mut facts, now) = (facts(), Instant::now());
+    let subject = Subject::Server("i-1".to_owned());
+    facts.learn(Fact::Server(server(Duration::ZERO)), 5, now);
+    facts.forget(&subject, now);
+    facts.store_is_restored(now);
+    assert!(!facts.learn(Fact::Server(server(Duration::ZERO)), 5, now), "the copy's entry");
+    facts.forget(&subject, now);
+    facts.expire(now + Duration::from_secs(3));
+    assert!(facts.slots().is_empty(), "removed again");
+    facts.store_is_restored(now);
+    assert!(facts.learn(Fact::Server(server(Duration::ZERO)), 6, now), "written since");
+    assert_eq!(facts.slots()["s"]["r"], 4);
+}
+
+#[test]
+fn an_evacuation_that_ended_does_not_come_back_with_a_restored_store() {
+    let (mut facts, now) = (facts(), Instant::now());
+    facts.learn(Fact::Server(server(Duration::ZERO)), 1, now);
+    facts.learn(Fact::Evacuated("z".to_owned()), 2, now);
+    facts.forget(&Subject::Evacuation("z".to_owned()), now);
+    facts.store_is_restored(now);
+    facts.learn(Fact::Evacuated("z".to_owned()), 2, now);
+    assert_eq!(facts.slots()["s"]["r"], 4);
+    facts.expire(now + Duration::from_secs(3));
+    assert!(facts.slots().is_empty(), "the operator has left it there");
+}
+
+#[test]
+fn a_server_that_turned_cold_after_the_copy_stays_cold() {
+    let (mut facts, now, own) = (facts(), Instant::now(), record("b1"));
+    let cold_left = Duration::from_secs(5);
+    facts.learn(Fact::Server(server(cold_left)), 9, now);
+    facts.store_is_restored(now);
+    facts.learn(Fact::Server(server(Duration::ZERO)), 5, now);
+    assert_eq!(facts.known(&view(&own, false))["s"][0].cold_until, Some(now + cold_left));
+}
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -12,13 +12,18 @@
 use copperweir_lib::coordination::freshness::Word;
 use copperweir_lib::gateway::replica::Replica;
 use copperweir_lib::protocol::adapter::Item;
+use copperweir_lib::protocol::platform::Position;
 use copperweir_lib::protocol::platform::Revision;
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
 
+fn at(revision: Revision) -> Position {
+    Position { era: 1, revision }
+}
+
 fn version(revision: Revision) -> Version {
-    Version { revision, digest: revision }
+    Version { position: at(revision), digest: revision }
 }
 
 /// Where a box can be asked.
@@ -125,13 +130,13 @@
     one.insert(&item("b", 2));
     one.insert(&item("a", 3));
     one.remove("b");
-    one.reached(4);
+    one.reached(at(4));
     let mut other = Replica::default();
     other.insert(&item("gone", 1));
     other.insert(&item("a", 3));
     other.keep_only(&BTreeSet::from(["a".to_owned()]));
     // The store's revision may grow without a change of a key.
-    other.reached(6);
+    other.reached(at(6));
     assert_eq!(one.version().digest, other.version().digest);
     assert!(!other.version().is_ahead_of(&one.version()));
     other.insert(&item("b", 6));
@@ -146,30 +151,30 @@
     for replica in [&mut one, &mut other] {
         replica.insert(&item("a", 1));
         replica.insert(&item("b", 2));
-        replica.reached(2);
+        replica.reached(at(2));
     }
     other.remove("a");
     other.insert(&item("c", 4));
-    other.reached(4);
+    other.reached(at(4));
     for key in one.keys_not_in(&other.key_hashes().collect()) {
         one.remove(&key);
     }
-    let written: Vec<Item> = other.written_after(one.version().revision).collect();
+    let written: Vec<Item> = other.written_after(one.version().position).collect();
     assert_eq!(written, [item("c", 4)]);
     written.iter().for_each(|item| one.insert(item));
-    one.reached(4);
+    one.reached(at(4));
     assert_eq!(one.version(), other.version());
 }
 
 /// What one replica tells the other, as boxes do.
 fn catch_up(behind: &mut Replica, ahead: &Replica) {
-    let after = behind.version().revision;
+    let after = behind.version().position;
     let removed: HashSet<u64> = ahead.removed_after(after).expect("not long ago").collect();
     for key in behind.keys_in(&removed) {
         behind.remove(&key);
     }
     ahead.written_after(after).for_each(|item| behind.insert(&item));
-    behind.reached(ahead.version().revision);
+    behind.reached(ahead.version().position);
 }
 
 proptest! {
@@ -178,8 +183,8 @@
         changes in prop::collection::vec((0..6u8, any::<bool>(), any::<bool>(), any::<bool>()), 0..60)
     ) {
         let (mut ahead, mut behind) = (Replica::default(), Replica::default());
-        ahead.reached(1);
-        behind.reached(1);
+        ahead.reached(at(1));
+        behind.reached(at(1));
         let mut revision = 1;
         for (key, written, end_of_batch, asks) in changes {
             revision += 1;
@@ -190,14 +195,14 @@
                 ahead.remove(&key);
             }
             if end_of_batch {
-                ahead.reached(revision);
+                ahead.reached(at(revision));
                 if asks {
                     catch_up(&mut behind, &ahead);
                     prop_assert_eq!(behind.version(), ahead.version());
                 }
             }
         }
-        ahead.reached(revision);
+        ahead.reached(at(revision));
         catch_up(&mut behind, &ahead);
         prop_assert_eq!(behind.version(), ahead.version());
     }
@@ -208,28 +213,28 @@
 fn a_removal_is_told_alone() {
     let mut replica = Replica::default();
     (0..3000).for_each(|number| replica.insert(&item(&format!("k{number}"), 1)));
-    replica.reached(1);
+    replica.reached(at(1));
     replica.remove("k7");
-    replica.reached(2);
-    let told = |after| replica.removed_after(after).map(|removed| removed.count());
+    replica.reached(at(2));
+    let told = |after| replica.removed_after(at(after)).map(|removed| removed.count());
     assert_eq!([told(0), told(1), told(2)], [None, Some(1), Some(0)]);
 }
 
 #[test]
 fn a_replica_says_so_when_it_no_longer_knows_what_was_removed() {
     let mut replica = Replica::default();
-    replica.reached(1);
+    replica.reached(at(1));
     for number in 0..2000 {
         replica.insert(&item(&format!("k{number}"), 2));
         replica.remove(&format!("k{number}"));
-        replica.reached(3 + number);
+        replica.reached(at(3 + number));
     }
-    assert!(replica.removed_after(1).is_none());
-    assert_eq!(replica.removed_after(2001).map(|removed| removed.count()), Some(1));
+    assert!(replica.removed_after(at(1)).is_none());
+    assert_eq!(replica.removed_after(at(2001)).map(|removed| removed.count()), Some(1));
     // Nor does it after a whole read.
     replica.keep_only(&BTreeSet::new());
-    replica.reached(3000);
-    assert!(replica.removed_after(2999).is_none());
+    replica.reached(at(3000));
+    assert!(replica.removed_after(at(2999)).is_none());
 }
 
 #[test]
@@ -238,10 +243,10 @@
     let mut freshness = Freshness::default();
     assert!(freshness.is_stale(now));
     followed(&mut freshness, version(5), now);
-    let at = |ms| now + Duration::from_millis(ms);
-    assert!(!freshness.is_aging(at(1900)));
-    assert!(freshness.is_aging(at(2100)) && !freshness.is_stale(at(2100)));
-    assert!(freshness.is_stale(at(2600)));
+    let later = |ms| now + Duration::from_millis(ms);
+    assert!(!freshness.is_aging(later(1900)));
+    assert!(freshness.is_aging(later(2100)) && !freshness.is_stale(later(2100)));
+    assert!(freshness.is_stale(later(2600)));
 }
 
 #[test]
@@ -266,3 +271,65 @@
     let alone = knows(&1);
     assert!((100..200).all(|server| alone.asks(1, server, now + 2 * SECOND)));
 }
+
+fn version_in(era: u64, revision: Revision) -> Version {
+    Version { position: Position { era, revision }, digest: era << 32 | revision }
+}
+
+#[test]
+fn a_later_era_is_ahead_whatever_its_revision_and_an_earlier_one_never() {
+    let now = Instant::now();
+    let mut freshness = Freshness::default();
+    followed(&mut freshness, version_in(1, 9), now);
+    assert!(!freshness.hear(&word(1, version_in(0, 20), Duration::ZERO), now));
+    assert!(freshness.hear(&word(2, version_in(2, 7), Duration::ZERO), now));
+    assert_eq!(freshness.ahead(Duration::ZERO, now), Some(address(2)));
+    // Between two that are ahead, the later era counts as well.
+    freshness.hear(&word(3, version_in(1, 12), Duration::ZERO), now);
+    assert_eq!(freshness.ahead(Duration::ZERO, now), Some(address(2)));
+}
+
+#[test]
+fn boxes_with_the_old_history_do_not_vouch_for_each_other_once_the_store_has_gone_back() {
+    let start = Instant::now();
+    let now = start + 10 * SECOND;
+    let mut freshness = Freshness::default();
+    followed(&mut freshness, version_in(1, 9), start);
+    freshness.hear_era(2);
+    assert!(freshness.is_superseded());
+    freshness.hear(&word(1, version_in(1, 9), Duration::ZERO), now);
+    assert_eq!(freshness.age(now), Some(10 * SECOND));
+    followed(&mut freshness, version_in(2, 7), now);
+    assert!(!freshness.is_superseded());
+    let later = now + SECOND;
+    freshness.hear(&word(1, version_in(1, 9), Duration::ZERO), later);
+    assert_eq!(
+        freshness.age(later),
+        Some(SECOND),
+        "a box of the old history knows nothing of this"
+    );
+}
+
+#[test]
+fn one_revision_with_another_value_is_another_state() {
+    let (mut one, mut other) = (Replica::default(), Replica::default());
+    one.insert(&item("a", 3));
+    other.insert(&Item { value: Bytes::from_static(b"other"), ..item("a", 3) });
+    assert_ne!(one.version().digest, other.version().digest);
+    let held = one.digests().collect();
+    assert_eq!(other.written_beside(&held).count(), 1);
+    assert_eq!(one.written_beside(&held).count(), 0);
+}
+
+#[test]
+fn a_replica_of_another_history_is_told_all_keys() {
+    let mut replica = Replica::default();
+    replica.insert(&item("a", 3));
+    replica.reached(Position { era: 1, revision: 5 });
+    replica.remove("a");
+    replica.insert(&item("b", 4));
+    replica.reached(Position { era: 2, revision: 4 });
+    assert_eq!(replica.written_after(Position { era: 1, revision: 5 }).count(), 1);
+    assert!(replica.removed_after(Position { era: 1, revision: 5 }).is_none());
+    assert!(replica.removed_after(Position { era: 2, revision: 4 }).is_some());
+}
