freshness: the way of a word is part of a state's age

A word's age left out the time that it is under way, so 80 boxes that tell each other five times a second kept a state young that nobody had read, and none of them looked.

a_box_that_knows_nothing_newer_vouches_for_the_state asserted that the age is that of the word alone, which is what was wrong; it asserts the word's age and the way now, as exactly. words_that_boxes_tell_each_other_make_a_state_no_younger is new.

--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -37,6 +37,10 @@
 /// How much longer a box waits before it asks one of another region: a way there and back, and the
 /// time in which those beside it are told.
 const FAR_PATIENCE: Duration = Duration::from_millis(300);
+/// Longest usual way of a datagram within a region, and between two. An age that leaves the way out falls
+/// with each word: boxes that nobody tells vouch for each other until nobody looks.
+const WAY_BESIDE: Duration = Duration::from_millis(10);
+const WAY_ELSEWHERE: Duration = Duration::from_millis(100);
 /// How long a box counts as asking after its last word: some datagrams are lost.
 const ASKING_LIFE: Duration = Duration::from_secs(1);
 
@@ -72,6 +76,11 @@
 }
 
 impl Word {
+    /// How long it may have been under way.
+    fn way(&self) -> Duration {
+        if self.beside { WAY_BESIDE } else { WAY_ELSEWHERE }
+    }
+
     /// Whether the box is rather asked than another one that is ahead as well: one beside this box,
     /// then the one with the newest state, then the one that was heard last, so that not all
     /// boxes ask the same one.
@@ -164,7 +173,7 @@
             let better = self.ahead.is_none_or(|ahead| word.is_better_than(&ahead));
             self.ahead = if better { Some(*word) } else { self.ahead };
             self.behind_since.get_or_insert(now);
-        } else if let Some(at) = now.checked_sub(word.age)
+        } else if let Some(at) = now.checked_sub(word.age.saturating_add(word.way()))
             && word.version.position.era == self.version.position.era
         {
             self.vouched(word.sender, at);
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -17,6 +17,8 @@
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
+/// How long a word may have been under way, from a box of the same region.
+const WAY: Duration = Duration::from_millis(10);
 
 fn at(revision: Revision) -> Position {
     Position { era: 1, revision }
@@ -73,9 +75,9 @@
     followed(&mut freshness, version(5), now);
     let later = now + 9 * SECOND;
     freshness.hear(&word(1, version(5), SECOND), later);
-    assert_eq!(freshness.age(later), Some(SECOND));
+    assert_eq!(freshness.age(later), Some(SECOND + WAY));
     freshness.hear(&word(2, version(4), Duration::ZERO), later);
-    assert_eq!(freshness.age(later), Some(Duration::ZERO));
+    assert_eq!(freshness.age(later), Some(WAY));
     assert_eq!(freshness.ahead(Duration::ZERO, later), None);
 }
 
@@ -333,3 +335,19 @@
     assert!(replica.removed_after(Position { era: 1, revision: 5 }).is_none());
     assert!(replica.removed_after(Position { era: 2, revision: 4 }).is_some());
 }
+
+#[test]
+fn words_that_boxes_tell_each_other_make_a_state_no_younger() {
+    let start = Instant::now();
+    let (mut one, mut other) = (Freshness::default(), Freshness::default());
+    followed(&mut one, version(5), start);
+    followed(&mut other, version(5), start);
+    let mut now = start;
+    for _ in 0..500 {
+        let age = one.age(now).expect("a state");
+        now += Duration::from_millis(8);
+        other.hear(&word(1, version(5), age), now);
+        std::mem::swap(&mut one, &mut other);
+    }
+    assert_eq!([one.age(now), other.age(now)], [Some(now - start); 2]);
+}
