control: the line for a restored store names where it stands now; a name that says more

Read as a newcomer: 'defend' said nothing of what it writes, and the line 'store_restored' left out the place that the store came back to. No change of behaviour; test_restored is green as before.

--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -208,9 +208,10 @@
         lock(&self.shared.freshness).version().position
     }
 
-    /// What is known is of a history that the store no longer has, up to `before`.
-    fn begin_era(&mut self, at: Instant, before: Position) {
-        log::warn!("event=store_restored before={before}");
+    /// The store came back from an older copy then: what is known, up to `before`, is of a history that it no
+    /// longer has.
+    fn begin_era(&mut self, at: Instant, before: Position, position: Position) {
+        log::warn!("event=store_restored position={position} before={before}");
         self.shared.counters.count(Counter::StoreRestored);
         self.facts.store_is_restored(at);
         self.tell_store_is_back();
--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -101,7 +101,7 @@
     fn replace(&mut self, items: Vec<Item>, position: Position) {
         let before = self.position();
         if before.era != position.era && self.facts.routing.is_some() {
-            self.begin_era(clock::now(), before);
+            self.begin_era(clock::now(), before, position);
         }
         let shown = items.iter().map(|item| replica::key_hash(&item.key)).collect();
         let gone = lock(&self.shared.replica).keys_not_in(&shown);
@@ -310,8 +310,8 @@
         key
     }
 
-    /// A store that came back from an older copy may show what this box has said before.
-    fn defend(&mut self, record: &BoxRecord) {
+    /// Writes this box's record again if a store that came back from an older copy shows an earlier one.
+    fn reassert_record(&mut self, record: &BoxRecord) {
         if record.name == self.own.name
             && *record != self.own
             && self.facts.is_settling(clock::now())
@@ -333,7 +333,7 @@
         if item.key.starts_with(BOXES) {
             match serde_json::from_slice::<BoxRecord>(&item.value) {
                 Ok(record) => {
-                    self.defend(&record);
+                    self.reassert_record(&record);
                     self.facts.learn_box(record);
                 }
                 Err(error) => self.unreadable.note(&item.key, &error.to_string()),
--- a/lib/src/gateway/control/others.rs
+++ b/lib/src/gateway/control/others.rs
@@ -147,7 +147,7 @@
         }
         if position.era != before.era && self.facts.routing.is_some() {
             let returned = returned.and_then(|ago| now.checked_sub(ago));
-            self.begin_era(returned.unwrap_or(now), before);
+            self.begin_era(returned.unwrap_or(now), before, position);
         }
         removed.into_iter().for_each(|key| self.changed(Change::Removed(key)));
         written.into_iter().for_each(|item| self.changed(Change::Written(item)));
