--- a/lib/tests/common/news.rs
+++ b/lib/tests/common/news.rs
@@ -173,7 +173,7 @@
     }
 
     /// Time until an answer of the store is there; it stands in the first region.
-    fn from_store(&mut self, to: usize) -> Duration {
+    fn answer_time(&mut self, to: usize) -> Duration {
         let late = self.rng.random_bool(self.setting.loss);
         self.way(0, to) * 2 + ANSWER + if late { RESENT } else { Duration::ZERO }
     }
@@ -286,7 +286,7 @@
     }
 
     fn read_store(&mut self, by: usize) {
-        let delay = self.from_store(by);
+        let delay = self.answer_time(by);
         let revision = self.store.version().position.revision;
         self.after(delay, Event::Read { by, at: self.now, revision });
     }
