control: a whole read of the store doesn't keep a box from hearing others

Cause, from the logs of all boxes: since an era is followed, a box that reads the store in vain waits for the whole read where it used to wait for a look, up to 1.5 s at a time, and asks nobody meanwhile. Boxes that had heard of the newer history from another region at 16.4 and 16.6 s took it at 18.3 and 18.5 s.

A whole read is one more thing that is waited for beside events, words of others and ticks, as a watch and a look are. An answer of another era, or 410, starts one. What it reads is taken in at once as before; one that the store goes back under fails, and is tried again after the usual pause.

--- a/lib/src/gateway/control/follow.rs
+++ b/lib/src/gateway/control/follow.rs
@@ -27,9 +27,11 @@
 use crate::protocol::adapter::Operation;
 use crate::protocol::adapter::Subject;
 use crate::protocol::fleet::BoxRecord;
+use crate::protocol::platform::Era;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Position;
 use crate::state::clock;
+use crate::transport::store;
 use crate::transport::store::Told;
 use crate::transport::timer;
 
@@ -52,6 +54,28 @@
 /// A call to the store that follows its changes.
 type Call = Pin<Box<dyn Future<Output = Result<Told, PlatformError>>>>;
 
+/// Calls to the store that read all that it holds.
+type Reading = Pin<Box<dyn Future<Output = Result<Whole, PlatformError>>>>;
+
+/// What the store has told.
+enum Heard {
+    /// Changes.
+    Told(Told),
+    /// All that it holds.
+    Whole(Whole),
+}
+
+/// What came of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Taken {
+    /// Nothing new.
+    Nothing,
+    /// Changes, or all that there is.
+    News,
+    /// The changes since what is known can't be told: all is to be read.
+    Superseded,
+}
+
 /// What a box waits for from the store.
 enum Following {
     /// Nothing: other boxes tell it, or the next call is not due.
@@ -60,41 +84,63 @@
     Watch(Call),
     /// Changes that there are already.
     Look(Call),
+    /// All that there is.
+    Read(Reading),
+}
+
+/// All that the store holds.
+struct Whole {
+    items: Vec<Item>,
+    /// Place in the history from which on changes are to be watched for.
+    position: Position,
+}
+
+/// Reads all that the store holds, in the newest era that is known. Never a stale read, which would cost a
+/// tenth: while the store forgets its history these are seconds old, and a box that starts would send to a
+/// failure domain that was evacuated longer ago than it may.
+async fn read_whole<A: Adapter>(
+    store: store::Client<A>,
+    known_era: Era,
+) -> Result<Whole, PlatformError> {
+    let mut after = None;
+    let mut oldest: Option<Position> = None;
+    let mut all = Vec::new();
+    loop {
+        let prefix = EVERYTHING.to_owned();
+        let told = store.read(&Operation::Range { prefix, after }).await?;
+        let Answer::Page { items, more, revision } = told.answer else {
+            return Err(PlatformError::Malformed("not a page".to_owned()));
+        };
+        let era = told.era.unwrap_or(known_era);
+        if era < store.era() || oldest.is_some_and(|oldest| oldest.era != era) {
+            return Err(PlatformError::Lost("the store went back meanwhile".to_owned()));
+        }
+        let position = Position { era, revision };
+        after = items.last().map(|item| item.key.clone());
+        // Pages are no snapshot: changes since the oldest one are watched for.
+        let position = oldest.map_or(position, |oldest| oldest.min(position));
+        oldest = Some(position);
+        all.extend(items);
+        if !more || after.is_none() {
+            return Ok(Whole { items: all, position });
+        }
+    }
 }
 
 impl<A: Adapter> Control<A> {
-    /// Reads all that the store holds. Never a stale read, which would cost a tenth: while the store
-    /// forgets its history these are seconds old, and a box that starts would send to a failure domain
-    /// that was evacuated longer ago than it may.
+    /// Reads all that the store holds, and waits for it.
     pub(super) async fn read_all(&mut self) -> Result<(), PlatformError> {
-        let mut after = None;
-        let mut oldest: Option<Position> = None;
-        let mut all = Vec::new();
-        loop {
-            let prefix = EVERYTHING.to_owned();
-            let told = self.store.read(&Operation::Range { prefix, after }).await?;
-            let Answer::Page { items, more, revision } = told.answer else {
-                return Err(PlatformError::Malformed("not a page".to_owned()));
-            };
-            let era = told.era.unwrap_or_else(|| self.position().era);
-            if era < self.store.era() || oldest.is_some_and(|oldest| oldest.era != era) {
-                return Err(PlatformError::HistoryGone);
-            }
-            let position = Position { era, revision };
-            after = items.last().map(|item| item.key.clone());
-            // Pages are no snapshot: changes since the oldest one are watched for.
-            let reached = oldest.map_or(position, |oldest| oldest.min(position));
-            oldest = Some(reached);
-            all.extend(items);
-            if !more || after.is_none() {
-                self.store_answered();
-                self.replace(all, reached);
-                self.followed();
-                self.publish();
-                self.shared.news.notify_one();
-                return Ok(());
-            }
-        }
+        let whole = read_whole(self.store.clone(), self.position().era).await?;
+        self.take_whole(whole);
+        Ok(())
+    }
+
+    fn take_whole(&mut self, Whole { items, position }: Whole) {
+        self.store_answered();
+        self.replace(items, position);
+        self.followed();
+        self.publish();
+        self.shared.news.notify_one();
     }
 
     /// Takes in the whole state at a place in the history; what it does not show is gone.
@@ -144,12 +190,12 @@
             }
             let watching = self.store_away_since.is_none() && self.watches();
             self.note_watching(watching);
-            if (watching || drawn) && self.is_superseded() {
-                following = Following::Idle;
-                drawn = false;
-                self.read_again().await;
-            }
             following = match following {
+                Following::Idle | Following::Watch(_)
+                    if (watching || drawn) && self.is_superseded() =>
+                {
+                    self.read()
+                }
                 Following::Idle | Following::Watch(_) if drawn => self.look(),
                 Following::Idle
                     if watching && asked_at.is_none_or(|at| now >= at + self.watch_gap()) =>
@@ -170,8 +216,12 @@
                 () = timer::sleep(tick) => None,
             };
             if let Some(answer) = answer {
-                following = Following::Idle;
-                asked_at = self.take_in(answer).await.then(clock::now);
+                let taken = self.take_in(answer);
+                asked_at = (taken != Taken::Nothing).then(clock::now);
+                following = match taken {
+                    Taken::Superseded => self.read(),
+                    Taken::Nothing | Taken::News => Following::Idle,
+                };
             }
             if self.tick() {
                 return;
@@ -204,40 +254,42 @@
         Box::pin(async move { store.read(&operation).await })
     }
 
-    async fn read_again(&mut self) {
-        if let Err(error) = self.read_all().await {
-            self.store_failed(&error);
-        }
+    /// A call, or several, that tells all that the store holds.
+    fn read(&self) -> Following {
+        Following::Read(Box::pin(read_whole(self.store.clone(), self.position().era)))
     }
 
-    /// Takes in what the store answered; says whether there were changes.
-    async fn take_in(&mut self, answer: Result<Told, PlatformError>) -> bool {
+    /// Takes in what the store answered; says what came of it.
+    fn take_in(&mut self, answer: Result<Heard, PlatformError>) -> Taken {
         let known = self.position();
         match answer {
-            Ok(Told { era, .. }) if era.is_some_and(|era| era != known.era) => {
-                self.read_again().await;
-                true
+            Ok(Heard::Whole(whole)) => {
+                self.take_whole(whole);
+                Taken::News
+            }
+            Ok(Heard::Told(Told { era, .. })) if era.is_some_and(|era| era != known.era) => {
+                Taken::Superseded
             }
-            Ok(Told { answer: Answer::Changes { changes, revision }, .. }) => {
+            Ok(Heard::Told(Told { answer: Answer::Changes { changes, revision }, .. })) => {
                 self.store_answered();
                 let changed = !changes.is_empty();
                 changes.into_iter().for_each(|change| self.changed(change));
                 lock(&self.shared.replica).reached(Position { revision, ..known });
                 self.followed();
-                if changed {
-                    self.publish();
-                    self.shared.news.notify_one();
+                if !changed {
+                    return Taken::Nothing;
                 }
-                changed
+                self.publish();
+                self.shared.news.notify_one();
+                Taken::News
             }
-            Ok(_) | Err(PlatformError::HistoryGone) => {
+            Ok(Heard::Told(_)) | Err(PlatformError::HistoryGone) => {
                 log::warn!("event=history_gone after={known}");
-                self.read_again().await;
-                true
+                Taken::Superseded
             }
             Err(error) => {
                 self.store_failed(&error);
-                false
+                Taken::Nothing
             }
         }
     }
@@ -373,10 +425,11 @@
 
 impl Following {
     /// The store's answer; never one if there is no call.
-    async fn answer(&mut self) -> Result<Told, PlatformError> {
+    async fn answer(&mut self) -> Result<Heard, PlatformError> {
         match self {
             Following::Idle => std::future::pending().await,
-            Following::Watch(call) | Following::Look(call) => call.await,
+            Following::Watch(call) | Following::Look(call) => call.await.map(Heard::Told),
+            Following::Read(reading) => reading.await.map(Heard::Whole),
         }
     }
 }
