--- a/lib/src/gateway/facts.rs
+++ b/lib/src/gateway/facts.rs
@@ -1,5 +1,7 @@
 //! What control has learned from the store, and what follows from it.
 
+mod settling;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -112,17 +114,6 @@
         self.store_back_at = self.store_back_at.max(Some(at));
     }
 
-    /// The store came back from an older copy then.
-    pub fn store_is_restored(&mut self, at: Instant) {
-        self.restored.begin(at);
-        self.store_is_back(at);
-    }
-
-    /// Whether what the store lost with its return to an older copy may still be written again.
-    pub fn is_settling(&self, now: Instant) -> bool {
-        self.restored.is_settling(now)
-    }
-
     /// When the store last answered again after it did not.
     pub fn store_back_at(&self) -> Option<Instant> {
         self.store_back_at
@@ -130,7 +121,7 @@
 
     /// Takes in something that was written at a revision. Says whether it is news.
     pub fn learn(&mut self, fact: Fact, revision: Revision, now: Instant) -> bool {
-        let subject = subject(&fact);
+        let subject = settling::subject(&fact);
         if self.is_outdated(&fact, &subject, revision, now) {
             log::info!("event=held_back subject={subject:?} revision={revision}");
             self.restored.hold_back(subject, fact, revision);
@@ -162,34 +153,6 @@
         }
     }
 
-    /// Whether the store shows, from the copy that it came back from, what has been superseded since:
-    /// a server as serving that leaves, or an entry that was removed.
-    fn is_outdated(
-        &self,
-        fact: &Fact,
-        subject: &Subject,
-        revision: Revision,
-        now: Instant,
-    ) -> bool {
-        if !self.restored.is_settling(now) {
-            return false;
-        }
-        match fact {
-            // An older version never comes into force.
-            Fact::Routing(_) => false,
-            Fact::Server(server) => match self.servers.get(&server.id) {
-                Some(entry) => {
-                    let same_life = entry.life == candidate::life_hash(server);
-                    same_life && entry.server.leaving && !server.leaving
-                }
-                None => self.restored.is_removed(subject, revision),
-            },
-            Fact::Evacuated(domain) => {
-                !self.evacuated.contains_key(domain) && self.restored.is_removed(subject, revision)
-            }
-        }
-    }
-
     /// An entry that was written again is news though it says the same: a server that turns cold
     /// for the second time says "cold for 3 s" again, and a box that was without the store between
     /// has seen nothing else.
@@ -293,22 +256,6 @@
         }
     }
 
-    fn forget_evacuation(&mut self, domain: &FailureDomainId, now: Instant) {
-        if self.restored.is_settling(now) {
-            if let Some(evacuation) = self.evacuated.get_mut(domain) {
-                log::info!("event=evacuation_missing failure_domain={domain}");
-                evacuation.missing_since.get_or_insert(now);
-            }
-            return;
-        }
-        if let Some(evacuation) = self.evacuated.remove(domain) {
-            log::info!("event=evacuation_over failure_domain={domain}");
-            let subject = Subject::Evacuation(domain.clone());
-            self.restored.note_removal(subject, evacuation.revision, now);
-            self.cool(domain, now);
-        }
-    }
-
     /// What is written under a server's name names no server: another writer may have put it there.
     pub fn disown_server(&mut self, id: &str) {
         if self.servers.remove(id).is_some() {
@@ -378,30 +325,6 @@
         self.settle(now) || dropped
     }
 
-    /// What the store still shows after its return to an older copy counts from now on. Says whether
-    /// that changes anything.
-    fn settle(&mut self, now: Instant) -> bool {
-        if self.restored.is_settling(now) {
-            return false;
-        }
-        let over = |evacuation: &Evacuation| evacuation.missing_since.is_some();
-        let over: Vec<FailureDomainId> = self
-            .evacuated
-            .iter()
-            .filter(|(_, evacuation)| over(evacuation))
-            .map(|(domain, _)| domain.clone())
-            .collect();
-        for domain in &over {
-            self.forget_evacuation(domain, now);
-        }
-        let released = self.restored.release(now);
-        let mut changed = !over.is_empty();
-        for (fact, revision) in released {
-            changed |= self.learn(fact, revision, now);
-        }
-        changed
-    }
-
     /// Boxes whose records are gone from the store for less than some seconds, or that are heard.
     pub fn lost(&self, own: &BoxRecord) -> Vec<BoxRecord> {
         let lost = self.gone_boxes.values().map(|(record, _)| record);
@@ -519,14 +442,6 @@
     }
 }
 
-fn subject(fact: &Fact) -> Subject {
-    match fact {
-        Fact::Routing(_) => Subject::Routing,
-        Fact::Server(server) => Subject::Server(server.id.clone()),
-        Fact::Evacuated(domain) => Subject::Evacuation(domain.clone()),
-    }
-}
-
 fn cold_share(
     view: &View<'_>,
     service: &Service,
