upgrade: traffic moves to servers of another version in stages, and back

Cause: the gateway knew no roll-out: the operator's order was not read, its status never written, and servers of a new version got requests like any other.

Change: coordination::upgrade decides without I/O. They count complete responses by route, prompt length and version, and send the totals to one judge a region. Any judge writes the next stage, on the condition that plan and status are unchanged. A judge that finds the version bad tells all boxes at once. It succeeds when all boxes have confirmed that nothing is in progress on the other versions.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -11,6 +11,7 @@
 use super::loads::Loads;
 use super::prefix_cache::PrefixCache;
 use super::rendezvous;
+use super::upgrade::Role;
 use super::warmup::Warmup;
 use crate::protocol::adapter::PromptSegment;
 use crate::protocol::fleet::Server;
@@ -52,6 +53,8 @@
     pub server: Arc<Server>,
     /// Whether the server may get requests: it is neither leaving nor evacuated.
     pub usable: bool,
+    /// What its version may get while the service is upgraded.
+    pub role: Role,
     /// Until when the server is cold.
     pub cold_until: Option<Instant>,
     /// Requests a second that this box may send to the server while it is cold; `None` if the
@@ -233,6 +236,11 @@
         self.state.usable && !self.replaced && !self.announced_leaving
     }
 
+    /// Whether the server may get requests in a role.
+    pub fn has_role(&self, role: Role) -> bool {
+        self.is_usable() && self.state.role == role
+    }
+
     /// Whether the server is leaving, by its own announcement or by its record in the store.
     pub fn is_leaving(&self) -> bool {
         self.announced_leaving || self.state.server.leaving
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -15,6 +15,7 @@
 use super::quota::RegionUsage;
 use super::throttle::wire::ThrottleReport;
 use super::unlisted::NeighborRecord;
+use super::upgrade::wire::UpgradeReport;
 
 /// Age at which a report expires: several have been lost by then, or the box is gone.
 const REPORT_TTL: Duration = Duration::from_millis(1500);
@@ -121,6 +122,15 @@
     /// Era of the store in which the sender's state was read.
     #[prost(uint64, tag = "29")]
     pub state_era: u64,
+    /// What the sender has counted under the plan of an upgrade; sent only to judges.
+    #[prost(message, optional, tag = "30")]
+    pub upgrade: Option<UpgradeReport>,
+    /// Sequence number of these counts within this incarnation of the sender.
+    #[prost(uint64, tag = "31")]
+    pub upgrade_number: u64,
+    /// Plans whose target version a judge has found bad.
+    #[prost(fixed64, repeated, tag = "32")]
+    pub halted: Vec<u64>,
 }
 
 impl BoxReport {
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -45,6 +45,7 @@
 pub mod ticket;
 pub mod token_bucket;
 pub mod unlisted;
+pub mod upgrade;
 pub mod urgency;
 pub mod warmup;
 pub mod watchers;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -15,6 +15,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -32,8 +33,10 @@
 use super::retry_spread::RetrySpread;
 use super::shared_prefix::SharedPrefix;
 use super::throttle::Throttles;
+use super::upgrade::Role;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::PromptSegment;
+use crate::protocol::fleet::Server;
 use crate::protocol::routing::Service;
 
 /// Fraction of a server's connections that requests may use; others are idle or closing.
@@ -60,6 +63,8 @@
     pub throttles: &'a Throttles,
     /// Servers that may be chosen.
     pub eligible: Eligible,
+    /// The role that these servers have while the service is upgraded.
+    pub role: Role,
     /// Whether servers may have turned cold without this box knowing.
     pub stale: bool,
 }
@@ -83,6 +88,8 @@
     pub incarnation: u64,
     /// Address of the server.
     pub address: SocketAddr,
+    /// Registration of the server at the time of the choice.
+    pub registration: Arc<Server>,
     /// Prompt tokens that the server probably has to process.
     pub prefill_tokens: f64,
     /// Requests of this box on the server, including this one.
@@ -205,6 +212,17 @@
         self.servers.values().any(|candidate| candidate.is_usable())
     }
 
+    /// Whether any server with a role may get requests.
+    pub fn has_role(&self, role: Role) -> bool {
+        self.servers.values().any(|candidate| candidate.has_role(role))
+    }
+
+    /// Requests of this box in progress on servers with a role.
+    pub fn in_flight_with_role(&self, role: Role) -> u32 {
+        let servers = self.servers.values().filter(|candidate| candidate.state.role == role);
+        servers.map(|candidate| candidate.in_flight).sum()
+    }
+
     /// Chooses a server and reserves a place there.
     pub fn choose(
         &mut self,
@@ -216,7 +234,7 @@
             unreported_boxes: self
                 .sharing_boxes
                 .saturating_sub(1 + request.loads.reporting_boxes()),
-            home: self.home(request.parts),
+            home: self.home(request),
             // Servers without a health path cannot be probed; they would be limited for as long as
             // the store is unavailable.
             stale: request.stale && self.health_path.is_some(),
@@ -225,7 +243,7 @@
         };
         // Compares a sample first, and all servers only if none of the sample has capacity.
         let mut choice = None;
-        if let Some(sample) = self.sample(selection, rng) {
+        if let Some(sample) = self.sample(request.role, selection, rng) {
             choice = self.cheapest(request, selection, |hash| sample.contains(&hash), rng);
         }
         if choice.is_none() {
@@ -248,7 +266,7 @@
         let mut candidates = 0;
         let mut best: Option<(f64, Choice)> = None;
         for (id, candidate) in &mut self.servers {
-            let usable = candidate.is_usable() && !request.tried.contains(id);
+            let usable = candidate.has_role(request.role) && !request.tried.contains(id);
             if !usable || !is_compared(candidate.hash) {
                 continue;
             }
@@ -298,6 +316,7 @@
             server: id,
             incarnation: candidate.incarnation,
             address: candidate.state.server.address,
+            registration: Arc::clone(&candidate.state.server),
             prefill_tokens: work.prefill_tokens,
             in_flight: candidate.in_flight,
             others_in_flight: request.loads.on_server(candidate.incarnation).in_flight,
@@ -342,9 +361,9 @@
     }
 
     /// Hashes of the servers to compare first; `None` to compare all.
-    fn sample(&self, selection: Selection, rng: &mut impl Rng) -> Option<Vec<u64>> {
+    fn sample(&self, role: Role, selection: Selection, rng: &mut impl Rng) -> Option<Vec<u64>> {
         let accepts_requests = |candidate: &&Candidate| {
-            candidate.is_usable()
+            candidate.has_role(role)
                 && self.rest_periods.until(candidate.incarnation, selection.now).is_none()
         };
         let usable: Vec<u64> = self
@@ -361,9 +380,9 @@
     }
 
     /// Hash of the home server in this region for a prompt's shared prefix.
-    fn home(&self, parts: &[PromptSegment]) -> Option<u64> {
-        let prefix = SharedPrefix::of(parts)?;
-        let usable = self.servers.values().filter(|candidate| candidate.is_usable());
+    fn home(&self, request: PlacementRequest<'_>) -> Option<u64> {
+        let prefix = SharedPrefix::of(request.parts)?;
+        let usable = self.servers.values().filter(|candidate| candidate.has_role(request.role));
         usable.map(|candidate| candidate.hash).max_by_key(|hash| prefix.weight(*hash))
     }
 }
--- a/lib/src/coordination/placement/blocked.rs
+++ b/lib/src/coordination/placement/blocked.rs
@@ -6,6 +6,7 @@
 use super::PlacementRequest;
 use super::Selection;
 use crate::coordination::candidate::Candidate;
+use crate::coordination::upgrade::Role;
 
 /// The reason why a request cannot be placed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,12 +35,12 @@
         request: PlacementRequest<'_>,
         selection: Selection,
     ) -> Blocked {
-        let mut blocked = self.unusable(selection.now);
+        let mut blocked = self.unusable(request.role, selection.now);
         for candidate in self.servers.values_mut() {
             let is_tried = request.tried.contains(&candidate.state.server.id);
             let is_resting =
                 self.rest_periods.until(candidate.incarnation, selection.now).is_some();
-            if !candidate.is_usable() || is_tried || is_resting {
+            if !candidate.has_role(request.role) || is_tried || is_resting {
                 continue;
             }
             let load = candidate.load(request.loads, selection.unreported_boxes);
@@ -59,8 +60,9 @@
     }
 
     /// Determines why the servers accept no request at all.
-    fn unusable(&self, now: Instant) -> Blocked {
-        let mut usable = self.servers.values().filter(|candidate| candidate.is_usable()).peekable();
+    fn unusable(&self, role: Role, now: Instant) -> Blocked {
+        let servers = self.servers.values();
+        let mut usable = servers.filter(|candidate| candidate.has_role(role)).peekable();
         if usable.peek().is_none() {
             let any_leaving = self.servers.values().any(Candidate::is_leaving);
             return if any_leaving { Blocked::Leaving } else { Blocked::NoServer };
--- /dev/null
+++ b/lib/src/coordination/upgrade/table.rs
@@ -0,0 +1,367 @@
+//! The upgrades that a box knows: orders and plans from the store, its own counts of responses, and
+//! those of other boxes if it is a judge.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::Versions;
+use super::evidence::Evidence;
+use super::evidence::Sample;
+use super::plan::Decision;
+use super::plan::Plan;
+use super::plan::PlanId;
+use super::plan::Situation;
+use super::plan::Stage;
+use super::wire::UpgradeReport;
+use crate::protocol::Incarnation;
+use crate::protocol::fleet::ServerVersion;
+use crate::protocol::platform::Position;
+use crate::protocol::routing::ServiceId;
+use crate::protocol::upgrade::Order;
+
+/// Age at which a report no longer confirms that a box has drained.
+const CONFIRMATION_TTL: Duration = Duration::from_secs(3);
+/// Age at which the counts of a box are dropped.
+const REPORT_TTL: Duration = Duration::from_secs(60);
+
+/// The usable servers of a service by version, as one box sees them.
+#[derive(Clone, Debug, Default)]
+pub struct ServerCounts {
+    /// Number of usable servers of each version.
+    pub by_version: BTreeMap<ServerVersion, usize>,
+}
+
+/// A report of a box about a plan.
+#[derive(Clone, Debug)]
+struct BoxEvidence {
+    incarnation: Incarnation,
+    number: u64,
+    serial: u32,
+    draining: u32,
+    evidence: Evidence,
+    received_at: Instant,
+}
+
+/// The order and the plan of one service.
+#[derive(Clone, Debug, Default)]
+struct Upgrade {
+    order: Option<(Order, Position, Instant)>,
+    plan: Option<Plan>,
+    /// When the plan reached its stage, as far as this box knows.
+    stage_since: Option<Instant>,
+    /// When this box learned of the plan's latest version.
+    plan_since: Option<Instant>,
+    /// Plan in the store, as last read.
+    stored: Option<(PlanId, u32)>,
+    /// Serial number of the plan that requests follow.
+    followed: u32,
+    /// Whether a judge has found the target version bad.
+    is_halted: bool,
+    /// Since when servers of the target version have been usable.
+    target_since: Option<Instant>,
+    own_evidence: Evidence,
+    reports: HashMap<u64, BoxEvidence>,
+}
+
+/// Upgrades by service.
+#[derive(Clone, Debug, Default)]
+pub struct Upgrades {
+    services: BTreeMap<ServiceId, Upgrade>,
+    /// Share of a service's requests that may reach a version that turns out bad.
+    exposure_limit: f64,
+    /// Whether the roles of versions have changed since they were last taken.
+    is_changed: bool,
+}
+
+/// The decision of a judge, and what it rests on.
+#[derive(Clone, Debug)]
+pub struct JudgedDecision {
+    /// The service.
+    pub service: ServiceId,
+    /// The decision.
+    pub decision: Decision,
+    /// Responses of the target version that were judged.
+    pub responses: u64,
+}
+
+impl Upgrades {
+    /// Creates an empty table.
+    pub fn new(exposure_limit: f64) -> Upgrades {
+        Upgrades { exposure_limit, ..Upgrades::default() }
+    }
+
+    /// Whether there are neither orders nor plans.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
+    /// Applies an order that was read at a position.
+    pub fn apply_order(&mut self, order: Order, position: Position, now: Instant) {
+        let upgrade = self.services.entry(order.service.clone()).or_default();
+        let since = match &upgrade.order {
+            Some((known, known_position, since))
+                if *known == order
+                    && (known_position.era != position.era || *known_position == position) =>
+            {
+                *since
+            }
+            _ => now,
+        };
+        upgrade.order = Some((order, position, since));
+        self.is_changed = true;
+    }
+
+    /// Removes the order of a service.
+    pub fn remove_order(&mut self, service: &str) {
+        if let Some(upgrade) = self.services.get_mut(service) {
+            upgrade.order = None;
+            self.is_changed = true;
+        }
+    }
+
+    /// Applies a plan from the store. A plan that this box knows a later version of is not applied;
+    /// the judges write the later version again.
+    pub fn apply_plan(&mut self, service: &str, plan: Plan, now: Instant) {
+        let upgrade = self.services.entry(service.to_owned()).or_default();
+        upgrade.stored = Some((plan.id, plan.serial));
+        let known = upgrade.plan.as_ref();
+        if known.is_some_and(|known| !plan.supersedes(known)) {
+            return;
+        }
+        let is_same_plan = known.is_some_and(|known| known.id == plan.id);
+        if !is_same_plan {
+            upgrade.own_evidence = Evidence::default();
+            upgrade.reports.clear();
+            upgrade.is_halted = false;
+        }
+        if !is_same_plan || known.is_some_and(|known| known.stage != plan.stage) {
+            upgrade.stage_since = Some(now);
+        }
+        upgrade.plan_since = Some(now);
+        upgrade.plan = Some(plan);
+        self.is_changed = true;
+    }
+
+    /// Records that the store no longer has a plan of a service. The known plan stays in force.
+    pub fn remove_plan(&mut self, service: &str) {
+        if let Some(upgrade) = self.services.get_mut(service) {
+            upgrade.stored = None;
+        }
+    }
+
+    /// Stops sending requests to the target version of a plan, because a judge found it bad.
+    /// Returns whether that is news.
+    pub fn halt(&mut self, plan: PlanId) -> bool {
+        let Some(upgrade) = self.running_mut(plan) else { return false };
+        let is_news = !upgrade.is_halted;
+        upgrade.is_halted = true;
+        self.is_changed |= is_news;
+        is_news
+    }
+
+    /// Plans that judges found bad and that the store still shows as running.
+    pub fn halted(&self) -> Vec<PlanId> {
+        let halted = self.services.values().filter(|upgrade| upgrade.is_halted);
+        halted.filter_map(|upgrade| upgrade.running()).map(|plan| plan.id).collect()
+    }
+
+    /// Whether roles of versions have changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.is_changed)
+    }
+
+    /// The roles of the versions of each service that has an order or a plan.
+    pub fn versions(&self) -> BTreeMap<ServiceId, Versions> {
+        let versions = |upgrade: &Upgrade| upgrade.versions(self.exposure_limit);
+        self.services.iter().map(|(name, upgrade)| (name.clone(), versions(upgrade))).collect()
+    }
+
+    /// Records that requests follow the plan of each service, and which servers are usable.
+    pub fn record_published(&mut self, servers: impl Fn(&str) -> ServerCounts, now: Instant) {
+        for (name, upgrade) in &mut self.services {
+            upgrade.followed = upgrade.plan.as_ref().map_or(0, |plan| plan.serial);
+            let Some((order, ..)) = &upgrade.order else { continue };
+            let is_usable = servers(name).by_version.get(&order.target).is_some_and(|n| *n > 0);
+            if is_usable {
+                upgrade.target_since.get_or_insert(now);
+            } else {
+                upgrade.target_since = None;
+            }
+        }
+    }
+
+    /// Counts a response under a plan.
+    pub fn record_sample(&mut self, plan: PlanId, sample: &Sample) {
+        if let Some(upgrade) = self.running_mut(plan) {
+            upgrade.own_evidence.record(sample);
+        }
+    }
+
+    /// Reports to the judges, by service. `draining` gives the requests of this box in progress on
+    /// retired servers of a service.
+    pub fn reports(&self, draining: impl Fn(&str) -> u32) -> Vec<(ServiceId, UpgradeReport)> {
+        let report = |(name, upgrade): (&ServiceId, &Upgrade)| {
+            let plan = upgrade.running()?;
+            let (cells, tallies) = upgrade.own_evidence.to_reports();
+            let draining = draining(name);
+            let serial = upgrade.followed;
+            let report = UpgradeReport { plan: plan.id, serial, draining, cells, tallies };
+            Some((name.clone(), report))
+        };
+        self.services.iter().filter_map(report).collect()
+    }
+
+    /// Receives the report of another box.
+    pub fn receive(
+        &mut self,
+        sender: u64,
+        (incarnation, number): (Incarnation, u64),
+        report: &UpgradeReport,
+        now: Instant,
+    ) {
+        let Some(upgrade) = self.running_mut(report.plan) else { return };
+        let is_older =
+            |known: &BoxEvidence| known.incarnation == incarnation && known.number >= number;
+        if upgrade.reports.get(&sender).is_some_and(is_older) {
+            return;
+        }
+        let received = BoxEvidence {
+            incarnation,
+            number,
+            serial: report.serial,
+            draining: report.draining,
+            evidence: Evidence::from_reports(&report.cells, &report.tallies),
+            received_at: now,
+        };
+        upgrade.reports.insert(sender, received);
+    }
+
+    /// Decides about a service as the judge of a rank. `boxes` are all others that may send
+    /// requests; `draining` are the own requests in progress on retired servers.
+    pub fn decide(
+        &mut self,
+        service: &str,
+        rank: u32,
+        boxes: &[u64],
+        draining: u32,
+        servers: &ServerCounts,
+        (new_id, now): (PlanId, Instant),
+    ) -> Option<JudgedDecision> {
+        let upgrade = self.services.get_mut(service)?;
+        upgrade.reports.retain(|_, report| now < report.received_at + REPORT_TTL);
+        let order = upgrade.order.as_ref();
+        let since =
+            |at: Option<Instant>| at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let target = upgrade.target();
+        let target_servers = target.and_then(|target| servers.by_version.get(target));
+        let others = servers.by_version.iter().filter(|(version, _)| Some(*version) != target);
+        let mut evidence = upgrade.own_evidence.clone();
+        upgrade.reports.values().for_each(|report| evidence.add(&report.evidence));
+        let responses = evidence.target_responses();
+        let target_servers = target_servers.copied().unwrap_or(0);
+        let situation = Situation {
+            order: order.map(|(order, position, _)| (order, *position)),
+            plan: upgrade.plan.as_ref(),
+            is_stored: upgrade.stored == upgrade.plan.as_ref().map(|plan| (plan.id, plan.serial)),
+            elapsed: upgrade.elapsed(now),
+            stage_age: since(upgrade.stage_since),
+            target_age: upgrade.target_since.map(|at| since(Some(at))),
+            target_servers,
+            other_servers: others.clone().map(|(_, count)| count).sum(),
+            other_versions: others.map(|(version, _)| version.clone()).collect(),
+            responses,
+            defect: evidence.defect(target_servers),
+            is_drained: draining == 0 && upgrade.is_drained(boxes, now),
+            rank,
+        };
+        let decision = situation.decide(new_id)?;
+        Some(JudgedDecision { service: service.to_owned(), decision, responses })
+    }
+
+    /// Names of the services that have an order or a plan.
+    pub fn services(&self) -> Vec<ServiceId> {
+        self.services.keys().cloned().collect()
+    }
+
+    /// The number of plans that are in progress.
+    pub fn running_count(&self) -> usize {
+        self.services.values().filter(|upgrade| upgrade.running().is_some()).count()
+    }
+
+    fn running_mut(&mut self, plan: PlanId) -> Option<&mut Upgrade> {
+        let is_running =
+            |upgrade: &&mut Upgrade| upgrade.running().is_some_and(|known| known.id == plan);
+        self.services.values_mut().find(is_running)
+    }
+}
+
+impl Upgrade {
+    /// The plan, if it is in progress.
+    fn running(&self) -> Option<&Plan> {
+        self.plan.as_ref().filter(|plan| !plan.stage.is_final())
+    }
+
+    fn target(&self) -> Option<&ServerVersion> {
+        let ordered = self.order.as_ref().map(|(order, ..)| &order.target);
+        ordered.or(self.plan.as_ref().map(|plan| &plan.target))
+    }
+
+    /// Time since the order. The plan says how much of it had passed before this box knew of it.
+    fn elapsed(&self, now: Instant) -> Duration {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        let own = self.order.as_ref().map_or(Duration::ZERO, |(.., at)| since(*at));
+        let planned = self.running().zip(self.plan_since).map_or(Duration::ZERO, |(plan, at)| {
+            Duration::from_millis(plan.elapsed_ms) + since(at)
+        });
+        own.max(planned)
+    }
+
+    /// Whether all boxes follow the plan and have no requests in progress on retired servers.
+    fn is_drained(&self, boxes: &[u64], now: Instant) -> bool {
+        let Some(plan) = &self.plan else { return false };
+        let is_confirmed = |report: &BoxEvidence| {
+            report.serial == plan.serial
+                && report.draining == 0
+                && now < report.received_at + CONFIRMATION_TTL
+        };
+        plan.serial == self.followed
+            && boxes.iter().all(|sender| self.reports.get(sender).is_some_and(is_confirmed))
+    }
+
+    fn versions(&self, exposure_limit: f64) -> Versions {
+        let mut versions = Versions::default();
+        if let Some(plan) = &self.plan {
+            versions.retired = plan.retired.clone();
+            versions.rejected = plan.rejected.clone();
+            let stage = if self.is_halted && !plan.stage.is_final() {
+                Stage::RolledBack
+            } else {
+                plan.stage
+            };
+            match stage {
+                Stage::Canary | Stage::Ramp => {
+                    versions.canary = Some(plan.target.clone());
+                    versions.canary_share = stage.share(exposure_limit);
+                }
+                Stage::Full | Stage::Succeeded => versions.promoted = Some(plan.target.clone()),
+                Stage::RolledBack => {
+                    if !plan.stage.is_final() {
+                        versions.retired.clear();
+                    }
+                    versions.rejected.push(plan.target.clone());
+                }
+            }
+            versions.plan = self.running().map(|plan| (plan.id, plan.target.clone()));
+        }
+        // Servers of an ordered version get nothing until a plan gives them a share.
+        if let Some((order, position, _)) = &self.order
+            && !self.plan.as_ref().is_some_and(|plan| plan.is_for(order, *position))
+        {
+            versions.canary = Some(order.target.clone());
+            versions.canary_share = 0.0;
+        }
+        versions
+    }
+}
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -17,6 +17,7 @@
 use super::quarantine;
 use super::shared::Shared;
 use super::shared::lock;
+use super::upgrade;
 use super::with_port;
 use crate::coordination::drain::Stage;
 use crate::coordination::freshness::PeerState;
@@ -45,8 +46,8 @@
 /// other regions, because some datagrams are lost. After that, these boxes receive the status in
 /// rotation or from the store.
 const ANNOUNCEMENT_REPORTS: u32 = 5;
-/// Number of a datagram that replies to a box which has just started. It contains only rates and
-/// leaving servers, and is not part of the sequence of the sender's reports.
+/// Number of a datagram outside the sequence: one that replies to a box which has just started and
+/// contains only rates and leaving servers, or one for judges of upgrades. It is not part of the sequence of the sender's reports.
 const REPLY_NUMBER: u64 = 0;
 /// Maximum size of a datagram in bytes: some hundred servers.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
@@ -61,6 +62,7 @@
     let mut next_at = clock::now();
     let mut number = 0;
     let mut announcer = LeavingAnnouncer::default();
+    let mut upgrade_report_at = next_at;
     loop {
         tokio::select! {
             () = timer::sleep_until(next_at) => {
@@ -75,6 +77,10 @@
                 quarantine::tick(&shared, now);
                 send_periodic(&shared, &socket, number, &mut announcer);
             }
+            () = timer::sleep_until(upgrade_report_at) => {
+                number += 1;
+                upgrade_report_at = clock::now() + upgrade::send_reports(&shared, &socket, number);
+            }
             () = shared.region_update.notified() => {
                 number += 1;
                 send_to_region(&shared, &socket, number);
@@ -101,6 +107,7 @@
     while let Ok((length, from)) = socket.try_recv_from(buffer) {
         match BoxReport::decode(&buffer[..length]) {
             Ok(report) if report.number == REPLY_NUMBER => {
+                upgrade::receive(shared, &report, now);
                 feedback::receive_leaving(shared, &report.leaving_servers, now);
                 let rates = report.throttle.unwrap_or_default();
                 lock(&shared.throttles).merge_rates(&rates.words, now);
@@ -110,6 +117,7 @@
                 apply_state_version(shared, &report, from, now);
                 apply_unlisted_boxes(shared, &report, from, now);
                 apply_quarantine(shared, &report, now);
+                upgrade::receive(shared, &report, now);
                 if report.region == shared.settings.region {
                     lock(&shared.loads).receive(&report, now);
                     apply_cold_reports(shared, &report, now);
@@ -453,6 +461,7 @@
         counts: lock(&shared.quotas).box_usage_to_report(now),
         throttle: Some(lock(&shared.throttles).next_report(now)).filter(|rates| !rates.is_empty()),
         leaving_servers: lock(&shared.departures).next_notices(now),
+        halted: lock(&shared.upgrades).halted(),
         ..BoxReport::default()
     };
     let quarantine = lock(&shared.quarantine);
--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -19,6 +19,9 @@
 use crate::coordination::rendezvous;
 use crate::coordination::store_rollback::ROLLBACK_GRACE;
 use crate::coordination::store_rollback::StoreRollback;
+use crate::coordination::upgrade::Role;
+use crate::coordination::upgrade::Versions;
+use crate::coordination::upgrade::table::ServerCounts;
 use crate::coordination::warmup;
 use crate::protocol::BoxId;
 use crate::protocol::RegionId;
@@ -91,6 +94,10 @@
     regions: HashMap<FailureDomainId, RegionId>,
     store_recovered_at: Option<Instant>,
     rollback: StoreRollback,
+    /// Roles of the versions of services that are or were upgraded.
+    versions: BTreeMap<ServiceId, Versions>,
+    /// Services of which only servers of retired versions are left.
+    only_retired: BTreeSet<ServiceId>,
 }
 
 /// The local box and its settings, which decide how limits are shared.
@@ -150,6 +157,8 @@
                 newer
             }
             Fact::Server(server) => self.apply_server(server, revision, now),
+            // Orders are kept in a table of their own.
+            Fact::Upgrade(_) => false,
             Fact::Evacuated(domain) => {
                 log::info!("event=evacuated failure_domain={domain}");
                 let evacuation = Evacuation { revision, missing_since: None };
@@ -260,7 +269,7 @@
         match subject {
             Subject::Server(id) => self.remove_server(id, now),
             Subject::Evacuation(domain) => self.remove_evacuation(domain, now),
-            Subject::Routing | Subject::Other => {}
+            Subject::Routing | Subject::Upgrade(_) | Subject::Other => {}
         }
     }
 
@@ -397,7 +406,7 @@
     /// Servers of all regions that may get requests, by service.
     pub fn usable_servers(&self) -> HashMap<ServiceId, Vec<ServerLocation>> {
         let mut usable_servers: HashMap<ServiceId, Vec<ServerLocation>> = HashMap::new();
-        for entry in self.servers.values().filter(|entry| self.is_usable(entry)) {
+        for entry in self.servers.values().filter(|entry| self.is_home(entry)) {
             let server = &entry.server;
             let Some(region) = self.regions.get(&server.failure_domain) else { continue };
             usable_servers.entry(server.service.clone()).or_default().push(ServerLocation {
@@ -412,7 +421,7 @@
     /// Slots that may get requests, by service and region.
     pub fn slots(&self) -> HashMap<ServiceId, HashMap<RegionId, u32>> {
         let mut slots: HashMap<ServiceId, HashMap<RegionId, u32>> = HashMap::new();
-        for entry in self.servers.values().filter(|entry| self.is_usable(entry)) {
+        for entry in self.servers.values().filter(|entry| self.is_home(entry)) {
             let Some(region) = self.regions.get(&entry.server.failure_domain) else { continue };
             let service = slots.entry(entry.server.service.clone()).or_default();
             *service.entry(region.clone()).or_default() += entry.server.slots;
@@ -421,11 +430,65 @@
     }
 
     fn is_usable(&self, entry: &Entry) -> bool {
+        self.accepts_requests(entry)
+            && matches!(self.role(&entry.server), Role::Serving | Role::Canary)
+    }
+
+    /// Whether a server counts when requests are divided among regions. Servers of a canary version
+    /// get too few requests for that.
+    fn is_home(&self, entry: &Entry) -> bool {
+        self.accepts_requests(entry) && self.role(&entry.server) == Role::Serving
+    }
+
+    /// Whether a server may get requests, apart from its version.
+    fn accepts_requests(&self, entry: &Entry) -> bool {
         !entry.server.leaving
             && !entry.announced_leaving
             && !self.evacuated.contains_key(&entry.server.failure_domain)
     }
 
+    /// Sets the roles of the versions of services that are or were upgraded.
+    pub fn set_versions(&mut self, versions: BTreeMap<ServiceId, Versions>) {
+        self.versions = versions;
+        self.only_retired.clear();
+        if self.versions.is_empty() {
+            return;
+        }
+        let (mut retired, mut serving) = (BTreeSet::new(), BTreeSet::new());
+        for entry in self.servers.values().filter(|entry| self.accepts_requests(entry)) {
+            match self.role(&entry.server) {
+                Role::Retired => retired.insert(entry.server.service.clone()),
+                Role::Serving => serving.insert(entry.server.service.clone()),
+                Role::Canary | Role::Rejected => continue,
+            };
+        }
+        self.only_retired = retired.difference(&serving).cloned().collect();
+    }
+
+    /// The roles of a service's versions.
+    pub fn versions(&self, service: &str) -> Option<&Versions> {
+        self.versions.get(service)
+    }
+
+    /// Usable servers of a service in all regions, by version and regardless of roles.
+    pub fn count_servers(&self, service: &str) -> ServerCounts {
+        let mut counts = ServerCounts::default();
+        for entry in self.servers.values().filter(|entry| self.accepts_requests(entry)) {
+            if entry.server.service == service {
+                *counts.by_version.entry(entry.server.version.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    fn role(&self, server: &Server) -> Role {
+        let versions = self.versions.get(&server.service);
+        match versions.map_or(Role::Serving, |versions| versions.role(&server.version)) {
+            Role::Retired if self.only_retired.contains(&server.service) => Role::Serving,
+            role => role,
+        }
+    }
+
     /// Hashes of the boxes that share the servers of this region, including this one. Boxes that
     /// start together don't see each other at first, so a box that has just started counts every
     /// box that was ever started.
@@ -462,6 +525,7 @@
             local_servers.entry(server.service.clone()).or_default().push(ServerState {
                 server: Arc::clone(server),
                 usable: self.is_usable(entry),
+                role: self.role(server),
                 cold_until: entry.cold_until,
                 cold_share: cold_share(context, service, server, &sharing_boxes),
                 same_failure_domain: server.failure_domain == context.own_record.failure_domain,
--- a/lib/src/gateway/cluster_state/settling.rs
+++ b/lib/src/gateway/cluster_state/settling.rs
@@ -38,7 +38,7 @@
         }
         match fact {
             // `apply` never accepts an older version.
-            Fact::Routing(_) => false,
+            Fact::Routing(_) | Fact::Upgrade(_) => false,
             Fact::Server(server) => match self.servers.get(&server.id) {
                 Some(entry) => {
                     let same_incarnation = entry.incarnation == candidate::incarnation_hash(server);
@@ -101,5 +101,6 @@
         Fact::Routing(_) => Subject::Routing,
         Fact::Server(server) => Subject::Server(server.id.clone()),
         Fact::Evacuated(domain) => Subject::Evacuation(domain.clone()),
+        Fact::Upgrade(order) => Subject::Upgrade(order.service.clone()),
     }
 }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -9,6 +9,7 @@
 mod store_sync;
 mod unreadable_keys;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -28,18 +29,22 @@
 use super::shared::Snapshot;
 use super::shared::lock;
 use super::throttle;
+use super::upgrade;
 use crate::coordination::drain;
 use crate::coordination::drain::Drain;
 use crate::coordination::drain::Stage;
 use crate::coordination::placement::Placement;
 use crate::coordination::presence;
 use crate::coordination::retries::RetryBudget;
+use crate::coordination::upgrade::table::ServerCounts;
 use crate::coordination::watchers;
 use crate::daemon::StopOutcome;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
+use crate::protocol::platform::Era;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Position;
+use crate::protocol::routing::ServiceId;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::listen::Shutdown;
@@ -81,6 +86,8 @@
     watching: bool,
     started_at: Instant,
     just_started: bool,
+    /// Era of the store that the entries belong to which are being applied.
+    applied_era: Era,
     unreadable_keys: UnreadableKeys,
 }
 
@@ -110,6 +117,7 @@
             watching: false,
             started_at: clock::now(),
             just_started: true,
+            applied_era: 0,
             unreadable_keys: UnreadableKeys::default(),
         }
     }
@@ -125,6 +133,11 @@
         let lease_task = tokio::spawn(lease_task);
         tokio::spawn(quarantine::write_verdicts(Arc::clone(&self.shared), self.store.clone()));
         tokio::spawn(throttle::write_rates(Arc::clone(&self.shared), self.store.clone()));
+        tokio::spawn(upgrade::judge_upgrades(
+            Arc::clone(&self.shared),
+            self.store.clone(),
+            self.own_record.clone(),
+        ));
         if self.load_initial_state(&mut events).await {
             self.run_sync(&mut events).await;
         }
@@ -275,7 +288,13 @@
         let found_box = self.update_senders(now);
         let store_entry = |incarnation| self.cluster_state.departure_entry(incarnation);
         let departures_changed = lock(&self.shared.departures).tick(store_entry, now);
-        if self.cluster_state.expire(now) || startup_over || found_box || departures_changed {
+        let upgrades_changed = lock(&self.shared.upgrades).take_changed();
+        if self.cluster_state.expire(now)
+            || startup_over
+            || found_box
+            || departures_changed
+            || upgrades_changed
+        {
             self.just_started &= !startup_over;
             self.publish();
         }
@@ -327,6 +346,12 @@
         let departures = lock(&self.shared.departures);
         self.cluster_state.set_leaving(|incarnation| departures.is_leaving(incarnation));
         drop(departures);
+        let versions = lock(&self.shared.upgrades).versions();
+        self.cluster_state.set_versions(versions.clone());
+        let upgrading_servers: BTreeMap<ServiceId, ServerCounts> = versions
+            .keys()
+            .map(|service| (service.clone(), self.cluster_state.count_servers(service)))
+            .collect();
         let mut local_servers = self.cluster_state.local_servers(&context);
         if let Some(routing) = &self.cluster_state.routing {
             let mut services = lock(&self.shared.services);
@@ -358,7 +383,14 @@
             fleet_size,
             slots: self.cluster_state.slots(),
             servers: self.cluster_state.usable_servers(),
+            versions,
+            upgrading_servers: upgrading_servers.clone(),
             stage: self.drain.stage(),
         }));
+        if !upgrading_servers.is_empty() {
+            let counts =
+                |service: &str| upgrading_servers.get(service).cloned().unwrap_or_default();
+            lock(&self.shared.upgrades).record_published(counts, now);
+        }
     }
 }
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -11,6 +11,7 @@
 use super::Control;
 use super::Event;
 use crate::coordination::freshness::CHECK_INTERVAL;
+use crate::coordination::upgrade::Plan;
 use crate::coordination::watchers;
 use crate::gateway::quarantine;
 use crate::gateway::replica;
@@ -19,9 +20,11 @@
 use crate::gateway::store_keys::QUARANTINE;
 use crate::gateway::store_keys::RATES;
 use crate::gateway::store_keys::ROSTER;
+use crate::gateway::store_keys::UPGRADES;
 use crate::gateway::throttle;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Change;
+use crate::protocol::adapter::Fact;
 use crate::protocol::adapter::KeyValue;
 use crate::protocol::adapter::Operation;
 use crate::protocol::adapter::StoreResponse;
@@ -151,6 +154,7 @@
         if before.era != position.era && self.cluster_state.routing.is_some() {
             self.begin_era(clock::now(), before, position);
         }
+        self.applied_era = position.era;
         let listed_hashes = items.iter().map(|item| replica::key_hash(&item.key)).collect();
         let removed = lock(&self.shared.replica).keys_not_in(&listed_hashes);
         removed.into_iter().for_each(|key| self.apply_change(Change::Removed(key)));
@@ -280,6 +284,7 @@
                 ..
             })) => {
                 self.record_store_success();
+                self.applied_era = known_position.era;
                 let has_changes = !changes.is_empty();
                 changes.into_iter().for_each(|change| self.apply_change(change));
                 lock(&self.shared.replica).advance_to(Position { revision, ..known_position });
@@ -354,17 +359,30 @@
                     quarantine::rewrite_lost_verdict(&self.shared, &key);
                 }
             }
+            Change::Removed(key) if key.starts_with(UPGRADES) => {
+                self.remove_from_replica(&key);
+                if let Some(service) = key.strip_prefix(UPGRADES) {
+                    lock(&self.shared.upgrades).remove_plan(service);
+                }
+            }
             Change::Removed(key) => match self.remove_from_replica(&key).strip_prefix(BOXES) {
                 Some(name) if name == self.own_record.name => {
                     log::warn!("event=record_lost reason=\"the store has removed it\"");
                     self.record_sender.send_replace(self.own_record.clone());
                 }
                 Some(name) => self.cluster_state.remove_box(name, now),
-                None => self.cluster_state.remove(&self.shared.adapter.subject(&key), now),
+                None => self.remove_fact(&self.shared.adapter.subject(&key), now),
             },
         }
     }
 
+    fn remove_fact(&mut self, subject: &Subject, now: Instant) {
+        if let Subject::Upgrade(service) = subject {
+            lock(&self.shared.upgrades).remove_order(service);
+        }
+        self.cluster_state.remove(subject, now);
+    }
+
     fn remove_from_replica<'a>(&self, key: &'a str) -> &'a str {
         lock(&self.shared.replica).remove(key);
         key
@@ -413,11 +431,28 @@
             }
             return;
         }
+        if let Some(service) = item.key.strip_prefix(UPGRADES) {
+            match serde_json::from_slice::<Plan>(&item.value) {
+                Ok(plan) => lock(&self.shared.upgrades).apply_plan(service, plan, clock::now()),
+                Err(error) => self.unreadable_keys.record(&item.key, &error.to_string()),
+            }
+            return;
+        }
         let subject = self.shared.adapter.subject(&item.key);
         if subject == Subject::Other {
             return;
         }
         match self.shared.adapter.decode_fact(&subject, &item.value) {
+            Ok(Some(Fact::Upgrade(order))) => {
+                let position = Position { era: self.applied_era, revision: item.revision };
+                log::info!(
+                    "event=upgrade_ordered service={} version={} duration_ms={}",
+                    order.service,
+                    order.target,
+                    order.duration.as_millis()
+                );
+                lock(&self.shared.upgrades).apply_order(order, position, clock::now());
+            }
             Ok(Some(fact)) => {
                 self.cluster_state.apply(fact, item.revision, clock::now());
             }
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -24,9 +24,12 @@
 use super::shared::Shared;
 use super::shared::lock;
 use super::throttle;
+use super::upgrade;
+use super::upgrade::TrackedSend;
 use crate::coordination::placement::Blocked;
 use crate::coordination::placement::Eligible;
 use crate::coordination::placement::PlacementRequest;
+use crate::coordination::upgrade::Role;
 use crate::error::ErrorKind;
 use crate::error::Executed;
 use crate::error::Failure;
@@ -217,7 +220,8 @@
     }
     let now = clock::now();
     let stale = lock(&shared.freshness).is_stale(now);
-    let choose = |tried: &[ServerId]| {
+    let role = upgrade::draw_role(shared, job, history.tried.is_empty());
+    let choose_with_role = |role: Role, tried: &[ServerId]| {
         let chosen = shared.with_service(&job.service, |service| {
             let loads = &lock(&shared.loads);
             let mut throttles = lock(&shared.throttles);
@@ -227,6 +231,7 @@
                 loads,
                 throttles: &throttles,
                 eligible,
+                role,
                 stale,
             };
             let place = service.placement.choose(demand, now, &mut rand::rng())?;
@@ -235,6 +240,10 @@
         });
         chosen.unwrap_or(Err(Blocked::NoServer))
     };
+    let choose = |tried: &[ServerId]| match choose_with_role(role, tried) {
+        Err(_) if role == Role::Canary => choose_with_role(Role::Serving, tried),
+        chosen => chosen,
+    };
     let Isolation { suspicion, occupied, reserved } = quarantine::isolation(shared, job, now);
     let choose_except = |servers: &[ServerId]| choose(&[&history.tried[..], servers].concat());
     let place = match choose_except(&occupied) {
@@ -247,7 +256,8 @@
         let shares_server = occupied.contains(&place.server);
         decision_log::on_trial(job, &place.server, suspicion, shares_server);
     }
-    Ok(Box::new(Reservation::new(shared, &job.service, place, job.fingerprint)))
+    let tracked = TrackedSend::new(shared, job, &place);
+    Ok(Box::new(Reservation::new(shared, &job.service, place, job.fingerprint, tracked)))
 }
 
 fn refusal<A: Adapter>(shared: &Shared<A>, job: &Job, blocked: Blocked) -> Failure {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -32,7 +32,9 @@
 pub mod stream;
 pub mod stream_timing;
 pub mod throttle;
+pub mod upgrade;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -59,6 +61,7 @@
 use crate::coordination::quota;
 use crate::coordination::quota::Quotas;
 use crate::coordination::throttle::Throttles;
+use crate::coordination::upgrade::Upgrades;
 use crate::daemon::StartError;
 use crate::daemon::StopOutcome;
 use crate::daemon::bind;
@@ -150,6 +153,8 @@
                 fleet_size: 1,
                 slots: HashMap::new(),
                 servers: HashMap::new(),
+                versions: BTreeMap::new(),
+                upgrading_servers: BTreeMap::new(),
                 stage: Stage::Serving,
             }),
             replica: Mutex::default(),
@@ -166,6 +171,7 @@
             store_recovered_at: Mutex::default(),
             eras,
             quarantine: Mutex::default(),
+            upgrades: Mutex::new(Upgrades::new(settings.exposure_limit)),
             region_update: Notify::new(),
             global_update: Notify::new(),
             verdicts: Notify::new(),
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -129,6 +129,11 @@
         self.entries.get(key).map(|entry| &entry.value)
     }
 
+    /// The revision of a key.
+    pub fn revision(&self, key: &str) -> Option<Revision> {
+        self.entries.get(key).map(|entry| entry.revision)
+    }
+
     /// Keys whose hashes are among these.
     pub fn keys_in(&self, hashes: &HashSet<u64>) -> Vec<String> {
         let meant = self.entries.keys().filter(|key| hashes.contains(&key_hash(key)));
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -63,6 +63,9 @@
     pub propagation_limit: Duration,
     /// Reads a second that the store allows all boxes together.
     pub store_reads: f64,
+    /// Share of a service's requests that may reach servers of a version that turns out bad, while
+    /// the service is upgraded.
+    pub exposure_limit: f64,
     /// Maximum time for which callers cache a response of the directory.
     pub directory_ttl: Duration,
 }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -3,6 +3,7 @@
 //! Control publishes immutable snapshots, which traffic reads without a lock. The tables of servers
 //! are behind locks that are held for one decision at a time.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -16,6 +17,7 @@
 use super::cluster_state::ServerLocation;
 use super::replica::Replica;
 use super::settings::Settings;
+use super::upgrade::TrackedSend;
 use crate::coordination::candidate::Outcome;
 use crate::coordination::departures::Departures;
 use crate::coordination::drain::Stage;
@@ -32,6 +34,9 @@
 use crate::coordination::retries::RetryBudget;
 use crate::coordination::throttle::Throttles;
 use crate::coordination::unlisted::Unlisted;
+use crate::coordination::upgrade::Upgrades;
+use crate::coordination::upgrade::Versions;
+use crate::coordination::upgrade::table::ServerCounts;
 pub use crate::daemon::shared::lock;
 use crate::protocol::Incarnation;
 use crate::protocol::RegionId;
@@ -60,6 +65,10 @@
     pub slots: HashMap<ServiceId, HashMap<RegionId, u32>>,
     /// Servers of all regions that may get requests, by service.
     pub servers: HashMap<ServiceId, Vec<ServerLocation>>,
+    /// Roles of the versions of services that are or were upgraded.
+    pub versions: BTreeMap<ServiceId, Versions>,
+    /// Usable servers of these services by version.
+    pub upgrading_servers: BTreeMap<ServiceId, ServerCounts>,
     /// Progress of a shutdown.
     pub stage: Stage,
 }
@@ -108,6 +117,9 @@
     pub interrupted: Mutex<InterruptedRequests>,
     /// Requests that crash servers.
     pub quarantine: Mutex<Quarantine>,
+    /// Orders and plans of upgrades, and the counted responses. No other lock is taken while it is
+    /// held.
+    pub upgrades: Mutex<Upgrades>,
     /// When the store responded to this box again after an outage.
     pub store_recovered_at: Mutex<Option<Instant>>,
     /// Newest era of the store that was reported to this box.
@@ -174,6 +186,7 @@
     pub place: Place,
     outcome: Outcome,
     request: Fingerprint,
+    tracked: Option<TrackedSend>,
 }
 
 impl<A> Reservation<A> {
@@ -183,6 +196,7 @@
         service: &str,
         place: Place,
         request: Fingerprint,
+        tracked: Option<TrackedSend>,
     ) -> Reservation<A> {
         let shared = Arc::clone(shared);
         let mut quarantine = lock(&shared.quarantine);
@@ -193,7 +207,7 @@
             shared.region_update.notify_one();
         }
         let outcome = Outcome::Abandoned;
-        Reservation { shared, service: service.to_owned(), place, outcome, request }
+        Reservation { shared, service: service.to_owned(), place, outcome, request, tracked }
     }
 
     /// Whether the server would still be chosen.
@@ -210,6 +224,9 @@
 
     /// Records that the response has begun.
     pub fn first_byte(&mut self) {
+        if let Some(tracked) = &mut self.tracked {
+            tracked.record_first_byte(clock::now());
+        }
         let place = &mut self.place;
         self.shared.with_service(&self.service, |service| service.placement.first_byte(place));
     }
@@ -221,6 +238,9 @@
         let now = clock::now();
         self.shared
             .with_service(&self.service, |service| service.placement.finish(place, outcome, now));
+        if let Some(tracked) = self.tracked.take() {
+            tracked.finish(&self.shared, &self.place, outcome, now);
+        }
         let mut quarantine = lock(&self.shared.quarantine);
         let suspicious = quarantine.needs_isolation(self.request);
         quarantine.finish_execution(&self.place.server, self.request);
--- a/lib/src/gateway/store_keys.rs
+++ b/lib/src/gateway/store_keys.rs
@@ -14,6 +14,9 @@
 /// Prefix of the request rates that servers asked for.
 pub const RATES: &str = "copperweir/rates/";
 
+/// Prefix of the plans of upgrades, one for each service.
+pub const UPGRADES: &str = "copperweir/upgrades/";
+
 /// The roster key of a box.
 pub fn roster_key(record: &BoxRecord) -> String {
     format!("{ROSTER}{}/{}", record.region, record.name)
--- a/lib/src/protocol/adapter.rs
+++ b/lib/src/protocol/adapter.rs
@@ -18,8 +18,10 @@
 use super::platform::PlatformError;
 use super::platform::Revision;
 use super::routing::Routing;
+use super::routing::ServiceId;
 use super::server_status::ServerStatus;
 use super::team::KeyDigest;
+use super::upgrade;
 
 /// A segment of a prompt that several requests may share.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -172,6 +174,14 @@
     Revoke(LeaseId),
     /// Writes several keys atomically.
     Put(Vec<KeyWrite>),
+    /// Writes several keys atomically if other keys are unchanged; fails with
+    /// [`PlatformError::Conflict`] otherwise.
+    PutIf {
+        /// Keys with the revisions that they must have; 0 for a key that must be absent.
+        expected: Vec<(String, Revision)>,
+        /// The writes.
+        writes: Vec<KeyWrite>,
+    },
 }
 
 /// The lease ID of a key that is bound to no lease.
@@ -233,6 +243,8 @@
     Server(Server),
     /// The evacuation of a failure domain: its servers must get no requests.
     Evacuated(FailureDomainId),
+    /// An order to move the traffic of a service to servers of another version.
+    Upgrade(upgrade::Order),
 }
 
 /// The kind of object that a key refers to.
@@ -244,6 +256,8 @@
     Server(ServerId),
     /// The evacuation of a failure domain.
     Evacuation(FailureDomainId),
+    /// The order to move the traffic of a service to servers of another version.
+    Upgrade(ServiceId),
     /// Anything else, including the keys that boxes write themselves.
     Other,
 }
@@ -269,6 +283,14 @@
 
     /// Decodes a value written by the operator or by a backend server.
     fn decode_fact(&self, subject: &Subject, value: &[u8]) -> Result<Option<Fact>, String>;
+
+    /// Encodes the status of an order: the key and the value that the operator reads.
+    fn upgrade_status(
+        &self,
+        service: &str,
+        target: &str,
+        status: upgrade::Status,
+    ) -> (String, Bytes);
 }
 
 /// A platform: callers and backend servers on one side, its store on the other.
--- a/lib/src/protocol/fleet.rs
+++ b/lib/src/protocol/fleet.rs
@@ -15,6 +15,8 @@
 
 /// The name of a failure domain.
 pub type FailureDomainId = String;
+/// The version of a backend server's software.
+pub type ServerVersion = String;
 
 /// The registration of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,6 +27,8 @@
     pub started_at: Option<SystemTime>,
     /// The service that the server belongs to.
     pub service: ServiceId,
+    /// The version of its software; empty if the server does not report it.
+    pub version: ServerVersion,
     /// The address that the server listens on.
     pub address: SocketAddr,
     /// The failure domain.
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -14,6 +14,7 @@
 pub mod server_status;
 pub mod settings;
 pub mod team;
+pub mod upgrade;
 
 /// The name of a box.
 pub type BoxId = String;
--- a/lib/tests/test_cluster_state.rs
+++ b/lib/tests/test_cluster_state.rs
@@ -38,6 +38,7 @@
         id: "i-1".to_owned(),
         started_at: None,
         service: "s".to_owned(),
+        version: "v1".to_owned(),
         address: ([10, 0, 0, 1], 80).into(),
         failure_domain: "z".to_owned(),
         slots: 4,
--- a/lib/tests/test_learning.rs
+++ b/lib/tests/test_learning.rs
@@ -28,6 +28,7 @@
 use copperweir_lib::coordination::quarantine::Audience;
 use copperweir_lib::coordination::quarantine::Quarantine;
 use copperweir_lib::coordination::throttle::Throttles;
+use copperweir_lib::coordination::upgrade::Role;
 use copperweir_lib::protocol::fleet::Server;
 use copperweir_lib::protocol::routing::Service;
 use copperweir_lib::protocol::server_status::ServerStatus;
@@ -65,6 +66,7 @@
             id: "i-1".to_owned(),
             started_at: None,
             service: "s".to_owned(),
+            version: "v1".to_owned(),
             address: ([10, 0, 0, 1], 80).into(),
             failure_domain: "z".to_owned(),
             slots: 8,
@@ -74,6 +76,7 @@
         let known = ServerState {
             server: Arc::new(server),
             usable: true,
+            role: Role::Serving,
             cold_until: None,
             cold_share: Some(1),
             same_failure_domain: true,
@@ -100,6 +103,7 @@
             loads: &loads,
             throttles: &self.throttles,
             eligible: Eligible::Healthy,
+            role: Role::Serving,
             stale: false,
         };
         self.placement.choose(demand, self.now, &mut self.rng)
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -20,6 +20,7 @@
 use copperweir_lib::coordination::retries::RetryBudget;
 use copperweir_lib::coordination::shared_prefix::SharedPrefix;
 use copperweir_lib::coordination::throttle::Throttles;
+use copperweir_lib::coordination::upgrade::Role;
 use copperweir_lib::coordination::warmup;
 use copperweir_lib::protocol::adapter::PromptSegment;
 use copperweir_lib::protocol::fleet::Server;
@@ -33,6 +34,7 @@
         id: format!("i-{number}"),
         started_at: None,
         service: "s".to_owned(),
+        version: "v1".to_owned(),
         address: ([10, 0, 0, number as u8], 80).into(),
         failure_domain: "z".to_owned(),
         slots,
@@ -43,6 +45,7 @@
     ServerState {
         server,
         usable: true,
+        role: Role::Serving,
         cold_until: None,
         cold_share: Some(2),
         same_failure_domain: true,
@@ -99,8 +102,15 @@
     ) -> Result<Place, Blocked> {
         let loads = &self.loads;
         let throttles = &self.throttles;
-        let demand =
-            PlacementRequest { parts, tried: &[], loads, throttles, eligible, stale: self.stale };
+        let demand = PlacementRequest {
+            parts,
+            tried: &[],
+            loads,
+            throttles,
+            eligible,
+            role: Role::Serving,
+            stale: self.stale,
+        };
         self.placement.choose(demand, self.now, &mut self.rng)
     }
 
