probes: one box asks at most 64 servers whether they are cold

Cause: a heap profile of one box before a store with 984 boxes and 10,002 servers. A box without a recent word of the store, and without reports of other boxes that probe, probed every server of its region every 150 ms; each of the 3,334 probes in progress held 7.5 KB, 25 of 41 MB. Boxes that start are in this state until others report.

Change: of the servers that fall to a box it probes the 64 with the highest weight; the others count as cold. With two probers a server and 327 boxes before 4,328 servers, 26 fall to a box, at twice the size as well.

--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -6,6 +6,7 @@
 //! the copy of this box; a box with a newer version can be queried for it.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -36,6 +37,8 @@
 const STALE_AGE: Duration = Duration::from_millis(2500);
 /// Boxes that probe each server. With only one, its failure would leave the others without reports.
 const PROBERS_PER_SERVER: usize = 2;
+/// Maximum number of servers that one box probes. Servers that no box probes count as cold.
+const MAX_PROBED_SERVERS: usize = 64;
 /// Additional time that a box waits before it queries a box of another region: a round trip, and
 /// the time in which boxes of its own region receive the new state.
 const REMOTE_EXTRA_LAG: Duration = Duration::from_millis(300);
@@ -243,6 +246,27 @@
         self.age(now).is_none_or(|age| age >= PROBE_AGE)
     }
 
+    /// Selects the servers, by their hashes, that the box with hash `own` probes. A box that knows
+    /// no other prober yet would probe all servers of its region: at 4,328 of them, each probe in
+    /// progress held 7.5 KB.
+    pub fn probed_servers(
+        &self,
+        own: u64,
+        servers: impl Iterator<Item = u64>,
+        now: Instant,
+    ) -> HashSet<u64> {
+        let weight = |server: u64| rendezvous::mix(own, server);
+        let assigned = servers.filter(|server| self.probes_server(own, *server, now));
+        let mut assigned: Vec<u64> = assigned.collect();
+        if assigned.len() > MAX_PROBED_SERVERS {
+            assigned.select_nth_unstable_by_key(MAX_PROBED_SERVERS, |server| {
+                std::cmp::Reverse(weight(*server))
+            });
+            assigned.truncate(MAX_PROBED_SERVERS);
+        }
+        assigned.into_iter().collect()
+    }
+
     /// Whether the box with hash `own` is among those that probe a server: the first ones by
     /// rendezvous hashing among the boxes that have lost the store and receive each other's
     /// reports.
--- a/lib/src/gateway/probe.rs
+++ b/lib/src/gateway/probe.rs
@@ -112,8 +112,9 @@
         }));
     }
     let own_hash = presence::box_hash(&shared.settings.name);
-    let freshness = lock(&shared.freshness);
-    targets.retain(|target| freshness.probes_server(own_hash, target.hash, now));
+    let hashes = targets.iter().map(|target| target.hash);
+    let probed = lock(&shared.freshness).probed_servers(own_hash, hashes, now);
+    targets.retain(|target| probed.contains(&target.hash));
     targets
 }
 
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -252,6 +252,16 @@
     assert!(freshness.is_stale(later(2600)));
 }
 
+#[test]
+fn box_that_knows_no_other_prober_probes_few_servers_of_a_large_region() {
+    let now = Instant::now();
+    let freshness = Freshness::default();
+    let probed = |servers: u64| freshness.probed_servers(1, 0..servers, now).len();
+    assert_eq!(probed(12), 12);
+    assert_eq!(probed(4_328), probed(8_656));
+    assert!(probed(4_328) <= 64);
+}
+
 #[test]
 fn two_of_the_boxes_without_the_store_probe_each_server() {
     let now = Instant::now();
