starts: boxes get the state from each other in a tree, compressed

Cause: each box that starts read the whole store: at 984 boxes and 10,002 servers 55 to 60 pages a box and some 5 GB in all through the store's link, two thirds of it between regions, in 24 s. State transfers between boxes stopped at 4 MB, which 10,002 servers nearly fill.

Change: only the seeds read the store. Another box asks the seed that its failure domain prefers, which hands the state to the first box of the domain and refers each other one to a box that asked earlier (coordination::join_tree: four a box, depth by the logarithm). States are deflated, and a box hands on the bytes that it got while they are under 2 s old. Without seeds, or with seeds that send garbage, a box reads the store. Boxes of the version before answer and are answered as before. After writing its record a box polls the store with probability 64/boxes, since each poll returns the records of all boxes that started meanwhile.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -17,6 +17,7 @@
 pub mod identity;
 pub mod interrupted;
 pub mod invariant;
+pub mod join_tree;
 pub mod lease;
 pub mod ledger;
 pub mod lending;
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -5,6 +5,7 @@
 //! in force and is updated from boxes that have a newer one. Once the store responds, the state is
 //! read from it again.
 
+mod join;
 mod peer_sync;
 mod store_sync;
 mod unreadable_keys;
@@ -15,6 +16,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -58,6 +60,9 @@
 /// have expired. Without a minimum, one broken connection among 295 boxes made them keep servers
 /// that were gone for 2.2 s more.
 const MIN_OUTAGE: Duration = Duration::from_millis(500);
+/// Expected number of boxes that poll the store once their records are written, when all start at
+/// once. Each poll returns the records of all boxes that started meanwhile.
+const STARTUP_POLLS: f64 = 64.0;
 /// Interval of the checks for expired entries and for the progress of a shutdown.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a leaving box still accepts new connections, because callers may still be directed to
@@ -164,6 +169,7 @@
     /// Loads an initial state from the store or from other boxes. Returns whether there is one
     /// before the process ends.
     async fn load_initial_state(&mut self, events: &mut mpsc::Receiver<Event>) -> bool {
+        self.join_fleet().await;
         while self.cluster_state.routing.is_none() {
             match self.load_full_state().await {
                 Ok(()) => return true,
@@ -266,7 +272,13 @@
             // two, the box that writes later finds the other by polling again now, and sends it
             // reports. Without this, two of them that lost the store right after their start sent
             // 28 requests in a second to a cold server.
-            Event::RecordWritten => self.next_check_at = Some(clock::now()),
+            // In a large fleet some of them do, and the others hear of the state that these have.
+            Event::RecordWritten => {
+                let fleet_size = self.shared.snapshot.load().fleet_size.max(1) as f64;
+                if rand::rng().random::<f64>() < STARTUP_POLLS / fleet_size {
+                    self.next_check_at = Some(clock::now());
+                }
+            }
         }
     }
 
--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -1,12 +1,17 @@
 //! Fetches the store's state from other boxes: from boxes that watch the store, or from any box
 //! that has a newer state than this one.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use super::Control;
+use super::join;
+use super::store_sync::FullState;
+use super::store_sync::read_full_state;
 use crate::coordination::presence;
+use crate::coordination::rendezvous;
 use crate::coordination::unlisted::Neighbor;
 use crate::gateway::shared::lock;
 use crate::gateway::state_transfer;
@@ -15,6 +20,7 @@
 use crate::gateway::state_transfer::StateScope;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Change;
+use crate::protocol::platform::PlatformError;
 use crate::state::clock;
 
 /// How far a watching box may lag behind another one beyond the gap between two watches: the time
@@ -29,6 +35,51 @@
 const SEED_QUERY_INTERVAL: Duration = Duration::from_secs(1);
 
 impl<A: Adapter> Control<A> {
+    /// Gets the state at the start. The seeds read the store; each other box gets the state from a
+    /// box that a seed names. If each box read the store, 984 boxes that start would read 5 GB of
+    /// it, in 55 calls a box, and most of them from another region.
+    pub(super) async fn join_fleet(&mut self) {
+        let own = self.shared.settings.listen.handover;
+        let mut seeds = self.shared.settings.seeds.clone();
+        let is_seed = self.is_seed();
+        seeds.retain(|seed| *seed != own);
+        let domain = self.shared.settings.failure_domain.clone();
+        // The boxes of a failure domain prefer the same seed, so that they form one tree.
+        seeds.sort_by_key(|seed| Reverse(rendezvous::weight(&seed.to_string(), &domain)));
+        let search = join::Search {
+            client: self.shared.peers.clone(),
+            seeds,
+            join: (!is_seed).then_some((domain, own)),
+            requester: self.own_neighbor(),
+        };
+        let found = if is_seed {
+            let read = read_full_state(self.store.clone(), self.position().era);
+            let search = async {
+                match search.run().await {
+                    None => std::future::pending().await,
+                    found => found,
+                }
+            };
+            tokio::select! {
+                found = search => found,
+                read = read => return self.finish_initial_read(read),
+            }
+        } else {
+            search.run().await
+        };
+        let Some(join::Found { state, compressed }) = found else { return };
+        if self.apply_fetched_state(state) {
+            *lock(&self.shared.compressed_state) = compressed;
+        }
+    }
+
+    fn finish_initial_read(&mut self, read: Result<FullState, PlatformError>) {
+        match read {
+            Ok(state) => self.apply_full_state(state),
+            Err(error) => self.record_store_failure(&error),
+        }
+    }
+
     /// Queries the seeds for their state from the store, if this box has none yet.
     pub(super) async fn load_state_from_seeds(&mut self) {
         if self.cluster_state.routing.is_some() {
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -93,7 +93,7 @@
 }
 
 /// The complete contents of the store.
-struct FullState {
+pub(super) struct FullState {
     items: Vec<KeyValue>,
     /// Position in the history from which on to watch for changes.
     position: Position,
@@ -102,7 +102,7 @@
 /// Reads the complete contents of the store, in the newest known era. It never uses stale reads,
 /// though they cost a tenth: while the store compacts its history they lag by seconds, and a box
 /// that starts would send to a failure domain for longer after its evacuation than is allowed.
-async fn read_full_state<A: Adapter>(
+pub(super) async fn read_full_state<A: Adapter>(
     store: store::Client<A>,
     known_era: Era,
 ) -> Result<FullState, PlatformError> {
@@ -139,7 +139,7 @@
         Ok(())
     }
 
-    fn apply_full_state(&mut self, FullState { items, position }: FullState) {
+    pub(super) fn apply_full_state(&mut self, FullState { items, position }: FullState) {
         self.record_store_success();
         self.replace_state(items, position);
         self.mark_current();
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -158,6 +158,8 @@
                 stage: Stage::Serving,
             }),
             replica: Mutex::default(),
+            compressed_state: Mutex::default(),
+            joins: Mutex::default(),
             services: Mutex::default(),
             loads: Mutex::default(),
             quotas: Mutex::new(Quotas::new(quota_tolerance(&settings), clock::now())),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -17,6 +17,7 @@
 use super::cluster_state::ServerLocation;
 use super::replica::Replica;
 use super::settings::Settings;
+use super::state_transfer::CompressedState;
 use super::upgrade::TrackedSend;
 use crate::coordination::candidate::Outcome;
 use crate::coordination::departures::Departures;
@@ -24,6 +25,7 @@
 use crate::coordination::fingerprint::Fingerprint;
 use crate::coordination::freshness::Freshness;
 use crate::coordination::interrupted::InterruptedRequests;
+use crate::coordination::join_tree::JoinTree;
 use crate::coordination::loads::Loads;
 use crate::coordination::placement::Place;
 use crate::coordination::placement::Placement;
@@ -93,6 +95,10 @@
     pub snapshot: ArcSwap<Snapshot>,
     /// The last known contents of the store, also served to boxes that can't reach the store.
     pub replica: Mutex<Replica>,
+    /// The state as last compressed for boxes that start.
+    pub compressed_state: Mutex<Option<CompressedState>>,
+    /// Boxes that start and asked this one for the state.
+    pub joins: Mutex<JoinTree>,
     /// The servers of this region by service.
     pub services: Mutex<HashMap<ServiceId, Service>>,
     /// Load of other boxes on these servers. Locked after `services`, never before.
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -5,11 +5,17 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use http::HeaderMap;
 use http::HeaderName;
 use http::Request;
@@ -50,6 +56,14 @@
 const MAX_QUERY_BYTES: usize = 1 << 20;
 /// Maximum wait for one box: two round trips to the farthest region.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum wait for the whole state of a large fleet, over a slow link that several boxes share.
+const START_TIMEOUT: Duration = Duration::from_secs(3);
+/// Age up to which a box hands on the compressed state that it has.
+const COMPRESSED_TTL: Duration = Duration::from_secs(2);
+/// Size of values in bytes from which on entries are deflated.
+const MIN_DEFLATED_BYTES: usize = 16 << 10;
+/// Maximum size of a state in bytes, without compression.
+const MAX_STATE_BYTES: u64 = 64 << 20;
 /// Delay before the next box is queried in parallel: longer than one such round trip.
 const NEXT_SEED_DELAY: Duration = Duration::from_millis(150);
 
@@ -66,6 +80,19 @@
     /// state at that position.
     #[prost(message, optional, tag = "3")]
     held: Option<Hashes>,
+    /// Whether the requesting box has no state, and takes the whole state compressed.
+    #[prost(bool, tag = "4")]
+    starts: bool,
+    /// Where the requesting box hands the state on. Set if it asks a seed and may be referred to
+    /// another box.
+    #[prost(string, tag = "5")]
+    handover: String,
+    /// Failure domain of the requesting box.
+    #[prost(string, tag = "6")]
+    failure_domain: String,
+    /// Whether the requesting box accepts deflated entries.
+    #[prost(bool, tag = "7")]
+    accepts_deflated: bool,
 }
 
 /// The state that the requesting box lacks.
@@ -100,6 +127,29 @@
     /// no state yet.
     #[prost(message, repeated, tag = "9")]
     verdicts: Vec<wire::VerdictReport>,
+    /// Deflated [`Entries`], in place of `entries`. Only for a box that accepts that.
+    #[prost(bytes = "bytes", tag = "11")]
+    deflated: Bytes,
+    /// Addresses of boxes to ask instead.
+    #[prost(string, repeated, tag = "12")]
+    referrals: Vec<String>,
+}
+
+/// Entries of a state.
+#[derive(Clone, PartialEq, prost::Message)]
+struct Entries {
+    #[prost(map = "string, message", tag = "1")]
+    entries: HashMap<String, Entry>,
+}
+
+/// A compressed state as it is handed to boxes that start. A box hands on what it got itself, as
+/// long as that is recent.
+#[derive(Clone, Debug)]
+pub struct CompressedState {
+    version: Version,
+    /// When this was the store's state.
+    confirmed_at: Instant,
+    deflated: Bytes,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -161,17 +211,32 @@
     fn to_query(&self) -> StateQuery {
         match self {
             StateScope::All => StateQuery::default(),
-            StateScope::After(Position { era, revision }) => {
-                StateQuery { era: *era, revision: *revision, held: None }
-            }
+            StateScope::After(Position { era, revision }) => StateQuery {
+                era: *era,
+                revision: *revision,
+                accepts_deflated: true,
+                ..StateQuery::default()
+            },
             StateScope::NotIn(digests) => {
                 let hashes = digests.iter().copied().collect();
-                StateQuery { held: Some(Hashes { hashes }), ..StateQuery::default() }
+                let held = Some(Hashes { hashes });
+                StateQuery { held, accepts_deflated: true, ..StateQuery::default() }
             }
         }
     }
 }
 
+/// A response to a box that starts.
+#[derive(Clone, Debug)]
+pub enum StartResponse {
+    /// The state.
+    State(Box<FetchedState>, Option<CompressedState>),
+    /// Boxes to ask instead.
+    Referrals(Vec<SocketAddr>),
+    /// The box that was asked has no state yet.
+    NoState,
+}
+
 /// Handles the state query of another box.
 pub async fn handle<A: Adapter>(
     shared: Arc<Shared<A>>,
@@ -185,7 +250,55 @@
         *refusal.status_mut() = StatusCode::BAD_REQUEST;
         return refusal;
     };
-    Response::new(ResponseBody::buffered(build_reply(&shared, query).encode_to_vec()))
+    let reply =
+        if query.starts { build_start_reply(&shared, &query) } else { build_reply(&shared, query) };
+    Response::new(ResponseBody::buffered(reply.encode_to_vec()))
+}
+
+/// Builds the reply to a box that starts: the state, or boxes of its failure domain to ask.
+fn build_start_reply<A: Adapter>(shared: &Shared<A>, query: &StateQuery) -> StateReply {
+    let now = clock::now();
+    if let Ok(handover) = query.handover.parse() {
+        let referrals = lock(&shared.joins).add(&query.failure_domain, handover, now);
+        if !referrals.is_empty() {
+            let referrals = referrals.iter().map(SocketAddr::to_string).collect();
+            return StateReply { referrals, ..StateReply::default() };
+        }
+    }
+    let Some(state) = compressed_state(shared, now) else { return StateReply::default() };
+    let recovered_ago = lock(&shared.store_recovered_at).map(clock::since);
+    let recovered_ago = recovered_ago.filter(|ago| *ago < ROLLBACK_GRACE);
+    StateReply {
+        era: state.version.position.era,
+        revision: state.version.position.revision,
+        digest: state.version.digest,
+        age_ms: Some(now.saturating_duration_since(state.confirmed_at).as_millis() as u64),
+        returned_ms: recovered_ago.map(|ago| ago.as_millis() as u64),
+        verdicts: lock(&shared.quarantine).active_verdicts(now),
+        deflated: state.deflated,
+        ..StateReply::default()
+    }
+}
+
+/// The state for boxes that start; `None` if this box has none yet.
+fn compressed_state<A: Adapter>(shared: &Shared<A>, now: Instant) -> Option<CompressedState> {
+    let kept = lock(&shared.compressed_state).clone();
+    if let Some(kept) = kept.filter(|kept| now < kept.confirmed_at + COMPRESSED_TTL) {
+        return Some(kept);
+    }
+    let age = lock(&shared.freshness).age(now)?;
+    let (version, entries) = {
+        let replica = lock(&shared.replica);
+        let items = replica.items_written_after(Position::default());
+        let entry =
+            |item: KeyValue| (item.key, Entry { value: item.value, revision: item.revision });
+        (replica.version(), items.map(entry).collect())
+    };
+    let deflated = deflate(entries)?;
+    let confirmed_at = now.checked_sub(age)?;
+    let state = CompressedState { version, confirmed_at, deflated };
+    *lock(&shared.compressed_state) = Some(state.clone());
+    Some(state)
 }
 
 /// Reads a query. An empty body is the query of a box that has no state.
@@ -213,6 +326,12 @@
             (replica.items_written_after(position_held).map(to_entry).collect(), removed)
         }
     };
+    let mut entries: HashMap<String, Entry> = entries;
+    let mut deflated = Bytes::new();
+    let size: usize = entries.values().map(|entry| entry.value.len()).sum();
+    if query.accepts_deflated && size >= MIN_DEFLATED_BYTES {
+        deflated = deflate(std::mem::take(&mut entries)).unwrap_or_default();
+    }
     let keys = if removed.is_some() { Vec::new() } else { replica.key_hashes().collect() };
     let version = replica.version();
     let known_version = lock(&shared.freshness).version();
@@ -240,6 +359,8 @@
         keys,
         removed,
         verdicts,
+        deflated,
+        ..StateReply::default()
     }
 }
 
@@ -253,6 +374,62 @@
     })
 }
 
+/// Asks a box for the state on behalf of a box that starts. `join` gives the failure domain of that
+/// box and the address at which it hands the state on, if it may be referred to another box.
+pub async fn request_start(
+    client: &backend::Client,
+    address: SocketAddr,
+    join: Option<(&str, SocketAddr)>,
+    requester: &Neighbor,
+) -> Result<StartResponse, String> {
+    let query = StateQuery {
+        starts: true,
+        handover: join.map(|(_, handover)| handover.to_string()).unwrap_or_default(),
+        failure_domain: join.map(|(domain, _)| domain.to_owned()).unwrap_or_default(),
+        ..StateQuery::default()
+    };
+    let reply = query_state(client, address, &query, Some(requester));
+    let reply = match timer::timeout(START_TIMEOUT, reply).await {
+        Ok(reply) => reply?,
+        Err(_) => return Err("no answer in time".to_owned()),
+    };
+    if !reply.referrals.is_empty() {
+        let referrals = reply.referrals.iter().filter_map(|address| address.parse().ok());
+        return Ok(StartResponse::Referrals(referrals.collect()));
+    }
+    let Some(age_ms) = reply.age_ms else { return Ok(StartResponse::NoState) };
+    let age = Duration::from_millis(age_ms);
+    let confirmed_at = clock::now().checked_sub(age).ok_or("the state is too old")?;
+    let version = Version {
+        position: Position { era: reply.era, revision: reply.revision },
+        digest: reply.digest,
+    };
+    // A box of the version before replies with single entries.
+    let deflated = reply.deflated.clone();
+    let mut state = fetched_state(address, reply)?.ok_or("a state without an age")?;
+    let mut compressed = None;
+    if !deflated.is_empty() {
+        state.removed_keys = RemovedKeys::Listed(HashSet::new());
+        compressed = Some(CompressedState { version, confirmed_at, deflated });
+    }
+    Ok(StartResponse::State(Box::new(state), compressed))
+}
+
+fn deflate(entries: HashMap<String, Entry>) -> Option<Bytes> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    // Writing to memory can't fail.
+    encoder.write_all(&Entries { entries }.encode_to_vec()).ok()?;
+    encoder.finish().ok().map(Bytes::from)
+}
+
+fn inflate(deflated: &[u8]) -> Result<Vec<KeyValue>, String> {
+    let mut encoded = Vec::new();
+    let mut decoder = DeflateDecoder::new(deflated).take(MAX_STATE_BYTES);
+    decoder.read_to_end(&mut encoded).map_err(|error| error.to_string())?;
+    let state = Entries::decode(Bytes::from(encoded)).map_err(|error| error.to_string())?;
+    Ok(state.entries.into_iter().map(to_item).collect())
+}
+
 /// Requests the full state from boxes in random order until one of them has any. The next box is
 /// queried when one has not responded for a while or has no state. The queries make `requester`
 /// known to the boxes.
@@ -306,6 +483,16 @@
     scope: &StateScope,
     requester: Option<&Neighbor>,
 ) -> Result<Option<FetchedState>, String> {
+    let reply = query_state(client, address, &scope.to_query(), requester).await?;
+    fetched_state(address, reply)
+}
+
+async fn query_state(
+    client: &backend::Client,
+    address: SocketAddr,
+    query: &StateQuery,
+    requester: Option<&Neighbor>,
+) -> Result<StateReply, String> {
     let mut request = Request::post(STATE_PATH).header(http::header::HOST, address.to_string());
     if let Some(requester) = requester {
         request = request
@@ -313,27 +500,34 @@
             .header(REQUESTER_REGION, &requester.region)
             .header(REQUESTER_ADDRESS, requester.address.to_string());
     }
-    let body = Bytes::from(scope.to_query().encode_to_vec());
+    let body = Bytes::from(query.encode_to_vec());
     let request = request.body(Full::from(body)).map_err(|error| error.to_string())?;
     let response = client.fetch(address, request).await.map_err(|error| error.to_string())?;
-    let reply = StateReply::decode(response.into_body()).map_err(|error| error.to_string())?;
+    StateReply::decode(response.into_body()).map_err(|error| error.to_string())
+}
+
+fn to_item((key, entry): (String, Entry)) -> KeyValue {
+    KeyValue { key, value: entry.value, revision: entry.revision }
+}
+
+/// The state in a reply; `None` if the box that sent it has none.
+fn fetched_state(source: SocketAddr, reply: StateReply) -> Result<Option<FetchedState>, String> {
     let Some(age_ms) = reply.age_ms else { return Ok(None) };
+    let mut written: Vec<KeyValue> = reply.entries.into_iter().map(to_item).collect();
+    if !reply.deflated.is_empty() {
+        written.extend(inflate(&reply.deflated)?);
+    }
     let removed_keys = match reply.removed {
         Some(removed) => RemovedKeys::Listed(removed.hashes.into_iter().collect()),
         None => RemovedKeys::AllExcept(reply.keys.into_iter().collect()),
     };
-    let to_item = |(key, entry): (String, Entry)| KeyValue {
-        key,
-        value: entry.value,
-        revision: entry.revision,
-    };
     let position = Position { era: reply.era, revision: reply.revision };
     Ok(Some(FetchedState {
-        source: address,
+        source,
         version: Version { position, digest: reply.digest },
         recovered_ago: reply.returned_ms.map(Duration::from_millis),
         age: Duration::from_millis(age_ms),
-        written: reply.entries.into_iter().map(to_item).collect(),
+        written,
         removed_keys,
         verdicts: reply.verdicts,
     }))
