--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -100,6 +100,8 @@
 pub struct Candidate {
     /// State according to the configuration and the store.
     pub state: ServerState,
+    /// Number of the update that last listed the server.
+    pub updated_in: u64,
     /// Hash of the server's id, for the choice of home servers.
     pub hash: u64,
     /// Identifies this incarnation of the server in reports between boxes.
@@ -160,6 +162,7 @@
             incarnation: incarnation_hash(&state.server),
             limit: max_requests(&state),
             state,
+            updated_in: 0,
             replaced: false,
             announced_leaving: false,
             in_flight: 0,
@@ -226,9 +229,10 @@
         self.warmup.sent_per_second(now)
     }
 
-    /// Replaces the state.
-    pub fn update(&mut self, state: ServerState) {
+    /// Replaces the state, in the update with this number.
+    pub fn update(&mut self, state: ServerState, update: u64) {
         self.state = state;
+        self.updated_in = update;
     }
 
     /// Whether the server may get requests at all.
@@ -253,7 +257,8 @@
 
     /// Whether `state` belongs to the same incarnation of the same server.
     pub fn is_same_incarnation(&self, state: &ServerState) -> bool {
-        self.incarnation == incarnation_hash(&state.server)
+        Arc::ptr_eq(&self.state.server, &state.server)
+            || self.incarnation == incarnation_hash(&state.server)
     }
 
     /// Records that another instance has the address, so that this server never returns.
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -140,6 +140,8 @@
 /// The servers of one service in this region, as one box sees them.
 pub struct Placement {
     servers: BTreeMap<ServerId, Candidate>,
+    /// Number of updates of the servers.
+    updates: u64,
     sharing_boxes: usize,
     max_connections: f64,
     health_path: Option<String>,
@@ -160,6 +162,7 @@
     pub fn new(started_at: Instant) -> Placement {
         Placement {
             servers: BTreeMap::new(),
+            updates: 0,
             sharing_boxes: 0,
             max_connections: 0.0,
             health_path: None,
@@ -183,28 +186,36 @@
         self.health_path.clone_from(&service.health_path);
         self.cold_rate = service.warmup_rate;
         self.max_connections = service.max_connections as f64 * MAX_CONNECTION_FRACTION;
-        let mut previous = std::mem::take(&mut self.servers);
+        self.updates += 1;
         for state in states {
-            let id = state.server.id.clone();
-            let candidate = match previous.remove(&id) {
-                Some(mut candidate) if candidate.is_same_incarnation(&state) => {
-                    candidate.update(state);
-                    candidate
+            match self.servers.get_mut(&state.server.id) {
+                Some(candidate) if candidate.is_same_incarnation(&state) => {
+                    candidate.update(state, self.updates);
                 }
                 earlier => {
                     // The state of the earlier incarnation does not apply to the new one, but the
                     // server may have received its cold share just before.
                     let restarted_at = earlier.map(|_| now);
+                    let id = state.server.id.clone();
                     let removed_at = self.removed_at.get(&id).copied();
                     let unknown_before = removed_at.max(restarted_at).max(Some(self.started_at));
-                    Candidate::new(state, service.kv_cache_tokens, unknown_before)
+                    let mut candidate =
+                        Candidate::new(state, service.kv_cache_tokens, unknown_before);
+                    candidate.updated_in = self.updates;
+                    self.servers.insert(id, candidate);
                 }
-            };
-            self.servers.insert(id, candidate);
+            }
         }
-        // Requests that still run on a removed server have no place to release.
         self.removed_at.retain(|_, at| now < *at + REMOVED_RETENTION);
-        self.removed_at.extend(previous.into_keys().map(|id| (id, now)));
+        // Requests that still run on a removed server have no place to release.
+        let (updates, removed_at) = (self.updates, &mut self.removed_at);
+        self.servers.retain(|id, candidate| {
+            let is_listed = candidate.updated_in == updates;
+            if !is_listed {
+                removed_at.insert(id.clone(), now);
+            }
+            is_listed
+        });
     }
 
     /// Whether any server may get requests.
@@ -212,6 +223,16 @@
         self.servers.values().any(|candidate| candidate.is_usable())
     }
 
+    /// Number of known servers.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// Whether any server with a role may get requests.
     pub fn has_role(&self, role: Role) -> bool {
         self.servers.values().any(|candidate| candidate.has_role(role))
--- a/lib/src/coordination/placement/status.rs
+++ b/lib/src/coordination/placement/status.rs
@@ -1,12 +1,14 @@
 //! State that servers report about themselves: cold, leaving, resting, or replaced by another
 //! instance.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use super::Place;
 use super::Placement;
+use crate::coordination::candidate::Candidate;
 use crate::coordination::warmup;
 use crate::protocol::ServerId;
 use crate::protocol::fleet::Server;
@@ -18,8 +20,6 @@
     pub server: &'a ServerId,
     /// Address of the server.
     pub address: SocketAddr,
-    /// Hash of the server's id.
-    pub hash: u64,
     /// Incarnation of the server.
     pub incarnation: u64,
     /// Time between probes.
@@ -115,21 +115,30 @@
         self.health_path.as_deref()
     }
 
-    /// The usable servers that may turn cold.
-    pub fn probe_targets(&mut self, now: Instant) -> impl Iterator<Item = ProbeTarget<'_>> {
+    /// Hashes of the usable servers that may turn cold.
+    pub fn servers_to_probe(&self, now: Instant) -> impl Iterator<Item = u64> {
+        // A server that is resting gets no requests, so it does not matter whether it is cold.
+        let is_probed = move |candidate: &&Candidate| {
+            candidate.is_usable()
+                && candidate.state.cold_share.is_some()
+                && self.rest_periods.until(candidate.incarnation, now).is_none()
+        };
+        self.servers.values().filter(is_probed).map(|candidate| candidate.hash)
+    }
+
+    /// The servers with these hashes, as targets of probes.
+    pub fn probe_targets(
+        &mut self,
+        hashes: &HashSet<u64>,
+        now: Instant,
+    ) -> impl Iterator<Item = ProbeTarget<'_>> {
         // All boxes are assumed to use a server equally.
         let (rate, sharing_boxes) = (self.cold_rate, self.sharing_boxes.max(1) as f64);
-        let usable = self.servers.iter_mut().filter(|(_, candidate)| candidate.is_usable());
-        // A server that is resting gets no requests, so it does not matter whether it is cold.
-        let rest_periods = &self.rest_periods;
-        let probed = usable.filter(move |(_, candidate)| {
-            candidate.state.cold_share.is_some()
-                && rest_periods.until(candidate.incarnation, now).is_none()
-        });
+        let servers = self.servers.iter_mut();
+        let probed = servers.filter(|(_, candidate)| hashes.contains(&candidate.hash));
         probed.map(move |(server, candidate)| ProbeTarget {
             server,
             address: candidate.state.server.address,
-            hash: candidate.hash,
             incarnation: candidate.incarnation,
             probe_interval: warmup::probe_interval(
                 rate,
--- a/lib/src/coordination/warmup.rs
+++ b/lib/src/coordination/warmup.rs
@@ -43,11 +43,16 @@
 }
 
 impl ColdLimit {
+    /// Requests a second of all boxes together.
+    pub fn total(&self) -> f64 {
+        ((self.rate * self.excess + self.slack) * SAFETY_FACTOR).floor()
+    }
+
     /// Share, in requests a second, of the box with rank `rank` among the `sharing_boxes` for the
     /// server: an even share, or one request for each of the first boxes if there are fewer
     /// requests than boxes.
     pub fn share(&self, sharing_boxes: usize, rank: usize) -> u32 {
-        let total = ((self.rate * self.excess + self.slack) * SAFETY_FACTOR).floor();
+        let total = self.total();
         let even_share = (total / sharing_boxes.max(1) as f64).floor();
         if even_share >= 1.0 { even_share as u32 } else { u32::from((rank as f64) < total) }
     }
--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -46,9 +46,16 @@
     /// Hash of the server's name, for the choice of home servers of shared prefixes.
     pub hash: u64,
     /// Its region.
-    pub region: RegionId,
+    pub region: Arc<str>,
     /// Its failure domain.
-    pub failure_domain: FailureDomainId,
+    pub failure_domain: Arc<str>,
+}
+
+/// A failure domain and its region, shared by the locations of its servers.
+#[derive(Clone, Debug)]
+struct DomainNames {
+    region: Arc<str>,
+    failure_domain: Arc<str>,
 }
 
 #[derive(Clone, Debug)]
@@ -59,6 +66,8 @@
     cold_until: Option<Instant>,
     /// Since when the entry is missing from the store, while it may still be written again.
     missing_since: Option<Instant>,
+    /// Hash of the server's name.
+    id_hash: u64,
     /// Incarnation of the server that the entry describes.
     incarnation: ServerIncarnation,
     /// Whether the server announced in a response that it is leaving.
@@ -90,8 +99,8 @@
     senders: BTreeMap<u64, Instant>,
     /// Region and name of each box that was ever started.
     roster: BTreeSet<(RegionId, BoxId)>,
-    /// Region of each known failure domain.
-    regions: HashMap<FailureDomainId, RegionId>,
+    /// Names of each known failure domain and its region.
+    domains: HashMap<FailureDomainId, DomainNames>,
     store_recovered_at: Option<Instant>,
     rollback: StoreRollback,
     /// Roles of the versions of services that are or were upgraded.
@@ -116,7 +125,12 @@
 impl ClusterState {
     /// Creates a state that contains nothing but the regions of the failure domains.
     pub fn new(regions: HashMap<FailureDomainId, RegionId>) -> ClusterState {
-        ClusterState { regions, ..ClusterState::default() }
+        let names = |(domain, region): (FailureDomainId, RegionId)| {
+            let (failure_domain, region) = (Arc::from(domain.as_str()), Arc::from(region));
+            (domain, DomainNames { region, failure_domain })
+        };
+        let domains = regions.into_iter().map(names).collect();
+        ClusterState { domains, ..ClusterState::default() }
     }
 
     /// Records that the store responded again at `at` after an outage.
@@ -212,6 +226,7 @@
         );
         let id = server.id.clone();
         let entry = Entry {
+            id_hash: candidate::server_hash(&id),
             incarnation,
             server: Arc::new(server),
             revision,
@@ -408,12 +423,13 @@
         let mut usable_servers: HashMap<ServiceId, Vec<ServerLocation>> = HashMap::new();
         for entry in self.servers.values().filter(|entry| self.is_home(entry)) {
             let server = &entry.server;
-            let Some(region) = self.regions.get(&server.failure_domain) else { continue };
-            usable_servers.entry(server.service.clone()).or_default().push(ServerLocation {
-                hash: candidate::server_hash(&server.id),
-                region: region.clone(),
-                failure_domain: server.failure_domain.clone(),
-            });
+            let Some(names) = self.domains.get(&server.failure_domain) else { continue };
+            let location = ServerLocation {
+                hash: entry.id_hash,
+                region: Arc::clone(&names.region),
+                failure_domain: Arc::clone(&names.failure_domain),
+            };
+            get_or_insert(&mut usable_servers, &server.service).push(location);
         }
         usable_servers
     }
@@ -422,9 +438,9 @@
     pub fn slots(&self) -> HashMap<ServiceId, HashMap<RegionId, u32>> {
         let mut slots: HashMap<ServiceId, HashMap<RegionId, u32>> = HashMap::new();
         for entry in self.servers.values().filter(|entry| self.is_home(entry)) {
-            let Some(region) = self.regions.get(&entry.server.failure_domain) else { continue };
-            let service = slots.entry(entry.server.service.clone()).or_default();
-            *service.entry(region.clone()).or_default() += entry.server.slots;
+            let Some(names) = self.domains.get(&entry.server.failure_domain) else { continue };
+            let service = get_or_insert(&mut slots, &entry.server.service);
+            *get_or_insert(service, &names.region) += entry.server.slots;
         }
         slots
     }
@@ -518,16 +534,17 @@
         let Some(routing) = &self.routing else { return local_servers };
         for entry in self.servers.values() {
             let server = &entry.server;
-            if self.regions.get(&server.failure_domain) != Some(&context.own_record.region) {
+            let names = self.domains.get(&server.failure_domain);
+            if names.is_none_or(|names| *names.region != *context.own_record.region) {
                 continue;
             }
             let Some(service) = routing.services.get(&server.service) else { continue };
-            local_servers.entry(server.service.clone()).or_default().push(ServerState {
+            get_or_insert(&mut local_servers, &server.service).push(ServerState {
                 server: Arc::clone(server),
                 usable: self.is_usable(entry),
                 role: self.role(server),
                 cold_until: entry.cold_until,
-                cold_share: cold_share(context, service, server, &sharing_boxes),
+                cold_share: cold_share(context, service, entry.id_hash, &sharing_boxes),
                 same_failure_domain: server.failure_domain == context.own_record.failure_domain,
             });
         }
@@ -538,7 +555,7 @@
 fn cold_share(
     context: &LocalContext<'_>,
     service: &Service,
-    server: &Server,
+    id_hash: u64,
     sharing_boxes: &BTreeSet<u64>,
 ) -> Option<u32> {
     if service.warmup_rate <= 0.0 {
@@ -549,8 +566,19 @@
         excess: context.cold_excess,
         slack: context.cold_slack,
     };
-    let id_hash = candidate::server_hash(&server.id);
     let own_weight = rendezvous::mix(presence::box_hash(&context.own_record.name), id_hash);
     let ranks_ahead = |other: &&u64| rendezvous::mix(**other, id_hash) > own_weight;
-    Some(limit.share(sharing_boxes.len(), sharing_boxes.iter().filter(ranks_ahead).count()))
+    // Only the first ranks matter, so the others are not counted: a full count at each server takes
+    // boxes x servers steps.
+    let max_rank = limit.total() as usize;
+    let rank = sharing_boxes.iter().filter(ranks_ahead).take(max_rank).count();
+    Some(limit.share(sharing_boxes.len(), rank))
+}
+
+/// The value of a key. Clones the key only if it is new.
+fn get_or_insert<'a, V: Default>(map: &'a mut HashMap<String, V>, key: &str) -> &'a mut V {
+    if !map.contains_key(key) {
+        map.insert(key.to_owned(), V::default());
+    }
+    map.get_mut(key).expect("it was just inserted")
 }
--- a/lib/src/gateway/cross_region.rs
+++ b/lib/src/gateway/cross_region.rs
@@ -91,7 +91,7 @@
         .iter()
         .filter(|server| job.is_allowed_in(&server.region))
         .max_by_key(|server| prefix.weight(server.hash))?;
-    if home_server.region == shared.settings.region
+    if *home_server.region == *shared.settings.region
         || !has_capacity(shared, job, &home_server.region)
     {
         return None;
@@ -100,7 +100,7 @@
     // From a box in the failure domain of the home server, the prompt doesn't have to cross into
     // another one.
     let same_domain =
-        region_boxes.iter().filter(|other| other.failure_domain == home_server.failure_domain);
+        region_boxes.iter().filter(|other| *other.failure_domain == *home_server.failure_domain);
     let same_domain: Vec<&BoxRecord> = same_domain.copied().collect();
     let candidates = if same_domain.is_empty() { region_boxes } else { same_domain };
     candidates.choose(&mut rand::rng()).map(|other| other.peers)
--- a/lib/src/gateway/probe.rs
+++ b/lib/src/gateway/probe.rs
@@ -39,12 +39,14 @@
 /// Maximum wait for a response. A server without a free slot responds late.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Servers that a selection may look at in each tick of the probes, on average.
+const SERVERS_PER_TICK: usize = 512;
+
 /// A server to probe.
 #[derive(Clone, Debug)]
 struct ProbeTarget {
     service: ServiceId,
     server: ServerId,
-    hash: u64,
     incarnation: ServerIncarnation,
     address: SocketAddr,
     path: String,
@@ -66,6 +68,8 @@
 ) {
     let mut active: HashMap<ServerId, ActiveProbe> = HashMap::new();
     let mut probing = false;
+    let mut targets = Vec::new();
+    let mut next_selection_at = clock::now();
     loop {
         let tick = if probing { warmup::MIN_PROBE_INTERVAL } else { warmup::MAX_PROBE_INTERVAL };
         tokio::select! {
@@ -82,7 +86,12 @@
         if !probing {
             continue;
         }
-        for target in probe_targets(&shared, now) {
+        if now >= next_selection_at {
+            let servers = lock(&shared.services).values().map(|state| state.placement.len()).sum();
+            next_selection_at = now + selection_interval(servers);
+            targets = probe_targets(&shared, now);
+        }
+        for target in &targets {
             if active.contains_key(&target.server) {
                 continue;
             }
@@ -90,31 +99,39 @@
             // moment.
             let next_due_at = now + target.interval.mul_f64(0.5 + rand::rng().random::<f64>());
             let server = target.server.clone();
-            let task = tokio::spawn(probe_server(Arc::clone(&shared), target));
+            let task = tokio::spawn(probe_server(Arc::clone(&shared), target.clone()));
             active.insert(server, ActiveProbe { task, next_due_at });
         }
     }
 }
 
+/// Time between two selections of the servers to probe. A selection looks at all servers of the
+/// region, so it is made less often if there are many.
+fn selection_interval(servers: usize) -> Duration {
+    let ticks = servers.div_ceil(SERVERS_PER_TICK) as u32;
+    (warmup::MIN_PROBE_INTERVAL * ticks).min(warmup::MAX_PROBE_INTERVAL)
+}
+
 /// The servers that this box probes.
 fn probe_targets<A: Adapter>(shared: &Shared<A>, now: Instant) -> Vec<ProbeTarget> {
+    let own_hash = presence::box_hash(&shared.settings.name);
     let mut targets = Vec::new();
     for (service, state) in lock(&shared.services).iter_mut() {
         let Some(path) = state.placement.health_path().map(str::to_owned) else { continue };
-        targets.extend(state.placement.probe_targets(now).map(|target| ProbeTarget {
+        let probed = lock(&shared.freshness).probed_servers(
+            own_hash,
+            state.placement.servers_to_probe(now),
+            now,
+        );
+        targets.extend(state.placement.probe_targets(&probed, now).map(|target| ProbeTarget {
             service: service.clone(),
             server: target.server.clone(),
-            hash: target.hash,
             incarnation: target.incarnation,
             address: target.address,
             path: path.clone(),
             interval: target.probe_interval,
         }));
     }
-    let own_hash = presence::box_hash(&shared.settings.name);
-    let hashes = targets.iter().map(|target| target.hash);
-    let probed = lock(&shared.freshness).probed_servers(own_hash, hashes, now);
-    targets.retain(|target| probed.contains(&target.hash));
     targets
 }
 
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -41,6 +41,8 @@
 
 #[derive(Clone, Debug)]
 struct Entry {
+    /// Hash of the key.
+    hash: u64,
     value: Bytes,
     revision: Revision,
     digest: u64,
@@ -50,10 +52,11 @@
     /// Inserts or replaces a key.
     pub fn insert(&mut self, item: &KeyValue) {
         self.drop_entry(&item.key);
-        self.removals.record_written(key_hash(&item.key));
-        let digest = digest(item);
+        let hash = key_hash(&item.key);
+        self.removals.record_written(hash);
+        let digest = digest(hash, item);
         self.version.digest ^= digest;
-        let entry = Entry { value: item.value.clone(), revision: item.revision, digest };
+        let entry = Entry { hash, value: item.value.clone(), revision: item.revision, digest };
         self.entries.insert(item.key.clone(), entry);
     }
 
@@ -136,20 +139,23 @@
 
     /// Keys whose hashes are among these.
     pub fn keys_in(&self, hashes: &HashSet<u64>) -> Vec<String> {
-        let meant = self.entries.keys().filter(|key| hashes.contains(&key_hash(key)));
-        meant.cloned().collect()
+        if hashes.is_empty() {
+            return Vec::new();
+        }
+        let meant = self.entries.iter().filter(|(_, entry)| hashes.contains(&entry.hash));
+        meant.map(|(key, _)| key.clone()).collect()
     }
 
     /// Hashes of all keys. Another box compares them with its own keys to find those that were
     /// removed.
     pub fn key_hashes(&self) -> impl Iterator<Item = u64> {
-        self.entries.keys().map(|key| key_hash(key))
+        self.entries.values().map(|entry| entry.hash)
     }
 
     /// Keys whose hashes are not among these.
     pub fn keys_not_in(&self, hashes: &HashSet<u64>) -> Vec<String> {
-        let missing = self.entries.keys().filter(|key| !hashes.contains(&key_hash(key)));
-        missing.cloned().collect()
+        let missing = self.entries.iter().filter(|(_, entry)| !hashes.contains(&entry.hash));
+        missing.map(|(key, _)| key.clone()).collect()
     }
 }
 
@@ -175,8 +181,8 @@
 
 /// The digest includes the value, because two histories may give a key the same revision with
 /// different values.
-fn digest(item: &KeyValue) -> u64 {
-    let written = rendezvous::mix(key_hash(&item.key), item.revision);
+fn digest(key_hash: u64, item: &KeyValue) -> u64 {
+    let written = rendezvous::mix(key_hash, item.revision);
     rendezvous::mix(written, rapidhash_v3(&item.value))
 }
 
