starts: a first state without a configuration is a state

Cause: in the first seconds of the fleet the store has no configuration yet. Change: it goes on with what it has.

--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -169,7 +169,10 @@
     /// Loads an initial state from the store or from other boxes. Returns whether there is one
     /// before the process ends.
     async fn load_initial_state(&mut self, events: &mut mpsc::Receiver<Event>) -> bool {
-        self.join_fleet().await;
+        // The first state of a new fleet may lack a configuration, which follows like any change.
+        if self.join_fleet().await {
+            return true;
+        }
         while self.cluster_state.routing.is_none() {
             match self.load_full_state().await {
                 Ok(()) => return true,
--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -37,8 +37,8 @@
 impl<A: Adapter> Control<A> {
     /// Gets the state at the start. The seeds read the store; each other box gets the state from a
     /// box that a seed names. If each box read the store, 984 boxes that start would read 5 GB of
-    /// it, in 55 calls a box, and most of them from another region.
-    pub(super) async fn join_fleet(&mut self) {
+    /// it, in 55 calls a box, and most of them from another region. Returns whether there is a state.
+    pub(super) async fn join_fleet(&mut self) -> bool {
         let own = self.shared.settings.listen.handover;
         let mut seeds = self.shared.settings.seeds.clone();
         let is_seed = self.is_seed();
@@ -67,16 +67,23 @@
         } else {
             search.run().await
         };
-        let Some(join::Found { state, compressed }) = found else { return };
+        let Some(join::Found { state, compressed }) = found else { return false };
         if self.apply_fetched_state(state) {
             *lock(&self.shared.compressed_state) = compressed;
         }
+        true
     }
 
-    fn finish_initial_read(&mut self, read: Result<FullState, PlatformError>) {
+    fn finish_initial_read(&mut self, read: Result<FullState, PlatformError>) -> bool {
         match read {
-            Ok(state) => self.apply_full_state(state),
-            Err(error) => self.record_store_failure(&error),
+            Ok(state) => {
+                self.apply_full_state(state);
+                true
+            }
+            Err(error) => {
+                self.record_store_failure(&error);
+                false
+            }
         }
     }
 
