--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -66,6 +66,8 @@
     cold_until: Option<Instant>,
     /// Since when the entry is missing from the store, while it may still be written again.
     missing_since: Option<Instant>,
+    /// Names of the server's failure domain and region; `None` if the domain is unknown.
+    names: Option<DomainNames>,
     /// Hash of the server's name.
     id_hash: u64,
     /// Incarnation of the server that the entry describes.
@@ -91,6 +93,8 @@
     /// The newest configuration.
     pub routing: Option<Arc<Routing>>,
     servers: BTreeMap<ServerId, Entry>,
+    /// Whether entries of servers are missing from the store.
+    any_missing: bool,
     evacuated: BTreeMap<FailureDomainId, Evacuation>,
     boxes: BTreeMap<BoxId, BoxRecord>,
     expired_boxes: BTreeMap<BoxId, (BoxRecord, Instant)>,
@@ -226,6 +230,7 @@
         );
         let id = server.id.clone();
         let entry = Entry {
+            names: self.domains.get(&server.failure_domain).cloned(),
             id_hash: candidate::server_hash(&id),
             incarnation,
             server: Arc::new(server),
@@ -254,6 +259,11 @@
         }
     }
 
+    /// Number of known servers in all regions.
+    pub fn server_count(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Whether the store lists a box.
     pub fn is_listed(&self, name: &str) -> bool {
         self.boxes.contains_key(name)
@@ -302,6 +312,7 @@
             if let Some(entry) = self.servers.get_mut(id) {
                 log::info!("event=server_missing server={id} reason=\"the store was away\"");
                 entry.missing_since.get_or_insert(now);
+                self.any_missing = true;
             }
             return;
         }
@@ -349,15 +360,22 @@
     /// Removes entries that have been missing for long enough. Returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.servers.len() + self.expired_boxes.len() + self.senders.len();
-        self.servers.retain(|id, entry| {
-            let retained = entry.missing_since.is_none_or(|since| now < since + ROLLBACK_GRACE);
-            if !retained {
-                log::info!(
-                    "event=server_gone server={id} reason=\"missing since the store is back\""
-                );
-            }
-            retained
+        // The servers are not looked at in each tick while none is missing.
+        let mut any_missing = false;
+        let servers = self.any_missing.then_some(&mut self.servers);
+        servers.into_iter().for_each(|servers| {
+            servers.retain(|id, entry| {
+                any_missing |= entry.missing_since.is_some();
+                let retained = entry.missing_since.is_none_or(|since| now < since + ROLLBACK_GRACE);
+                if !retained {
+                    log::info!(
+                        "event=server_gone server={id} reason=\"missing since the store is back\""
+                    );
+                }
+                retained
+            })
         });
+        self.any_missing = any_missing;
         self.expired_boxes.retain(|_, (_, since)| now < *since + EXPIRED_BOX_RETENTION);
         self.senders.retain(|_, at| now < *at + EXPIRED_BOX_RETENTION);
         let dropped = self.servers.len() + self.expired_boxes.len() + self.senders.len() != before;
@@ -423,7 +441,7 @@
         let mut usable_servers: HashMap<ServiceId, Vec<ServerLocation>> = HashMap::new();
         for entry in self.servers.values().filter(|entry| self.is_home(entry)) {
             let server = &entry.server;
-            let Some(names) = self.domains.get(&server.failure_domain) else { continue };
+            let Some(names) = &entry.names else { continue };
             let location = ServerLocation {
                 hash: entry.id_hash,
                 region: Arc::clone(&names.region),
@@ -438,7 +456,7 @@
     pub fn slots(&self) -> HashMap<ServiceId, HashMap<RegionId, u32>> {
         let mut slots: HashMap<ServiceId, HashMap<RegionId, u32>> = HashMap::new();
         for entry in self.servers.values().filter(|entry| self.is_home(entry)) {
-            let Some(names) = self.domains.get(&entry.server.failure_domain) else { continue };
+            let Some(names) = &entry.names else { continue };
             let service = get_or_insert(&mut slots, &entry.server.service);
             *get_or_insert(service, &names.region) += entry.server.slots;
         }
@@ -534,8 +552,8 @@
         let Some(routing) = &self.routing else { return local_servers };
         for entry in self.servers.values() {
             let server = &entry.server;
-            let names = self.domains.get(&server.failure_domain);
-            if names.is_none_or(|names| *names.region != *context.own_record.region) {
+            if entry.names.as_ref().is_none_or(|names| *names.region != *context.own_record.region)
+            {
                 continue;
             }
             let Some(service) = routing.services.get(&server.service) else { continue };
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -60,6 +60,10 @@
 /// have expired. Without a minimum, one broken connection among 295 boxes made them keep servers
 /// that were gone for 2.2 s more.
 const MIN_OUTAGE: Duration = Duration::from_millis(500);
+/// Minimum time between two snapshots for each known server.
+const PUBLICATION_GAP_PER_SERVER: Duration = Duration::from_micros(40);
+/// Maximum time between two snapshots while there are changes, as a share of the propagation limit.
+const MAX_PUBLICATION_GAP_SHARE: f64 = 0.2;
 /// Expected number of boxes that poll the store once their records are written, when all start at
 /// once. Each poll returns the records of all boxes that started meanwhile.
 const STARTUP_POLLS: f64 = 64.0;
@@ -91,6 +95,10 @@
     watching: bool,
     started_at: Instant,
     just_started: bool,
+    /// When a snapshot was last published.
+    published_at: Option<Instant>,
+    /// Whether changes wait for the next snapshot.
+    has_unpublished_changes: bool,
     /// Era of the store that the entries belong to which are being applied.
     applied_era: Era,
     unreadable_keys: UnreadableKeys,
@@ -122,6 +130,8 @@
             watching: false,
             started_at: clock::now(),
             just_started: true,
+            published_at: None,
+            has_unpublished_changes: false,
             applied_era: 0,
             unreadable_keys: UnreadableKeys::default(),
         }
@@ -303,6 +313,9 @@
         let found_box = self.update_senders(now);
         let store_entry = |incarnation| self.cluster_state.departure_entry(incarnation);
         let departures_changed = lock(&self.shared.departures).tick(store_entry, now);
+        if self.has_unpublished_changes {
+            self.publish_changes();
+        }
         let upgrades_changed = lock(&self.shared.upgrades).take_changed();
         if self.cluster_state.expire(now)
             || startup_over
@@ -346,8 +359,24 @@
         found_box
     }
 
+    /// Publishes a snapshot after changes of the known state, at once or within a short time: each
+    /// snapshot costs work for each server, so there are fewer of them if there are many servers.
+    fn publish_changes(&mut self) {
+        let gap = PUBLICATION_GAP_PER_SERVER * self.cluster_state.server_count() as u32;
+        let gap =
+            gap.min(self.shared.settings.propagation_limit.mul_f64(MAX_PUBLICATION_GAP_SHARE));
+        let is_due = self.published_at.is_none_or(|at| clock::now() >= at + gap);
+        if is_due {
+            self.publish();
+        } else {
+            self.has_unpublished_changes = true;
+        }
+    }
+
     /// Publishes a snapshot of the known state to the traffic thread.
     fn publish(&mut self) {
+        self.published_at = Some(clock::now());
+        self.has_unpublished_changes = false;
         let settings = &self.shared.settings;
         let context = LocalContext {
             own_record: &self.own_record,
--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -227,7 +227,7 @@
         lock(&self.shared.replica).advance_to(position);
         let own_version = lock(&self.shared.replica).version();
         lock(&self.shared.freshness).record_state(own_version, now.checked_sub(age), now);
-        self.publish();
+        self.publish_changes();
         if own_version != version {
             log::warn!(
                 "event=state_differs position={position} digest={:x} told={:x}",
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -292,7 +292,7 @@
                 if !has_changes {
                     return ResponseEffect::Unchanged;
                 }
-                self.publish();
+                self.publish_changes();
                 self.shared.region_update.notify_one();
                 ResponseEffect::Changed
             }
