starts: a small store is read at once, and beside the search

Change: each box reads up to 400 keys of the store and, 120 ms later, asks for a box that has the state beside that; the first that comes counts. What a start reads stays bounded whatever the size of the fleet.

--- a/lib/src/gateway/control/join.rs
+++ b/lib/src/gateway/control/join.rs
@@ -21,9 +21,9 @@
 /// Maximum wait for a box that a seed has named to get the state itself.
 const REFERRAL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Pause before a box of the same failure domain is asked again.
-const REFERRAL_PAUSE: Duration = Duration::from_millis(50);
+const REFERRAL_PAUSE: Duration = Duration::from_millis(30);
 /// Pause before a seed is asked again.
-const SEED_PAUSE: Duration = Duration::from_millis(150);
+const SEED_PAUSE: Duration = Duration::from_millis(100);
 /// Delay before the next seed is asked in parallel: longer than a round trip to the farthest
 /// region.
 const NEXT_SEED_DELAY: Duration = Duration::from_millis(250);
--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -8,7 +8,6 @@
 
 use super::Control;
 use super::join;
-use super::store_sync::FullState;
 use super::store_sync::read_full_state;
 use crate::coordination::presence;
 use crate::coordination::rendezvous;
@@ -20,8 +19,8 @@
 use crate::gateway::state_transfer::StateScope;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Change;
-use crate::protocol::platform::PlatformError;
 use crate::state::clock;
+use crate::transport::timer;
 
 /// How far a watching box may lag behind another one beyond the gap between two watches: the time
 /// of a few slow calls.
@@ -30,60 +29,70 @@
 /// boxes query the few that watch.
 const MIN_QUERY_GAP: Duration = Duration::from_millis(200);
 
+/// Keys that a box reads from the store at its start before it relies on other boxes. Smaller fleets
+/// start as fast as the store answers.
+const MAX_KEYS_AT_START: usize = 400;
+/// Delay before a box that starts asks others: most reads of a small state are done by then.
+const SEARCH_DELAY: Duration = Duration::from_millis(120);
 /// Interval at which a box that knows no other one queries the seeds. A queried box sends to boxes
 /// of other regions only once it has known them for a second without finding them in the store.
 const SEED_QUERY_INTERVAL: Duration = Duration::from_secs(1);
 
 impl<A: Adapter> Control<A> {
-    /// Gets the state at the start. The seeds read the store; each other box gets the state from a
-    /// box that a seed names. If each box read the store, 984 boxes that start would read 5 GB of
-    /// it, in 55 calls a box, and most of them from another region. Returns whether there is a state.
+    /// Gets the state at the start, from the store or from a box that a seed names, whichever is
+    /// first. Boxes other than seeds read only a bounded part of the store: if each box read all of
+    /// it, 984 boxes that start would read 5 GB, in 55 calls a box, and most of them from another
+    /// region. Returns whether there is a state.
     pub(super) async fn join_fleet(&mut self) -> bool {
-        let own = self.shared.settings.listen.handover;
-        let mut seeds = self.shared.settings.seeds.clone();
-        let is_seed = self.is_seed();
-        seeds.retain(|seed| *seed != own);
-        let domain = self.shared.settings.failure_domain.clone();
-        // The boxes of a failure domain prefer the same seed, so that they form one tree.
-        seeds.sort_by_key(|seed| Reverse(rendezvous::weight(&seed.to_string(), &domain)));
-        let search = join::Search {
-            client: self.shared.peers.clone(),
-            seeds,
-            join: (!is_seed).then_some((domain, own)),
-            requester: self.own_neighbor(),
+        let limit = if self.is_seed() { usize::MAX } else { MAX_KEYS_AT_START };
+        let read = read_full_state(self.store.clone(), self.position().era, limit);
+        let search = self.new_search();
+        let search = async {
+            timer::sleep(SEARCH_DELAY).await;
+            search.run().await
         };
-        let found = if is_seed {
-            let read = read_full_state(self.store.clone(), self.position().era);
-            let search = async {
-                match search.run().await {
-                    None => std::future::pending().await,
-                    found => found,
-                }
-            };
+        tokio::pin!(read, search);
+        let (mut is_reading, mut is_searching) = (true, true);
+        while is_reading || is_searching {
             tokio::select! {
-                found = search => found,
-                read = read => return self.finish_initial_read(read),
+                result = &mut read, if is_reading => match result {
+                    Ok(Some(state)) => {
+                        self.apply_full_state(state);
+                        return true;
+                    }
+                    Ok(None) => is_reading = false,
+                    Err(error) => {
+                        self.record_store_failure(&error);
+                        is_reading = false;
+                    }
+                },
+                found = &mut search, if is_searching => match found {
+                    Some(join::Found { state, compressed }) => {
+                        if self.apply_fetched_state(state) {
+                            *lock(&self.shared.compressed_state) = compressed;
+                        }
+                        return true;
+                    }
+                    None => is_searching = false,
+                },
             }
-        } else {
-            search.run().await
-        };
-        let Some(join::Found { state, compressed }) = found else { return false };
-        if self.apply_fetched_state(state) {
-            *lock(&self.shared.compressed_state) = compressed;
         }
-        true
+        false
     }
 
-    fn finish_initial_read(&mut self, read: Result<FullState, PlatformError>) -> bool {
-        match read {
-            Ok(state) => {
-                self.apply_full_state(state);
-                true
-            }
-            Err(error) => {
-                self.record_store_failure(&error);
-                false
-            }
+    /// The search of this box for another one that has the state.
+    fn new_search(&self) -> join::Search {
+        let settings = &self.shared.settings;
+        let (own, domain) = (settings.listen.handover, settings.failure_domain.clone());
+        let mut seeds = settings.seeds.clone();
+        seeds.retain(|seed| *seed != own);
+        // The boxes of a failure domain prefer the same seed, so that they form one tree.
+        seeds.sort_by_key(|seed| Reverse(rendezvous::weight(&seed.to_string(), &domain)));
+        join::Search {
+            client: self.shared.peers.clone(),
+            seeds,
+            join: (!self.is_seed()).then_some((domain, own)),
+            requester: self.own_neighbor(),
         }
     }
 
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -102,10 +102,12 @@
 /// Reads the complete contents of the store, in the newest known era. It never uses stale reads,
 /// though they cost a tenth: while the store compacts its history they lag by seconds, and a box
 /// that starts would send to a failure domain for longer after its evacuation than is allowed.
+/// Returns `None` if there are more than `max_keys` keys.
 pub(super) async fn read_full_state<A: Adapter>(
     store: store::Client<A>,
     known_era: Era,
-) -> Result<FullState, PlatformError> {
+    max_keys: usize,
+) -> Result<Option<FullState>, PlatformError> {
     let mut after = None;
     let mut oldest: Option<Position> = None;
     let mut all_items = Vec::new();
@@ -126,7 +128,10 @@
         oldest = Some(position);
         all_items.extend(items);
         if !more || after.is_none() {
-            return Ok(FullState { items: all_items, position });
+            return Ok(Some(FullState { items: all_items, position }));
+        }
+        if all_items.len() >= max_keys {
+            return Ok(None);
         }
     }
 }
@@ -134,8 +139,10 @@
 impl<A: Adapter> Control<A> {
     /// Reads the complete contents of the store and applies them.
     pub(super) async fn load_full_state(&mut self) -> Result<(), PlatformError> {
-        let full_state = read_full_state(self.store.clone(), self.position().era).await?;
-        self.apply_full_state(full_state);
+        let read = read_full_state(self.store.clone(), self.position().era, usize::MAX);
+        if let Some(full_state) = read.await? {
+            self.apply_full_state(full_state);
+        }
         Ok(())
     }
 
@@ -263,7 +270,10 @@
 
     /// Starts a read of the complete contents, in one call or several.
     fn start_full_read(&self) -> PendingCall {
-        PendingCall::FullRead(Box::pin(read_full_state(self.store.clone(), self.position().era)))
+        let read = read_full_state(self.store.clone(), self.position().era, usize::MAX);
+        // Without a limit, a read returns a state or an error.
+        let unlimited = async { read.await?.ok_or(PlatformError::Malformed("no end".to_owned())) };
+        PendingCall::FullRead(Box::pin(unlimited))
     }
 
     /// Applies a response of the store and returns its effect.
