reports: a box that starts or leaves tells at most 96 boxes of other regions

A box that starts sends five reports to every box of the other regions: at 984 boxes that start together up to 984 x 656 x 5 datagrams of some 250 bytes.

Change: each of the five goes to 96 of them at random. Up to 144 boxes in three equal regions hear it as before; in a larger fleet the others read it in the store, within the time of any change.

--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -42,9 +42,13 @@
 /// Maximum number of boxes that get each report, so that the cost doesn't grow with the region. A
 /// larger region is covered in rotation.
 const MAX_RECIPIENTS: usize = 32;
-/// Number of consecutive reports in which a change of this box's own status goes to all boxes of
-/// other regions, because some datagrams are lost. After that, these boxes receive the status in
-/// rotation or from the store.
+/// Maximum number of boxes of other regions that get a report about a change of this box's own
+/// status. With all of them, boxes that start together would send boxes x boxes datagrams; the
+/// others read the status in the store.
+const MAX_ANNOUNCEMENT_RECIPIENTS: usize = 96;
+/// Number of consecutive reports in which a change of this box's own status goes to boxes of other
+/// regions, because some datagrams are lost. After that, these boxes receive the status in rotation
+/// or from the store.
 const ANNOUNCEMENT_REPORTS: u32 = 5;
 /// Number of a datagram outside the sequence: one that replies to a box which has just started and
 /// contains only rates and leaving servers, or one for judges of upgrades. It is not part of the sequence of the sender's reports.
@@ -325,11 +329,10 @@
     reduce_for_other_regions(shared, &mut report);
     let remote_boxes = other_region_boxes(shared);
     let datagram = encode(&mut report);
-    if announcer.should_announce(report.leaving) {
-        send(socket, &datagram, remote_boxes.iter());
-    } else {
-        send(socket, &datagram, remote_boxes.iter().choose(&mut rand::rng()).into_iter());
-    }
+    let recipients =
+        if announcer.should_announce(report.leaving) { MAX_ANNOUNCEMENT_RECIPIENTS } else { 1 };
+    let recipients = remote_boxes.iter().choose_multiple(&mut rand::rng(), recipients);
+    send(socket, &datagram, recipients.into_iter());
     // This report tells unlisted boxes of other regions about each other, and which box to query
     // for a newer state. They get no reports for a long time while their datagrams do not arrive.
     // So this report doesn't confirm the age of their state, and these boxes probe servers to find
