--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use self::peer_sync::StartOutcome;
 use self::unreadable_keys::UnreadableKeys;
 use super::cluster_state::ClusterState;
 use super::cluster_state::LocalContext;
@@ -180,8 +181,10 @@
     /// before the process ends.
     async fn load_initial_state(&mut self, events: &mut mpsc::Receiver<Event>) -> bool {
         // The first state of a new fleet may lack a configuration, which follows like any change.
-        if self.join_fleet().await {
-            return true;
+        match self.join_fleet(events).await {
+            StartOutcome::HasState => return true,
+            StartOutcome::Stopped => return false,
+            StartOutcome::NoState => {}
         }
         while self.cluster_state.routing.is_none() {
             match self.load_full_state().await {
@@ -375,6 +378,7 @@
 
     /// Publishes a snapshot of the known state to the traffic thread.
     fn publish(&mut self) {
+        self.shared.counters.increment(Counter::Snapshots);
         self.published_at = Some(clock::now());
         self.has_unpublished_changes = false;
         let settings = &self.shared.settings;
--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -6,7 +6,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::sync::mpsc;
+
 use super::Control;
+use super::Event;
+use super::TICK_INTERVAL;
 use super::join;
 use super::store_sync::read_full_state;
 use crate::coordination::presence;
@@ -20,6 +24,7 @@
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Change;
 use crate::state::clock;
+use crate::transport::store;
 use crate::transport::timer;
 
 /// How far a watching box may lag behind another one beyond the gap between two watches: the time
@@ -29,6 +34,17 @@
 /// boxes query the few that watch.
 const MIN_QUERY_GAP: Duration = Duration::from_millis(200);
 
+/// How the start of a box ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum StartOutcome {
+    /// The box has a state.
+    HasState,
+    /// Neither the store nor another box gave a state.
+    NoState,
+    /// The box was stopped.
+    Stopped,
+}
+
 /// Keys that a box reads from the store at its start before it relies on other boxes. Smaller fleets
 /// start as fast as the store answers.
 const MAX_KEYS_AT_START: usize = 400;
@@ -42,10 +58,18 @@
     /// Gets the state at the start, from the store or from a box that a seed names, whichever is
     /// first. Boxes other than seeds read only a bounded part of the store: if each box read all of
     /// it, 984 boxes that start would read 5 GB, in 55 calls a box, and most of them from another
-    /// region. Returns whether there is a state.
-    pub(super) async fn join_fleet(&mut self) -> bool {
-        let limit = if self.is_seed() { usize::MAX } else { MAX_KEYS_AT_START };
-        let read = read_full_state(self.store.clone(), self.position().era, limit);
+    /// region.
+    pub(super) async fn join_fleet(&mut self, events: &mut mpsc::Receiver<Event>) -> StartOutcome {
+        let max_keys = if self.is_seed() { usize::MAX } else { MAX_KEYS_AT_START };
+        let (store, era) = (self.store.clone(), self.position().era);
+        let start_read = |delay| {
+            let store = store.clone();
+            async move {
+                timer::sleep(delay).await;
+                read_full_state(store, era, max_keys).await
+            }
+        };
+        let read = start_read(Duration::ZERO);
         let search = self.new_search();
         let search = async {
             timer::sleep(SEARCH_DELAY).await;
@@ -53,17 +77,19 @@
         };
         tokio::pin!(read, search);
         let (mut is_reading, mut is_searching) = (true, true);
-        while is_reading || is_searching {
+        // A store that fails is read again: all boxes may have lost their state, and only the store
+        // has it then.
+        while is_searching || (is_reading && self.store_down_since.is_none()) {
             tokio::select! {
                 result = &mut read, if is_reading => match result {
                     Ok(Some(state)) => {
                         self.apply_full_state(state);
-                        return true;
+                        return StartOutcome::HasState;
                     }
                     Ok(None) => is_reading = false,
                     Err(error) => {
                         self.record_store_failure(&error);
-                        is_reading = false;
+                        read.set(start_read(store::RETRY_DELAY));
                     }
                 },
                 found = &mut search, if is_searching => match found {
@@ -71,13 +97,18 @@
                         if self.apply_fetched_state(state) {
                             *lock(&self.shared.compressed_state) = compressed;
                         }
-                        return true;
+                        return StartOutcome::HasState;
                     }
                     None => is_searching = false,
                 },
+                Some(event) = events.recv() => self.handle_event(event),
+                () = timer::sleep(TICK_INTERVAL) => {}
+            }
+            if self.tick() {
+                return StartOutcome::Stopped;
             }
         }
-        false
+        StartOutcome::NoState
     }
 
     /// The search of this box for another one that has the state.
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -46,6 +46,9 @@
     let _ = writeln!(text, "copperweir_state_revision {}", position.revision);
     let _ = writeln!(text, "copperweir_state_age_ms {}", shared.state_age_ms());
     let _ = writeln!(text, "copperweir_store_era {}", shared.eras.get());
+    let _ = writeln!(text, "copperweir_state_keys {}", lock(&shared.replica).len());
+    let upgrades = lock(&shared.upgrades).running_count();
+    let _ = writeln!(text, "copperweir_upgrades {upgrades}");
     let refused = lock(&shared.quarantine).len();
     let _ = writeln!(text, "copperweir_quarantined_contents {refused}");
     let throttled = lock(&shared.throttles).len();
--- a/lib/src/gateway/replica.rs
+++ b/lib/src/gateway/replica.rs
@@ -94,6 +94,16 @@
         self.removals.advance_to(position.revision);
     }
 
+    /// Number of keys.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are no keys.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Version of this state.
     pub fn version(&self) -> Version {
         self.version
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -3,19 +3,19 @@
 //! no callers, and a box that loses the store would act against what the operator and the servers
 //! have written since.
 
+mod start;
+
+pub use self::start::CompressedState;
+pub use self::start::StartResponse;
+pub use self::start::request_start;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::io::Read;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use http::HeaderMap;
 use http::HeaderName;
 use http::Request;
@@ -29,6 +29,8 @@
 use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
 
+use self::start::deflate;
+use self::start::inflate;
 use super::shared::Shared;
 use super::shared::lock;
 use crate::coordination::freshness::Version;
@@ -56,14 +58,8 @@
 const MAX_QUERY_BYTES: usize = 1 << 20;
 /// Maximum wait for one box: two round trips to the farthest region.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum wait for the whole state of a large fleet, over a slow link that several boxes share.
-const START_TIMEOUT: Duration = Duration::from_secs(3);
-/// Age up to which a box hands on the compressed state that it has.
-const COMPRESSED_TTL: Duration = Duration::from_secs(2);
 /// Size of values in bytes from which on entries are deflated.
 const MIN_DEFLATED_BYTES: usize = 16 << 10;
-/// Maximum size of a state in bytes, without compression.
-const MAX_STATE_BYTES: u64 = 64 << 20;
 /// Delay before the next box is queried in parallel: longer than one such round trip.
 const NEXT_SEED_DELAY: Duration = Duration::from_millis(150);
 
@@ -142,16 +138,6 @@
     entries: HashMap<String, Entry>,
 }
 
-/// A compressed state as it is handed to boxes that start. A box hands on what it got itself, as
-/// long as that is recent.
-#[derive(Clone, Debug)]
-pub struct CompressedState {
-    version: Version,
-    /// When this was the store's state.
-    confirmed_at: Instant,
-    deflated: Bytes,
-}
-
 #[derive(Clone, PartialEq, prost::Message)]
 struct Hashes {
     #[prost(fixed64, repeated, tag = "1")]
@@ -226,17 +212,6 @@
     }
 }
 
-/// A response to a box that starts.
-#[derive(Clone, Debug)]
-pub enum StartResponse {
-    /// The state.
-    State(Box<FetchedState>, Option<CompressedState>),
-    /// Boxes to ask instead.
-    Referrals(Vec<SocketAddr>),
-    /// The box that was asked has no state yet.
-    NoState,
-}
-
 /// Handles the state query of another box.
 pub async fn handle<A: Adapter>(
     shared: Arc<Shared<A>>,
@@ -250,55 +225,12 @@
         *refusal.status_mut() = StatusCode::BAD_REQUEST;
         return refusal;
     };
-    let reply =
-        if query.starts { build_start_reply(&shared, &query) } else { build_reply(&shared, query) };
-    Response::new(ResponseBody::buffered(reply.encode_to_vec()))
-}
-
-/// Builds the reply to a box that starts: the state, or boxes of its failure domain to ask.
-fn build_start_reply<A: Adapter>(shared: &Shared<A>, query: &StateQuery) -> StateReply {
-    let now = clock::now();
-    if let Ok(handover) = query.handover.parse() {
-        let referrals = lock(&shared.joins).add(&query.failure_domain, handover, now);
-        if !referrals.is_empty() {
-            let referrals = referrals.iter().map(SocketAddr::to_string).collect();
-            return StateReply { referrals, ..StateReply::default() };
-        }
-    }
-    let Some(state) = compressed_state(shared, now) else { return StateReply::default() };
-    let recovered_ago = lock(&shared.store_recovered_at).map(clock::since);
-    let recovered_ago = recovered_ago.filter(|ago| *ago < ROLLBACK_GRACE);
-    StateReply {
-        era: state.version.position.era,
-        revision: state.version.position.revision,
-        digest: state.version.digest,
-        age_ms: Some(now.saturating_duration_since(state.confirmed_at).as_millis() as u64),
-        returned_ms: recovered_ago.map(|ago| ago.as_millis() as u64),
-        verdicts: lock(&shared.quarantine).active_verdicts(now),
-        deflated: state.deflated,
-        ..StateReply::default()
-    }
-}
-
-/// The state for boxes that start; `None` if this box has none yet.
-fn compressed_state<A: Adapter>(shared: &Shared<A>, now: Instant) -> Option<CompressedState> {
-    let kept = lock(&shared.compressed_state).clone();
-    if let Some(kept) = kept.filter(|kept| now < kept.confirmed_at + COMPRESSED_TTL) {
-        return Some(kept);
-    }
-    let age = lock(&shared.freshness).age(now)?;
-    let (version, entries) = {
-        let replica = lock(&shared.replica);
-        let items = replica.items_written_after(Position::default());
-        let entry =
-            |item: KeyValue| (item.key, Entry { value: item.value, revision: item.revision });
-        (replica.version(), items.map(entry).collect())
+    let reply = if query.starts {
+        start::build_reply(&shared, &query)
+    } else {
+        build_reply(&shared, query)
     };
-    let deflated = deflate(entries)?;
-    let confirmed_at = now.checked_sub(age)?;
-    let state = CompressedState { version, confirmed_at, deflated };
-    *lock(&shared.compressed_state) = Some(state.clone());
-    Some(state)
+    Response::new(ResponseBody::buffered(reply.encode_to_vec()))
 }
 
 /// Reads a query. An empty body is the query of a box that has no state.
@@ -374,62 +306,6 @@
     })
 }
 
-/// Asks a box for the state on behalf of a box that starts. `join` gives the failure domain of that
-/// box and the address at which it hands the state on, if it may be referred to another box.
-pub async fn request_start(
-    client: &backend::Client,
-    address: SocketAddr,
-    join: Option<(&str, SocketAddr)>,
-    requester: &Neighbor,
-) -> Result<StartResponse, String> {
-    let query = StateQuery {
-        starts: true,
-        handover: join.map(|(_, handover)| handover.to_string()).unwrap_or_default(),
-        failure_domain: join.map(|(domain, _)| domain.to_owned()).unwrap_or_default(),
-        ..StateQuery::default()
-    };
-    let reply = query_state(client, address, &query, Some(requester));
-    let reply = match timer::timeout(START_TIMEOUT, reply).await {
-        Ok(reply) => reply?,
-        Err(_) => return Err("no answer in time".to_owned()),
-    };
-    if !reply.referrals.is_empty() {
-        let referrals = reply.referrals.iter().filter_map(|address| address.parse().ok());
-        return Ok(StartResponse::Referrals(referrals.collect()));
-    }
-    let Some(age_ms) = reply.age_ms else { return Ok(StartResponse::NoState) };
-    let age = Duration::from_millis(age_ms);
-    let confirmed_at = clock::now().checked_sub(age).ok_or("the state is too old")?;
-    let version = Version {
-        position: Position { era: reply.era, revision: reply.revision },
-        digest: reply.digest,
-    };
-    // A box of the version before replies with single entries.
-    let deflated = reply.deflated.clone();
-    let mut state = fetched_state(address, reply)?.ok_or("a state without an age")?;
-    let mut compressed = None;
-    if !deflated.is_empty() {
-        state.removed_keys = RemovedKeys::Listed(HashSet::new());
-        compressed = Some(CompressedState { version, confirmed_at, deflated });
-    }
-    Ok(StartResponse::State(Box::new(state), compressed))
-}
-
-fn deflate(entries: HashMap<String, Entry>) -> Option<Bytes> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    // Writing to memory can't fail.
-    encoder.write_all(&Entries { entries }.encode_to_vec()).ok()?;
-    encoder.finish().ok().map(Bytes::from)
-}
-
-fn inflate(deflated: &[u8]) -> Result<Vec<KeyValue>, String> {
-    let mut encoded = Vec::new();
-    let mut decoder = DeflateDecoder::new(deflated).take(MAX_STATE_BYTES);
-    decoder.read_to_end(&mut encoded).map_err(|error| error.to_string())?;
-    let state = Entries::decode(Bytes::from(encoded)).map_err(|error| error.to_string())?;
-    Ok(state.entries.into_iter().map(to_item).collect())
-}
-
 /// Requests the full state from boxes in random order until one of them has any. The next box is
 /// queried when one has not responded for a while or has no state. The queries make `requester`
 /// known to the boxes.
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -66,6 +66,7 @@
     StoreWrites "store_writes" "Writes to the platform's store.";
     StoreFailures "store_failures" "Calls to the platform that failed.";
     StoreRestored "store_restored" "Restores of the platform's store from an older copy.";
+    Snapshots "snapshots" "Snapshots of the known state published to the traffic thread.";
     ConfigurationsAdopted "configurations_adopted" "Configuration versions put in force.";
     OlderOffers "older_offers" "Configuration versions offered that are older than the one in force.";
     Orders "orders" "Orders sent to backend servers.";
