upgrade: no succession without servers, no wake-ups while nothing is ordered

Cause, from reading: if all servers of the target version are lost in the last stage, the others serve again; no box then had requests on retired servers, so the upgrade would have succeeded and the platform stopped the only servers left. Test: version_whose_servers_are_lost_does_not_take_over. Reports to judges go out after periodic reports and judges look for orders every 0.6 s, in place of two timers of their own on every box.

--- a/lib/src/coordination/upgrade/plan.rs
+++ b/lib/src/coordination/upgrade/plan.rs
@@ -243,7 +243,8 @@
     fn advance(&self, plan: &Plan) -> Option<Decision> {
         let (order, _) = self.order?;
         let fraction = |fraction: f64| order.duration.mul_f64(fraction);
-        if self.elapsed >= order.duration && plan.stage != Stage::Full {
+        let is_late = self.elapsed >= order.duration;
+        if is_late && (plan.stage != Stage::Full || self.target_servers == 0) {
             return self.change(plan, Stage::RolledBack, "the version did not take over in time");
         }
         let due = match plan.stage {
@@ -255,12 +256,14 @@
                     && self.target_age.is_some_and(|age| age >= MIN_RAMP)
             }
             Stage::Ramp => {
-                let needed = self.other_servers as f64 * MIN_SERVER_FRACTION;
-                self.target_servers > 0
-                    && self.target_servers as f64 >= needed
+                self.has_enough_servers()
                     && self.stage_age >= fraction(RAMP_FRACTION).max(MIN_RAMP) + self.delay()
             }
-            Stage::Full => self.is_drained && self.stage_age >= MIN_FULL + self.delay(),
+            Stage::Full => {
+                self.has_enough_servers()
+                    && self.is_drained
+                    && self.stage_age >= MIN_FULL + self.delay()
+            }
             Stage::Succeeded | Stage::RolledBack => false,
         };
         if !due {
@@ -273,6 +276,12 @@
         }
     }
 
+    /// Whether the target version can take over. If its servers are gone, the others serve again.
+    fn has_enough_servers(&self) -> bool {
+        let needed = self.other_servers as f64 * MIN_SERVER_FRACTION;
+        self.target_servers > 0 && self.target_servers as f64 >= needed
+    }
+
     fn change(&self, plan: &Plan, stage: Stage, reason: &'static str) -> Option<Decision> {
         let mut plan =
             Plan { serial: plan.serial + 1, stage, elapsed_ms: self.elapsed_ms(), ..plan.clone() };
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -80,10 +80,9 @@
                 tick_throttles(&shared, now);
                 quarantine::tick(&shared, now);
                 send_periodic(&shared, &socket, number, &mut announcer);
-            }
-            () = timer::sleep_until(upgrade_report_at) => {
-                number += 1;
-                upgrade_report_at = clock::now() + upgrade::send_reports(&shared, &socket, number);
+                if now >= upgrade_report_at {
+                    upgrade_report_at = now + upgrade::send_reports(&shared, &socket, number);
+                }
             }
             () = shared.region_update.notified() => {
                 number += 1;
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -44,8 +44,11 @@
 
 /// Interval of a judge's decisions.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
-/// Minimum interval of the reports to the judges.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of the checks whether there is an order.
+const IDLE_INTERVAL: Duration = Duration::from_millis(600);
+/// Minimum interval of the reports to the judges. They are sent after periodic reports to other
+/// boxes, so this is less than the interval of those.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Reports that one judge receives in a second, at most, from a large fleet.
 const JUDGE_REPORT_RATE: f64 = 1000.0;
 /// Number of a datagram that contains only reports about upgrades.
@@ -129,7 +132,7 @@
     }
 }
 
-/// Sends this box's counts to the judges if they are due. Returns when to call this again.
+/// Sends this box's counts to the judges. Returns the time until the next reports are due.
 pub fn send_reports<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64) -> Duration {
     let snapshot = shared.snapshot.load();
     let interval = Duration::from_secs_f64(snapshot.fleet_size as f64 / JUDGE_REPORT_RATE);
@@ -202,10 +205,8 @@
     own_record: BoxRecord,
 ) {
     loop {
-        timer::sleep(JUDGE_INTERVAL).await;
-        if lock(&shared.upgrades).is_empty() {
-            continue;
-        }
+        let is_idle = lock(&shared.upgrades).is_empty();
+        timer::sleep(if is_idle { IDLE_INTERVAL } else { JUDGE_INTERVAL }).await;
         let services = lock(&shared.upgrades).services();
         for service in services {
             let Some(judged) = decide(&shared, &own_record, &service) else { continue };
--- a/lib/tests/test_upgrade.rs
+++ b/lib/tests/test_upgrade.rs
@@ -62,6 +62,8 @@
     store_away: Option<(f64, f64)>,
     /// A box that never reports.
     silent_box: bool,
+    /// All servers of the target version are gone from this second on.
+    target_lost_at: Option<f64>,
     /// Natural failures on each route.
     failure_rate: f64,
 }
@@ -253,7 +255,8 @@
         let is_stopped = self.stored.as_ref().is_some_and(|plan| plan.stage == Stage::Succeeded);
         let old = if is_stopped { 0 } else { self.setup.servers };
         // Servers of the target version start a second after the order.
-        let new = if self.seconds() < 1.0 { 0 } else { self.setup.servers };
+        let is_lost = self.setup.faults.target_lost_at.is_some_and(|at| self.seconds() >= at);
+        let new = if self.seconds() < 1.0 || is_lost { 0 } else { self.setup.servers };
         ServerCounts {
             by_version: BTreeMap::from([("v1".to_owned(), old), ("v2".to_owned(), new)]),
         }
@@ -272,7 +275,9 @@
             let versions = versions.get(SERVICE).cloned().unwrap_or_default();
             let is_target = match (versions.role("v1"), versions.role("v2")) {
                 (_, Role::Canary) => self.rng.random::<f64>() < versions.canary_share,
-                (Role::Retired, Role::Serving) => true,
+                (Role::Retired, Role::Serving) => {
+                    self.servers().by_version.get("v2").is_some_and(|count| *count > 0)
+                }
                 (Role::Serving, Role::Rejected) => false,
                 roles => panic!("no version serves: {roles:?}"),
             };
@@ -548,6 +553,15 @@
     }
 }
 
+#[test]
+fn version_whose_servers_are_lost_does_not_take_over() {
+    for at in [3.0, 6.5, 7.6, 8.0] {
+        let faults = Faults { target_lost_at: Some(at), ..Faults::default() };
+        let outcome = Setup { faults, ..Setup::new(Behavior::Good) }.run();
+        assert_eq!(outcome.stage(), Some(Stage::RolledBack), "lost at {at} s: {outcome:?}");
+    }
+}
+
 #[test]
 fn upgrade_does_not_succeed_while_a_box_has_not_confirmed() {
     let faults = Faults { silent_box: true, ..Faults::default() };
