upgrade: servers of the ordered version serve if no other version is left

Cause, from reading: an order for the version that all servers of a service have gave them the share of a canary, and all other requests were refused; so it was when the old servers had died. Change: where no serving version is left, a version that was replaced serves, else the one on trial.

--- a/lib/src/coordination/upgrade/mod.rs
+++ b/lib/src/coordination/upgrade/mod.rs
@@ -36,7 +36,8 @@
     /// Requests, like a server of a service without an upgrade.
     #[default]
     Serving,
-    /// The share of the requests that the plan gives to the target version.
+    /// The share of the requests that the plan gives to the target version; all of them if no other
+    /// version is left.
     Canary,
     /// No requests: the target version has taken over. It serves again if it is the only version
     /// that is left.
--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -17,6 +17,7 @@
 use crate::coordination::interrupted::ServerIncarnation;
 use crate::coordination::store_rollback::ROLLBACK_GRACE;
 use crate::coordination::store_rollback::StoreRollback;
+use crate::coordination::upgrade::Role;
 use crate::coordination::upgrade::Versions;
 use crate::protocol::BoxId;
 use crate::protocol::RegionId;
@@ -103,8 +104,8 @@
     rollback: StoreRollback,
     /// Roles of the versions of services that are or were upgraded.
     versions: BTreeMap<ServiceId, Versions>,
-    /// Services of which only servers of retired versions are left.
-    only_retired: BTreeSet<ServiceId>,
+    /// Services of which no serving version is left, with the role whose servers serve instead.
+    substitutes: BTreeMap<ServiceId, Role>,
 }
 
 /// The local box and its settings, which decide how limits are shared.
--- a/lib/src/gateway/cluster_state/views.rs
+++ b/lib/src/gateway/cluster_state/views.rs
@@ -70,19 +70,23 @@
     /// Sets the roles of the versions of services that are or were upgraded.
     pub fn set_versions(&mut self, versions: BTreeMap<ServiceId, Versions>) {
         self.versions = versions;
-        self.only_retired.clear();
+        self.substitutes.clear();
         if self.versions.is_empty() {
             return;
         }
-        let (mut retired, mut serving) = (BTreeSet::new(), BTreeSet::new());
+        let mut roles: BTreeMap<ServiceId, BTreeSet<Role>> = BTreeMap::new();
         for entry in self.servers.values().filter(|entry| self.accepts_requests(entry)) {
-            match self.role(&entry.server) {
-                Role::Retired => retired.insert(entry.server.service.clone()),
-                Role::Serving => serving.insert(entry.server.service.clone()),
-                Role::Canary | Role::Rejected => continue,
-            };
+            let role = self.role(&entry.server);
+            roles.entry(entry.server.service.clone()).or_default().insert(role);
+        }
+        for (service, roles) in roles {
+            // A version that was replaced is known to work, so it comes before one on trial.
+            let substitutes = [Role::Serving, Role::Retired, Role::Canary];
+            let substitute = substitutes.into_iter().find(|role| roles.contains(role));
+            if let Some(role) = substitute.filter(|role| *role != Role::Serving) {
+                self.substitutes.insert(service, role);
+            }
         }
-        self.only_retired = retired.difference(&serving).cloned().collect();
     }
 
     /// The roles of a service's versions.
@@ -104,7 +108,7 @@
     fn role(&self, server: &Server) -> Role {
         let versions = self.versions.get(&server.service);
         match versions.map_or(Role::Serving, |versions| versions.role(&server.version)) {
-            Role::Retired if self.only_retired.contains(&server.service) => Role::Serving,
+            role if self.substitutes.get(&server.service) == Some(&role) => Role::Serving,
             role => role,
         }
     }
