quarantine: evaluations are logged, with what a box has forgotten

An evaluation that ended without a verdict wrote nothing, so the log could not tell evidence that was displaced from evidence that never arrived or from a verdict that was withheld. event=evaluated now shows independent ends, entries kept and dropped, callers, width and ranking.

--- a/lib/src/coordination/quarantine.rs
+++ b/lib/src/coordination/quarantine.rs
@@ -116,6 +116,27 @@
     pub server_count: usize,
 }
 
+/// Evaluation of a content, for the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Evaluation {
+    /// The content.
+    pub content: ContentHash,
+    /// Independent consecutive crashes under requests of any caller.
+    pub crashes: usize,
+    /// Crashes that this box knows, independent or not.
+    pub known_crashes: usize,
+    /// Crashes that this box has forgotten to make room for others.
+    pub forgotten_crashes: usize,
+    /// Number of callers under whose requests servers crashed.
+    pub callers: usize,
+    /// Number of servers that currently execute the content for this box.
+    pub server_count: usize,
+    /// How likely the content is the cause.
+    pub ranking: Ranking,
+    /// Number of verdicts issued.
+    pub verdicts: usize,
+}
+
 #[derive(Clone, Debug)]
 struct Suspect {
     evidence: Evidence,
@@ -130,12 +151,15 @@
 }
 
 /// How likely a content is the cause among others that have seen the same crashes.
-#[derive(Clone, Copy, Debug)]
-enum Ranking {
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ranking {
     /// Another content is more likely: it has a verdict, or is executed on fewer running servers.
     Unlikely,
-    /// Other contents are equally likely; `ahead` of them are admitted before this one.
-    Tied { ahead: u32 },
+    /// Other contents are equally likely.
+    Tied {
+        /// Number of these that are admitted before this one.
+        ahead: u32,
+    },
     /// No other content is as likely.
     MostLikely,
 }
@@ -156,6 +180,8 @@
     cleared: HashMap<Target, Instant>,
     executions: Executions,
     unwritten: BTreeSet<Target>,
+    /// Evaluations of the last tick.
+    evaluations: Vec<Evaluation>,
 }
 
 impl Quarantine {
@@ -395,6 +421,7 @@
 
     /// Evaluates suspects that are due, and drops old entries. Returns the new verdicts.
     pub fn tick(&mut self, now: Instant) -> Vec<Target> {
+        self.evaluations.clear();
         if self.is_empty() && self.cleared.is_empty() {
             return Vec::new();
         }
@@ -410,6 +437,11 @@
         new_verdicts
     }
 
+    /// Evaluations of the last tick, with and without verdicts.
+    pub fn evaluations(&self) -> &[Evaluation] {
+        &self.evaluations
+    }
+
     /// Evaluates one content.
     fn evaluate(&mut self, content: ContentHash, now: Instant) -> Vec<Target> {
         let Some(suspect) = self.suspects.get(&content) else { return Vec::new() };
@@ -428,6 +460,16 @@
             targets.push(Target { content, caller: None });
         }
         let ranking = self.rank(content, evidence, crashes, now);
+        let mut evaluation = Evaluation {
+            content,
+            crashes,
+            known_crashes: evidence.crashes().len(),
+            forgotten_crashes: evidence.forgotten_crashes(),
+            callers: callers.len(),
+            server_count: self.executions.server_count(content),
+            ranking,
+            verdicts: 0,
+        };
         if let Some(suspect) = self.suspects.get_mut(&content) {
             // A suspect that was held back is evaluated once more before it may be executed: others
             // may have a verdict by then.
@@ -449,8 +491,10 @@
             Ranking::MostLikely => true,
         };
         if !is_certain {
-            return Vec::new();
+            targets.clear();
         }
+        evaluation.verdicts = targets.len();
+        self.evaluations.push(evaluation);
         for target in &targets {
             self.issue_verdict(*target, observed_here, now);
         }
--- a/lib/src/coordination/quarantine/evidence.rs
+++ b/lib/src/coordination/quarantine/evidence.rs
@@ -47,6 +47,8 @@
 pub(super) struct Evidence {
     /// In order of time.
     crashes: Vec<Crash>,
+    /// Number of crashes that were removed to make room.
+    forgotten: usize,
 }
 
 impl Evidence {
@@ -61,6 +63,7 @@
         self.crashes.insert(index, crash);
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
+            self.forgotten += 1;
         }
         true
     }
@@ -75,6 +78,11 @@
         self.crashes.iter().map(|crash| crash.caller).collect()
     }
 
+    /// Number of crashes that were removed to make room for others.
+    pub fn forgotten_crashes(&self) -> usize {
+        self.forgotten
+    }
+
     /// All crashes.
     pub fn crashes(&self) -> &[Crash] {
         &self.crashes
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -13,6 +13,7 @@
 use crate::coordination::freshness::StateSummary;
 use crate::coordination::interrupted::InterruptedRequest;
 use crate::coordination::placement::Place;
+use crate::coordination::quarantine::Evaluation;
 use crate::coordination::quarantine::Suspicion;
 use crate::coordination::shared_prefix::SharedPrefix;
 use crate::error::Failure;
@@ -48,6 +49,18 @@
     );
 }
 
+/// Logs why a content that crashed servers is refused or not.
+pub fn evaluated(evaluation: &Evaluation) {
+    let Evaluation { content, crashes, callers, server_count, ranking, verdicts, .. } = evaluation;
+    log::info!(
+        target: TARGET,
+        "event=evaluated content={content:016x} ends={crashes} known={} forgotten={} callers={callers} width={server_count} \
+         ranking=\"{ranking:?}\" verdicts={verdicts}",
+        evaluation.known_crashes,
+        evaluation.forgotten_crashes,
+    );
+}
+
 /// Logs that a backend server was chosen.
 pub fn placed(job: &Job, history: &RequestHistory, place: &Place, state: StateSummary) {
     log::info!(
--- a/lib/src/gateway/quarantine.rs
+++ b/lib/src/gateway/quarantine.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::decision_log;
 use super::job::Job;
 use super::shared::Shared;
 use super::shared::lock;
@@ -96,7 +97,10 @@
 
 /// Decides the verdicts that are due.
 pub fn tick<A: Adapter>(shared: &Shared<A>, now: Instant) {
-    let decided = lock(&shared.quarantine).tick(now);
+    let mut quarantine = lock(&shared.quarantine);
+    let decided = quarantine.tick(now);
+    quarantine.evaluations().iter().for_each(decision_log::evaluated);
+    drop(quarantine);
     for Target { content, caller } in &decided {
         log::warn!("event=quarantined content={content:016x} caller={caller:x?}");
     }
