--- a/lib/tests/test_quarantine_load.rs
+++ b/lib/tests/test_quarantine_load.rs
@@ -455,6 +455,16 @@
     }
 }
 
+/// Guards against crashes that are forgotten since many callers send the content: servers crashed
+/// again each time they were back.
+#[test]
+fn a_content_that_many_callers_send_often_crashes_no_server_twice() {
+    let workload = Workload { crashing_callers: 12, crashing_rate: 90.0, shared_fraction: 0.0 };
+    let (crashed, refused, served) = simulate_five(workload);
+    assert!(crashed <= 5 * 9, "{crashed} crashes of nine servers in 5 simulations");
+    assert!(refused * 50 <= served, "{refused} others refused, {served} served");
+}
+
 /// Half of the other requests are identical among their callers, as those without a body are. They
 /// are executed on every server, so that they are present at each crash, and are answered hundreds
 /// of times a second.
