quarantine: crashes are kept by server, callers apart from them

Callers of a content that crashes servers got 502 for seconds, and each server ended again when it was back: with eight to twelve callers at once, one server's end filled the twelve entries of the content, so that the earlier ends were forgotten and three were seldom counted.

Evidence now keeps servers, since a verdict counts servers; callers of a server have a limit of their own. A report names each server of each content before further callers.

The old limit also kept contents that are common among callers from ever counting three ends. What tells them apart is now decided, not displaced: - a success of any caller ends the count for all callers; - another content outranks one if all ends under the latter occurred under it too, compared by server, and it is likelier: no success shortly before the first end, fewer callers on a server, executed for a shorter time; - a content is evaluated once the last end has settled, not between the requests of one end, and at the next arrival, not at the next tick; - ends under a content go to all regions from the second server on; - a verdict is not enforced while another refused content explains its ends.

--- a/lib/src/coordination/quarantine.rs
+++ b/lib/src/coordination/quarantine.rs
@@ -16,8 +16,10 @@
 
 mod evidence;
 mod executions;
+mod successes;
 pub mod wire;
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -29,6 +31,7 @@
 use self::evidence::Crash;
 use self::evidence::Evidence;
 use self::executions::Executions;
+use self::successes::RecentSuccesses;
 use super::fingerprint::CallerHash;
 use super::fingerprint::ContentHash;
 use super::fingerprint::Fingerprint;
@@ -54,6 +57,9 @@
 /// Number of running servers executing a request for this box from which one more crash is weak
 /// evidence against the request.
 const INDEPENDENT_SERVERS: usize = 2;
+/// Factor by which the times that servers executed two contents before they crashed must differ to
+/// tell the contents apart.
+const DISTINCT_TIME_FACTOR: u32 = 2;
 /// Maximum number of intervals that a request is held back: a caller gives up after some seconds.
 const MAX_STAGGER_INTERVALS: u32 = 4;
 /// How long a request is refused, extended while it keeps arriving. It is the longest lease time of
@@ -123,10 +129,10 @@
     pub content: ContentHash,
     /// Independent consecutive crashes under requests of any caller.
     pub crashes: usize,
-    /// Crashes that this box knows, independent or not.
-    pub known_crashes: usize,
-    /// Crashes that this box has forgotten to make room for others.
-    pub forgotten_crashes: usize,
+    /// Crashed servers that this box knows, independent or not.
+    pub known_servers: usize,
+    /// Crashed servers that this box has forgotten to make room for others.
+    pub forgotten_servers: usize,
     /// Number of callers under whose requests servers crashed.
     pub callers: usize,
     /// Number of servers that currently execute the content for this box.
@@ -140,6 +146,11 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     evidence: Evidence,
+    /// Whether the content succeeded on this box shortly before the first crash.
+    succeeded_before: bool,
+    /// Whether the last evaluation found another content more likely. It applies until the next
+    /// crash.
+    is_unlikely: bool,
     /// When the request is evaluated; it is refused until then.
     evaluate_at: Option<Instant>,
     /// Until when the request is held back because others have seen the same crashes.
@@ -179,8 +190,11 @@
     verdicts: HashMap<Target, Verdict>,
     cleared: HashMap<Target, Instant>,
     executions: Executions,
+    successes: RecentSuccesses,
     unwritten: BTreeSet<Target>,
-    /// Evaluations of the last tick.
+    /// Verdicts issued since the last tick.
+    unannounced: Vec<Target>,
+    /// Evaluations that were not taken yet.
     evaluations: Vec<Evaluation>,
 }
 
@@ -230,31 +244,49 @@
         if self.is_outdated(content, &crash) {
             return None;
         }
-        let observed_here = crash.observed_here;
-        let expired_verdict = self.expired_verdict(content, crash.caller, now);
+        let Crash { caller, observed_here, .. } = crash;
+        let expired_verdict = self.expired_verdict(content, caller, now);
+        let succeeded_before = self.successes.contains(content, now);
+        let succeeded_at = self.cleared.get(&Target { content, caller: None }).copied();
         evict_oldest_if_full(&mut self.suspects, MAX_SUSPECTS, |suspect| suspect.last_crash_at);
         let suspect = self.suspects.entry(content).or_insert_with(|| Suspect {
             evidence: Evidence::default(),
+            succeeded_before,
+            is_unlikely: false,
             evaluate_at: None,
             held_until: None,
             observed_here,
             last_crash_at: crash.crashed_at,
         });
+        succeeded_at.into_iter().for_each(|at| suspect.evidence.record_success(at));
+        let is_new_server = !suspect.evidence.includes_server(crash.incarnation);
         if !suspect.evidence.add(crash) {
             return None;
         }
+        suspect.is_unlikely &= !is_new_server;
         // The time of the report is not used: boxes would repeat the crash to each other forever.
         suspect.last_crash_at = suspect.last_crash_at.max(crash.crashed_at);
         suspect.observed_here = observed_here;
         let crashes = suspect.evidence.consecutive_crashes(None);
-        if crashes >= CRASHES_FOR_VERDICT {
-            suspect.evaluate_at.get_or_insert(now + EVALUATION_DELAY);
+        let of_caller = suspect.evidence.consecutive_crashes(Some(caller));
+        if crashes.max(of_caller) >= CRASHES_FOR_VERDICT {
+            // The other requests that the last server was executing are recorded after this one.
+            let settled_at = now + EVALUATION_DELAY;
+            let evaluate_at = suspect.evaluate_at.get_or_insert(settled_at);
+            if is_new_server {
+                *evaluate_at = settled_at.max(*evaluate_at);
+            }
         }
         if let Some(target) = expired_verdict {
             self.issue_verdict(target, observed_here, now);
             return Some(Audience::AllRegions);
         }
-        Some(if crashes >= CRASHES_FOR_ISOLATION { Audience::AllRegions } else { Audience::Region })
+        let known_servers = suspect.evidence.server_count();
+        Some(if known_servers >= CRASHES_FOR_ISOLATION {
+            Audience::AllRegions
+        } else {
+            Audience::Region
+        })
     }
 
     /// Whether the request succeeded after the crash. Boxes without that information still report
@@ -281,9 +313,11 @@
     /// Records that a request succeeded, so that it does not crash every server. Returns whether
     /// other boxes must be notified.
     pub fn record_success(&mut self, request: Fingerprint, now: Instant) -> bool {
+        self.successes.record(request.content, now);
         let Some(suspect) = self.suspects.get_mut(&request.content) else { return false };
         suspect.evidence.clear(request.caller);
-        if suspect.evidence.crashes().is_empty() {
+        suspect.evidence.record_success(now);
+        if suspect.evidence.is_empty() {
             self.suspects.remove(&request.content);
         }
         self.clear(Target { content: request.content, caller: Some(request.caller) }, now);
@@ -302,34 +336,73 @@
     /// How much longer a request is refused, if it is.
     pub fn refused_for(&mut self, request: Fingerprint, now: Instant) -> Option<Duration> {
         let Fingerprint { content, caller } = request;
-        for target in [Some(caller), None].map(|caller| Target { content, caller }) {
-            let Some(verdict) = self.verdicts.get_mut(&target) else { continue };
-            let time_left = verdict.until.saturating_duration_since(now);
-            if time_left.is_zero() {
-                continue;
-            }
-            if time_left < VERDICT_TTL / 2 {
-                *verdict = Verdict { issued_at: now, until: now + VERDICT_TTL, stored: false };
-                self.unwritten.insert(target);
-            } else if !verdict.stored && now >= verdict.issued_at + WRITE_GRACE {
-                // The box that reached the verdict may have stopped before writing it to the store.
-                verdict.issued_at = now;
-                self.unwritten.insert(target);
+        let suspect = self.suspects.get(&content);
+        if suspect.and_then(|suspect| suspect.evaluate_at).is_some_and(|at| at <= now) {
+            let verdicts = self.evaluate(content, now);
+            self.unannounced.extend(verdicts);
+        }
+        if !self.is_explained(content, now) {
+            let targets = [Some(caller), None].map(|caller| Target { content, caller });
+            let refused = targets.into_iter().find_map(|target| self.enforce(target, now));
+            if refused.is_some() {
+                return refused;
             }
-            return Some(time_left);
         }
         let suspect = self.suspects.get(&content)?;
-        if self.executions.server_count(content) >= INDEPENDENT_SERVERS {
-            return None;
-        }
         let until = suspect.evaluate_at?;
+        let evidence = &suspect.evidence;
+        let crashes = evidence.consecutive_crashes(None);
+        let of_caller = evidence.consecutive_crashes(Some(caller));
         // Successes since may have left too few crashes for a verdict.
-        if suspect.evidence.consecutive_crashes(None) < CRASHES_FOR_VERDICT {
+        if crashes.max(of_caller) < self.crashes_for_verdict(content, suspect) {
+            return None;
+        }
+        if self.rank(content, evidence, crashes, now) == Ranking::Unlikely {
             return None;
         }
         Some(until.saturating_duration_since(now).max(EVALUATION_DELAY))
     }
 
+    /// How much longer a verdict applies, if it does. It is extended, and written to the store if
+    /// it is not there.
+    fn enforce(&mut self, target: Target, now: Instant) -> Option<Duration> {
+        let verdict = self.verdicts.get_mut(&target)?;
+        let time_left = verdict.until.saturating_duration_since(now);
+        if time_left.is_zero() {
+            return None;
+        }
+        if time_left < VERDICT_TTL / 2 {
+            *verdict = Verdict { issued_at: now, until: now + VERDICT_TTL, stored: false };
+            self.unwritten.insert(target);
+        } else if !verdict.stored && now >= verdict.issued_at + WRITE_GRACE {
+            // The box that reached the verdict may have stopped before writing it to the store.
+            verdict.issued_at = now;
+            self.unwritten.insert(target);
+        }
+        Some(time_left)
+    }
+
+    /// Whether another content with a verdict crashed the same servers and more. A verdict that was
+    /// reached while both had crashed the same ones is not enforced then.
+    fn is_explained(&self, content: ContentHash, now: Instant) -> bool {
+        let Some(suspect) = self.suspects.get(&content) else { return false };
+        let refused = self.verdicts.iter().filter(|(_, verdict)| now < verdict.until);
+        let others = refused.map(|(target, _)| target.content).filter(|other| *other != content);
+        let mut others = others.filter_map(|other| self.suspects.get(&other));
+        others.any(|other| {
+            other.evidence.explains(&suspect.evidence)
+                && !suspect.evidence.explains(&other.evidence)
+        })
+    }
+
+    /// Number of crashes from which a content is taken to be their cause. Contents that are present
+    /// at most crashes, whatever the cause, need more.
+    fn crashes_for_verdict(&self, content: ContentHash, suspect: &Suspect) -> usize {
+        let is_common = suspect.succeeded_before
+            || self.executions.server_count(content) >= INDEPENDENT_SERVERS;
+        if is_common { CRASHES_FOR_CERTAINTY } else { CRASHES_FOR_VERDICT }
+    }
+
     /// Crashes under a request, if there are any, so that it matters where the request is executed.
     pub fn suspicion(&self, request: Fingerprint) -> Option<Suspicion> {
         let evidence = &self.suspects.get(&request.content)?.evidence;
@@ -348,17 +421,19 @@
     }
 
     fn is_isolated(&self, content: ContentHash) -> bool {
-        self.executions.server_count(content) < INDEPENDENT_SERVERS
-            && self.consecutive_crashes(content) >= CRASHES_FOR_ISOLATION
+        self.is_suspected(content, CRASHES_FOR_ISOLATION)
     }
 
     fn is_due_for_verdict(&self, content: ContentHash) -> bool {
-        self.executions.server_count(content) < INDEPENDENT_SERVERS
-            && self.consecutive_crashes(content) >= CRASHES_FOR_VERDICT
+        self.is_suspected(content, CRASHES_FOR_VERDICT)
     }
 
-    fn consecutive_crashes(&self, content: ContentHash) -> usize {
-        self.suspects.get(&content).map_or(0, |suspect| suspect.evidence.consecutive_crashes(None))
+    /// Whether a content has seen this many crashes, and nothing suggests that it is not the cause.
+    fn is_suspected(&self, content: ContentHash, crashes: usize) -> bool {
+        let Some(suspect) = self.suspects.get(&content) else { return false };
+        !suspect.is_unlikely
+            && self.executions.server_count(content) < INDEPENDENT_SERVERS
+            && suspect.evidence.consecutive_crashes(None) >= crashes
     }
 
     /// Servers that execute another suspicious request of this or another box.
@@ -421,15 +496,14 @@
 
     /// Evaluates suspects that are due, and drops old entries. Returns the new verdicts.
     pub fn tick(&mut self, now: Instant) -> Vec<Target> {
-        self.evaluations.clear();
         if self.is_empty() && self.cleared.is_empty() {
             return Vec::new();
         }
         let due = |suspect: &Suspect| suspect.evaluate_at.is_some_and(|at| at <= now);
         let due: Vec<ContentHash> =
             self.suspects.iter().filter(|(_, suspect)| due(suspect)).map(|(c, _)| *c).collect();
-        let new_verdicts =
-            due.into_iter().flat_map(|content| self.evaluate(content, now)).collect();
+        let mut new_verdicts = std::mem::take(&mut self.unannounced);
+        new_verdicts.extend(due.into_iter().flat_map(|content| self.evaluate(content, now)));
         self.suspects.retain(|_, suspect| now < suspect.last_crash_at + CRASH_RETENTION);
         self.verdicts.retain(|_, verdict| now < verdict.until + CRASH_RETENTION);
         self.cleared.retain(|_, at| now < *at + CLEARED_RETENTION);
@@ -437,9 +511,9 @@
         new_verdicts
     }
 
-    /// Evaluations of the last tick, with and without verdicts.
-    pub fn evaluations(&self) -> &[Evaluation] {
-        &self.evaluations
+    /// Takes the evaluations since the last call, with and without verdicts.
+    pub fn take_evaluations(&mut self) -> Vec<Evaluation> {
+        std::mem::take(&mut self.evaluations)
     }
 
     /// Evaluates one content.
@@ -454,17 +528,23 @@
             .map(|caller| Target { content, caller: Some(*caller) })
             .collect();
         let crashes = evidence.consecutive_crashes(None);
+        let most_of_caller = callers
+            .iter()
+            .map(|caller| evidence.consecutive_crashes(Some(*caller)))
+            .max()
+            .unwrap_or_default();
         // This applies in addition to verdicts on single callers: each further caller would crash
         // as many servers again.
         if callers.len() > 1 && crashes >= CRASHES_FOR_VERDICT {
             targets.push(Target { content, caller: None });
         }
         let ranking = self.rank(content, evidence, crashes, now);
+        let required_crashes = self.crashes_for_verdict(content, suspect);
         let mut evaluation = Evaluation {
             content,
             crashes,
-            known_crashes: evidence.crashes().len(),
-            forgotten_crashes: evidence.forgotten_crashes(),
+            known_servers: evidence.server_count(),
+            forgotten_servers: evidence.forgotten_servers(),
             callers: callers.len(),
             server_count: self.executions.server_count(content),
             ranking,
@@ -475,6 +555,7 @@
             // may have a verdict by then.
             let was_held = suspect.held_until.take().is_some();
             suspect.evaluate_at = None;
+            suspect.is_unlikely = ranking == Ranking::Unlikely;
             if let Ranking::Tied { ahead } = ranking
                 && !was_held
                 && crashes < CRASHES_FOR_CERTAINTY
@@ -488,7 +569,7 @@
         let is_certain = match ranking {
             Ranking::Unlikely => false,
             Ranking::Tied { .. } => crashes >= CRASHES_FOR_CERTAINTY,
-            Ranking::MostLikely => true,
+            Ranking::MostLikely => crashes.max(most_of_caller) >= required_crashes,
         };
         if !is_certain {
             targets.clear();
@@ -509,25 +590,49 @@
         crashes: usize,
         now: Instant,
     ) -> Ranking {
-        let server_count = self.executions.server_count(content);
-        let contenders = self.equally_suspect(content, evidence, crashes);
+        let contenders = self.equally_suspect(content, evidence);
+        let compare = |other: &ContentHash| self.compare_plausibility(*other, content, crashes);
         let is_likelier = |other: &ContentHash| {
-            self.executions.server_count(*other) < server_count
-                || self.has_active_verdict(*other, now)
+            compare(other) == Ordering::Greater || self.has_active_verdict(*other, now)
         };
         if contenders.iter().any(is_likelier) {
             return Ranking::Unlikely;
         }
-        let mut tied = contenders
-            .iter()
-            .filter(|other| self.executions.server_count(**other) == server_count)
-            .peekable();
+        let mut tied =
+            contenders.iter().filter(|other| compare(other) == Ordering::Equal).peekable();
         if tied.peek().is_none() {
             return Ranking::MostLikely;
         }
         Ranking::Tied { ahead: tied.filter(|other| **other < content).count() as u32 }
     }
 
+    /// Compares how likely two contents are the cause of the same crashes. Less likely is one that
+    /// succeeded shortly before them, then one that servers executed for longer before they
+    /// crashed, then one that is executed on more running servers. The last says little about a
+    /// content that keeps crashing servers: one that is sent often is executed on several at any
+    /// moment.
+    fn compare_plausibility(&self, a: ContentHash, b: ContentHash, crashes: usize) -> Ordering {
+        let (Some(first), Some(second)) = (self.suspects.get(&a), self.suspects.get(&b)) else {
+            return Ordering::Equal;
+        };
+        let is_certain = crashes >= CRASHES_FOR_CERTAINTY;
+        let factor = if is_certain { 1 } else { DISTINCT_TIME_FACTOR };
+        let evidence = [first, second].map(|suspect| &suspect.evidence);
+        let by_callers = less_by_factor(evidence.map(Evidence::most_callers), factor as usize);
+        let by_time = less_by_factor(evidence.map(Evidence::longest_execution), factor);
+        let server_counts = [b, a].map(|content| self.executions.server_count(content));
+        let by_servers = match is_certain {
+            true => Ordering::Equal,
+            false => server_counts[0].cmp(&server_counts[1]),
+        };
+        second
+            .succeeded_before
+            .cmp(&first.succeeded_before)
+            .then(by_callers)
+            .then(by_time)
+            .then(by_servers)
+    }
+
     fn has_active_verdict(&self, content: ContentHash, now: Instant) -> bool {
         let callers = self.suspects.get(&content).map(|suspect| suspect.evidence.callers());
         let callers = callers.into_iter().flatten().map(Some).chain([None]);
@@ -535,20 +640,12 @@
         targets.any(|target| self.verdicts.get(&target).is_some_and(|verdict| now < verdict.until))
     }
 
-    /// Other contents that were executed on the server that crashed last and have seen at least as
-    /// many crashes.
-    fn equally_suspect(
-        &self,
-        content: ContentHash,
-        evidence: &Evidence,
-        crashes: usize,
-    ) -> Vec<ContentHash> {
-        let Some(incarnation) = evidence.last_crashed_server() else { return Vec::new() };
+    /// Other contents that were present at all crashes under this one. They are compared by server:
+    /// a content that is sent often has more independent crashes than one that is sent seldom, even
+    /// if the latter is their cause.
+    fn equally_suspect(&self, content: ContentHash, evidence: &Evidence) -> Vec<ContentHash> {
         let others = self.suspects.iter().filter(|(other, _)| **other != content);
-        let matching = others.filter(|(_, other)| {
-            other.evidence.includes_server(incarnation)
-                && other.evidence.consecutive_crashes(None) >= crashes
-        });
+        let matching = others.filter(|(_, other)| other.evidence.explains(evidence));
         matching.map(|(other, _)| *other).collect()
     }
 
@@ -568,6 +665,7 @@
         if report.left_ms == 0 {
             if let Some(suspect) = self.suspects.get_mut(&report.content) {
                 report.caller.into_iter().for_each(|caller| suspect.evidence.clear(caller));
+                suspect.evidence.record_success(now);
             }
             if self.verdicts.contains_key(&target) {
                 self.clear(target, now);
@@ -616,9 +714,7 @@
             .iter()
             .filter(|(_, suspect)| now < suspect.last_crash_at + REPEAT_DURATION);
         let mut recent: Vec<(usize, ContentHash, &Suspect)> = recent
-            .map(|(content, suspect)| {
-                (suspect.evidence.consecutive_crashes(None), *content, suspect)
-            })
+            .map(|(content, suspect)| (suspect.evidence.server_count(), *content, suspect))
             .filter(|(crashes, ..)| {
                 audience == Audience::Region || *crashes >= CRASHES_FOR_ISOLATION
             })
@@ -626,21 +722,28 @@
         recent.sort_by_key(|(crashes, _, suspect)| {
             std::cmp::Reverse((*crashes, suspect.last_crash_at))
         });
-        let crash_list = recent.into_iter().flat_map(|(crashes, content, suspect)| {
-            let crashes_of_suspect = suspect.evidence.crashes().iter();
-            crashes_of_suspect
-                .filter(move |crash| crash.observed_here || crashes >= CRASHES_FOR_ISOLATION)
-                .map(move |crash| (content, crash))
-        });
+        // The first crash of each server comes before further callers of any, because verdicts
+        // count servers.
+        let mut crash_list: Vec<(usize, ContentHash, Crash)> = Vec::new();
+        for (crashes, content, suspect) in recent {
+            for crashes_of_server in suspect.evidence.crashes_by_server() {
+                let reported = crashes_of_server
+                    .filter(|crash| crash.observed_here || crashes >= CRASHES_FOR_ISOLATION);
+                crash_list.extend(
+                    reported.enumerate().map(|(position, crash)| (position, content, crash)),
+                );
+            }
+        }
+        crash_list.sort_by_key(|(position, ..)| *position);
         let millis_ago = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
-        let reports =
-            crash_list.take(MAX_CRASHES_PER_REPORT).map(|(content, crash)| wire::CrashReport {
-                content,
-                caller: crash.caller,
-                life: crash.incarnation,
-                sent_ms: millis_ago(crash.sent_at),
-                ended_ms: millis_ago(crash.crashed_at),
-            });
+        let reports = crash_list.into_iter().take(MAX_CRASHES_PER_REPORT);
+        let reports = reports.map(|(_, content, crash)| wire::CrashReport {
+            content,
+            caller: crash.caller,
+            life: crash.incarnation,
+            sent_ms: millis_ago(crash.sent_at),
+            ended_ms: millis_ago(crash.crashed_at),
+        });
         reports.collect()
     }
 
@@ -687,6 +790,22 @@
     (time_left >= Duration::from_millis(1)).then(|| verdict_report(*target, time_left))
 }
 
+/// Compares two amounts, of which the lower one is the greater. They are equal if they differ by less
+/// than a factor.
+fn less_by_factor<T, F>([first, second]: [T; 2], factor: F) -> Ordering
+where
+    T: Copy + PartialOrd + std::ops::Mul<F, Output = T>,
+    F: Copy,
+{
+    if first * factor < second {
+        Ordering::Greater
+    } else if second * factor < first {
+        Ordering::Less
+    } else {
+        Ordering::Equal
+    }
+}
+
 /// Removes the oldest entry if the map has reached its limit.
 fn evict_oldest_if_full<K, V>(
     entries: &mut HashMap<K, V>,
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -56,8 +56,8 @@
         target: TARGET,
         "event=evaluated content={content:016x} ends={crashes} known={} forgotten={} callers={callers} width={server_count} \
          ranking=\"{ranking:?}\" verdicts={verdicts}",
-        evaluation.known_crashes,
-        evaluation.forgotten_crashes,
+        evaluation.known_servers,
+        evaluation.forgotten_servers,
     );
 }
 
--- a/lib/src/gateway/quarantine.rs
+++ b/lib/src/gateway/quarantine.rs
@@ -99,7 +99,7 @@
 pub fn tick<A: Adapter>(shared: &Shared<A>, now: Instant) {
     let mut quarantine = lock(&shared.quarantine);
     let decided = quarantine.tick(now);
-    quarantine.evaluations().iter().for_each(decision_log::evaluated);
+    quarantine.take_evaluations().iter().for_each(decision_log::evaluated);
     drop(quarantine);
     for Target { content, caller } in &decided {
         log::warn!("event=quarantined content={content:016x} caller={caller:x?}");
