quarantine: full tables and reports keep what verdicts need

A server that crashes under thousands of requests displaced the two crashes under the cause, as the table of suspects dropped the oldest. It drops those with the fewest servers first. Verdicts on single callers of a content that is refused to all are dropped first.

--- a/lib/src/coordination/quarantine.rs
+++ b/lib/src/coordination/quarantine.rs
@@ -12,7 +12,7 @@
 //! consecutive one on to all boxes. A verdict is sent to all boxes at once, written to the store,
 //! and passed to a starting box by the box that it queries for the state.
 //!
-//! All tables are bounded and evict the oldest entry.
+//! All tables are bounded. They evict what a verdict needs least, and of that the oldest entry.
 
 mod evidence;
 mod executions;
@@ -22,6 +22,7 @@
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -248,7 +249,11 @@
         let expired_verdict = self.expired_verdict(content, caller, now);
         let succeeded_before = self.successes.contains(content, now);
         let succeeded_at = self.cleared.get(&Target { content, caller: None }).copied();
-        evict_oldest_if_full(&mut self.suspects, MAX_SUSPECTS, |suspect| suspect.last_crash_at);
+        // One server may crash under thousands of requests. These must not displace the few under
+        // which several did.
+        evict_lowest_if_full(&mut self.suspects, MAX_SUSPECTS, |_, suspect| {
+            (suspect.evidence.server_count(), suspect.last_crash_at)
+        });
         let suspect = self.suspects.entry(content).or_insert_with(|| Suspect {
             evidence: Evidence::default(),
             succeeded_before,
@@ -329,7 +334,7 @@
     fn clear(&mut self, target: Target, now: Instant) {
         self.unwritten.remove(&target);
         self.verdicts.remove(&target);
-        evict_oldest_if_full(&mut self.cleared, MAX_VERDICTS, |at| *at);
+        evict_lowest_if_full(&mut self.cleared, MAX_VERDICTS, |_, at| *at);
         self.cleared.insert(target, now);
     }
 
@@ -650,7 +655,7 @@
     }
 
     fn issue_verdict(&mut self, target: Target, observed_here: bool, now: Instant) {
-        evict_oldest_if_full(&mut self.verdicts, MAX_VERDICTS, |verdict| verdict.issued_at);
+        self.make_room_for_verdict();
         let verdict = Verdict { issued_at: now, until: now + VERDICT_TTL, stored: false };
         self.verdicts.insert(target, verdict);
         if observed_here {
@@ -659,6 +664,21 @@
         }
     }
 
+    /// Removes a verdict if the table is full: one on a single caller of a content that is refused
+    /// to all, or else the oldest.
+    fn make_room_for_verdict(&mut self) {
+        let refused_to_all: HashSet<ContentHash> = self
+            .verdicts
+            .keys()
+            .filter(|target| self.verdicts.len() >= MAX_VERDICTS && target.caller.is_none())
+            .map(|target| target.content)
+            .collect();
+        evict_lowest_if_full(&mut self.verdicts, MAX_VERDICTS, |target, verdict| {
+            let is_needed = target.caller.is_none() || !refused_to_all.contains(&target.content);
+            (is_needed, verdict.issued_at)
+        });
+    }
+
     /// Records a verdict, or the end of one, that another box reports.
     pub fn receive_verdict(&mut self, report: &wire::VerdictReport, now: Instant) {
         let target = Target { content: report.content, caller: report.caller };
@@ -697,7 +717,7 @@
             return;
         }
         if !self.verdicts.contains_key(&target) {
-            evict_oldest_if_full(&mut self.verdicts, MAX_VERDICTS, |verdict| verdict.issued_at);
+            self.make_room_for_verdict();
         }
         let default_verdict = Verdict { issued_at: now, until: now, stored };
         let verdict = self.verdicts.entry(target).or_insert(default_verdict);
@@ -750,14 +770,19 @@
     /// Verdicts for a report: new ones, some older ones, and requests that were cleared recently.
     pub fn verdict_reports(&self, now: Instant, rng: &mut impl Rng) -> Vec<wire::VerdictReport> {
         let is_new = |verdict: &Verdict| now < verdict.issued_at + REPEAT_DURATION;
-        let new = self.verdicts.iter().filter(|(_, verdict)| is_new(verdict));
-        let others = self.verdicts.iter().filter(|(_, verdict)| !is_new(verdict));
-        let others = others.choose_multiple(rng, OTHER_VERDICTS_PER_REPORT);
-        let reported = new.take(MAX_NEW_VERDICTS_PER_REPORT).chain(others);
+        let (new, others): (Vec<_>, Vec<_>) =
+            self.verdicts.iter().partition(|(_, verdict)| is_new(verdict));
+        let (for_all, of_callers): (Vec<_>, Vec<_>) =
+            new.into_iter().partition(|(target, _)| target.caller.is_none());
+        // Which ones are left out of a full report changes from one to the next.
+        let for_all = for_all.into_iter().choose_multiple(rng, MAX_NEW_VERDICTS_PER_REPORT);
+        let room = MAX_NEW_VERDICTS_PER_REPORT - for_all.len();
+        let of_callers = of_callers.into_iter().choose_multiple(rng, room);
+        let others = others.into_iter().choose_multiple(rng, OTHER_VERDICTS_PER_REPORT);
+        let reported = for_all.into_iter().chain(of_callers).chain(others);
         let cleared = self.cleared.iter().filter(|(_, at)| now < **at + REPEAT_DURATION);
-        let cleared = cleared
-            .take(OTHER_VERDICTS_PER_REPORT)
-            .map(|(target, _)| verdict_report(*target, Duration::ZERO));
+        let cleared = cleared.choose_multiple(rng, OTHER_VERDICTS_PER_REPORT).into_iter();
+        let cleared = cleared.map(|(target, _)| verdict_report(*target, Duration::ZERO));
         reported.filter_map(|verdict| active_verdict_report(verdict, now)).chain(cleared).collect()
     }
 
@@ -806,17 +831,18 @@
     }
 }
 
-/// Removes the oldest entry if the map has reached its limit.
-fn evict_oldest_if_full<K, V>(
+/// Removes the entry with the lowest rank if the map has reached its limit.
+fn evict_lowest_if_full<K, V, R>(
     entries: &mut HashMap<K, V>,
     limit: usize,
-    age: impl Fn(&V) -> Instant,
+    rank: impl Fn(&K, &V) -> R,
 ) where
     K: Copy + Eq + std::hash::Hash,
+    R: Ord,
 {
     if entries.len() < limit {
         return;
     }
-    let oldest = entries.iter().min_by_key(|(_, value)| age(value)).map(|(key, _)| *key);
-    oldest.map(|key| entries.remove(&key));
+    let lowest = entries.iter().min_by_key(|(key, value)| rank(key, value)).map(|(key, _)| *key);
+    lowest.map(|key| entries.remove(&key));
 }
--- a/lib/tests/test_quarantine_evidence.rs
+++ b/lib/tests/test_quarantine_evidence.rs
@@ -176,3 +176,33 @@
     assert_eq!(quarantine.record_crash(2, interrupted, now), Some(Audience::AllRegions));
     assert_eq!(quarantine.crash_reports(Audience::AllRegions, now).len(), 2);
 }
+
+/// Guards against a full table in which the requests of one crash displace a request under which
+/// several servers crashed.
+#[test]
+fn requests_of_one_crash_do_not_displace_those_with_several() {
+    let mut quarantine = Quarantine::default();
+    let now = crash_under(&mut quarantine, 1..=2, &[FATAL], Instant::now());
+    for content in 100..10_000 {
+        crash(&mut quarantine, 3, Fingerprint { content, caller: 1 }, now + TIME_TO_CRASH * 2);
+    }
+    let now = crash_under(&mut quarantine, 4..=4, &[FATAL], now + TIME_TO_CRASH * 2);
+    assert!(refuses(&mut quarantine, FATAL, now));
+}
+
+/// Guards against full reports that leave out the same verdicts each time.
+#[test]
+fn verdicts_that_a_full_report_leaves_out_are_in_later_ones() {
+    let mut quarantine = Quarantine::default();
+    let mut now = Instant::now();
+    for content in 100..200 {
+        now = crash_under(&mut quarantine, content * 3..=content * 3 + 2, &[content], now);
+    }
+    quarantine.tick(now + EVALUATED);
+    let mut reported = BTreeSet::new();
+    for _ in 0..40 {
+        let reports = quarantine.verdict_reports(now + EVALUATED, &mut rand::rng());
+        reported.extend(reports.iter().map(|report| report.content));
+    }
+    assert_eq!(reported.len(), 100);
+}
