serve: requests that crash servers are quarantined

Callers of copperweir serve had no quarantine: one request that crashes each service that executes it was sent on by every box, and each service ended again when it was back. The cause is that learning from a server's end existed on the gateway's path only.

serve now records executions, takes a connection that breaks off for a crash if the port refuses connections, and asks the same decisions as the gateway before each attempt. Servers here keep their name when they start again, so their crashes number their incarnations. A refusal is a 503, not run, at once, with the time left.

Not covered by a test: a server that crashes in the middle of a response.

--- a/lib/src/coordination/gossip.rs
+++ b/lib/src/coordination/gossip.rs
@@ -12,10 +12,12 @@
 use super::membership::Membership;
 use crate::protocol::RegionId;
 use crate::protocol::Version;
+use crate::protocol::peer::Crash;
 use crate::protocol::peer::Credit;
 use crate::protocol::peer::Demand;
 use crate::protocol::peer::Heartbeat;
 use crate::protocol::peer::MemberId;
+use crate::protocol::peer::Verdict;
 use crate::state::load::ServerLoads;
 
 /// Maximum number of server reports in one heartbeat.
@@ -56,6 +58,10 @@
     pub credits: Vec<Credit>,
     /// This box's demand by team.
     pub demands: Vec<Demand>,
+    /// Recent crashes of servers.
+    pub crashes: Vec<Crash>,
+    /// Requests that are refused because they crash servers.
+    pub verdicts: Vec<Verdict>,
     /// Records to request.
     pub wanted: Vec<MemberId>,
     /// Records that the receiver requested.
@@ -101,6 +107,8 @@
             reports,
             credits: payload.credits,
             demands: payload.demands,
+            crashes: payload.crashes,
+            verdicts: payload.verdicts,
         }
     }
 
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -15,6 +15,7 @@
 pub mod gossip;
 pub mod health;
 pub mod identity;
+pub mod incarnations;
 pub mod interrupted;
 pub mod invariant;
 pub mod join_tree;
--- a/lib/src/coordination/pool.rs
+++ b/lib/src/coordination/pool.rs
@@ -269,7 +269,7 @@
 
     /// Returns whether a slot may become free on a server that the request was not tried on. A
     /// server that rests until the request's deadline doesn't count.
-    fn may_get_server(&self, arrival: &Arrival, now: Instant) -> bool {
+    pub fn may_get_server(&self, arrival: &Arrival, now: Instant) -> bool {
         let available_in_time = |server: &Server| {
             self.rest_periods.until(server.hash, now).is_none_or(|until| until < arrival.deadline)
         };
--- a/lib/src/coordination/quarantine.rs
+++ b/lib/src/coordination/quarantine.rs
@@ -23,6 +23,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -144,6 +145,18 @@
     pub verdicts: usize,
 }
 
+impl fmt::Display for Evaluation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Evaluation { content, crashes, callers, server_count, ranking, verdicts, .. } = self;
+        write!(
+            f,
+            "content={content:016x} ends={crashes} known={} forgotten={} callers={callers} \
+             width={server_count} ranking=\"{ranking:?}\" verdicts={verdicts}",
+            self.known_servers, self.forgotten_servers,
+        )
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Suspect {
     evidence: Evidence,
@@ -195,6 +208,8 @@
     unwritten: BTreeSet<Target>,
     /// Verdicts issued since the last tick.
     unannounced: Vec<Target>,
+    /// Number of crashes recorded so far.
+    recorded_crashes: u64,
     /// Evaluations that were not taken yet.
     evaluations: Vec<Evaluation>,
 }
@@ -268,6 +283,7 @@
         if !suspect.evidence.add(crash) {
             return None;
         }
+        self.recorded_crashes += 1;
         suspect.is_unlikely &= !is_new_server;
         // The time of the report is not used: boxes would repeat the crash to each other forever.
         suspect.last_crash_at = suspect.last_crash_at.max(crash.crashed_at);
@@ -516,6 +532,11 @@
         new_verdicts
     }
 
+    /// Number of crashes recorded so far, by request and server, that were unknown here.
+    pub fn recorded_crashes(&self) -> u64 {
+        self.recorded_crashes
+    }
+
     /// Takes the evaluations since the last call, with and without verdicts.
     pub fn take_evaluations(&mut self) -> Vec<Evaluation> {
         std::mem::take(&mut self.evaluations)
--- a/lib/src/daemon/control/heartbeats.rs
+++ b/lib/src/daemon/control/heartbeats.rs
@@ -122,6 +122,7 @@
         mut extra: Payload,
         now: Instant,
     ) -> Heartbeat {
+        (extra.crashes, extra.verdicts) = self.shared.quarantine.reports(now);
         if receiver.is_some_and(|region| *region != self.shared.settings.region) {
             extra.credits = self.lend_slots(now);
         }
@@ -183,6 +184,10 @@
         let sender = &heartbeat.sender;
         self.receive_credits(&sender.region, &heartbeat.credits, now);
         lock(&self.shared.limiter).record_demands(&sender.name, &heartbeat.demands);
+        let Heartbeat { crashes, verdicts, .. } = &heartbeat;
+        if self.shared.quarantine.receive(crashes, verdicts, now) {
+            self.send_urgent_heartbeats();
+        }
         if let Some((_, peer)) = effects.newer {
             self.fetch_configuration_from(peer);
         }
--- a/lib/src/daemon/control/mod.rs
+++ b/lib/src/daemon/control/mod.rs
@@ -106,6 +106,8 @@
     PlatformListRead(Vec<BoxListEntry>),
     /// A call to acquire or renew the lease ended.
     Lease(lease::Event, Option<LeaseId>),
+    /// A server crashed while it executed requests of this box.
+    ServerCrashed,
     /// The operator requested a stop.
     StopRequested,
 }
@@ -290,6 +292,7 @@
             Event::ProbeCompleted(report) => self.handle_probe_report(&report),
             Event::PlatformListRead(listed) => self.handle_platform_list(&listed),
             Event::Lease(event, lease_id) => self.handle_lease_event(event, lease_id),
+            Event::ServerCrashed => self.send_urgent_heartbeats(),
             Event::StopRequested => self.begin_stop(),
         }
     }
@@ -298,7 +301,10 @@
         match tick.topic {
             Topic::Heartbeat => self.send_heartbeats(tick.now, tick.lateness),
             Topic::Probe => self.probe_servers(),
-            Topic::Pools => self.refresh_pools(tick.now),
+            Topic::Pools => {
+                self.refresh_pools(tick.now);
+                self.decide_verdicts(tick.now);
+            }
             Topic::List => self.read_platform_list(false),
             Topic::Announce => self.announce_if_due(),
             Topic::Lease => self.update_lease(tick.now),
@@ -309,6 +315,13 @@
         }
     }
 
+    /// Decides which requests are refused because they crash servers.
+    fn decide_verdicts(&mut self, now: Instant) {
+        if self.shared.quarantine.tick(now) {
+            self.send_urgent_heartbeats();
+        }
+    }
+
     fn send_metrics(&mut self) {
         if let Some(metrics) = &mut self.metrics {
             metrics.flush(&self.shared.counters);
--- a/lib/src/daemon/dispatch.rs
+++ b/lib/src/daemon/dispatch.rs
@@ -22,6 +22,8 @@
 use super::pools;
 use super::pools::Grant;
 use super::pools::Slot;
+use super::quarantine;
+use super::quarantine::Execution;
 use super::relay::Relay;
 use super::relay::RequestAccounting;
 use super::relay::ResponseSource;
@@ -100,10 +102,12 @@
     let mut resting_count = 0;
     let mut other_regions = request.other_regions();
     loop {
+        quarantine::admit(shared, request)
+            .map_err(|failure| failure_after_attempts(request, failure))?;
         let on_queued = || shared.counters.increment(Counter::Queued);
-        let grant = pool
-            .acquire(placement_request(shared, request, &tried_servers, &other_regions), on_queued)
-            .await;
+        let arrival = placement_request(shared, request, &tried_servers, &other_regions);
+        let grant =
+            pool.acquire(apart_from_suspects(shared, request, &pool, arrival), on_queued).await;
         let grant = grant.map_err(|failure| failure_after_attempts(request, failure))?;
         let in_flight_guard = in_flight_guard.take().unwrap_or_else(|| shared.in_flight_guard());
         let exchange_guard = request.begin_exchange();
@@ -112,6 +116,9 @@
                 other_regions.retain(|other| *other != region);
                 match forward::to_region(shared, request, &region, in_flight_guard).await {
                     Ok(response) => AttemptOutcome::Responded(Box::new(response)),
+                    Err(failure) if failure.kind == ErrorKind::Quarantined => {
+                        return Err(failure_after_attempts(request, failure));
+                    }
                     // A region that is unreachable or refuses the request must not cause
                     // a refusal if this box's own region can execute it: credits of a region stay
                     // usable for seconds after its last heartbeat.
@@ -128,6 +135,9 @@
                 }
             }
             Grant::Slot(slot) => {
+                // Servers may have crashed under it while it waited for the slot.
+                quarantine::admit(shared, request)
+                    .map_err(|failure| failure_after_attempts(request, failure))?;
                 tried_servers.push(slot.server.clone());
                 attempt_on_server(shared, request, slot, in_flight_guard).await
             }
@@ -186,6 +196,27 @@
     }
 }
 
+/// Excludes servers that execute another request which may crash them, if the request may crash
+/// servers too. The next crash tells the two apart. Sharing a server is better than none.
+fn apart_from_suspects(
+    shared: &SharedState,
+    request: &ValidatedRequest,
+    pool: &pools::SharedPool,
+    mut arrival: Arrival,
+) -> Arrival {
+    let now = clock::now();
+    let occupied = shared.quarantine.occupied_servers(request.identity, now);
+    if occupied.is_empty() {
+        return arrival;
+    }
+    let tried_count = arrival.tried_servers.len();
+    arrival.tried_servers.extend(occupied);
+    if !pool.with(|pool| pool.may_get_server(&arrival, now)) {
+        arrival.tried_servers.truncate(tried_count);
+    }
+    arrival
+}
+
 /// Fails if the request was forwarded to this region but may not be executed
 /// here, or if no region may execute it.
 fn check_region(request: &ValidatedRequest) -> Result<(), Failure> {
@@ -225,11 +256,15 @@
         return AttemptOutcome::NotRun(failure);
     }
     shared.counters.increment(Counter::Attempts);
+    let execution = Execution::begin(shared, request, &slot, sent_at);
     let exchange = shared.backend.send(slot.address, backend_request, !request.repeatable);
     let response = match timer::timeout_at(request.deadline, exchange).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
             slot.set_outcome(Outcome::Failed);
+            if let AttemptError::NoResponse(_) = error {
+                execution.interrupted();
+            }
             return classify_attempt_error(request, &slot, error);
         }
         Err(_) => {
@@ -257,6 +292,7 @@
         shared,
         request,
         slot,
+        execution,
         in_flight_guard,
         sent_at,
         response,
@@ -325,13 +361,19 @@
     shared: &Arc<SharedState>,
     request: &ValidatedRequest,
     slot: Slot,
+    execution: Execution,
     in_flight_guard: InFlightGuard,
     sent_at: Instant,
     response: Response<PooledBody>,
 ) -> RelayedResponse {
     let (parts, exchange) = response.into_parts();
     let is_event_stream = request.stream && has_event_stream_type(&parts.headers);
-    let accounting = request_accounting(shared, request, Some(slot), in_flight_guard, sent_at);
+    // A server error does not show that the request can succeed.
+    let execution = Some(execution).filter(|_| !parts.status.is_server_error());
+    let accounting = RequestAccounting {
+        execution,
+        ..request_accounting(shared, request, Some(slot), in_flight_guard, sent_at)
+    };
     RelayedResponse {
         status: parts.status,
         headers: forwarded_headers(&parts.headers),
@@ -356,6 +398,7 @@
         sent_at,
         from_caller: request.incoming.purpose == Purpose::Caller,
         slot,
+        execution: None,
         in_flight_guard,
     }
 }
--- a/lib/src/daemon/mod.rs
+++ b/lib/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 pub mod operator_api;
 pub mod peer_service;
 pub mod pools;
+pub mod quarantine;
 pub mod relay;
 pub mod request;
 pub mod shared;
@@ -211,6 +212,7 @@
         limiter: Mutex::new(RateLimiter::default()),
         keyed_requests: idempotency::KeyedRequests::default(),
         burn: Mutex::new(BurnTracker::new(now)),
+        quarantine: quarantine::Quarantine::default(),
         counters,
         backend: backend::Client::default(),
         control,
--- a/lib/src/daemon/relay.rs
+++ b/lib/src/daemon/relay.rs
@@ -24,6 +24,7 @@
 use tonic::Streaming;
 
 use super::pools::Slot;
+use super::quarantine::Execution;
 use super::shared::InFlightGuard;
 use super::shared::SharedState;
 use super::shared::lock;
@@ -77,6 +78,8 @@
     pub from_caller: bool,
     /// Slot that the request holds; `None` if another box executes it.
     pub slot: Option<Slot>,
+    /// The execution of the request on the slot's server.
+    pub execution: Option<Execution>,
     /// Counts the request as in flight.
     pub in_flight_guard: InFlightGuard,
 }
@@ -198,6 +201,9 @@
             slot.set_outcome(Outcome::Answered { first_byte, total });
         }
         self.accounting.slot = None;
+        if let Some(execution) = self.accounting.execution.take() {
+            execution.succeeded();
+        }
         self.accounting.shared.counters.increment(Counter::Answered);
     }
 
@@ -209,6 +215,10 @@
             slot.set_outcome(Outcome::Failed);
         }
         self.accounting.slot = None;
+        let execution = self.accounting.execution.take();
+        if let BodyError::ConnectionLost(_) = error {
+            execution.iter().for_each(Execution::interrupted);
+        }
         if !self.is_event_stream {
             self.ended = true;
             return Poll::Ready(Some(Err(error)));
--- a/lib/src/daemon/request.rs
+++ b/lib/src/daemon/request.rs
@@ -11,11 +11,13 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::Method;
+use http::Uri;
 use http::header;
 use rapidhash::v3::rapidhash_v3;
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::coordination::fingerprint;
 use crate::coordination::invariant;
 use crate::coordination::invariant::Invariant;
 use crate::coordination::ledger::Fingerprint;
@@ -91,6 +93,8 @@
     pub deadline: Instant,
     /// Whether the request may be sent more than once.
     pub repeatable: bool,
+    /// Content and caller, which identify the request when it is sent again.
+    pub identity: fingerprint::Fingerprint,
     /// Whether the response is a stream of events.
     pub stream: bool,
     /// Path and query for the backend server.
@@ -137,12 +141,14 @@
             return Err(Failure::new(ErrorKind::Forbidden, message));
         }
         let allowed_regions = configuration.allowed_regions(team, target.residency.as_ref());
+        let identity = identity(&incoming, &target.pool)?;
         Ok(ValidatedRequest {
             allowed_regions,
             pool: target.pool,
             priority: options.priority.unwrap_or(Priority::Normal.min(team.max_priority)),
             deadline: incoming.arrived_at + options.timeout,
             repeatable: target.repeatable && !options.not_repeatable,
+            identity,
             stream: target.stream,
             backend_path: target.backend_path,
             key: options.key,
@@ -253,6 +259,19 @@
     }
 }
 
+/// Identifies a request by its content and its team.
+fn identity(
+    incoming: &IncomingRequest,
+    pool: &PoolId,
+) -> Result<fingerprint::Fingerprint, Failure> {
+    let malformed_path = |_| Failure::new(ErrorKind::BadRequest, "the path cannot be passed on");
+    let uri: Uri = incoming.path.parse().map_err(malformed_path)?;
+    Ok(fingerprint::Fingerprint {
+        content: fingerprint::content_hash(&incoming.method, pool, &uri, &incoming.body),
+        caller: rapidhash_v3(incoming.team.as_bytes()),
+    })
+}
+
 fn resolve_model(
     configuration: &Configuration,
     team: &Team,
--- a/lib/src/daemon/shared.rs
+++ b/lib/src/daemon/shared.rs
@@ -18,6 +18,7 @@
 use super::control;
 use super::idempotency;
 use super::pools;
+use super::quarantine::Quarantine;
 use crate::coordination::rate_limiter::RateLimiter;
 use crate::protocol::Incarnation;
 use crate::protocol::settings::Settings;
@@ -62,6 +63,8 @@
     pub keyed_requests: idempotency::KeyedRequests,
     /// Error-budget burn of the objectives.
     pub burn: Mutex<BurnTracker>,
+    /// Requests that crash servers.
+    pub quarantine: Quarantine,
     /// Counters of this process.
     pub counters: Arc<Counters>,
     /// Client for backend servers.
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -51,14 +51,7 @@
 
 /// Logs why a content that crashed servers is refused or not.
 pub fn evaluated(evaluation: &Evaluation) {
-    let Evaluation { content, crashes, callers, server_count, ranking, verdicts, .. } = evaluation;
-    log::info!(
-        target: TARGET,
-        "event=evaluated content={content:016x} ends={crashes} known={} forgotten={} callers={callers} width={server_count} \
-         ranking=\"{ranking:?}\" verdicts={verdicts}",
-        evaluation.known_servers,
-        evaluation.forgotten_servers,
-    );
+    log::info!(target: TARGET, "event=evaluated {evaluation}");
 }
 
 /// Logs that a backend server was chosen.
--- a/lib/src/gateway/feedback.rs
+++ b/lib/src/gateway/feedback.rs
@@ -6,7 +6,6 @@
 
 use super::decision_log;
 use super::job::Job;
-use super::server_crash;
 use super::shared::Reservation;
 use super::shared::Service;
 use super::shared::Shared;
@@ -24,6 +23,7 @@
 use crate::protocol::adapter::Adapter;
 use crate::state::clock;
 use crate::state::counters::Counter;
+use crate::transport::server_crash;
 
 /// Records an event of a send: its progress or its end.
 pub fn record_event<A: Adapter>(
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -24,7 +24,6 @@
 pub mod quotas;
 pub mod relay;
 pub mod replica;
-pub mod server_crash;
 pub mod settings;
 pub mod shared;
 pub mod state_transfer;
--- a/lib/src/protocol/peer.rs
+++ b/lib/src/protocol/peer.rs
@@ -26,6 +26,8 @@
 pub const MAX_BEATS: usize = 512;
 /// Maximum number of server reports in one heartbeat.
 pub const MAX_REPORTS: usize = 128;
+/// Maximum number of crashes, and of verdicts, in one heartbeat.
+pub const MAX_CRASHES: usize = 256;
 /// Maximum age of a report that is accepted.
 pub const MAX_REPORT_AGE: Duration = Duration::from_secs(60);
 /// Maximum length of a name in a message.
@@ -263,6 +265,36 @@
     pub credits: Vec<Credit>,
     /// The demand of each team on the sender.
     pub demands: Vec<Demand>,
+    /// Recent crashes of servers.
+    pub crashes: Vec<Crash>,
+    /// Requests that are refused because they crash servers.
+    pub verdicts: Vec<Verdict>,
+}
+
+/// Crash of a server while it executed a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Crash {
+    /// The hash of the request's content.
+    pub content: u64,
+    /// The hash of the caller.
+    pub caller: u64,
+    /// The hash of the server's name.
+    pub server: NameHash,
+    /// Time since the request was sent to the server.
+    pub sent_age: Duration,
+    /// Time since the response broke off.
+    pub age: Duration,
+}
+
+/// Verdict on a request that crashes servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Verdict {
+    /// The hash of the content.
+    pub content: u64,
+    /// The hash of the caller; `None` if requests of all callers are refused.
+    pub caller: Option<u64>,
+    /// How much longer the request is refused; zero if it succeeded and is not the cause.
+    pub time_left: Duration,
 }
 
 /// Slots of a pool that one region lends to another for a limited time.
@@ -304,6 +336,8 @@
             reports: parse_reports(&raw.servers.unwrap_or_default())?,
             credits: raw.credits.into_iter().take(MAX_REPORTS).map(Credit::from).collect(),
             demands: parse_demands(raw.demands)?,
+            crashes: raw.crashes.into_iter().take(MAX_CRASHES).map(Crash::from).collect(),
+            verdicts: raw.verdicts.into_iter().take(MAX_CRASHES).map(Verdict::from).collect(),
         })
     }
 }
@@ -326,10 +360,50 @@
                     .map(|demand| demand.requests_per_minute)
                     .collect(),
             }),
+            crashes: heartbeat.crashes.iter().map(Into::into).collect(),
+            verdicts: heartbeat.verdicts.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+fn to_millis(time: Duration) -> u32 {
+    time.as_millis().try_into().unwrap_or(u32::MAX)
+}
+
+impl From<wire::Crash> for Crash {
+    fn from(raw: wire::Crash) -> Crash {
+        Crash {
+            content: raw.content,
+            caller: raw.caller,
+            server: raw.server,
+            sent_age: Duration::from_millis(raw.sent_ms.into()),
+            age: Duration::from_millis(raw.ended_ms.into()),
         }
     }
 }
 
+impl From<&Crash> for wire::Crash {
+    fn from(crash: &Crash) -> wire::Crash {
+        let Crash { content, caller, server, sent_age, age } = *crash;
+        let (sent_ms, ended_ms) = (to_millis(sent_age), to_millis(age));
+        wire::Crash { content, caller, server, sent_ms, ended_ms }
+    }
+}
+
+impl From<wire::Verdict> for Verdict {
+    fn from(raw: wire::Verdict) -> Verdict {
+        let time_left = Duration::from_millis(raw.left_ms.into());
+        Verdict { content: raw.content, caller: raw.caller, time_left }
+    }
+}
+
+impl From<&Verdict> for wire::Verdict {
+    fn from(verdict: &Verdict) -> wire::Verdict {
+        let Verdict { content, caller, time_left } = *verdict;
+        wire::Verdict { content, caller, left_ms: to_millis(time_left) }
+    }
+}
+
 impl From<wire::Credit> for Credit {
     fn from(raw: wire::Credit) -> Credit {
         Credit { pool: raw.pool, slots: raw.slots, ttl: Duration::from_millis(raw.life_ms.into()) }
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -8,6 +8,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod platform;
+pub mod server_crash;
 pub mod store;
 pub mod timer;
 pub mod traffic_thread;
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -19,11 +20,15 @@
 use serde::Serialize;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 use crate::http1;
 use crate::http1::BufferedRequest;
 use crate::http1::HttpResponse;
 
+/// Delay between the start of a filing that crashes the service and the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// Faults that the service injects.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -36,6 +41,8 @@
     pub refuse: bool,
     /// Value of `Retry-After` in refusals, in seconds.
     pub rest_s: Option<f64>,
+    /// Id of a filing that crashes the service; see [`Service::serve_with_restarts`].
+    pub crash_on: Option<String>,
 }
 
 #[derive(Default)]
@@ -43,12 +50,14 @@
     faults: Faults,
     run_counts: BTreeMap<String, u64>,
     refusal_times: Vec<Instant>,
+    crash_times: Vec<Instant>,
 }
 
 /// A plain service; clones share their state.
 #[derive(Clone, Default)]
 pub struct Service {
     state: Arc<Mutex<State>>,
+    crash: Arc<Notify>,
 }
 
 #[derive(Deserialize)]
@@ -66,6 +75,24 @@
         })
     }
 
+    /// As [`Service::serve`], on an address. When the service crashes, its connections break off
+    /// and its port refuses new ones for `downtime`.
+    pub async fn serve_with_restarts(&self, address: SocketAddr, downtime: Duration) {
+        loop {
+            let Ok((listener, _)) = http1::bind(address) else { return };
+            tokio::select! {
+                () = self.serve(listener) => return,
+                () = self.crash.notified() => self.lock().crash_times.push(Instant::now()),
+            }
+            tokio::time::sleep(downtime).await;
+        }
+    }
+
+    /// Times at which the service crashed.
+    pub fn crash_times(&self) -> Vec<Instant> {
+        self.lock().crash_times.clone()
+    }
+
     /// Number of executions of each filing, by id.
     pub fn run_counts(&self) -> BTreeMap<String, u64> {
         self.lock().run_counts.clone()
@@ -126,6 +153,12 @@
             *runs += 1;
             *runs
         };
+        if faults.crash_on.is_some_and(|id| id == filing.id) {
+            tokio::time::sleep(CRASH_DELAY).await;
+            self.crash.notify_one();
+            // The crash aborts this task as well.
+            return std::future::pending().await;
+        }
         tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
         let mut state = self.lock();
         if state.faults.lose_answers > 0 {
