upgrade: full reports contain the target version, and fit in a datagram

With 200 routes the target version's cells, 4 responses each, were all left out: 0 of 40 reported. Strata are now ordered by the version with fewer responses, and both versions stay together. The cells have a limit in bytes too: a report of large counts alone took 7,842 of the 8,192 bytes that a receiver reads, with the rest of it to come.

--- a/lib/src/coordination/upgrade/evidence.rs
+++ b/lib/src/coordination/upgrade/evidence.rs
@@ -9,6 +9,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use prost::Message;
+
 use super::wire::CellReport;
 use super::wire::TallyReport;
 use crate::coordination::interrupted::ServerIncarnation;
@@ -34,6 +36,10 @@
 const MIN_SERVERS_TO_DISREGARD: usize = 3;
 /// Maximum number of strata and versions in a report.
 const MAX_CELLS: usize = 96;
+/// Maximum size of the cells in a report, so that the report fits in a datagram with the rest.
+const MAX_CELL_BYTES: usize = 7 << 10;
+/// Bytes of the tag and the length of a cell in a report.
+const FIELD_OVERHEAD_BYTES: usize = 3;
 /// Maximum number of servers in a report.
 const MAX_TALLIES: usize = 16;
 
@@ -92,6 +98,11 @@
 }
 
 impl Cell {
+    /// Number of responses, whatever was measured.
+    fn weight(&self) -> u32 {
+        self.responses + self.latencies.iter().sum::<u32>()
+    }
+
     fn timed(&self) -> u32 {
         self.latencies.iter().sum()
     }
@@ -261,7 +272,8 @@
         tallies.iter().take((servers as f64 * FAULTY_FRACTION).ceil() as usize).sum()
     }
 
-    /// The counts as sent to the judges: the largest ones, if there are too many for a datagram.
+    /// The counts as sent to the judges. If there are too many for a datagram, they are those of the
+    /// strata with the most responses of the version that has fewer: a judge compares the two.
     pub fn to_reports(&self) -> (Vec<CellReport>, Vec<TallyReport>) {
         let mut cells: Vec<CellReport> = self
             .cells
@@ -278,9 +290,16 @@
                 }
             })
             .collect();
-        let weight = |cell: &CellReport| cell.responses + cell.latencies.iter().sum::<u32>();
-        cells.sort_by_key(|cell| std::cmp::Reverse(weight(cell)));
+        let weight = |stratum: Stratum, is_target: bool| {
+            self.cells.get(&(stratum, is_target)).map_or(0, Cell::weight)
+        };
+        let comparable = |stratum: Stratum| {
+            let weights = [true, false].map(|is_target| weight(stratum, is_target));
+            (weights[0].min(weights[1]), weights[0].max(weights[1]))
+        };
+        cells.sort_by_key(|cell| std::cmp::Reverse((comparable(cell.stratum), cell.stratum)));
         cells.truncate(MAX_CELLS);
+        truncate_to_bytes(&mut cells, MAX_CELL_BYTES);
         let tallies = self.tallies.iter().map(|(server, bad)| (*bad, *server));
         let mut tallies: Vec<(u32, ServerIncarnation)> = tallies.collect();
         tallies.sort_unstable_by(|one, other| other.cmp(one));
@@ -305,6 +324,17 @@
     }
 }
 
+/// Drops the last cells that do not fit in a number of bytes.
+fn truncate_to_bytes(cells: &mut Vec<CellReport>, max_bytes: usize) {
+    let mut bytes = 0;
+    let fitting = cells.iter().take_while(|cell| {
+        bytes += cell.encoded_len() + FIELD_OVERHEAD_BYTES;
+        bytes <= max_bytes
+    });
+    let count = fitting.count();
+    cells.truncate(count);
+}
+
 /// Identifies the requests that a response is compared with.
 fn stratum(sample: &Sample, measure: Measure) -> Stratum {
     // Factors of four in the prompt's length; failures of all lengths are compared.
