--- a/lib/src/coordination/quarantine/evaluation.rs
+++ b/lib/src/coordination/quarantine/evaluation.rs
@@ -171,7 +171,8 @@
         Ranking::Tied { ahead: tied.filter(|other| **other < content).count() as u32 }
     }
 
-    /// Compares how likely two contents are the cause of the same crashes. Less likely is one that
+    /// Compares how likely two contents are the cause of the same crashes; [`Ordering::Greater`] if
+    /// `a` is the likelier. Less likely is one that
     /// succeeded shortly before them, then one that servers executed for more callers, then one that
     /// they executed for longer, then one that is executed on more running servers. The last says
     /// little about a content that keeps crashing servers: one that is sent often is executed on
@@ -183,8 +184,8 @@
         let is_certain = crashes >= CRASHES_FOR_CERTAINTY;
         let factor = if is_certain { 1 } else { DISTINCT_FACTOR };
         let evidence = [first, second].map(|suspect| &suspect.evidence);
-        let by_callers = less_by_factor(evidence.map(Evidence::most_callers), factor as usize);
-        let by_time = less_by_factor(evidence.map(Evidence::longest_execution), factor);
+        let by_callers = prefer_lower(evidence.map(Evidence::most_callers), factor as usize);
+        let by_time = prefer_lower(evidence.map(Evidence::longest_execution), factor);
         let server_counts = [b, a].map(|content| self.executions.server_count(content));
         let by_servers = match is_certain {
             true => Ordering::Equal,
@@ -236,9 +237,9 @@
     }
 }
 
-/// Compares two amounts, of which the lower one is the greater. They are equal if they differ by less
-/// than a factor.
-fn less_by_factor<T, F>([first, second]: [T; 2], factor: F) -> Ordering
+/// Prefers the lower of two amounts: [`Ordering::Greater`] if that is the first one. Amounts that
+/// differ by less than `factor` are equal.
+fn prefer_lower<T, F>([first, second]: [T; 2], factor: F) -> Ordering
 where
     T: Copy + PartialOrd + std::ops::Mul<F, Output = T>,
     F: Copy,
