gateway: failed attempts name the box, metrics count servers that are left out

attempt_failed named the last server also when a box had failed, so the log could not tell which box refused a forwarded request. Two gauges count the servers that a box leaves out, and the services of which it leaves out all. server_routes gives a box its own addresses of servers, for tests in which only some boxes lose a path.

--- a/lib/src/coordination/placement/status.rs
+++ b/lib/src/coordination/placement/status.rs
@@ -54,6 +54,13 @@
             .count()
     }
 
+    /// Number of usable servers that failed recently, and number of usable servers.
+    pub fn failing(&self, now: Instant) -> (usize, usize) {
+        let usable = self.servers.values().filter(|candidate| candidate.is_usable());
+        let failing = usable.clone().filter(|candidate| !candidate.is_healthy(now)).count();
+        (failing, usable.count())
+    }
+
     /// Retry delay of the next caller that finds all servers resting until `until`.
     pub fn retry_after(&mut self, until: Instant, now: Instant) -> Duration {
         self.retry_spread.retry_after(until, now)
--- a/lib/src/daemon/quarantine.rs
+++ b/lib/src/daemon/quarantine.rs
@@ -249,7 +249,7 @@
     address: std::net::SocketAddr,
     incarnation: ServerIncarnation,
 ) {
-    if !server_crash::has_crashed(address).await {
+    if !server_crash::has_crashed(&shared.backend, address).await {
         lock(&shared.quarantine.tables).interrupted.forget(incarnation);
         return;
     }
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -96,14 +96,21 @@
     );
 }
 
-/// Logs that a send got no response to forward.
-pub fn attempt_failed(job: &Job, history: &RequestHistory, failure: &Failure) {
+/// Logs that a send to a server, or to the box with this address, got no response to forward.
+pub fn attempt_failed(
+    job: &Job,
+    history: &RequestHistory,
+    peer: Option<SocketAddr>,
+    failure: &Failure,
+) {
     log::info!(
         target: TARGET,
-        "event=attempt_failed request={} route={} server={} sends={} maybe_ran={} content={} age_ms={} cause=\"{failure}\"",
+        "event=attempt_failed request={} route={} service={} server={} box={} sends={} maybe_ran={} content={} age_ms={} cause=\"{failure}\"",
         job.metadata.id,
         job.route.name,
-        history.tried.last().map_or("-", String::as_str),
+        job.service,
+        history.tried.last().filter(|_| peer.is_none()).map_or("-", String::as_str),
+        peer.map_or("-".to_owned(), |address| address.to_string()),
         history.arrivals(),
         history.maybe_ran,
         job.fingerprint,
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -126,7 +126,12 @@
     }
     // Since the last send, other boxes may have found that this request crashes servers.
     quarantine::admit(shared, job).map_err(StepError::Final)?;
-    let outcome = match choose_target(shared, job, history).map_err(StepError::Final)? {
+    let target = choose_target(shared, job, history).map_err(StepError::Final)?;
+    let peer = match target {
+        Target::Peer(address, _) => Some(address),
+        Target::Server(_) => None,
+    };
+    let outcome = match target {
         Target::Server(reservation) => {
             history.tried.push(reservation.place.server.clone());
             let state = lock(&shared.freshness).summary(clock::now());
@@ -146,7 +151,7 @@
         }
         SendOutcome::Unsent(failure) => {
             history.unsent += 1;
-            decision_log::attempt_failed(job, history, &failure);
+            decision_log::attempt_failed(job, history, peer, &failure);
             return Err(StepError::Retry(failure));
         }
         SendOutcome::Refused(failure) => {
@@ -164,7 +169,7 @@
             failure
         }
     };
-    decision_log::attempt_failed(job, history, &failure);
+    decision_log::attempt_failed(job, history, peer, &failure);
     // A box with a newer configuration than this one reports that the key is no longer valid.
     let key_rejected = failure.kind == ErrorKind::Unauthorized;
     if key_rejected || (history.maybe_ran && !job.route.repeatable()) {
--- a/lib/src/gateway/feedback.rs
+++ b/lib/src/gateway/feedback.rs
@@ -83,7 +83,7 @@
 
 /// Checks whether a server still accepts connections.
 async fn check_for_crash<A: Adapter>(shared: Arc<Shared<A>>, place: Place) {
-    if !server_crash::has_crashed(place.address).await {
+    if !server_crash::has_crashed(&shared.servers, place.address).await {
         lock(&shared.interrupted).forget(place.incarnation);
         return;
     }
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -58,7 +58,14 @@
     let now = clock::now();
     let services = lock(&shared.services);
     let resting: usize = services.values().map(|service| service.placement.resting(now)).sum();
+    let failing: Vec<(usize, usize)> =
+        services.values().map(|service| service.placement.failing(now)).collect();
     drop(services);
+    let failing_servers: usize = failing.iter().map(|(failing, _)| failing).sum();
+    let failing_services =
+        failing.iter().filter(|(failing, usable)| *usable > 0 && failing == usable).count();
+    let _ = writeln!(text, "copperweir_failing_servers {failing_servers}");
+    let _ = writeln!(text, "copperweir_services_without_healthy_servers {failing_services}");
     let _ = writeln!(text, "copperweir_resting_servers {resting}");
     shared.latencies.write_metrics(&mut text);
     text
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -177,7 +177,8 @@
             global_update: Notify::new(),
             verdicts: Notify::new(),
             peer_ahead: Notify::new(),
-            servers: backend::Client::new(SERVER_CONNECT_TIMEOUT),
+            servers: backend::Client::new(SERVER_CONNECT_TIMEOUT)
+                .with_routes(settings.server_routes.clone()),
             peers: backend::Client::new(PEER_CONNECT_TIMEOUT),
             in_flight: AtomicUsize::new(0),
             counters,
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -1,5 +1,6 @@
 //! Validated settings of a gateway process.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -68,4 +69,6 @@
     pub exposure_limit: f64,
     /// Maximum time for which callers cache a response of the directory.
     pub directory_ttl: Duration,
+    /// Addresses to connect to instead of those of some servers.
+    pub server_routes: BTreeMap<SocketAddr, SocketAddr>,
 }
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -6,6 +6,7 @@
 //! that must be executed at most once uses a new connection, so that nothing left over from an
 //! earlier response can be mistaken for its own.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -82,6 +83,8 @@
 pub struct Client {
     idle: IdleConnections,
     connect_timeout: Duration,
+    /// Addresses to connect to instead of others.
+    routes: Arc<BTreeMap<SocketAddr, SocketAddr>>,
 }
 
 impl Default for Client {
@@ -132,7 +135,22 @@
 impl Client {
     /// Creates a client with this timeout for establishing a connection.
     pub fn new(connect_timeout: Duration) -> Client {
-        Client { idle: IdleConnections::default(), connect_timeout }
+        Client { idle: IdleConnections::default(), connect_timeout, routes: Arc::default() }
+    }
+
+    /// Connects to other addresses than the given ones, as these routes specify.
+    pub fn with_routes(self, routes: BTreeMap<SocketAddr, SocketAddr>) -> Client {
+        Client { routes: Arc::new(routes), ..self }
+    }
+
+    /// Opens a connection to a server.
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptError> {
+        connect(self.route(address), self.connect_timeout).await.map_err(AttemptError::NotSent)
+    }
+
+    /// Returns the address to connect to for a server.
+    fn route(&self, address: SocketAddr) -> SocketAddr {
+        self.routes.get(&address).copied().unwrap_or(address)
     }
 
     /// Sends a request and waits for the head of the response. If `fresh` is set, uses a new
@@ -174,8 +192,7 @@
                 },
             }
         }
-        let mut connection =
-            connect(address, self.connect_timeout).await.map_err(AttemptError::NotSent)?;
+        let mut connection = self.connect(address).await?;
         if !still_wanted() {
             return Err(AttemptError::Withheld);
         }
@@ -229,6 +246,13 @@
         idle.retain(|(_, address), _| keep(address));
     }
 
+    /// Returns whether the host refuses connections to the server's port, which means that the
+    /// process has crashed or exited.
+    pub async fn refuses_connections(&self, address: SocketAddr, timeout: Duration) -> bool {
+        let connected = timer::timeout(timeout, TcpStream::connect(self.route(address))).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Sends a small request and reads the complete response.
     pub async fn fetch(
         &self,
@@ -259,13 +283,6 @@
     Ok(Connection { sender, task, reusable_until: clock::now() + MAX_IDLE_TIME })
 }
 
-/// Returns whether the host refuses connections to the port, which means that the process has
-/// crashed or exited.
-pub async fn refuses_connections(address: SocketAddr, timeout: Duration) -> bool {
-    let connected = timer::timeout(timeout, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-}
-
 /// Returns whether a process accepts connections at the address.
 pub async fn accepts_connections(address: SocketAddr, timeout: Duration) -> bool {
     matches!(timer::timeout(timeout, TcpStream::connect(address)).await, Ok(Ok(_)))
--- a/lib/src/transport/server_crash.rs
+++ b/lib/src/transport/server_crash.rs
@@ -21,14 +21,14 @@
 ];
 
 /// Whether a server has crashed: its port refuses connections.
-pub async fn has_crashed(address: SocketAddr) -> bool {
-    let mut crashed = backend::refuses_connections(address, CONNECT_TIMEOUT).await;
+pub async fn has_crashed(client: &backend::Client, address: SocketAddr) -> bool {
+    let mut crashed = client.refuses_connections(address, CONNECT_TIMEOUT).await;
     for pause in RECHECK_PAUSES {
         if crashed {
             break;
         }
         timer::sleep(pause).await;
-        crashed = backend::refuses_connections(address, CONNECT_TIMEOUT).await;
+        crashed = client.refuses_connections(address, CONNECT_TIMEOUT).await;
     }
     crashed
 }
