gateway: boxes that lose their paths to servers use their neighbors

Callers of boxes that were cut off from all servers got 503 for two requests in five, while a neighbor reached all servers (367 of 579 first attempts served there, 1,424 of 1,446 at the others).

Cause: a box took the loss of its own paths for a failure of the servers. It refused instead of asking a neighbor, its callers' requests were the probes, and other boxes went on forwarding to it.

Reachability is a property of a path now. A box that can't connect to a server probes that path itself, with hysteresis if it flaps; three losses without a response between them stand for all servers of the service. Each box reports the share of the servers that it reaches. It forwards the share that it can't reach to its neighbors, by their load; home, overflow and fallback draw boxes by what they reach, and the directory names an isolated box only if the region has no other. What no box reaches is refused at once.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -10,6 +10,7 @@
 use super::loads::Load;
 use super::loads::Loads;
 use super::prefix_cache::PrefixCache;
+use super::reachability::Path;
 use super::rendezvous;
 use super::upgrade::Role;
 use super::warmup::Warmup;
@@ -73,7 +74,7 @@
     Failed,
     /// The server refused the request for lack of capacity.
     Shed,
-    /// No connection could be established.
+    /// No connection could be established, or the host stopped acknowledging data.
     Unreachable,
     /// The connection broke, or the response was invalid.
     Lost,
@@ -85,6 +86,13 @@
     Abandoned,
 }
 
+impl Outcome {
+    /// Whether the server responded, so that the path to it works.
+    pub fn is_response(self) -> bool {
+        matches!(self, Outcome::Answered | Outcome::Failed | Outcome::Shed | Outcome::Replaced)
+    }
+}
+
 /// Work that a request causes at a server, in tokens.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
@@ -118,6 +126,8 @@
     /// Estimate of the number of requests from all boxes that the server accepts.
     limit: f64,
     ejection: Ejection,
+    /// The path from this box to the server.
+    pub path: Path,
     warmup: Warmup,
     prefix_cache: PrefixCache,
     /// Until when the server is cold by its own report, which the store may not show yet.
@@ -168,6 +178,7 @@
             in_flight: 0,
             prefill_tokens: 0.0,
             ejection: Ejection::default(),
+            path: Path::default(),
             warmup: Warmup::new(unknown_before),
             prefix_cache: PrefixCache::new(memory_tokens.unwrap_or(0)),
             reported_cold_until: None,
@@ -350,10 +361,9 @@
                 let floor = f64::from(self.state.server.slots.max(1));
                 self.limit = (self.limit * LIMIT_DECREASE_FACTOR).max(floor);
             }
-            Outcome::Unreachable => self.ejection.record_unreachable(now),
             Outcome::Lost | Outcome::TimedOut => self.ejection.record_lost_response(now),
             Outcome::Replaced => self.mark_replaced(),
-            Outcome::Abandoned => {}
+            Outcome::Unreachable | Outcome::Abandoned => {}
         }
     }
 }
--- a/lib/src/coordination/ejection.rs
+++ b/lib/src/coordination/ejection.rs
@@ -40,11 +40,6 @@
         *self = Ejection::default();
     }
 
-    /// Records that no connection could be established.
-    pub fn record_unreachable(&mut self, now: Instant) {
-        self.eject(now);
-    }
-
     /// Records a lost response.
     pub fn record_lost_response(&mut self, now: Instant) {
         self.consecutive_lost_responses += 1;
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -131,6 +131,15 @@
     /// Plans whose target version a judge has found bad.
     #[prost(fixed64, repeated, tag = "32")]
     pub halted: Vec<u64>,
+    /// Hashes of services of whose servers in its region the sender can't reach all.
+    #[prost(fixed64, repeated, tag = "33")]
+    pub limited_services: Vec<u64>,
+    /// Share of the slots of these servers that the sender reaches, in their order, percent.
+    #[prost(uint32, repeated, tag = "35")]
+    pub reached_percent: Vec<u32>,
+    /// Whether the sender reaches no server of any service.
+    #[prost(bool, tag = "34")]
+    pub isolated: bool,
 }
 
 impl BoxReport {
@@ -237,6 +246,12 @@
         self.sums.get(&server).copied().unwrap_or_default()
     }
 
+    /// Requests in flight from another box, on all servers.
+    pub fn of_sender(&self, sender: u64) -> u32 {
+        let loads = self.senders.get(&sender).map(|sender| &sender.loads);
+        loads.map_or(0, |loads| loads.iter().map(|(_, load)| load.in_flight).sum())
+    }
+
     /// Number of boxes with a current report.
     pub fn reporting_boxes(&self) -> usize {
         self.senders.len()
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -34,6 +34,7 @@
 pub mod quota;
 pub mod rate;
 pub mod rate_limiter;
+pub mod reachability;
 pub mod regions;
 pub mod rendezvous;
 pub mod rest_period;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -7,10 +7,12 @@
 //! that server is much busier than others.
 
 mod blocked;
+mod paths;
 mod status;
 mod utilization;
 
 pub use self::blocked::Blocked;
+pub use self::paths::PathTarget;
 pub use self::status::ProbeTarget;
 
 use std::collections::BTreeMap;
@@ -28,6 +30,7 @@
 use super::candidate::Work;
 use super::loads::Load;
 use super::loads::Loads;
+use super::reachability::PathChange;
 use super::rendezvous;
 use super::rest_period::RestPeriods;
 use super::retry_spread::RetrySpread;
@@ -155,6 +158,8 @@
     /// expire and return.
     rest_periods: RestPeriods,
     retry_spread: RetrySpread,
+    /// Number of paths that were lost since a server last responded.
+    losses_without_response: u32,
 }
 
 impl Placement {
@@ -171,6 +176,7 @@
             removed_at: BTreeMap::new(),
             rest_periods: RestPeriods::default(),
             retry_spread: RetrySpread::default(),
+            losses_without_response: 0,
         }
     }
 
@@ -287,7 +293,9 @@
         let mut candidates = 0;
         let mut best: Option<(f64, Choice)> = None;
         for (id, candidate) in &mut self.servers {
-            let usable = candidate.has_role(request.role) && !request.tried.contains(id);
+            let usable = candidate.has_role(request.role)
+                && !candidate.path.is_lost()
+                && !request.tried.contains(id);
             if !usable || !is_compared(candidate.hash) {
                 continue;
             }
@@ -365,14 +373,15 @@
     }
 
     /// Releases a place and records the outcome of its request.
-    pub fn finish(&mut self, place: &mut Place, outcome: Outcome, now: Instant) {
+    pub fn finish(&mut self, place: &mut Place, outcome: Outcome, now: Instant) -> PathChange {
         let was_waiting = std::mem::take(&mut place.awaiting_first_byte);
-        let Some(candidate) = self.server_of(place) else { return };
+        let Some(candidate) = self.server_of(place) else { return PathChange::Unchanged };
         if was_waiting {
             candidate.reduce_prefill(place.prefill_tokens);
         }
         candidate.in_flight = candidate.in_flight.saturating_sub(1);
         candidate.record_outcome(outcome, now);
+        self.record_path(&place.server, outcome, now)
     }
 
     /// Load of this box on each server, by server incarnation.
@@ -385,6 +394,7 @@
     fn sample(&self, role: Role, selection: Selection, rng: &mut impl Rng) -> Option<Vec<u64>> {
         let accepts_requests = |candidate: &&Candidate| {
             candidate.has_role(role)
+                && !candidate.path.is_lost()
                 && self.rest_periods.until(candidate.incarnation, selection.now).is_none()
         };
         let usable: Vec<u64> = self
--- a/lib/src/coordination/placement/blocked.rs
+++ b/lib/src/coordination/placement/blocked.rs
@@ -19,6 +19,8 @@
     Throttled,
     /// Only servers that failed recently have capacity.
     Failing,
+    /// This box can't reach any of the remaining servers.
+    Unreachable,
     /// All servers are in a rest period that they requested from this box.
     Resting {
         /// When the first rest period ends.
@@ -43,6 +45,12 @@
             if !candidate.has_role(request.role) || is_tried || is_resting {
                 continue;
             }
+            if candidate.path.is_lost() {
+                if blocked == Blocked::NoServer {
+                    blocked = Blocked::Unreachable;
+                }
+                continue;
+            }
             let load = candidate.load(request.loads, selection.unreported_boxes);
             let has_capacity = candidate.has_capacity(load, selection.stale, selection.now);
             if !candidate.is_healthy(selection.now) && has_capacity {
--- a/lib/src/coordination/placement/utilization.rs
+++ b/lib/src/coordination/placement/utilization.rs
@@ -49,7 +49,10 @@
             let load = candidate.load(loads, unreported_boxes);
             if self.rest_periods.until(candidate.incarnation, now).is_some() {
                 resting = true;
-            } else if !candidate.is_healthy(now) || !candidate.has_capacity(load, false, now) {
+            } else if !candidate.is_healthy(now)
+                || candidate.path.is_lost()
+                || !candidate.has_capacity(load, false, now)
+            {
                 saturated = true;
             } else if throttles.has_capacity(candidate.incarnation, now) {
                 return false;
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -1,4 +1,4 @@
-//! A single send of a request to a backend server or to a box of another region, and its outcome.
+//! A single send of a request to a backend server or to another box, and its outcome.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,13 +16,17 @@
 use super::decision_log;
 use super::feedback;
 use super::job::Job;
+use super::job::LOST_PATHS_HEADER;
 use super::job::SENDS_HEADER;
 use super::job::forwarded_headers;
 use super::shared::Reservation;
 use super::shared::Shared;
+use super::shared::lock;
 use super::stream::Stream;
 use crate::coordination::attempt::AttemptEvent;
 use crate::coordination::attempt::AttemptReport;
+use crate::coordination::presence;
+use crate::coordination::rendezvous;
 use crate::error::ErrorKind;
 use crate::error::Executed;
 use crate::error::Failure;
@@ -30,6 +34,7 @@
 use crate::protocol::adapter::ResponseMetadata;
 use crate::protocol::caller;
 use crate::protocol::retry_after;
+use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::backend;
 use crate::transport::backend::AttemptError;
@@ -102,7 +107,7 @@
     }
 }
 
-/// Sends the request to a box of another region.
+/// Sends the request to another box.
 pub async fn to_peer<A: Adapter>(
     shared: &Arc<Shared<A>>,
     job: &Job,
@@ -112,18 +117,41 @@
     let request = job.for_peer(&shared.adapter, last_event);
     shared.counters.increment(Counter::ForwardedOut);
     match send(&shared.peers, job, address, request, false, || true).await {
-        Ok(response) => match peer_failure(&response) {
-            Some(failure) if failure.executed() == Executed::No && !was_sent(&response) => {
-                SendOutcome::Unsent(failure)
+        Ok(response) => {
+            if response.headers().contains_key(LOST_PATHS_HEADER) {
+                record_path_refusal(shared, job, address);
             }
-            Some(failure) if failure.executed() == Executed::No => SendOutcome::Refused(failure),
-            Some(failure) => SendOutcome::MaybeRan(failure),
-            None => receive(shared, job, response, None).await,
-        },
+            peer_outcome(shared, job, response).await
+        }
         Err(no_response) => no_response.into_outcome(&address.to_string()),
     }
 }
 
+/// Records that a box refused a request while it had lost paths to servers of the service.
+fn record_path_refusal<A: Adapter>(shared: &Shared<A>, job: &Job, address: std::net::SocketAddr) {
+    let record = job.snapshot.boxes.iter().find(|other| other.peers == address);
+    if let Some(record) = record {
+        let box_hash = presence::box_hash(&record.name);
+        let service_hash = rendezvous::weight(&job.service, "");
+        lock(&shared.peer_paths).record_refusal(box_hash, service_hash, clock::now());
+    }
+}
+
+async fn peer_outcome<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    response: Response<PooledBody>,
+) -> SendOutcome<A> {
+    match peer_failure(&response) {
+        Some(failure) if failure.executed() == Executed::No && !was_sent(&response) => {
+            SendOutcome::Unsent(failure)
+        }
+        Some(failure) if failure.executed() == Executed::No => SendOutcome::Refused(failure),
+        Some(failure) => SendOutcome::MaybeRan(failure),
+        None => receive(shared, job, response, None).await,
+    }
+}
+
 /// A send that got no response.
 struct NoResponse {
     event: AttemptEvent,
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -5,7 +5,7 @@
 
 use http::StatusCode;
 
-use super::cross_region::ForwardReason;
+use super::forwarding::ForwardReason;
 use super::history::RequestHistory;
 use super::job::Job;
 use super::stream_timing::StreamTiming;
@@ -80,7 +80,7 @@
     );
 }
 
-/// Logs that the request is forwarded to a box of another region.
+/// Logs that the request is forwarded to another box.
 pub fn passed_on(job: &Job, history: &RequestHistory, address: SocketAddr, reason: ForwardReason) {
     log::info!(
         target: TARGET,
--- a/lib/src/gateway/directory.rs
+++ b/lib/src/gateway/directory.rs
@@ -16,7 +16,9 @@
 use super::shared::Snapshot;
 use super::shared::lock;
 use crate::coordination::drain::Stage;
+use crate::coordination::presence;
 use crate::coordination::presence::Presence;
+use crate::coordination::reachability::PeerReachability;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::DirectoryQuery;
 use crate::protocol::fleet::BoxRecord;
@@ -56,8 +58,11 @@
         return empty_response(StatusCode::NOT_FOUND);
     };
     let (addresses, is_near) = {
-        let presence = lock(&shared.presence);
-        addresses(&shared.snapshot.load(), &presence, &own_record, &query, clock::now())
+        let is_isolated = shared.is_isolated();
+        let (presence, peer_paths) = (lock(&shared.presence), lock(&shared.peer_paths));
+        let own = OwnBox { record: &own_record, is_isolated };
+        let now = clock::now();
+        addresses(&shared.snapshot.load(), &presence, &peer_paths, own, &query, now)
     };
     let ttl = if is_near { shared.settings.directory_ttl } else { REMOTE_TTL };
     let body = shared.adapter.directory_body(&addresses, ttl);
@@ -67,6 +72,15 @@
     response
 }
 
+/// This box, as a candidate for a response.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnBox<'a> {
+    /// Its record.
+    pub record: &'a BoxRecord,
+    /// Whether it reaches no server of any service.
+    pub is_isolated: bool,
+}
+
 /// The boxes for a caller, and whether they are in its region. They are chosen from the caller's
 /// failure domain, else from its region, else from the regions that may run most routes of the
 /// host.
@@ -76,10 +90,14 @@
 /// homes, where 40 are allowed (the seed in docs/findings.md replays it). For the same reason,
 /// boxes of those regions that have only just announced that they leave are preferred to serving
 /// boxes of others.
+///
+/// A box that reaches no server still serves through its neighbors, so it is named only if there
+/// is no other box in the caller's region.
 pub fn addresses(
     snapshot: &Snapshot,
     presence: &Presence,
-    own_record: &BoxRecord,
+    peer_paths: &PeerReachability,
+    own: OwnBox<'_>,
     query: &DirectoryQuery,
     now: Instant,
 ) -> (Vec<SocketAddr>, bool) {
@@ -89,16 +107,30 @@
     let mut accepting: Vec<&BoxRecord> =
         boxes.filter(|record| presence.may_be_named(record, now)).collect();
     match snapshot.stage {
-        Stage::Serving => serving.push(own_record),
-        Stage::Announced => accepting.push(own_record),
+        Stage::Serving => serving.push(own.record),
+        Stage::Announced => accepting.push(own.record),
         Stage::Closing | Stage::Done | Stage::Cut => {}
     }
-    let in_domain =
-        caller_addresses(&serving, |record| record.failure_domain == query.failure_domain);
+    let reaches_servers = |record: &BoxRecord| {
+        if record.name == own.record.name {
+            !own.is_isolated
+        } else {
+            !peer_paths.is_isolated(presence::box_hash(&record.name), now)
+        }
+    };
+    let in_domain = caller_addresses(&serving, |record| {
+        record.failure_domain == query.failure_domain && reaches_servers(record)
+    });
     if in_domain.len() >= MIN_DOMAIN_BOXES {
         return (in_domain, true);
     }
-    let in_region = caller_addresses(&serving, |record| record.region == query.region);
+    let is_in_region = |record: &BoxRecord| record.region == query.region;
+    let in_region =
+        caller_addresses(&serving, |record| is_in_region(record) && reaches_servers(record));
+    if !in_region.is_empty() {
+        return (in_region, true);
+    }
+    let in_region = caller_addresses(&serving, is_in_region);
     if !in_region.is_empty() {
         return (in_region, true);
     }
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -1,5 +1,5 @@
-//! Dispatches a request: chooses a server or a box of another region, sends the request, and sends
-//! it again where that is allowed.
+//! Dispatches a request: chooses a server or another box, sends the request, and sends it again
+//! where that is allowed.
 //!
 //! The response to the caller depends on what was sent. A failure says "not run" only if nothing
 //! was sent, or if every receiver reported that it did not run the request.
@@ -12,9 +12,9 @@
 use super::attempt::Payload;
 use super::attempt::Reply;
 use super::attempt::SendOutcome;
-use super::cross_region;
-use super::cross_region::ForwardReason;
 use super::decision_log;
+use super::forwarding;
+use super::forwarding::ForwardReason;
 use super::history::RequestHistory;
 use super::job::Job;
 use super::job::Origin;
@@ -139,7 +139,9 @@
             attempt::to_server(shared, job, *reservation, after_event).await
         }
         Target::Peer(address, reason) => {
-            history.boxes.push(address);
+            let boxes =
+                if reason.is_in_region() { &mut history.neighbors } else { &mut history.boxes };
+            boxes.push(address);
             decision_log::passed_on(job, history, address, reason);
             attempt::to_peer(shared, job, address, after_event).await
         }
@@ -183,14 +185,16 @@
     job: &Job,
     history: &RequestHistory,
 ) -> Result<Target<A>, Failure> {
-    if let Some(address) = cross_region::home_box(shared, job, history) {
+    if let Some(address) = forwarding::home_box(shared, job, history) {
         return Ok(Target::Peer(address, ForwardReason::Home));
     }
-    if let Some((address, reason)) =
-        cross_region::overflow_target(shared, job, history, clock::now())
+    if let Some((address, reason)) = forwarding::overflow_target(shared, job, history, clock::now())
     {
         return Ok(Target::Peer(address, reason));
     }
+    if let Some(address) = forwarding::detour(shared, job, history) {
+        return Ok(Target::Peer(address, ForwardReason::LostPath));
+    }
     lock(&shared.throttles).record_request(throttle::service_hash(&job.service), clock::now());
     let blocked = match reserve_server(shared, job, history, Eligible::Healthy) {
         Ok(reservation) => return Ok(Target::Server(reservation)),
@@ -199,10 +203,13 @@
     if job.origin == Origin::Peer {
         return Err(refusal(shared, job, blocked));
     }
+    if let Some(address) = forwarding::neighbor(shared, job, history) {
+        return Ok(Target::Peer(address, ForwardReason::LostPath));
+    }
     // A healthy server in another region is preferred to a local one that failed recently. When
     // requests were sent to ten unresponsive servers first, each send cost 400 ms, up to four times
     // per request.
-    if let Some(address) = cross_region::fallback_target(shared, job, &history.boxes) {
+    if let Some(address) = forwarding::fallback_target(shared, job, &history.boxes) {
         return Ok(Target::Peer(address, ForwardReason::NoPlace));
     }
     if blocked == Blocked::Failing
@@ -279,6 +286,9 @@
         }
         Blocked::Full => Failure::new(ErrorKind::QueueFull, "all backend servers are full"),
         Blocked::Failing => Failure::new(ErrorKind::NoServer, "all backend servers failed lately"),
+        Blocked::Unreachable => {
+            Failure::new(ErrorKind::NoServer, "this box can't reach the backend servers")
+        }
     }
     .with_retry_after(retry_after)
 }
--- a/lib/src/gateway/forwarding.rs
+++ b/lib/src/gateway/forwarding.rs
@@ -1,6 +1,9 @@
-//! Chooses boxes of other regions to forward requests to: because no server here may or can run a
-//! request, because the home server of its shared prefix is there, or because that region has
-//! capacity while this one is busy.
+//! Chooses boxes to forward requests to. A neighbor, which is a box of this region, gets a request
+//! if this box has lost its paths to servers. A box of another region gets it if no server here may
+//! or can run it, if the home server of its shared prefix is there, or if that region has capacity
+//! while this one is busy.
+//!
+//! A forwarded request is not forwarded again. Boxes that reach no server of the service get none.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -14,6 +17,8 @@
 use super::job::Origin;
 use super::shared::Shared;
 use super::shared::lock;
+use crate::coordination::presence;
+use crate::coordination::reachability;
 use crate::coordination::regions::Utilization;
 use crate::coordination::rendezvous;
 use crate::coordination::shared_prefix::SharedPrefix;
@@ -24,8 +29,13 @@
 /// Maximum number of boxes of other regions that a request is forwarded to. Each costs a round trip
 /// between regions.
 const MAX_PEER_SENDS: usize = 2;
+/// Maximum number of neighbors that a request is forwarded to.
+const MAX_NEIGHBOR_SENDS: usize = 2;
+/// Number of neighbors compared by their load. Boxes act on reports that are some tenths of a second
+/// old; comparing a random sample keeps them from all choosing the same neighbor.
+const NEIGHBOR_SAMPLE: usize = 2;
 
-/// Why a request is forwarded to another region, for the log.
+/// Why a request is forwarded, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ForwardReason {
     /// The home server of the request's shared prefix is in that region.
@@ -39,6 +49,15 @@
     },
     /// No server of this region may or can run the request.
     NoPlace,
+    /// This box has lost its paths to servers of its region, which a neighbor reaches.
+    LostPath,
+}
+
+impl ForwardReason {
+    /// Whether the request goes to a box of this region.
+    pub fn is_in_region(self) -> bool {
+        self == ForwardReason::LostPath
+    }
 }
 
 impl fmt::Display for ForwardReason {
@@ -53,20 +72,103 @@
                 )
             }
             ForwardReason::NoPlace => f.write_str("no_place"),
+            ForwardReason::LostPath => f.write_str("lost_path"),
         }
     }
 }
 
 /// Whether this is the first send of a caller's request.
 fn is_first_send(job: &Job, history: &RequestHistory) -> bool {
-    job.origin == Origin::Caller && history.tried.is_empty() && history.boxes.is_empty()
+    job.origin == Origin::Caller
+        && history.tried.is_empty()
+        && history.boxes.is_empty()
+        && history.neighbors.is_empty()
+}
+
+/// A box that may get a request, with the share of the service's servers that it reaches.
+#[derive(Clone, Copy, Debug)]
+struct ReachingBox<'a> {
+    record: &'a BoxRecord,
+    share: f64,
 }
 
-/// The boxes of a region that accept requests.
-fn serving_boxes<'a, A>(shared: &Shared<A>, job: &'a Job, region: &str) -> Vec<&'a BoxRecord> {
-    let presence = lock(&shared.presence);
+/// The boxes of a region that accept requests and reach servers of the service.
+fn serving_boxes<'a, A>(shared: &Shared<A>, job: &'a Job, region: &str) -> Vec<ReachingBox<'a>> {
+    let (service_hash, now) = (rendezvous::weight(&job.service, ""), clock::now());
+    let (presence, paths) = (lock(&shared.presence), lock(&shared.peer_paths));
     let boxes = job.snapshot.boxes.iter();
-    boxes.filter(|other| other.region == region && presence.serves(other)).collect()
+    let serving = boxes.filter(|other| other.region == region && presence.serves(other));
+    let reaching = serving.map(|record| {
+        let share = paths.share(presence::box_hash(&record.name), service_hash, now);
+        ReachingBox { record, share }
+    });
+    reaching.filter(|other| other.share > 0.0).collect()
+}
+
+/// Draws a box, weighted by the share of the servers that it reaches.
+fn draw(boxes: &[ReachingBox<'_>]) -> Option<SocketAddr> {
+    let drawn = boxes.choose_weighted(&mut rand::rng(), |other| other.share);
+    drawn.ok().map(|other| other.record.peers)
+}
+
+/// The neighbors that the request was not forwarded to yet, if it may run in this region and
+/// another such forward is allowed.
+fn untried_neighbors<'a, A>(
+    shared: &Shared<A>,
+    job: &'a Job,
+    history: &RequestHistory,
+) -> Vec<ReachingBox<'a>> {
+    let own_region = &shared.settings.region;
+    if history.neighbors.len() >= MAX_NEIGHBOR_SENDS || !job.is_allowed_in(own_region) {
+        return Vec::new();
+    }
+    let mut neighbors = serving_boxes(shared, job, own_region);
+    neighbors.retain(|other| !history.neighbors.contains(&other.record.peers));
+    neighbors
+}
+
+/// Draws two neighbors and returns the one with the lower load.
+fn less_loaded<A>(shared: &Shared<A>, neighbors: &[ReachingBox<'_>]) -> Option<SocketAddr> {
+    let sample =
+        neighbors.choose_multiple_weighted(&mut rand::rng(), NEIGHBOR_SAMPLE, |other| other.share);
+    let loads = lock(&shared.loads);
+    let load = |other: &&ReachingBox<'_>| loads.of_sender(presence::box_hash(&other.record.name));
+    sample.ok()?.min_by_key(load).map(|other| other.record.peers)
+}
+
+/// A neighbor, for the share of the requests whose servers this box can't reach.
+pub fn detour<A: Adapter>(
+    shared: &Shared<A>,
+    job: &Job,
+    history: &RequestHistory,
+) -> Option<SocketAddr> {
+    let own_share =
+        shared.with_service(&job.service, |service| service.placement.reached_share())?;
+    if job.origin == Origin::Peer || own_share >= 1.0 {
+        return None;
+    }
+    let mut neighbors = untried_neighbors(shared, job, history);
+    let best_share = neighbors.iter().map(|other| other.share).fold(0.0, f64::max);
+    let detour_share = reachability::detour_share(own_share, best_share);
+    if rand::rng().random::<f64>() >= detour_share {
+        return None;
+    }
+    neighbors.retain(|other| other.share > own_share);
+    less_loaded(shared, &neighbors)
+}
+
+/// A neighbor, for a request that no server which this box reaches can run now.
+pub fn neighbor<A: Adapter>(
+    shared: &Shared<A>,
+    job: &Job,
+    history: &RequestHistory,
+) -> Option<SocketAddr> {
+    let has_lost_paths =
+        shared.with_service(&job.service, |service| service.placement.has_lost_paths())?;
+    if !has_lost_paths {
+        return None;
+    }
+    less_loaded(shared, &untried_neighbors(shared, job, history))
 }
 
 /// Whether the servers of another region have capacity for a request, according to its reports.
@@ -99,11 +201,11 @@
     let region_boxes = serving_boxes(shared, job, &home_server.region);
     // From a box in the failure domain of the home server, the prompt doesn't have to cross into
     // another one.
-    let same_domain =
-        region_boxes.iter().filter(|other| *other.failure_domain == *home_server.failure_domain);
-    let same_domain: Vec<&BoxRecord> = same_domain.copied().collect();
-    let candidates = if same_domain.is_empty() { region_boxes } else { same_domain };
-    candidates.choose(&mut rand::rng()).map(|other| other.peers)
+    let is_in_domain =
+        |other: &&ReachingBox<'_>| *other.record.failure_domain == *home_server.failure_domain;
+    let same_domain: Vec<ReachingBox<'_>> =
+        region_boxes.iter().filter(is_in_domain).copied().collect();
+    draw(if same_domain.is_empty() { &region_boxes } else { &same_domain })
 }
 
 /// A box of a region that has capacity while the servers of this one are busy, for a share of the
@@ -132,12 +234,12 @@
     if rand::rng().random::<f64>() >= share {
         return None;
     }
-    let other =
-        serving_boxes(shared, job, region).choose(&mut rand::rng()).map(|other| other.peers)?;
+    let other = draw(&serving_boxes(shared, job, region))?;
     Some((other, ForwardReason::Overflow { own_utilization, share }))
 }
 
-/// Chooses a random box of another region, weighted by the slots of its region.
+/// Chooses a random box of another region, weighted by the slots of its region and by the share of
+/// them that it reaches.
 pub fn fallback_target<A: Adapter>(
     shared: &Shared<A>,
     job: &Job,
@@ -149,9 +251,12 @@
     let slots = job.snapshot.slots.get(&job.service)?;
     let (service_hash, now) = (rendezvous::weight(&job.service, ""), clock::now());
     let (regions, presence) = (lock(&shared.regions), lock(&shared.presence));
+    let paths = lock(&shared.peer_paths);
+    let share = |other: &BoxRecord| paths.share(presence::box_hash(&other.name), service_hash, now);
     let eligible = |other: &&BoxRecord| {
         other.region != shared.settings.region
             && presence.serves(other)
+            && share(other) > 0.0
             && !tried.contains(&other.peers)
             && job.is_allowed_in(&other.region)
             && slots.get(&other.region).is_some_and(|slots| *slots > 0)
@@ -161,7 +266,7 @@
     let in_region = |region: &str| boxes.iter().filter(|other| other.region == region).count();
     let weight = |other: &&BoxRecord| {
         let slots = slots.get(&other.region).copied().unwrap_or(0);
-        f64::from(slots) / in_region(&other.region).max(1) as f64
+        share(other) * f64::from(slots) / in_region(&other.region).max(1) as f64
     };
     boxes.choose_weighted(&mut rand::rng(), weight).ok().map(|other| other.peers)
 }
--- a/lib/src/gateway/history.rs
+++ b/lib/src/gateway/history.rs
@@ -12,6 +12,8 @@
     pub tried: Vec<ServerId>,
     /// Boxes of other regions that the request was forwarded to.
     pub boxes: Vec<SocketAddr>,
+    /// Boxes of this region that the request was forwarded to.
+    pub neighbors: Vec<SocketAddr>,
     /// Number of sends that may have run.
     pub sends: usize,
     /// Number of sends that the receiver refused, so that they did not run.
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -14,6 +14,7 @@
 use super::dispatch;
 use super::history::RequestHistory;
 use super::job::Job;
+use super::job::LOST_PATHS_HEADER;
 use super::job::Origin;
 use super::job::SENDS_HEADER;
 use super::quarantine;
@@ -119,6 +120,11 @@
     response
 }
 
+/// Whether this box can't reach some servers of the request's service.
+fn has_lost_paths<A: Adapter>(shared: &Shared<A>, job: &Job) -> bool {
+    shared.with_service(&job.service, |service| service.placement.has_lost_paths()) == Some(true)
+}
+
 fn failure_response<A: Adapter>(
     shared: &Arc<Shared<A>>,
     id: &str,
@@ -143,6 +149,9 @@
     *response.status_mut() = failure.status();
     caller::add_failure_headers(failure, response.headers_mut());
     response.headers_mut().insert(SENDS_HEADER, history.arrivals().into());
+    if job.is_some_and(|job| job.origin == Origin::Peer && has_lost_paths(shared, job)) {
+        response.headers_mut().insert(LOST_PATHS_HEADER, HeaderValue::from_static("1"));
+    }
     shared.adapter.add_failure_headers(response.headers_mut(), id, failure.retry_after());
     response
 }
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -46,6 +46,8 @@
 pub const FORWARDED_HEADER: HeaderName = HeaderName::from_static("copperweir-passed-on");
 /// How many sends a box made for a request that got no response.
 pub const SENDS_HEADER: HeaderName = HeaderName::from_static("copperweir-sends");
+/// Marks the refusal of a box that has lost paths to servers of the request's service.
+pub const LOST_PATHS_HEADER: HeaderName = HeaderName::from_static("copperweir-lost-paths");
 /// Digest of the caller's API key, for another box.
 const KEY_HEADER: HeaderName = HeaderName::from_static("copperweir-key");
 /// Name of the caller's team, for another box.
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -60,7 +60,13 @@
     let resting: usize = services.values().map(|service| service.placement.resting(now)).sum();
     let failing: Vec<(usize, usize)> =
         services.values().map(|service| service.placement.failing(now)).collect();
+    let unreachable: usize =
+        services.values().map(|service| service.placement.unreachable_servers()).sum();
+    let unreachable_services =
+        services.values().filter(|service| service.placement.is_unreachable()).count();
     drop(services);
+    let _ = writeln!(text, "copperweir_unreachable_servers {unreachable}");
+    let _ = writeln!(text, "copperweir_unreachable_services {unreachable_services}");
     let failing_servers: usize = failing.iter().map(|(failing, _)| failing).sum();
     let failing_services =
         failing.iter().filter(|(failing, usable)| *usable > 0 && failing == usable).count();
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -8,17 +8,18 @@
 pub mod box_reports;
 pub mod cluster_state;
 pub mod control;
-pub mod cross_region;
 pub mod decision_log;
 pub mod directory;
 pub mod dispatch;
 pub mod event;
 pub mod feedback;
+pub mod forwarding;
 pub mod history;
 pub mod ingress;
 pub mod job;
 pub mod lease;
 pub mod metrics;
+pub mod path_probe;
 pub mod probe;
 pub mod quarantine;
 pub mod quotas;
@@ -166,6 +167,7 @@
             departures: Mutex::default(),
             regions: Mutex::default(),
             presence: Mutex::default(),
+            peer_paths: Mutex::default(),
             unlisted: Mutex::default(),
             freshness: Mutex::default(),
             interrupted: Mutex::default(),
@@ -176,6 +178,7 @@
             region_update: Notify::new(),
             global_update: Notify::new(),
             verdicts: Notify::new(),
+            path_lost: Notify::new(),
             peer_ahead: Notify::new(),
             servers: backend::Client::new(SERVER_CONNECT_TIMEOUT)
                 .with_routes(settings.server_routes.clone()),
@@ -315,6 +318,7 @@
     }
     tokio::spawn(timer::watch_for_suspensions());
     tokio::spawn(probe::probe_servers(Arc::clone(&shared), stop.clone()));
+    tokio::spawn(path_probe::probe_paths(Arc::clone(&shared), stop.clone()));
     let (Some(callers), Some(ready), Some(directory), Some(peers), Some(handover), Some(metrics)) = (
         tokio_listener(callers),
         tokio_listener(ready),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -32,6 +32,8 @@
 use crate::coordination::presence::Presence;
 use crate::coordination::quarantine::Quarantine;
 use crate::coordination::quota::Quotas;
+use crate::coordination::reachability::PathChange;
+use crate::coordination::reachability::PeerReachability;
 use crate::coordination::regions::RegionUtilization;
 use crate::coordination::retries::RetryBudget;
 use crate::coordination::throttle::Throttles;
@@ -115,6 +117,8 @@
     pub regions: Mutex<RegionUtilization>,
     /// Status that other boxes report about themselves.
     pub presence: Mutex<Presence>,
+    /// Services that other boxes reach.
+    pub peer_paths: Mutex<PeerReachability>,
     /// Boxes that send datagrams though the store doesn't list them.
     pub unlisted: Mutex<Unlisted>,
     /// How recent the state from the store is.
@@ -136,6 +140,8 @@
     pub global_update: Notify,
     /// Notified when there may be verdicts to write to the store.
     pub verdicts: Notify,
+    /// Notified when the path to a server is lost.
+    pub path_lost: Notify,
     /// Notified when another box has a newer state from the store than this one.
     pub peer_ahead: Notify,
     /// Client for backend servers.
@@ -160,6 +166,28 @@
         lock(&self.services).get_mut(service).map(access)
     }
 
+    /// Whether this box reaches no server of any service that has servers in its region.
+    pub fn is_isolated(&self) -> bool {
+        let services = lock(&self.services);
+        let mut with_servers =
+            services.values().filter(|service| service.placement.has_usable()).peekable();
+        with_servers.peek().is_some()
+            && with_servers.all(|service| service.placement.is_unreachable())
+    }
+
+    /// Notifies the tasks that are concerned if the path to a server was lost.
+    fn publish_path_change(&self, service: &str, server: &str, change: PathChange) {
+        if change == PathChange::Unchanged {
+            return;
+        }
+        log::info!("event=path_lost service={service} server={server}");
+        self.path_lost.notify_one();
+        if change == PathChange::AllLost {
+            log::info!("event=service_unreachable service={service}");
+            self.region_update.notify_one();
+        }
+    }
+
     /// Age of the state from the store in milliseconds; -1 before there is any.
     pub fn state_age_ms(&self) -> i64 {
         let age = lock(&self.freshness).age(clock::now());
@@ -242,8 +270,10 @@
     fn drop(&mut self) {
         let (place, outcome) = (&mut self.place, self.outcome);
         let now = clock::now();
-        self.shared
+        let change = self
+            .shared
             .with_service(&self.service, |service| service.placement.finish(place, outcome, now));
+        self.shared.publish_path_change(&self.service, &place.server, change.unwrap_or_default());
         if let Some(tracked) = self.tracked.take() {
             tracked.finish(&self.shared, &self.place, outcome, now);
         }
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -61,6 +61,7 @@
     HeartbeatBytes "heartbeat_bytes" "Bytes of heartbeats sent and received, without framing.";
     PeerRefused "peer_refused" "Calls from other boxes that failed authentication.";
     Probes "probes" "Probes of backend servers.";
+    PathProbes "path_probes" "Probes of lost paths to backend servers.";
     StoreReads "store_reads" "Reads and watches of the platform's store.";
     StoreRenewals "store_renewals" "Lease renewals in the platform's store.";
     StoreWrites "store_writes" "Writes to the platform's store.";
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -246,6 +246,13 @@
         idle.retain(|(_, address), _| keep(address));
     }
 
+    /// Opens a connection and keeps it for the next request.
+    pub async fn open_idle(&self, address: SocketAddr) -> Result<(), AttemptError> {
+        let connection = self.connect(address).await?;
+        store_idle(&self.idle, address, connection);
+        Ok(())
+    }
+
     /// Returns whether the host refuses connections to the server's port, which means that the
     /// process has crashed or exited.
     pub async fn refuses_connections(&self, address: SocketAddr, timeout: Duration) -> bool {
