transport: dead paths show on open connections within seconds

A request on a kept connection that had gone silent waited until its deadline, since no connection set keep-alive or a bound on unacknowledged data. Callers of boxes that were cut off saw it as 'no answer before the deadline'.

Connections to servers, boxes, the store and callers get both bounds, chosen together, because the second one also ends keep-alive. A server that stalls is not affected: its host acknowledges data.

--- a/lib/src/coordination/attempt.rs
+++ b/lib/src/coordination/attempt.rs
@@ -24,6 +24,8 @@
     Replaced,
     /// No connection could be established; the request was not sent.
     Unreachable,
+    /// The server's host stopped acknowledging data; the request may have been executed.
+    PathLost,
     /// The connection or the response broke off.
     Interrupted,
     /// The server sent bytes that are no valid response to this request.
@@ -44,7 +46,7 @@
             AttemptEvent::Failed => Outcome::Failed,
             AttemptEvent::Refused => Outcome::Shed,
             AttemptEvent::Replaced => Outcome::Replaced,
-            AttemptEvent::Unreachable => Outcome::Unreachable,
+            AttemptEvent::Unreachable | AttemptEvent::PathLost => Outcome::Unreachable,
             AttemptEvent::Interrupted | AttemptEvent::Invalid => Outcome::Lost,
             AttemptEvent::TimedOut => Outcome::TimedOut,
         }
--- a/lib/src/daemon/mod.rs
+++ b/lib/src/daemon/mod.rs
@@ -53,6 +53,7 @@
 use crate::transport::backend;
 use crate::transport::listen;
 use crate::transport::listen::Shutdown;
+use crate::transport::liveness;
 use crate::transport::peer as peer_transport;
 use crate::transport::platform::Platform;
 use crate::transport::traffic_thread;
@@ -214,7 +215,7 @@
         burn: Mutex::new(BurnTracker::new(now)),
         quarantine: quarantine::Quarantine::default(),
         counters,
-        backend: backend::Client::default(),
+        backend: backend::Client::new(backend::CONNECT_TIMEOUT, liveness::SERVER),
         control,
         in_flight: AtomicUsize::new(0),
         request_numbers: AtomicU64::new(0),
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -193,6 +193,9 @@
             let message = "the server takes nothing by now".to_owned();
             Err(NoResponse { event: AttemptEvent::NotSent, message })
         }
+        Ok(Err(AttemptError::PathLost(message))) => {
+            Err(NoResponse { event: AttemptEvent::PathLost, message })
+        }
         Ok(Err(AttemptError::NoResponse(message))) => {
             Err(NoResponse { event: AttemptEvent::Interrupted, message })
         }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -77,6 +77,7 @@
 use crate::transport::http1;
 use crate::transport::http1::ConnectionLimits;
 use crate::transport::listen::Shutdown;
+use crate::transport::liveness;
 use crate::transport::store;
 use crate::transport::store::NewestEra;
 use crate::transport::timer;
@@ -180,9 +181,9 @@
             verdicts: Notify::new(),
             path_lost: Notify::new(),
             peer_ahead: Notify::new(),
-            servers: backend::Client::new(SERVER_CONNECT_TIMEOUT)
+            servers: backend::Client::new(SERVER_CONNECT_TIMEOUT, liveness::SERVER)
                 .with_routes(settings.server_routes.clone()),
-            peers: backend::Client::new(PEER_CONNECT_TIMEOUT),
+            peers: backend::Client::new(PEER_CONNECT_TIMEOUT, liveness::REMOTE),
             in_flight: AtomicUsize::new(0),
             counters,
             latencies,
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,6 +29,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::liveness;
+use super::liveness::Liveness;
 use super::traffic_thread;
 
 use crate::state::clock;
@@ -41,7 +44,7 @@
 /// earlier announce it, and in most cases the close is noticed before the next use.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(60);
 /// The longest wait for a connection to be established.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum size of a body that [`Client::fetch`] accepts.
 const MAX_FETCH_BYTES: usize = 4 << 20;
 
@@ -54,6 +57,10 @@
     /// The request, or a part of it, may have arrived.
     #[error("no answer: {0}")]
     NoResponse(String),
+    /// The host of the receiver stopped acknowledging data. The request, or a part of it, may have
+    /// arrived.
+    #[error("path lost: {0}")]
+    PathLost(String),
     /// The sender cancelled the request before it was sent.
     #[error("withheld")]
     Withheld,
@@ -83,13 +90,14 @@
 pub struct Client {
     idle: IdleConnections,
     connect_timeout: Duration,
+    liveness: Liveness,
     /// Addresses to connect to instead of others.
     routes: Arc<BTreeMap<SocketAddr, SocketAddr>>,
 }
 
 impl Default for Client {
     fn default() -> Client {
-        Client::new(CONNECT_TIMEOUT)
+        Client::new(CONNECT_TIMEOUT, liveness::REMOTE)
     }
 }
 
@@ -133,9 +141,11 @@
 }
 
 impl Client {
-    /// Creates a client with this timeout for establishing a connection.
-    pub fn new(connect_timeout: Duration) -> Client {
-        Client { idle: IdleConnections::default(), connect_timeout, routes: Arc::default() }
+    /// Creates a client with this timeout for establishing a connection, and these bounds on dead
+    /// paths.
+    pub fn new(connect_timeout: Duration, liveness: Liveness) -> Client {
+        let idle = IdleConnections::default();
+        Client { idle, connect_timeout, liveness, routes: Arc::default() }
     }
 
     /// Connects to other addresses than the given ones, as these routes specify.
@@ -145,7 +155,8 @@
 
     /// Opens a connection to a server.
     async fn connect(&self, address: SocketAddr) -> Result<Connection, AttemptError> {
-        connect(self.route(address), self.connect_timeout).await.map_err(AttemptError::NotSent)
+        let connected = connect(self.route(address), self.connect_timeout, self.liveness);
+        connected.await.map_err(AttemptError::NotSent)
     }
 
     /// Returns the address to connect to for a server.
@@ -188,7 +199,7 @@
                 Ok(response) => return Ok(self.wrap_response(response, connection, address, true)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(AttemptError::NoResponse(error.into_error().to_string())),
+                    None => return Err(no_response(&error.into_error())),
                 },
             }
         }
@@ -200,11 +211,11 @@
             Ok(response) => Ok(self.wrap_response(response, connection, address, !fresh)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
-                let text = error.into_error().to_string();
+                let error = error.into_error();
                 Err(if unsent {
-                    AttemptError::NotSent(text)
+                    AttemptError::NotSent(error.to_string())
                 } else {
-                    AttemptError::NoResponse(text)
+                    no_response(&error)
                 })
             }
         }
@@ -276,12 +287,27 @@
     }
 }
 
-async fn connect(address: SocketAddr, timeout: Duration) -> Result<Connection, String> {
+/// Classifies the error of an exchange in which the request, or a part of it, was written.
+fn no_response(error: &hyper::Error) -> AttemptError {
+    let cause = error.source().and_then(|source| source.downcast_ref::<std::io::Error>());
+    match cause.map(std::io::Error::kind) {
+        Some(ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable) => {
+            AttemptError::PathLost(error.to_string())
+        }
+        _ => AttemptError::NoResponse(error.to_string()),
+    }
+}
+
+async fn connect(
+    address: SocketAddr,
+    timeout: Duration,
+    liveness: Liveness,
+) -> Result<Connection, String> {
     let stream = timer::timeout(timeout, TcpStream::connect(address))
         .await
         .map_err(|_| format!("{address} did not accept in time"))?
         .map_err(|error| format!("{address}: {error}"))?;
-    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    liveness.apply(&stream);
     let (sender, connection) = http1::Builder::new()
         .handshake(TokioIo::new(stream))
         .await
--- a/lib/src/transport/http1.rs
+++ b/lib/src/transport/http1.rs
@@ -24,6 +24,7 @@
 use tokio::sync::watch;
 
 use super::listen::Shutdown;
+use super::liveness;
 
 use crate::transport::timer;
 
@@ -80,8 +81,7 @@
             );
             continue;
         };
-        // On an error, responses are only slightly delayed.
-        let _ = stream.set_nodelay(true);
+        liveness::CALLER.apply(&stream);
         let ConnectionLimits { max_header_bytes, idle_timeout } = limits();
         let handler = handler.clone();
         let service = service_fn(move |mut request: Request<Incoming>| {
--- a/lib/src/transport/listen.rs
+++ b/lib/src/transport/listen.rs
@@ -25,6 +25,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::transport::liveness;
 use crate::transport::timer;
 
 /// The longest wait for the headers of a request, and the interval of HTTP/2 keep-alive pings.
@@ -114,7 +115,7 @@
         let Some(stream) = stream else { break };
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { continue };
         let Ok(stream) = TcpStream::from_std(stream) else { continue };
-        let _ = stream.set_nodelay(true);
+        liveness::CALLER.apply(&stream);
         let handler = handler.clone();
         let service = service_fn(move |request| {
             let response = handler(request);
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod http1;
 pub mod listen;
+pub mod liveness;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
--- a/lib/src/transport/peer.rs
+++ b/lib/src/transport/peer.rs
@@ -23,6 +23,7 @@
 
 use super::listen::AcceptedStreams;
 use super::listen::Shutdown;
+use super::liveness;
 use super::traffic_thread;
 use crate::protocol::Version;
 use crate::protocol::peer::SECRET_HEADER;
@@ -149,6 +150,8 @@
         .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
         .keep_alive_timeout(KEEPALIVE_INTERVAL)
+        .tcp_keepalive(Some(liveness::REMOTE.keep_alive))
+        .tcp_keepalive_interval(Some(liveness::REMOTE.keep_alive))
         .tcp_nodelay(true);
     endpoint.connect().await.map_err(|error| format!("{address}: {error}"))
 }
@@ -175,7 +178,7 @@
     };
     let incoming = ReceiverStream::new(accepted).map(|stream| {
         let stream = TcpStream::from_std(stream)?;
-        stream.set_nodelay(true)?;
+        liveness::REMOTE.apply(&stream);
         Ok::<_, std::io::Error>(stream)
     });
     let server = tonic::transport::Server::builder().add_service(service);
