quarantine: a box that lost its paths takes no server for crashed

A cut that resets connections and refuses new ones looks like the crash of all servers at once.

While the paths to all servers of a service are lost or broke off within half a second, the box asks three others of its region to connect to the server, and counts a crash only if none reaches it within 450 ms. Three interruptions at once are confirmed in the same way, after 20 ms in which the broken connections of the other servers are noticed; otherwise a crash counts as before.

--- a/lib/src/coordination/feedback.rs
+++ b/lib/src/coordination/feedback.rs
@@ -75,6 +75,8 @@
     pub notify: Option<Audience>,
     /// Whether to probe if the server still accepts connections.
     pub probe: bool,
+    /// Whether the server has crashed if this box has not lost its paths.
+    pub confirm: bool,
     /// Changes that were observed.
     pub observations: Vec<Observation>,
 }
@@ -201,6 +203,7 @@
         match self.interrupted.record(place.incarnation, interrupted, now) {
             NextStep::AwaitProbe => {}
             NextStep::Probe => effects.probe = true,
+            NextStep::Confirm => effects.confirm = true,
             NextStep::ServerCrashed(interrupted_requests) => {
                 self.record_crash(place.incarnation, interrupted_requests, effects, now)
             }
--- a/lib/src/coordination/interrupted.rs
+++ b/lib/src/coordination/interrupted.rs
@@ -2,11 +2,13 @@
 //!
 //! A crashing server breaks off all requests that it executes. A connection reset, or a response
 //! that a faulty server cuts short, breaks off one response of a server that continues to run.
-//! Several interruptions at the same moment therefore prove a crash. After fewer of them the box
+//! Several interruptions at the same moment therefore prove a crash, unless the paths to all servers
+//! broke at that moment. After fewer of them the box
 //! probes whether the server still accepts connections; further interruptions at that server wait
 //! here for the result of the probe.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -44,7 +46,9 @@
     Probe,
     /// Nothing: a probe is already running.
     AwaitProbe,
-    /// The server has crashed while executing these requests.
+    /// The server has crashed, unless this box has lost its paths to all servers.
+    Confirm,
+    /// The server is known to have crashed while executing these requests.
     ServerCrashed(Vec<InterruptedRequest>),
 }
 
@@ -52,6 +56,8 @@
 #[derive(Debug, Default)]
 pub struct InterruptedRequests {
     pending: HashMap<ServerIncarnation, Vec<InterruptedRequest>>,
+    /// Servers whose crash is being confirmed.
+    confirming: HashSet<ServerIncarnation>,
     crashed_at: HashMap<ServerIncarnation, Instant>,
 }
 
@@ -73,10 +79,11 @@
             .iter()
             .filter(|other| other.interrupted_at + CRASH_WINDOW >= interrupted.interrupted_at)
             .count();
-        if recent >= CRASH_INTERRUPTIONS {
-            return NextStep::ServerCrashed(self.record_crash(server, now));
+        let is_first = requests.len() == 1;
+        if recent >= CRASH_INTERRUPTIONS && self.confirming.insert(server) {
+            return NextStep::Confirm;
         }
-        if requests.len() == 1 { NextStep::Probe } else { NextStep::AwaitProbe }
+        if is_first { NextStep::Probe } else { NextStep::AwaitProbe }
     }
 
     /// Records that the server has crashed. Returns the requests that it was executing.
@@ -86,11 +93,21 @@
         now: Instant,
     ) -> Vec<InterruptedRequest> {
         self.crashed_at.insert(server, now);
+        self.confirming.remove(&server);
         self.pending.remove(&server).unwrap_or_default()
     }
 
-    /// Drops the interruptions of a server that is running, or that cannot be probed.
+    /// Drops the interruptions of a server that is running, or that cannot be probed, unless its
+    /// crash is being confirmed.
     pub fn forget(&mut self, server: ServerIncarnation) {
+        if !self.confirming.contains(&server) {
+            self.pending.remove(&server);
+        }
+    }
+
+    /// Drops the interruptions of a server that other boxes reach.
+    pub fn dismiss(&mut self, server: ServerIncarnation) {
+        self.confirming.remove(&server);
         self.pending.remove(&server);
     }
 }
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -137,6 +137,13 @@
     /// Share of the slots of these servers that the sender reaches, in their order, percent.
     #[prost(uint32, repeated, tag = "35")]
     pub reached_percent: Vec<u32>,
+    /// Hashes of servers that other boxes are to check, because the sender has lost them; sent only
+    /// to boxes of its region.
+    #[prost(fixed64, repeated, tag = "36")]
+    pub servers_to_check: Vec<u64>,
+    /// Hashes of servers that the sender reached in such checks; sent only to boxes of its region.
+    #[prost(fixed64, repeated, tag = "37")]
+    pub reached_servers: Vec<u64>,
     /// Whether the sender reaches no server of any service.
     #[prost(bool, tag = "34")]
     pub isolated: bool,
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -24,6 +24,7 @@
 pub mod lending;
 pub mod loads;
 pub mod membership;
+pub mod path_checks;
 pub mod placement;
 pub mod policy;
 pub mod pool;
--- a/lib/src/coordination/placement/paths.rs
+++ b/lib/src/coordination/placement/paths.rs
@@ -8,6 +8,7 @@
 use super::Placement;
 use crate::coordination::candidate::Candidate;
 use crate::coordination::candidate::Outcome;
+use crate::coordination::interrupted::ServerIncarnation;
 use crate::coordination::reachability::PathChange;
 use crate::protocol::ServerId;
 
@@ -40,6 +41,20 @@
         usable.peek().is_some() && usable.all(|candidate| candidate.path.is_lost())
     }
 
+    /// Whether the paths to all servers that may get requests may be lost. Then broken connections
+    /// and refused ones do not show that a server has crashed.
+    pub fn doubts_all_paths(&self, now: Instant) -> bool {
+        let mut usable = self.usable_servers().peekable();
+        usable.peek().is_some() && usable.all(|candidate| candidate.path.is_doubtful(now))
+    }
+
+    /// Address of the server with this incarnation.
+    pub fn address_of(&self, incarnation: ServerIncarnation) -> Option<SocketAddr> {
+        let mut servers = self.servers.values();
+        let candidate = servers.find(|candidate| candidate.incarnation == incarnation)?;
+        Some(candidate.state.server.address)
+    }
+
     /// Share of the servers that may get requests which this box reaches, by their slots; 1 if there
     /// are none.
     pub fn reached_share(&self) -> f64 {
@@ -68,6 +83,9 @@
             self.losses_without_response = 0;
         }
         let Some(candidate) = self.servers.get_mut(server) else { return PathChange::Unchanged };
+        if outcome == Outcome::Lost {
+            candidate.path.record_break(now);
+        }
         if outcome != Outcome::Unreachable || !candidate.path.record_loss(now) {
             return PathChange::Unchanged;
         }
--- a/lib/src/coordination/reachability.rs
+++ b/lib/src/coordination/reachability.rs
@@ -22,6 +22,9 @@
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time between probes of a path; a path that returns is used again after one or two.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a path is doubtful after a response broke off. The next connection shows whether it
+/// works.
+const DOUBT_PERIOD: Duration = Duration::from_millis(500);
 /// A path that is lost again within this time after its return is flapping.
 const STABLE_PERIOD: Duration = Duration::from_secs(5);
 /// Maximum number of successful probes that a flapping path needs to count as restored.
@@ -41,6 +44,8 @@
 pub struct Path {
     loss: Option<Loss>,
     restored_at: Option<Instant>,
+    /// When a response of the server last broke off.
+    broken_at: Option<Instant>,
     /// Number of consecutive losses that each followed soon after a return.
     relapses: u32,
 }
@@ -60,6 +65,16 @@
         self.loss.is_some()
     }
 
+    /// Records that a response of the server broke off.
+    pub fn record_break(&mut self, now: Instant) {
+        self.broken_at = Some(now);
+    }
+
+    /// Whether the path is lost, or a response broke off so recently that it may be.
+    pub fn is_doubtful(&self, now: Instant) -> bool {
+        self.is_lost() || self.broken_at.is_some_and(|at| now < at + DOUBT_PERIOD)
+    }
+
     /// Records that no connection could be established, or that the server's host stopped
     /// acknowledging data. Returns whether the path was in use until then.
     pub fn record_loss(&mut self, now: Instant) -> bool {
--- a/lib/src/daemon/quarantine.rs
+++ b/lib/src/daemon/quarantine.rs
@@ -215,10 +215,15 @@
             interrupted_at: now,
         };
         let mut tables = lock(&self.shared.quarantine.tables);
-        let next_step = tables.interrupted.record(self.incarnation, interrupted, now);
+        let next_step = match tables.interrupted.record(self.incarnation, interrupted, now) {
+            NextStep::Confirm => {
+                NextStep::ServerCrashed(tables.interrupted.record_crash(self.incarnation, now))
+            }
+            next_step => next_step,
+        };
         drop(tables);
         match next_step {
-            NextStep::AwaitProbe => {}
+            NextStep::AwaitProbe | NextStep::Confirm => {}
             NextStep::Probe => {
                 let probe = check_for_crash(
                     Arc::clone(&self.shared),
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use super::feedback;
+use super::path_checks;
 use super::quarantine;
 use super::shared::Shared;
 use super::shared::lock;
@@ -76,6 +77,7 @@
                 lock(&shared.loads).expire(now);
                 lock(&shared.presence).expire(now);
                 lock(&shared.peer_paths).expire(now);
+                lock(&shared.path_checks).expire(now);
                 lock(&shared.unlisted).expire(now);
                 lock(&shared.quotas).tick(quota_fleet(&shared), now);
                 tick_throttles(&shared, now);
@@ -106,7 +108,7 @@
 }
 
 /// Applies all datagrams that have arrived.
-fn receive<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, buffer: &mut [u8]) {
+fn receive<A: Adapter>(shared: &Arc<Shared<A>>, socket: &UdpSocket, buffer: &mut [u8]) {
     let now = clock::now();
     while let Ok((length, from)) = socket.try_recv_from(buffer) {
         match BoxReport::decode(&buffer[..length]) {
@@ -127,6 +129,7 @@
                     lock(&shared.loads).receive(&report, now);
                     apply_cold_reports(shared, &report, now);
                     feedback::receive_leaving(shared, &report.leaving_servers, now);
+                    path_checks::receive(shared, &report, now);
                     apply_quota_counts(shared, &report, now);
                     apply_rates(shared, socket, &report, from, now);
                 } else {
@@ -367,6 +370,8 @@
     report.counts.clear();
     report.throttle = None;
     report.leaving_servers.clear();
+    report.servers_to_check.clear();
+    report.reached_servers.clear();
     report.flows = lock(&shared.quotas).region_usage_to_report(now);
     report.ends = lock(&shared.quarantine).crash_reports(Audience::AllRegions, now);
     add_region_load(shared, report);
@@ -489,6 +494,10 @@
         ..BoxReport::default()
     };
     add_limited_services(shared, &mut report);
+    let checks = lock(&shared.path_checks);
+    report.servers_to_check = checks.requests_to_report();
+    report.reached_servers = checks.results_to_report();
+    drop(checks);
     let quarantine = lock(&shared.quarantine);
     if !quarantine.is_empty() {
         report.ends = quarantine.crash_reports(Audience::Region, now);
--- a/lib/src/gateway/feedback.rs
+++ b/lib/src/gateway/feedback.rs
@@ -2,10 +2,12 @@
 //! applies its effects.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use super::decision_log;
 use super::job::Job;
+use super::path_checks;
 use super::shared::Reservation;
 use super::shared::Service;
 use super::shared::Shared;
@@ -24,6 +26,10 @@
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::server_crash;
+use crate::transport::timer;
+
+/// Wait until the connections to all servers that broke at the same moment have been noticed.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 
 /// Records an event of a send: its progress or its end.
 pub fn record_event<A: Adapter>(
@@ -76,7 +82,9 @@
 /// Publishes the effects of a report about the server of a place, and probes it if required.
 fn apply_effects<A: Adapter>(shared: &Arc<Shared<A>>, place: &Place, effects: &Effects) {
     publish_effects(shared, &place.server, effects);
-    if effects.probe {
+    if effects.confirm {
+        tokio::spawn(confirm_crash(Arc::clone(shared), place.clone()));
+    } else if effects.probe {
         tokio::spawn(check_for_crash(Arc::clone(shared), place.clone()));
     }
 }
@@ -87,6 +95,20 @@
         lock(&shared.interrupted).forget(place.incarnation);
         return;
     }
+    confirm_crash(shared, place).await;
+}
+
+/// Records the crash of a server, unless it is only this box that can't reach the server.
+async fn confirm_crash<A: Adapter>(shared: Arc<Shared<A>>, place: Place) {
+    timer::sleep(SETTLE_TIME).await;
+    if doubts_all_paths(&shared, &place)
+        && (!server_crash::has_crashed(&shared.servers, place.address).await
+            || path_checks::is_reached_by_peer(&shared, place.incarnation).await)
+    {
+        log::info!("event=crash_dismissed server={}", place.server);
+        lock(&shared.interrupted).dismiss(place.incarnation);
+        return;
+    }
     // No service is named: a crash concerns the requests that the server ran, whatever their
     // service.
     let effects = with_feedback_handler(&shared, "", |handler| {
@@ -95,6 +117,13 @@
     publish_effects(&shared, &place.server, &effects);
 }
 
+/// Whether this box may have lost its paths to all servers of the service.
+fn doubts_all_paths<A>(shared: &Shared<A>, place: &Place) -> bool {
+    let service = &place.registration.service;
+    let now = clock::now();
+    shared.with_service(service, |state| state.placement.doubts_all_paths(now)) == Some(true)
+}
+
 /// Logs the observations, and wakes the report task if other boxes must be notified at once.
 pub fn publish_effects<A: Adapter>(shared: &Shared<A>, server: &str, effects: &Effects) {
     for observation in &effects.observations {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod job;
 pub mod lease;
 pub mod metrics;
+pub mod path_checks;
 pub mod path_probe;
 pub mod probe;
 pub mod quarantine;
@@ -169,6 +170,7 @@
             regions: Mutex::default(),
             presence: Mutex::default(),
             peer_paths: Mutex::default(),
+            path_checks: Mutex::default(),
             unlisted: Mutex::default(),
             freshness: Mutex::default(),
             interrupted: Mutex::default(),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -27,6 +27,7 @@
 use crate::coordination::interrupted::InterruptedRequests;
 use crate::coordination::join_tree::JoinTree;
 use crate::coordination::loads::Loads;
+use crate::coordination::path_checks::PathChecks;
 use crate::coordination::placement::Place;
 use crate::coordination::placement::Placement;
 use crate::coordination::presence::Presence;
@@ -119,6 +120,8 @@
     pub presence: Mutex<Presence>,
     /// Services that other boxes reach.
     pub peer_paths: Mutex<PeerReachability>,
+    /// Checks of servers that boxes carry out for each other.
+    pub path_checks: Mutex<PathChecks>,
     /// Boxes that send datagrams though the store doesn't list them.
     pub unlisted: Mutex<Unlisted>,
     /// How recent the state from the store is.
