quarantine: several simultaneous losses are enough to doubt a path

Two servers lost at about the same time are enough now to ask others. So that a real crash isn't counted late, boxes report also that they did not reach a server, and the crash counts once all three have.

--- a/lib/src/coordination/interrupted.rs
+++ b/lib/src/coordination/interrupted.rs
@@ -2,8 +2,8 @@
 //!
 //! A crashing server breaks off all requests that it executes. A connection reset, or a response
 //! that a faulty server cuts short, breaks off one response of a server that continues to run.
-//! Several interruptions at the same moment therefore prove a crash, unless the paths to all servers
-//! broke at that moment. After fewer of them the box
+//! Several interruptions at the same moment therefore prove a crash, unless the paths to several
+//! servers broke at that moment. After fewer of them the box
 //! probes whether the server still accepts connections; further interruptions at that server wait
 //! here for the result of the probe.
 
@@ -46,7 +46,7 @@
     Probe,
     /// Nothing: a probe is already running.
     AwaitProbe,
-    /// The server has crashed, unless this box has lost its paths to all servers.
+    /// The server has crashed, unless this box has lost its paths to servers.
     Confirm,
     /// The server is known to have crashed while executing these requests.
     ServerCrashed(Vec<InterruptedRequest>),
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -144,6 +144,10 @@
     /// Hashes of servers that the sender reached in such checks; sent only to boxes of its region.
     #[prost(fixed64, repeated, tag = "37")]
     pub reached_servers: Vec<u64>,
+    /// Hashes of servers that the sender did not reach in such checks; sent only to boxes of its
+    /// region.
+    #[prost(fixed64, repeated, tag = "38")]
+    pub unreached_servers: Vec<u64>,
     /// Whether the sender reaches no server of any service.
     #[prost(bool, tag = "34")]
     pub isolated: bool,
--- a/lib/src/coordination/placement/paths.rs
+++ b/lib/src/coordination/placement/paths.rs
@@ -16,6 +16,9 @@
 /// the paths to all servers count as lost. Otherwise each of them would cost a request.
 const LOSSES_TO_INFER: u32 = 3;
 
+/// Number of servers lost at about the same time from which the cause may be the path.
+const SIMULTANEOUS_LOSSES: usize = 2;
+
 /// A server whose path is to be probed.
 #[derive(Clone, Debug)]
 pub struct PathTarget {
@@ -41,11 +44,13 @@
         usable.peek().is_some() && usable.all(|candidate| candidate.path.is_lost())
     }
 
-    /// Whether the paths to all servers that may get requests may be lost. Then broken connections
-    /// and refused ones do not show that a server has crashed.
-    pub fn doubts_all_paths(&self, now: Instant) -> bool {
-        let mut usable = self.usable_servers().peekable();
-        usable.peek().is_some() && usable.all(|candidate| candidate.path.is_doubtful(now))
+    /// Whether the paths to several servers, or to all that may get requests, may be lost. Then
+    /// broken connections and refused ones do not show that a server has crashed.
+    pub fn doubts_paths(&self, now: Instant) -> bool {
+        let usable = self.usable_servers().count();
+        let doubtful =
+            self.usable_servers().filter(|candidate| candidate.path.is_doubtful(now)).count();
+        doubtful > 0 && doubtful >= usable.min(SIMULTANEOUS_LOSSES)
     }
 
     /// Address of the server with this incarnation.
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -372,6 +372,7 @@
     report.leaving_servers.clear();
     report.servers_to_check.clear();
     report.reached_servers.clear();
+    report.unreached_servers.clear();
     report.flows = lock(&shared.quotas).region_usage_to_report(now);
     report.ends = lock(&shared.quarantine).crash_reports(Audience::AllRegions, now);
     add_region_load(shared, report);
@@ -496,7 +497,8 @@
     add_limited_services(shared, &mut report);
     let checks = lock(&shared.path_checks);
     report.servers_to_check = checks.requests_to_report();
-    report.reached_servers = checks.results_to_report();
+    report.reached_servers = checks.results_to_report(true);
+    report.unreached_servers = checks.results_to_report(false);
     drop(checks);
     let quarantine = lock(&shared.quarantine);
     if !quarantine.is_empty() {
--- a/lib/src/gateway/feedback.rs
+++ b/lib/src/gateway/feedback.rs
@@ -101,7 +101,7 @@
 /// Records the crash of a server, unless it is only this box that can't reach the server.
 async fn confirm_crash<A: Adapter>(shared: Arc<Shared<A>>, place: Place) {
     timer::sleep(SETTLE_TIME).await;
-    if doubts_all_paths(&shared, &place)
+    if doubts_paths(&shared, &place)
         && (!server_crash::has_crashed(&shared.servers, place.address).await
             || path_checks::is_reached_by_peer(&shared, place.incarnation).await)
     {
@@ -117,11 +117,11 @@
     publish_effects(&shared, &place.server, &effects);
 }
 
-/// Whether this box may have lost its paths to all servers of the service.
-fn doubts_all_paths<A>(shared: &Shared<A>, place: &Place) -> bool {
+/// Whether this box may have lost its paths to servers of the service.
+fn doubts_paths<A>(shared: &Shared<A>, place: &Place) -> bool {
     let service = &place.registration.service;
     let now = clock::now();
-    shared.with_service(service, |state| state.placement.doubts_all_paths(now)) == Some(true)
+    shared.with_service(service, |state| state.placement.doubts_paths(now)) == Some(true)
 }
 
 /// Logs the observations, and wakes the report task if other boxes must be notified at once.
--- a/lib/src/gateway/path_checks.rs
+++ b/lib/src/gateway/path_checks.rs
@@ -5,17 +5,20 @@
 use std::time::Instant;
 
 use super::shared::Shared;
+use super::shared::Snapshot;
 use super::shared::lock;
 use crate::coordination::interrupted::ServerIncarnation;
 use crate::coordination::loads::BoxReport;
 use crate::coordination::path_checks;
+use crate::coordination::path_checks::Verdict;
 use crate::coordination::presence;
 use crate::protocol::adapter::Adapter;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::timer;
 
-/// Maximum wait for the results of other boxes: two reports and a connection.
+/// Maximum wait for the results of other boxes. A server whose host is silent takes a connection
+/// timeout.
 const RESULT_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time between two looks at the results.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -23,21 +26,33 @@
 /// Whether another box of the region reaches a server.
 pub async fn is_reached_by_peer<A: Adapter>(shared: &Shared<A>, server: ServerIncarnation) -> bool {
     let requested_at = clock::now();
+    let boxes = region_boxes(&shared.snapshot.load(), &shared.settings.region).count();
     lock(&shared.path_checks).request(server, requested_at);
     shared.region_update.notify_one();
-    while clock::since(requested_at) < RESULT_TIMEOUT {
+    while boxes > 0 && clock::since(requested_at) < RESULT_TIMEOUT {
         timer::sleep(POLL_INTERVAL).await;
-        if lock(&shared.path_checks).is_reached_by_peer(server, requested_at) {
-            return true;
+        match lock(&shared.path_checks).verdict(server, boxes, requested_at) {
+            Verdict::Reached => return true,
+            Verdict::Unreached => return false,
+            Verdict::Open => {}
         }
     }
     false
 }
 
+/// Hashes of the other boxes of the region.
+fn region_boxes(snapshot: &Snapshot, region: &str) -> impl Iterator<Item = u64> {
+    let boxes = snapshot.boxes.iter().filter(move |other| other.region == region);
+    boxes.map(|other| presence::box_hash(&other.name))
+}
+
 /// Applies the checks in another box's report.
 pub fn receive<A: Adapter>(shared: &Arc<Shared<A>>, report: &BoxReport, now: Instant) {
-    if !report.reached_servers.is_empty() {
-        lock(&shared.path_checks).receive_reached(&report.reached_servers, now);
+    let BoxReport { sender, reached_servers, unreached_servers, .. } = report;
+    if !reached_servers.is_empty() || !unreached_servers.is_empty() {
+        let mut checks = lock(&shared.path_checks);
+        checks.receive_results(*sender, unreached_servers, false, now);
+        checks.receive_results(*sender, reached_servers, true, now);
     }
     for server in &report.servers_to_check {
         if is_checker(shared, report.sender, *server)
@@ -51,8 +66,7 @@
 /// Whether this box is among those that check a server.
 fn is_checker<A: Adapter>(shared: &Shared<A>, requester: u64, server: ServerIncarnation) -> bool {
     let snapshot = shared.snapshot.load();
-    let region_boxes = snapshot.boxes.iter().filter(|other| other.region == shared.settings.region);
-    let others = region_boxes.map(|other| presence::box_hash(&other.name));
+    let others = region_boxes(&snapshot, &shared.settings.region);
     let own = presence::box_hash(&shared.settings.name);
     path_checks::checks_server(own, others, requester, server)
 }
@@ -62,8 +76,7 @@
         lock(&shared.services).values().find_map(|service| service.placement.address_of(server));
     let Some(address) = address else { return };
     shared.counters.increment(Counter::PathProbes);
-    if shared.servers.open_idle(address).await.is_ok() {
-        lock(&shared.path_checks).record_reached(server, clock::now());
-        shared.region_update.notify_one();
-    }
+    let is_reached = shared.servers.open_idle(address).await.is_ok();
+    lock(&shared.path_checks).record_result(server, is_reached, clock::now());
+    shared.region_update.notify_one();
 }
--- a/lib/tests/test_path_checks.rs
+++ b/lib/tests/test_path_checks.rs
@@ -5,6 +5,7 @@
 
 use copperweir_lib::coordination::path_checks;
 use copperweir_lib::coordination::path_checks::PathChecks;
+use copperweir_lib::coordination::path_checks::Verdict;
 
 const SERVER: u64 = 3;
 
@@ -25,11 +26,25 @@
 #[test]
 fn a_result_from_before_the_request_does_not_count() {
     let (mut checks, now) = (PathChecks::default(), Instant::now());
-    checks.receive_reached(&[SERVER], now);
+    checks.receive_results(1, &[SERVER], true, now);
     let later = now + Duration::from_millis(100);
-    assert!(!checks.is_reached_by_peer(SERVER, later));
-    checks.receive_reached(&[SERVER], later);
-    assert!(checks.is_reached_by_peer(SERVER, later));
+    assert_eq!(checks.verdict(SERVER, 5, later), Verdict::Open);
+    checks.receive_results(1, &[SERVER], true, later);
+    assert_eq!(checks.verdict(SERVER, 5, later), Verdict::Reached);
+}
+
+#[test]
+fn one_box_that_reaches_a_server_outweighs_the_others() {
+    let (mut checks, now) = (PathChecks::default(), Instant::now());
+    checks.receive_results(1, &[SERVER], false, now);
+    checks.receive_results(1, &[SERVER], false, now);
+    checks.receive_results(2, &[SERVER], false, now);
+    assert_eq!(checks.verdict(SERVER, 5, now), Verdict::Open, "of two boxes");
+    assert_eq!(checks.verdict(SERVER, 2, now), Verdict::Unreached, "there are only two");
+    checks.receive_results(3, &[SERVER], false, now);
+    assert_eq!(checks.verdict(SERVER, 5, now), Verdict::Unreached);
+    checks.receive_results(4, &[SERVER], true, now);
+    assert_eq!(checks.verdict(SERVER, 5, now), Verdict::Reached);
 }
 
 #[test]
@@ -45,12 +60,12 @@
 fn requests_and_results_expire() {
     let (mut checks, now) = (PathChecks::default(), Instant::now());
     checks.request(SERVER, now);
-    checks.record_reached(SERVER, now);
+    checks.record_result(SERVER, true, now);
     checks.expire(now);
     assert_eq!(
-        (checks.requests_to_report(), checks.results_to_report()),
+        (checks.requests_to_report(), checks.results_to_report(true)),
         (vec![SERVER], vec![SERVER])
     );
     checks.expire(now + Duration::from_secs(2));
-    assert!(checks.requests_to_report().is_empty() && checks.results_to_report().is_empty());
+    assert!(checks.requests_to_report().is_empty() && checks.results_to_report(true).is_empty());
 }
