serve: a box without a path does not hide servers that others reach

Two boxes probe each server for their region, and the newest report won. So a prober that had lost its paths told all boxes twice a second that healthy servers were unreachable: the failure of the observer was taken for a failure of the server. A server counts as unreachable now only if no box has reached it for 1.2 s. A box that sends requests meanwhile ejects a crashed server by its own failures, as before.

probes_of_a_box_without_a_path_do_not_hide_a_server_that_another_box_reaches failed before, at the first probe.

--- a/lib/src/state/load.rs
+++ b/lib/src/state/load.rs
@@ -1,7 +1,9 @@
 //! The latest observation of each backend server of a region.
 //!
 //! Observations come from probes by this box, from reports by other boxes and from the outcomes of
-//! requests. The newest observation is kept. Messages contain ages instead of times, so that clocks
+//! requests. The newest observation is kept, but a server counts as unreachable only if no box has
+//! reached it for a while: a box that has lost its path to the server can't reach it either.
+//! Messages contain ages instead of times, so that clocks
 //! need not agree. The servers that the platform's list names as leaving are stored separately,
 //! because a probe of a server does not show what the list contains. Such an entry expires when no
 //! box has read it from the list for `LISTED_TTL`.
@@ -24,6 +26,9 @@
 const AGE_BUCKET: Duration = Duration::from_millis(250);
 /// The age at which an observation is discarded.
 const OBSERVATION_TTL: Duration = Duration::from_secs(300);
+/// How long a server counts as reachable after a box has reached it. Two boxes probe it twice a
+/// second each.
+const REACHABLE_TTL: Duration = Duration::from_millis(1200);
 /// The age at which an entry of the platform's list is discarded.
 const LISTED_TTL: Duration = Duration::from_secs(10);
 
@@ -38,6 +43,8 @@
     pub leaving: bool,
     /// The time of the observation.
     pub observed_at: Instant,
+    /// The time at which a box last reached the server.
+    reached_at: Option<Instant>,
 }
 
 /// All observations of one box.
@@ -58,6 +65,13 @@
         if current.is_some_and(|current| current.observed_at >= observed_at) {
             return false;
         }
+        let reached_at = match report.reachable {
+            true => Some(observed_at),
+            false => current.and_then(|current| current.reached_at),
+        };
+        if !report.reachable && reached_at.is_some_and(|at| observed_at < at + REACHABLE_TTL) {
+            return false;
+        }
         let previous_state =
             current.map_or((true, false), |current| (current.reachable, current.leaving));
         let observation = Observation {
@@ -65,6 +79,7 @@
             reachable: report.reachable,
             leaving: report.leaving,
             observed_at,
+            reached_at,
         };
         self.servers.insert(report.server, observation);
         previous_state != (report.reachable, report.leaving)
