quarantine: results of checks are awaited, old losses raise no doubt

The results of other boxes are awaited now instead of polled each 20 ms, the broken connections of the other servers get 5 ms instead of 20, and a path that was lost long ago raises no doubt about the next crash.

--- a/lib/src/coordination/reachability.rs
+++ b/lib/src/coordination/reachability.rs
@@ -22,8 +22,8 @@
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time between probes of a path; a path that returns is used again after one or two.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a path is doubtful after a response broke off. The next connection shows whether it
-/// works.
+/// How long a path is doubtful after it was lost or a response broke off. A cut concerns all paths
+/// at about the same time.
 const DOUBT_PERIOD: Duration = Duration::from_millis(500);
 /// A path that is lost again within this time after its return is flapping.
 const STABLE_PERIOD: Duration = Duration::from_secs(5);
@@ -54,6 +54,7 @@
 struct Loss {
     /// Whether the loss was concluded from the paths to other servers.
     is_inferred: bool,
+    lost_at: Instant,
     next_probe_at: Instant,
     failed_probes: u32,
     successful_probes: u32,
@@ -70,9 +71,10 @@
         self.broken_at = Some(now);
     }
 
-    /// Whether the path is lost, or a response broke off so recently that it may be.
+    /// Whether the path was lost, or a response broke off, so recently that the cause is unknown.
     pub fn is_doubtful(&self, now: Instant) -> bool {
-        self.is_lost() || self.broken_at.is_some_and(|at| now < at + DOUBT_PERIOD)
+        let lost_at = self.loss.map(|loss| loss.lost_at);
+        lost_at.max(self.broken_at).is_some_and(|at| now < at + DOUBT_PERIOD)
     }
 
     /// Records that no connection could be established, or that the server's host stopped
@@ -98,6 +100,7 @@
         }
         self.loss = Some(Loss {
             is_inferred,
+            lost_at: now,
             next_probe_at: now + FIRST_PROBE_DELAY,
             failed_probes: 0,
             successful_probes: 0,
--- a/lib/src/gateway/feedback.rs
+++ b/lib/src/gateway/feedback.rs
@@ -29,7 +29,7 @@
 use crate::transport::timer;
 
 /// Wait until the connections to all servers that broke at the same moment have been noticed.
-const SETTLE_TIME: Duration = Duration::from_millis(20);
+const SETTLE_TIME: Duration = Duration::from_millis(5);
 
 /// Records an event of a send: its progress or its end.
 pub fn record_event<A: Adapter>(
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -182,6 +182,7 @@
             global_update: Notify::new(),
             verdicts: Notify::new(),
             path_lost: Notify::new(),
+            path_results: Notify::new(),
             peer_ahead: Notify::new(),
             servers: backend::Client::new(SERVER_CONNECT_TIMEOUT, liveness::SERVER)
                 .with_routes(settings.server_routes.clone()),
--- a/lib/src/gateway/path_checks.rs
+++ b/lib/src/gateway/path_checks.rs
@@ -20,8 +20,6 @@
 /// Maximum wait for the results of other boxes. A server whose host is silent takes a connection
 /// timeout.
 const RESULT_TIMEOUT: Duration = Duration::from_millis(450);
-/// Time between two looks at the results.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Whether another box of the region reaches a server.
 pub async fn is_reached_by_peer<A: Adapter>(shared: &Shared<A>, server: ServerIncarnation) -> bool {
@@ -29,15 +27,21 @@
     let boxes = region_boxes(&shared.snapshot.load(), &shared.settings.region).count();
     lock(&shared.path_checks).request(server, requested_at);
     shared.region_update.notify_one();
-    while boxes > 0 && clock::since(requested_at) < RESULT_TIMEOUT {
-        timer::sleep(POLL_INTERVAL).await;
-        match lock(&shared.path_checks).verdict(server, boxes, requested_at) {
-            Verdict::Reached => return true,
-            Verdict::Unreached => return false,
-            Verdict::Open => {}
-        }
+    if boxes == 0 {
+        return false;
     }
-    false
+    let verdict = async {
+        loop {
+            let results = shared.path_results.notified();
+            match lock(&shared.path_checks).verdict(server, boxes, requested_at) {
+                Verdict::Reached => return true,
+                Verdict::Unreached => return false,
+                Verdict::Open => {}
+            }
+            results.await;
+        }
+    };
+    timer::timeout(RESULT_TIMEOUT, verdict).await.unwrap_or(false)
 }
 
 /// Hashes of the other boxes of the region.
@@ -53,6 +57,8 @@
         let mut checks = lock(&shared.path_checks);
         checks.receive_results(*sender, unreached_servers, false, now);
         checks.receive_results(*sender, reached_servers, true, now);
+        drop(checks);
+        shared.path_results.notify_waiters();
     }
     for server in &report.servers_to_check {
         if is_checker(shared, report.sender, *server)
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -145,6 +145,8 @@
     pub verdicts: Notify,
     /// Notified when the path to a server is lost.
     pub path_lost: Notify,
+    /// Notified when other boxes have reported whether they reach servers.
+    pub path_results: Notify,
     /// Notified when another box has a newer state from the store than this one.
     pub peer_ahead: Notify,
     /// Client for backend servers.
