gateway: servers that crash at the same moment do not stand for others

Three refused connections within milliseconds marked the paths to all servers as lost, so that a box left out healthy servers for the time of a probe.

--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -160,6 +160,8 @@
     retry_spread: RetrySpread,
     /// Number of paths that were lost since a server last responded.
     losses_without_response: u32,
+    /// When a server last responded.
+    last_response_at: Option<Instant>,
 }
 
 impl Placement {
@@ -177,6 +179,7 @@
             rest_periods: RestPeriods::default(),
             retry_spread: RetrySpread::default(),
             losses_without_response: 0,
+            last_response_at: None,
         }
     }
 
--- a/lib/src/coordination/placement/paths.rs
+++ b/lib/src/coordination/placement/paths.rs
@@ -1,6 +1,7 @@
 //! Paths from this box to the servers of a service.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use rand::Rng;
@@ -15,6 +16,9 @@
 /// Number of servers whose paths are lost, with no response of any server in between, from which
 /// the paths to all servers count as lost. Otherwise each of them would cost a request.
 const LOSSES_TO_INFER: u32 = 3;
+/// Time without a response from which losses may stand for all servers. Several servers that crash
+/// at the same moment refuse connections within less.
+const MIN_SILENCE: Duration = Duration::from_millis(250);
 
 /// Number of servers lost at about the same time from which the cause may be the path.
 const SIMULTANEOUS_LOSSES: usize = 2;
@@ -86,6 +90,7 @@
     ) -> PathChange {
         if outcome.is_response() {
             self.losses_without_response = 0;
+            self.last_response_at = Some(now);
         }
         let Some(candidate) = self.servers.get_mut(server) else { return PathChange::Unchanged };
         if outcome == Outcome::Lost {
@@ -95,7 +100,8 @@
             return PathChange::Unchanged;
         }
         self.losses_without_response += 1;
-        if self.losses_without_response >= LOSSES_TO_INFER {
+        let is_silent = self.last_response_at.is_none_or(|at| now >= at + MIN_SILENCE);
+        if is_silent && self.losses_without_response >= LOSSES_TO_INFER {
             self.servers.values_mut().for_each(|candidate| candidate.path.infer_loss(now));
         }
         if self.is_unreachable() { PathChange::AllLost } else { PathChange::Lost }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -360,6 +360,19 @@
     assert_eq!(fixture.placement.unreachable_servers(), 0);
 }
 
+#[test]
+fn servers_that_crash_at_the_same_moment_do_not_stand_for_others() {
+    let mut fixture = Fixture::new(placement(5, 8, 1));
+    let mut place = fixture.choose_without_prompt().expect("a place");
+    fixture.placement.finish(&mut place, Outcome::Answered, fixture.now);
+    for lost in 1..=4 {
+        fixture.now += Duration::from_millis(1);
+        let mut place = fixture.choose_without_prompt().expect("a place");
+        fixture.placement.finish(&mut place, Outcome::Unreachable, fixture.now);
+        assert_eq!(fixture.placement.unreachable_servers(), lost);
+    }
+}
+
 #[test]
 fn lost_paths_between_responses_do_not_stand_for_others() {
     let mut fixture = Fixture::new(placement(130, 8, 1));
