upgrade: a halted plan is rolled back by any judge

The other judges knew that the plan was halted and sent the version no requests, but judged by their own nine responses, and advanced the plan to its last stage.

That a plan is halted is a defect for each judge now. test_upgrade_halt failed before (no decision, then Ramp) and passes; test_upgrade as before.

--- a/lib/src/coordination/upgrade/table.rs
+++ b/lib/src/coordination/upgrade/table.rs
@@ -272,7 +272,10 @@
             other_servers: others.clone().map(|(_, count)| count).sum(),
             other_versions: others.map(|(version, _)| version.clone()).collect(),
             responses,
-            defect: evidence.defect(target_servers),
+            // Another judge's finding holds even if its write was lost and its evidence is not known.
+            defect: evidence
+                .defect(target_servers)
+                .or(upgrade.is_halted.then_some("a judge found the version bad")),
             is_drained: draining == 0 && upgrade.is_drained(boxes, now),
             rank,
         };
