gateway: resends are logged by service each second

The lines of single requests are dropped under load, and the counters are totals over services that start at 0 with each process, so the log did not show what each incarnation of a box resent. event=resends gives the resends admitted and denied, the boxes that share the limit, and for how long the budget has counted.

--- a/lib/src/coordination/retries.rs
+++ b/lib/src/coordination/retries.rs
@@ -31,18 +31,43 @@
     resends: u32,
 }
 
+/// Resends that a budget admitted and denied.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Resends {
+    /// Number of resends admitted.
+    pub admitted: u32,
+    /// Number of resends denied.
+    pub denied: u32,
+}
+
 /// The requests and resends of one box to one service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     limit: RetryLimit,
     started_at: Instant,
     slices: [Slice; WINDOW_SLICES],
+    unreported: Resends,
 }
 
 impl RetryBudget {
     /// Creates an empty budget.
     pub fn new(limit: RetryLimit, now: Instant) -> RetryBudget {
-        RetryBudget { limit, started_at: now, slices: [Slice::default(); WINDOW_SLICES] }
+        RetryBudget {
+            limit,
+            started_at: now,
+            slices: [Slice::default(); WINDOW_SLICES],
+            unreported: Resends::default(),
+        }
+    }
+
+    /// Time since this budget began to count.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started_at)
+    }
+
+    /// Resends since the last call.
+    pub fn take_unreported(&mut self) -> Resends {
+        std::mem::take(&mut self.unreported)
     }
 
     fn slice(&mut self, now: Instant) -> &mut Slice {
@@ -77,6 +102,9 @@
         let admitted = f64::from(resends) + 1.0 <= allowed;
         if admitted {
             self.slice(now).resends += 1;
+            self.unreported.admitted += 1;
+        } else {
+            self.unreported.denied += 1;
         }
         admitted
     }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -38,6 +38,7 @@
 use crate::coordination::drain::Stage;
 use crate::coordination::placement::Placement;
 use crate::coordination::presence;
+use crate::coordination::retries::Resends;
 use crate::coordination::retries::RetryBudget;
 use crate::coordination::upgrade::table::ServerCounts;
 use crate::coordination::watchers;
@@ -70,6 +71,8 @@
 const STARTUP_POLLS: f64 = 64.0;
 /// Interval of the checks for expired entries and for the progress of a shutdown.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval of the lines about resends in the log.
+const RESEND_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a leaving box still accepts new connections, because callers may still be directed to
 /// it for a while. After that, connections are refused and callers go to another box at once.
 const STOP_GRACE: Duration = Duration::from_millis(2500);
@@ -103,6 +106,8 @@
     /// Era of the store that the entries belong to which are being applied.
     applied_era: Era,
     unreadable_keys: UnreadableKeys,
+    /// When resends are logged next.
+    log_resends_at: Instant,
 }
 
 impl<A: Adapter> Control<A> {
@@ -135,6 +140,7 @@
             has_unpublished_changes: false,
             applied_era: 0,
             unreadable_keys: UnreadableKeys::default(),
+            log_resends_at: clock::now() + RESEND_LOG_INTERVAL,
         }
     }
 
@@ -312,6 +318,7 @@
     /// Handles everything that depends on time. Returns whether the process ends.
     fn tick(&mut self) -> bool {
         let now = clock::now();
+        self.log_resends(now);
         let startup_over = self.just_started && now >= self.started_at + STARTUP_PERIOD;
         let found_box = self.update_senders(now);
         let store_entry = |incarnation| self.cluster_state.departure_entry(incarnation);
@@ -346,6 +353,25 @@
         stage.is_finished()
     }
 
+    /// Logs the resends of each service. The lines of single requests are limited in number.
+    fn log_resends(&mut self, now: Instant) {
+        if now < self.log_resends_at {
+            return;
+        }
+        self.log_resends_at = now + RESEND_LOG_INTERVAL;
+        let boxes = self.shared.snapshot.load().fleet_size;
+        for (service, state) in lock(&self.shared.services).iter_mut() {
+            let Resends { admitted, denied } = state.budget.take_unreported();
+            if admitted + denied > 0 {
+                let age_ms = state.budget.age(now).as_millis();
+                log::info!(
+                    "event=resends service={service} admitted={admitted} denied={denied} boxes={boxes} \
+                     counted_ms={age_ms}"
+                );
+            }
+        }
+    }
+
     /// Counts boxes that send reports though the store doesn't list them, or no longer does.
     /// Returns whether one of them is new.
     fn update_senders(&mut self, now: Instant) -> bool {
