retries: resends count for the whole window

Callers saw nothing; a service got up to a tenth more resends than its limit in some windows. The window was divided into ten slices of which the newest had just begun, so resends left the count up to a tenth of the window early. Eleven slices are counted now.

--- a/lib/src/coordination/retries.rs
+++ b/lib/src/coordination/retries.rs
@@ -11,7 +11,10 @@
 /// measured start at different times.
 const USABLE_SHARE: f64 = 0.8;
 /// Number of slices that the window is divided into.
-const WINDOW_SLICES: usize = 10;
+const WINDOW_SLICES: u32 = 10;
+/// Number of slices that are counted. The newest one has just begun, so one more is needed to cover
+/// the window.
+const COUNTED_SLICES: usize = WINDOW_SLICES as usize + 1;
 
 /// The limit for all boxes together.
 #[derive(Clone, Copy, Debug)]
@@ -45,7 +48,7 @@
 pub struct RetryBudget {
     limit: RetryLimit,
     started_at: Instant,
-    slices: [Slice; WINDOW_SLICES],
+    slices: [Slice; COUNTED_SLICES],
     unreported: Resends,
 }
 
@@ -55,7 +58,7 @@
         RetryBudget {
             limit,
             started_at: now,
-            slices: [Slice::default(); WINDOW_SLICES],
+            slices: [Slice::default(); COUNTED_SLICES],
             unreported: Resends::default(),
         }
     }
@@ -71,10 +74,10 @@
     }
 
     fn slice(&mut self, now: Instant) -> &mut Slice {
-        let length = self.limit.window / WINDOW_SLICES as u32;
+        let length = self.limit.window / WINDOW_SLICES;
         let elapsed = now.saturating_duration_since(self.started_at).as_nanos();
         let index = (elapsed / length.as_nanos().max(1)) as u64;
-        let slice = &mut self.slices[index as usize % WINDOW_SLICES];
+        let slice = &mut self.slices[index as usize % COUNTED_SLICES];
         if slice.index != index {
             *slice = Slice { index, ..Slice::default() };
         }
@@ -91,7 +94,7 @@
     pub fn try_resend(&mut self, boxes: usize, now: Instant) -> bool {
         let newest = self.slice(now).index;
         let counted =
-            |slice: &&Slice| slice.index + WINDOW_SLICES as u64 > newest && slice.index <= newest;
+            |slice: &&Slice| slice.index + COUNTED_SLICES as u64 > newest && slice.index <= newest;
         let (mut requests, mut resends) = (0, 0);
         for slice in self.slices.iter().filter(counted) {
             requests += slice.requests;
