retries: a part of the limit accrues, so that restarts add nothing

Cause: each incarnation of a box began with the whole of its share of the fixed part, and with the fraction of its own requests for a window of its own, whatever its predecessor had resent a moment before. Boxes that start k times in a window spent up to 1 + k shares.

Half of the usable limit now accrues, with requests and with time; a period inside the window is checked as well as the window. The accrued parts of all incarnations of a box add up to no more than one would have accrued that ran all the time. The other half may be spent at once, by a box that has counted for a whole window: only one of the incarnations in a window can have.

the_retry_budget_recovers_with_time stated that a box that starts may spend eight of ten at once, which is the fault. It states now that such a box has nothing, that one that has counted for a window has four at once and eight in all, and that these come back.

--- a/lib/src/coordination/retries.rs
+++ b/lib/src/coordination/retries.rs
@@ -1,15 +1,23 @@
 //! Limits on how many requests are sent again.
 //!
-//! The limit covers all boxes together over a sliding window. It is a fraction of the requests in
-//! the window plus a fixed number. Each box keeps to the fraction of its own requests and to its
-//! share of the fixed number.
+//! The limit covers all boxes together over any window of a given length. It is a fraction of the
+//! requests in the window plus a fixed number. Each box keeps to the fraction of its own requests
+//! and to its share of the fixed number.
+//!
+//! A box that starts doesn't know what it resent before, or what a box that left has resent. So a
+//! part of the limit only accrues, with the requests and with time, and is not granted at once.
+//! Whatever restarts happen in a window, the accrued parts add up to no more than one box would
+//! have accrued that ran all the time. The rest may be spent at once, by boxes that have counted
+//! for a whole window.
 
 use std::time::Duration;
 use std::time::Instant;
 
-/// Part of the limit that is used. The window of the box and the window over which compliance is
-/// measured start at different times.
+/// Part of the limit that is used. Boxes learn of each other with delay, and resends take some time
+/// to arrive.
 const USABLE_SHARE: f64 = 0.8;
+/// Part of the usable limit that accrues. The rest may be spent at once.
+const ACCRUING_SHARE: f64 = 0.5;
 /// Number of slices that the window is divided into.
 const WINDOW_SLICES: u32 = 10;
 /// Number of slices that are counted. The newest one has just begun, so one more is needed to cover
@@ -53,17 +61,17 @@
 }
 
 impl RetryBudget {
-    /// Creates an empty budget.
-    pub fn new(limit: RetryLimit, now: Instant) -> RetryBudget {
+    /// Creates the budget of a box that has counted since `started_at`.
+    pub fn new(limit: RetryLimit, started_at: Instant) -> RetryBudget {
         RetryBudget {
             limit,
-            started_at: now,
+            started_at,
             slices: [Slice::default(); COUNTED_SLICES],
             unreported: Resends::default(),
         }
     }
 
-    /// Time since this budget began to count.
+    /// Time since the box began to count.
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started_at)
     }
@@ -73,10 +81,16 @@
         std::mem::take(&mut self.unreported)
     }
 
-    fn slice(&mut self, now: Instant) -> &mut Slice {
-        let length = self.limit.window / WINDOW_SLICES;
-        let elapsed = now.saturating_duration_since(self.started_at).as_nanos();
-        let index = (elapsed / length.as_nanos().max(1)) as u64;
+    fn slice_length(&self) -> Duration {
+        self.limit.window / WINDOW_SLICES
+    }
+
+    fn newest_index(&self, now: Instant) -> u64 {
+        (self.age(now).as_nanos() / self.slice_length().as_nanos().max(1)) as u64
+    }
+
+    fn newest_slice(&mut self, now: Instant) -> &mut Slice {
+        let index = self.newest_index(now);
         let slice = &mut self.slices[index as usize % COUNTED_SLICES];
         if slice.index != index {
             *slice = Slice { index, ..Slice::default() };
@@ -84,31 +98,55 @@
         slice
     }
 
+    /// The slice before which `age` others have begun; `None` if it was empty or not counted.
+    fn slice_at_age(&self, newest: u64, age: usize) -> Option<&Slice> {
+        let index = newest.checked_sub(age as u64)?;
+        let slice = &self.slices[index as usize % COUNTED_SLICES];
+        (slice.index == index).then_some(slice)
+    }
+
     /// Records a request that is sent for the first time.
     pub fn record_first_send(&mut self, now: Instant) {
-        self.slice(now).requests += 1;
+        self.newest_slice(now).requests += 1;
     }
 
     /// Takes one resend from this box's share, which is one of `boxes`. Returns `false` if none is
     /// left.
     pub fn try_resend(&mut self, boxes: usize, now: Instant) -> bool {
-        let newest = self.slice(now).index;
-        let counted =
-            |slice: &&Slice| slice.index + COUNTED_SLICES as u64 > newest && slice.index <= newest;
-        let (mut requests, mut resends) = (0, 0);
-        for slice in self.slices.iter().filter(counted) {
-            requests += slice.requests;
-            resends += slice.resends;
-        }
-        let share = self.limit.extra / boxes.max(1) as f64;
-        let allowed = USABLE_SHARE * (self.limit.ratio * f64::from(requests) + share);
-        let admitted = f64::from(resends) + 1.0 <= allowed;
+        let admitted = self.admits(boxes, now);
         if admitted {
-            self.slice(now).resends += 1;
+            self.newest_slice(now).resends += 1;
             self.unreported.admitted += 1;
         } else {
             self.unreported.denied += 1;
         }
         admitted
     }
+
+    /// Whether one more resend keeps the window, and every period since some moment in it, within
+    /// what may be spent at once and what has accrued since.
+    fn admits(&self, boxes: usize, now: Instant) -> bool {
+        let RetryLimit { ratio, window, extra } = self.limit;
+        let newest = self.newest_index(now);
+        let counted = || (0..COUNTED_SLICES).map(|age| (age, self.slice_at_age(newest, age)));
+        let share = extra / boxes.max(1) as f64;
+        let all_requests: u32 = counted().filter_map(|(_, slice)| Some(slice?.requests)).sum();
+        let at_once = if self.age(now) < window {
+            0.0
+        } else {
+            (1.0 - ACCRUING_SHARE) * (ratio * f64::from(all_requests) + share)
+        };
+        let (mut requests, mut resends) = (0, 0);
+        counted().all(|(age, slice)| {
+            if let Some(slice) = slice {
+                requests += slice.requests;
+                resends += slice.resends;
+            }
+            let begun = self.slice_length() * newest.saturating_sub(age as u64) as u32;
+            let elapsed = (self.age(now).saturating_sub(begun)).min(window);
+            let time_share = elapsed.as_secs_f64() / window.as_secs_f64();
+            let accrued = ACCRUING_SHARE * (ratio * f64::from(requests) + share * time_share);
+            f64::from(resends) + 1.0 <= USABLE_SHARE * (at_once + accrued)
+        })
+    }
 }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -603,10 +603,15 @@
     let bound = retries::RetryLimit { ratio: 0.0, window: Duration::from_secs(10), extra: 10.0 };
     let mut now = Instant::now();
     let mut budget = RetryBudget::new(bound, now);
-    let spent = (0..20).filter(|_| budget.try_resend(1, now)).count();
-    assert_eq!(spent, 8);
+    assert!(!budget.try_resend(1, now), "a box that starts has nothing yet");
+    now += Duration::from_secs(10);
+    let spent =
+        |budget: &mut RetryBudget, now| (0..20).filter(|_| budget.try_resend(1, now)).count();
+    assert_eq!(spent(&mut budget, now), 4, "half of what is usable");
     now += Duration::from_secs(9);
-    assert!(!budget.try_resend(1, now));
+    assert_eq!(spent(&mut budget, now), 3, "nine tenths of the other half have accrued");
+    now += Duration::from_secs(1);
+    assert_eq!(spent(&mut budget, now), 1, "eight in all");
     now += Duration::from_secs(2);
     assert!(budget.try_resend(1, now));
 }
