retries: the count of a service outlives its absence from the routing

Cause: the budget was part of the state of a service, which is dropped when the service leaves the configuration, so that a service that came back got its share of resends again. The budgets are a table of their own now, and one that is not used for a window is dropped. A service that is new to a box has been counted since the box started.

--- a/lib/src/coordination/retries.rs
+++ b/lib/src/coordination/retries.rs
@@ -10,9 +10,12 @@
 //! have accrued that ran all the time. The rest may be spent at once, by boxes that have counted
 //! for a whole window.
 
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::protocol::routing::ServiceId;
+
 /// Part of the limit that is used. Boxes learn of each other with delay, and resends take some time
 /// to arrive.
 const USABLE_SHARE: f64 = 0.8;
@@ -149,4 +152,68 @@
             f64::from(resends) + 1.0 <= USABLE_SHARE * (at_once + accrued)
         })
     }
+
+    /// Whether nothing is counted any more.
+    fn is_idle(&self, now: Instant) -> bool {
+        let newest = self.newest_index(now);
+        (0..COUNTED_SLICES).all(|age| self.slice_at_age(newest, age).is_none())
+    }
+}
+
+/// The budgets of one box for all services, and the number of boxes that share the limits.
+#[derive(Clone, Debug)]
+pub struct RetryBudgets {
+    limit: RetryLimit,
+    started_at: Instant,
+    /// Number of boxes that share the limits.
+    fleet_size: usize,
+    budgets: HashMap<ServiceId, RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Creates the budgets of a box that starts now.
+    pub fn new(limit: RetryLimit, now: Instant) -> RetryBudgets {
+        RetryBudgets { limit, started_at: now, fleet_size: 1, budgets: HashMap::new() }
+    }
+
+    /// Sets the number of boxes that share the limits, and drops what no longer counts.
+    pub fn set_fleet_size(&mut self, boxes: usize, now: Instant) {
+        self.fleet_size = boxes;
+        self.budgets.retain(|_, budget| !budget.is_idle(now));
+    }
+
+    /// The number of boxes that divide the fixed part.
+    pub fn sharing_boxes(&self) -> usize {
+        self.fleet_size
+    }
+
+    /// A budget for a service that wasn't known before has counted since the start of the box.
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        let (limit, started_at) = (self.limit, self.started_at);
+        self.budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryBudget::new(limit, started_at))
+    }
+
+    /// Records a request to a service that is sent for the first time.
+    pub fn record_first_send(&mut self, service: &str, now: Instant) {
+        self.budget(service).record_first_send(now);
+    }
+
+    /// Takes one resend to a service from this box's share. Returns `false` if none is left.
+    pub fn try_resend(&mut self, service: &str, now: Instant) -> bool {
+        let boxes = self.sharing_boxes();
+        self.budget(service).try_resend(boxes, now)
+    }
+
+    /// Resends to each service since the last call, and for how long they have been counted.
+    pub fn take_unreported(
+        &mut self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&ServiceId, Resends, Duration)> {
+        self.budgets.iter_mut().filter_map(move |(service, budget)| {
+            let resends = budget.take_unreported();
+            (resends != Resends::default()).then(|| (service, resends, budget.age(now)))
+        })
+    }
 }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -39,7 +39,6 @@
 use crate::coordination::placement::Placement;
 use crate::coordination::presence;
 use crate::coordination::retries::Resends;
-use crate::coordination::retries::RetryBudget;
 use crate::coordination::upgrade::table::ServerCounts;
 use crate::coordination::watchers;
 use crate::daemon::StopOutcome;
@@ -359,16 +358,14 @@
             return;
         }
         self.log_resends_at = now + RESEND_LOG_INTERVAL;
-        let boxes = self.shared.snapshot.load().fleet_size;
-        for (service, state) in lock(&self.shared.services).iter_mut() {
-            let Resends { admitted, denied } = state.budget.take_unreported();
-            if admitted + denied > 0 {
-                let age_ms = state.budget.age(now).as_millis();
-                log::info!(
-                    "event=resends service={service} admitted={admitted} denied={denied} boxes={boxes} \
-                     counted_ms={age_ms}"
-                );
-            }
+        let mut retries = lock(&self.shared.retries);
+        let boxes = retries.sharing_boxes();
+        for (service, Resends { admitted, denied }, counted) in retries.take_unreported(now) {
+            log::info!(
+                "event=resends service={service} admitted={admitted} denied={denied} boxes={boxes} \
+                 counted_ms={}",
+                counted.as_millis()
+            );
         }
     }
 
@@ -417,6 +414,7 @@
         let sharing_boxes = self.cluster_state.sharing_boxes(&context).len();
         let fleet_size = self.cluster_state.fleet_size(&context);
         let now = clock::now();
+        lock(&self.shared.retries).set_fleet_size(fleet_size, now);
         let departures = lock(&self.shared.departures);
         self.cluster_state.set_leaving(|incarnation| departures.is_leaving(incarnation));
         drop(departures);
@@ -431,10 +429,9 @@
             let mut services = lock(&self.shared.services);
             services.retain(|name, _| routing.services.contains_key(name));
             for (name, service) in &routing.services {
-                let state = services.entry(name.clone()).or_insert_with(|| Service {
-                    placement: Placement::new(self.started_at),
-                    budget: RetryBudget::new(settings.retries, now),
-                });
+                let state = services
+                    .entry(name.clone())
+                    .or_insert_with(|| Service { placement: Placement::new(self.started_at) });
                 let servers = local_servers.remove(name).unwrap_or_default();
                 state.placement.update(servers, sharing_boxes, service, now);
                 // Locked while `services` is locked, so a report that arrives during the update is
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -332,10 +332,7 @@
     if history.sends >= job.max_attempts() || job.time_left(now) < MIN_TIME_LEFT {
         return false;
     }
-    let boxes = job.snapshot.fleet_size;
-    let admitted =
-        shared.with_service(&job.service, |service| service.budget.try_resend(boxes, now));
-    let admitted = admitted.unwrap_or(false);
+    let admitted = lock(&shared.retries).try_resend(&job.service, now);
     shared.counters.increment(if admitted { Counter::Retries } else { Counter::RetriesDenied });
     admitted
 }
@@ -343,7 +340,7 @@
 /// Counts the request for the retry budget, at the box that received it from the caller.
 fn count_first_send<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job) {
     if job.origin == Origin::Caller {
-        shared.with_service(&job.service, |service| service.budget.record_first_send(clock::now()));
+        lock(&shared.retries).record_first_send(&job.service, clock::now());
     }
 }
 
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -61,6 +61,7 @@
 use crate::coordination::drain::Stage;
 use crate::coordination::quota;
 use crate::coordination::quota::Quotas;
+use crate::coordination::retries::RetryBudgets;
 use crate::coordination::throttle::Throttles;
 use crate::coordination::upgrade::Upgrades;
 use crate::daemon::StartError;
@@ -164,6 +165,7 @@
             joins: Mutex::default(),
             services: Mutex::default(),
             loads: Mutex::default(),
+            retries: Mutex::new(RetryBudgets::new(settings.retries, clock::now())),
             quotas: Mutex::new(Quotas::new(quota_tolerance(&settings), clock::now())),
             throttles: Mutex::new(Throttles::new(rand::random())),
             departures: Mutex::default(),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -36,7 +36,7 @@
 use crate::coordination::reachability::PathChange;
 use crate::coordination::reachability::PeerReachability;
 use crate::coordination::regions::RegionUtilization;
-use crate::coordination::retries::RetryBudget;
+use crate::coordination::retries::RetryBudgets;
 use crate::coordination::throttle::Throttles;
 use crate::coordination::unlisted::Unlisted;
 use crate::coordination::upgrade::Upgrades;
@@ -82,8 +82,6 @@
 pub struct Service {
     /// Chooses a server for each request.
     pub placement: Placement,
-    /// Budget for retries.
-    pub budget: RetryBudget,
 }
 
 /// State shared by all threads of a gateway.
@@ -106,6 +104,8 @@
     pub services: Mutex<HashMap<ServiceId, Service>>,
     /// Load of other boxes on these servers. Locked after `services`, never before.
     pub loads: Mutex<Loads>,
+    /// Budgets for resends. No other lock is taken while it is held.
+    pub retries: Mutex<RetryBudgets>,
     /// The part of their rate limits that teams have left.
     pub quotas: Mutex<Quotas>,
     /// Request rates that servers of this region asked for. Locked after `services` and `loads`,
--- a/lib/tests/test_retries.rs
+++ b/lib/tests/test_retries.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use copperweir_lib::coordination::retries::RetryBudget;
+use copperweir_lib::coordination::retries::RetryBudgets;
 use copperweir_lib::coordination::retries::RetryLimit;
 use proptest::prelude::*;
 
+const SERVICE: &str = "lookups";
 const STEP: Duration = Duration::from_millis(20);
 const WINDOW_STEPS: usize = 500;
 const LIMIT: RetryLimit = RetryLimit { ratio: 0.2, window: Duration::from_secs(10), extra: 58.0 };
@@ -36,7 +37,7 @@
 ) -> (Vec<u32>, Vec<u32>) {
     let start = Instant::now();
     let (mut requests, mut resends) = (vec![0; steps], vec![0; steps]);
-    let mut budgets: Vec<Option<RetryBudget>> = vec![None; boxes.len()];
+    let mut budgets: Vec<Option<RetryBudgets>> = vec![None; boxes.len()];
     for step in 0..steps {
         let now = start + STEP * step as u32;
         let runs = |load: &&BoxLoad| (load.from..load.until).contains(&step);
@@ -48,14 +49,15 @@
             if !runs(&load) {
                 continue;
             }
-            let budget = budget.get_or_insert_with(|| RetryBudget::new(LIMIT, now));
+            let budget = budget.get_or_insert_with(|| RetryBudgets::new(LIMIT, now));
+            budget.set_fleet_size(fleet_size, now);
             let requests_now = if step < load.busy_from { 0 } else { load.requests };
             for _ in 0..requests_now {
-                budget.record_first_send(now);
+                budget.record_first_send(SERVICE, now);
                 requests[step] += 1;
                 if fails(step) {
                     resends[step] +=
-                        (0..3).filter(|_| budget.try_resend(fleet_size, now)).count() as u32;
+                        (0..3).filter(|_| budget.try_resend(SERVICE, now)).count() as u32;
                 }
             }
         }
@@ -125,6 +127,15 @@
     });
 }
 
+#[test]
+fn service_that_is_new_to_a_running_box_has_its_share_at_once() {
+    let start = Instant::now();
+    let mut budgets = RetryBudgets::new(LIMIT, start);
+    let now = start + LIMIT.window;
+    budgets.set_fleet_size(1, now);
+    assert!((0..10).all(|_| budgets.try_resend(SERVICE, now)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(60) })]
 
