retries: boxes that stay don't take over the shares of those that left

Cause: the fixed part of the limit was divided by the boxes that are there now, while what a box that left has resent was still in the window. The largest number of boxes within the last window divides it now.

boxes_that_stay_do_not_spend_the_shares_of_those_that_left failed on the untouched logic (200 of 147).

--- a/lib/src/coordination/retries.rs
+++ b/lib/src/coordination/retries.rs
@@ -11,6 +11,7 @@
 //! for a whole window.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -165,26 +166,37 @@
 pub struct RetryBudgets {
     limit: RetryLimit,
     started_at: Instant,
-    /// Number of boxes that share the limits.
-    fleet_size: usize,
+    /// Numbers of boxes, and since when each has applied. The last one applies now.
+    fleet_sizes: VecDeque<(Instant, usize)>,
     budgets: HashMap<ServiceId, RetryBudget>,
 }
 
 impl RetryBudgets {
     /// Creates the budgets of a box that starts now.
     pub fn new(limit: RetryLimit, now: Instant) -> RetryBudgets {
-        RetryBudgets { limit, started_at: now, fleet_size: 1, budgets: HashMap::new() }
+        RetryBudgets {
+            limit,
+            started_at: now,
+            fleet_sizes: VecDeque::new(),
+            budgets: HashMap::new(),
+        }
     }
 
     /// Sets the number of boxes that share the limits, and drops what no longer counts.
     pub fn set_fleet_size(&mut self, boxes: usize, now: Instant) {
-        self.fleet_size = boxes;
+        if self.fleet_sizes.back().is_none_or(|(_, latest)| *latest != boxes) {
+            self.fleet_sizes.push_back((now, boxes));
+        }
+        while self.fleet_sizes.get(1).is_some_and(|(since, _)| now >= *since + self.limit.window) {
+            self.fleet_sizes.pop_front();
+        }
         self.budgets.retain(|_, budget| !budget.is_idle(now));
     }
 
-    /// The number of boxes that divide the fixed part.
+    /// The number of boxes that divide the fixed part. Boxes that left count for one more window,
+    /// like what they resent.
     pub fn sharing_boxes(&self) -> usize {
-        self.fleet_size
+        self.fleet_sizes.iter().map(|(_, boxes)| *boxes).max().unwrap_or(1)
     }
 
     /// A budget for a service that wasn't known before has counted since the start of the box.
--- a/lib/tests/test_retries.rs
+++ b/lib/tests/test_retries.rs
@@ -31,6 +31,7 @@
 /// Requests and resends of all boxes by step. In the steps for which `fails` returns `true`, each
 /// request asks for three resends.
 fn simulate(
+    limit: RetryLimit,
     boxes: &[BoxLoad],
     steps: usize,
     fails: impl Fn(usize) -> bool,
@@ -49,7 +50,7 @@
             if !runs(&load) {
                 continue;
             }
-            let budget = budget.get_or_insert_with(|| RetryBudgets::new(LIMIT, now));
+            let budget = budget.get_or_insert_with(|| RetryBudgets::new(limit, now));
             budget.set_fleet_size(fleet_size, now);
             let requests_now = if step < load.busy_from { 0 } else { load.requests };
             for _ in 0..requests_now {
@@ -67,7 +68,7 @@
 
 /// Resends in the worst window, and how many are allowed there. Requests count in the window, in
 /// the one before or in the one half before, wherever there are most.
-fn worst_window(requests: &[u32], resends: &[u32]) -> (f64, f64) {
+fn worst_window(limit: RetryLimit, requests: &[u32], resends: &[u32]) -> (f64, f64) {
     let sum = |counts: &[u32], from: i64| {
         let range = from.max(0) as usize..(from + WINDOW_STEPS as i64).max(0) as usize;
         f64::from(counts[range.start..range.end.min(counts.len())].iter().sum::<u32>())
@@ -76,15 +77,20 @@
         let (from, length) = (from as i64, WINDOW_STEPS as i64);
         let starts = [from, from - length / 2, from - length];
         let most = starts.map(|start| sum(requests, start)).into_iter().fold(0.0, f64::max);
-        (sum(resends, from), LIMIT.ratio * most + LIMIT.extra)
+        (sum(resends, from), limit.ratio * most + limit.extra)
     };
     let windows = (0..=resends.len().saturating_sub(WINDOW_STEPS)).map(window);
     windows.max_by(|a, b| (a.0 - a.1).total_cmp(&(b.0 - b.1))).expect("one window")
 }
 
-fn assert_limit_is_kept(boxes: &[BoxLoad], steps: usize, fails: impl Fn(usize) -> bool) {
-    let (requests, resends) = simulate(boxes, steps, fails);
-    let (resent, allowed) = worst_window(&requests, &resends);
+fn assert_limit_is_kept(
+    limit: RetryLimit,
+    boxes: &[BoxLoad],
+    steps: usize,
+    fails: impl Fn(usize) -> bool,
+) {
+    let (requests, resends) = simulate(limit, boxes, steps, fails);
+    let (resent, allowed) = worst_window(limit, &requests, &resends);
     assert!(resent <= allowed, "{resent} resends in a window, {allowed} allowed");
 }
 
@@ -97,7 +103,7 @@
 #[test]
 fn restarted_boxes_resend_no_more_than_the_limit() {
     for kills in [&[1200][..], &[1100, 1300], &[1100, 1200, 1300, 1400]] {
-        assert_limit_is_kept(&fleet(6, 1, kills), 2500, |step| step >= 1000);
+        assert_limit_is_kept(LIMIT, &fleet(6, 1, kills), 2500, |step| step >= 1000);
     }
 }
 
@@ -107,22 +113,23 @@
     for (rank, load) in boxes.iter_mut().enumerate() {
         load.kills = vec![1100 + 20 * rank, 1350 + 20 * rank];
     }
-    assert_limit_is_kept(&boxes, 2500, |step| step >= 1000);
+    assert_limit_is_kept(LIMIT, &boxes, 2500, |step| step >= 1000);
 }
 
 #[test]
 fn boxes_that_stay_do_not_spend_the_shares_of_those_that_left() {
-    let mut boxes = fleet(9, 1, &[]);
+    let limit = RetryLimit { extra: 600.0, ..LIMIT };
+    let mut boxes = fleet(30, 1, &[]);
     for (rank, load) in boxes.iter_mut().enumerate() {
         load.busy_from = 1000;
         load.until = 1010 + 10 * rank;
     }
-    assert_limit_is_kept(&boxes, 1600, |step| step >= 1000);
+    assert_limit_is_kept(limit, &boxes, 1600, |step| step >= 1000);
 }
 
 #[test]
 fn resends_count_for_the_whole_window() {
-    assert_limit_is_kept(&fleet(1, 20, &[]), 2200, |step| {
+    assert_limit_is_kept(LIMIT, &fleet(1, 20, &[]), 2200, |step| {
         (1010..1050).contains(&step) || (1490..1510).contains(&step)
     });
 }
@@ -149,8 +156,8 @@
             .map(|kills| BoxLoad { kills, ..fleet(1, 1, &[])[0].clone() })
             .collect();
         let fails = |step| failures.iter().any(|(from, length)| (*from..from + length).contains(&step));
-        let (requests, resends) = simulate(&boxes, 2500, fails);
-        let (resent, allowed) = worst_window(&requests, &resends);
+        let (requests, resends) = simulate(LIMIT, &boxes, 2500, fails);
+        let (resent, allowed) = worst_window(LIMIT, &requests, &resends);
         prop_assert!(resent <= allowed, "{resent} resends in a window, {allowed} allowed");
     }
 }
