gateway: the log gives the version of servers, and streams that are taken up

Nothing told at which software version a stream began and went on. The entry of a server in the log has its version, and a line about a choice has that of the server, the event after which the stream continues, and the attempt that the caller names.

--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -214,7 +214,7 @@
         let born =
             server.started_at.and_then(|born| born.duration_since(SystemTime::UNIX_EPOCH).ok());
         log::info!(
-            "event=server server={} born={} service={} address={} failure_domain={} leaving={} cold_ms={}",
+            "event=server server={} born={} service={} address={} failure_domain={} leaving={} cold_ms={} software={}",
             server.id,
             born.map_or(0, |since| since.as_millis()),
             server.service,
@@ -222,6 +222,7 @@
             server.failure_domain,
             server.leaving,
             server.cold_left.as_millis(),
+            server.version,
         );
         let id = server.id.clone();
         let entry = Entry {
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -37,6 +37,11 @@
     SharedPrefix::of(&job.metadata.segments).map_or(0, |prefix| prefix.id())
 }
 
+/// The version of a server's software for the log.
+fn software(version: &str) -> &str {
+    if version.is_empty() { "-" } else { version }
+}
+
 /// Logs that a request that crashed servers before is sent to a server.
 pub fn on_trial(job: &Job, server: &str, suspicion: Suspicion, shares_server: bool) {
     let Suspicion { crashes, crashes_of_caller, callers, server_count } = suspicion;
@@ -55,11 +60,18 @@
 }
 
 /// Logs that a backend server was chosen.
-pub fn placed(job: &Job, history: &RequestHistory, place: &Place, state: StateSummary) {
+pub fn placed(
+    job: &Job,
+    history: &RequestHistory,
+    place: &Place,
+    after_event: Option<u64>,
+    state: StateSummary,
+) {
     log::info!(
         target: TARGET,
         "event=placed request={} route={} team={} service={} server={} send={} in_flight={} others={} unread={:.0} \
-         candidates={} at_home={} cold={} text={:x} content={} version={} boxes={} {state} left_ms={}",
+         candidates={} at_home={} cold={} text={:x} content={} version={} boxes={} {state} left_ms={} \
+         software={} after_event={} resumes={}",
         job.metadata.id,
         job.route.name,
         team(job),
@@ -77,6 +89,9 @@
         job.version,
         job.snapshot.fleet_size,
         job.time_left(clock::now()).as_millis(),
+        software(&place.registration.version),
+        after_event.map_or(-1, |id| id as i64),
+        job.metadata.resumes.as_deref().unwrap_or("-"),
     );
 }
 
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -135,7 +135,7 @@
         Target::Server(reservation) => {
             history.tried.push(reservation.place.server.clone());
             let state = lock(&shared.freshness).summary(clock::now());
-            decision_log::placed(job, history, &reservation.place, state);
+            decision_log::placed(job, history, &reservation.place, after_event, state);
             attempt::to_server(shared, job, *reservation, after_event).await
         }
         Target::Peer(address, reason) => {
--- a/lib/src/protocol/adapter.rs
+++ b/lib/src/protocol/adapter.rs
@@ -43,6 +43,9 @@
     pub segments: Vec<PromptSegment>,
     /// The ID of the last event that the caller has already received.
     pub last_event: Option<u64>,
+    /// The ID of the caller's attempt that brought the first event of the stream that this request
+    /// continues.
+    pub resumes: Option<String>,
     /// The digest of the caller's key, if it sent one.
     pub key: Option<KeyDigest>,
     /// Tokens of the prompt plus the maximum number of generated tokens, if given.
