relay: a broken stream goes on only at the version that began it

What users saw: 174 streams with events of two software versions.

Cause, first part: a box that resumes a broken stream chose any server. The version is part of the stream's state now: of the reservation for a server of this region, and in the response of another box. A choice for a stream that has begun is among servers of its version, here, at neighbors and in other regions that have such servers; if there is none, the stream breaks off for the caller, who may take it up later.

A forwarding box tells in the value of the header that marks forwards that it understands versions, and which one it needs; older boxes read no value, and never pass this header on. The response of a box that doesn't confirm the version is discarded before an event of it goes out. A stream whose version nobody told goes on only while there is a single version.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -16,6 +16,7 @@
 use super::warmup::Warmup;
 use crate::protocol::adapter::PromptSegment;
 use crate::protocol::fleet::Server;
+use crate::protocol::fleet::VersionHash;
 
 /// Upper limit of the requests of all boxes at a server, queued ones included, per slot. It keeps
 /// the server busy and its queue short.
@@ -114,6 +115,8 @@
     pub hash: u64,
     /// Identifies this incarnation of the server in reports between boxes.
     pub incarnation: u64,
+    /// The version of its software.
+    pub version: VersionHash,
     /// Whether another instance has the address. The store may show the old record for some
     /// seconds.
     replaced: bool,
@@ -150,6 +153,11 @@
     rendezvous::weight(id, "")
 }
 
+/// Hash of a version. Versions that differ in any character are different ones.
+pub fn version_hash(version: &str) -> VersionHash {
+    rendezvous::weight(version, "")
+}
+
 /// Hash that identifies one incarnation of a server. If its start time is unknown, the hash is that
 /// of its id.
 pub fn incarnation_hash(server: &Server) -> u64 {
@@ -170,6 +178,7 @@
         Candidate {
             hash: server_hash(&state.server.id),
             incarnation: incarnation_hash(&state.server),
+            version: version_hash(&state.server.version),
             limit: max_requests(&state),
             state,
             updated_in: 0,
@@ -242,6 +251,7 @@
 
     /// Replaces the state, in the update with this number.
     pub fn update(&mut self, state: ServerState, update: u64) {
+        self.version = version_hash(&state.server.version);
         self.state = state;
         self.updated_in = update;
     }
@@ -256,6 +266,18 @@
         self.is_usable() && self.state.role == role
     }
 
+    /// Whether the server may get a request for servers in a role, or to continue a stream at the
+    /// version that began it.
+    pub fn may_run(&self, role: Role, version: Option<VersionHash>) -> bool {
+        match version {
+            None => self.has_role(role),
+            Some(version) => {
+                self.version == version
+                    && (self.has_role(Role::Serving) || self.has_role(Role::Canary))
+            }
+        }
+    }
+
     /// Whether the server is leaving, by its own announcement or by its record in the store.
     pub fn is_leaving(&self) -> bool {
         self.announced_leaving || self.state.server.leaving
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -40,6 +40,7 @@
 use crate::protocol::ServerId;
 use crate::protocol::adapter::PromptSegment;
 use crate::protocol::fleet::Server;
+use crate::protocol::fleet::VersionHash;
 use crate::protocol::routing::Service;
 
 /// Fraction of a server's connections that requests may use; others are idle or closing.
@@ -68,6 +69,8 @@
     pub eligible: Eligible,
     /// The role that these servers have while the service is upgraded.
     pub role: Role,
+    /// The version at which the request continues a stream; the role is of no account then.
+    pub version: Option<VersionHash>,
     /// Whether servers may have turned cold without this box knowing.
     pub stale: bool,
 }
@@ -93,6 +96,8 @@
     pub address: SocketAddr,
     /// Registration of the server at the time of the choice.
     pub registration: Arc<Server>,
+    /// The version of its software.
+    pub version: VersionHash,
     /// Prompt tokens that the server probably has to process.
     pub prefill_tokens: f64,
     /// Requests of this box on the server, including this one.
@@ -273,7 +278,7 @@
         };
         // Compares a sample first, and all servers only if none of the sample has capacity.
         let mut choice = None;
-        if let Some(sample) = self.sample(request.role, selection, rng) {
+        if let Some(sample) = self.sample(request, selection, rng) {
             choice = self.cheapest(request, selection, |hash| sample.contains(&hash), rng);
         }
         if choice.is_none() {
@@ -296,7 +301,7 @@
         let mut candidates = 0;
         let mut best: Option<(f64, Choice)> = None;
         for (id, candidate) in &mut self.servers {
-            let usable = candidate.has_role(request.role)
+            let usable = candidate.may_run(request.role, request.version)
                 && !candidate.path.is_lost()
                 && !request.tried.contains(id);
             if !usable || !is_compared(candidate.hash) {
@@ -349,6 +354,7 @@
             incarnation: candidate.incarnation,
             address: candidate.state.server.address,
             registration: Arc::clone(&candidate.state.server),
+            version: candidate.version,
             prefill_tokens: work.prefill_tokens,
             in_flight: candidate.in_flight,
             others_in_flight: request.loads.on_server(candidate.incarnation).in_flight,
@@ -394,9 +400,14 @@
     }
 
     /// Hashes of the servers to compare first; `None` to compare all.
-    fn sample(&self, role: Role, selection: Selection, rng: &mut impl Rng) -> Option<Vec<u64>> {
+    fn sample(
+        &self,
+        request: PlacementRequest<'_>,
+        selection: Selection,
+        rng: &mut impl Rng,
+    ) -> Option<Vec<u64>> {
         let accepts_requests = |candidate: &&Candidate| {
-            candidate.has_role(role)
+            candidate.may_run(request.role, request.version)
                 && !candidate.path.is_lost()
                 && self.rest_periods.until(candidate.incarnation, selection.now).is_none()
         };
@@ -416,7 +427,10 @@
     /// Hash of the home server in this region for a prompt's shared prefix.
     fn home(&self, request: PlacementRequest<'_>) -> Option<u64> {
         let prefix = SharedPrefix::of(request.parts)?;
-        let usable = self.servers.values().filter(|candidate| candidate.has_role(request.role));
+        let usable = self
+            .servers
+            .values()
+            .filter(|candidate| candidate.may_run(request.role, request.version));
         usable.map(|candidate| candidate.hash).max_by_key(|hash| prefix.weight(*hash))
     }
 }
--- a/lib/src/coordination/placement/blocked.rs
+++ b/lib/src/coordination/placement/blocked.rs
@@ -6,7 +6,6 @@
 use super::PlacementRequest;
 use super::Selection;
 use crate::coordination::candidate::Candidate;
-use crate::coordination::upgrade::Role;
 
 /// The reason why a request cannot be placed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,12 +36,12 @@
         request: PlacementRequest<'_>,
         selection: Selection,
     ) -> Blocked {
-        let mut blocked = self.unusable(request.role, selection.now);
+        let mut blocked = self.unusable(request, selection.now);
         for candidate in self.servers.values_mut() {
             let is_tried = request.tried.contains(&candidate.state.server.id);
             let is_resting =
                 self.rest_periods.until(candidate.incarnation, selection.now).is_some();
-            if !candidate.has_role(request.role) || is_tried || is_resting {
+            if !candidate.may_run(request.role, request.version) || is_tried || is_resting {
                 continue;
             }
             if candidate.path.is_lost() {
@@ -68,11 +67,15 @@
     }
 
     /// Determines why the servers accept no request at all.
-    fn unusable(&self, role: Role, now: Instant) -> Blocked {
+    fn unusable(&self, request: PlacementRequest<'_>, now: Instant) -> Blocked {
+        let may_run = |candidate: &&Candidate| candidate.may_run(request.role, request.version);
         let servers = self.servers.values();
-        let mut usable = servers.filter(|candidate| candidate.has_role(role)).peekable();
+        let mut usable = servers.filter(may_run).peekable();
         if usable.peek().is_none() {
-            let any_leaving = self.servers.values().any(Candidate::is_leaving);
+            let is_meant = |candidate: &&Candidate| {
+                request.version.is_none_or(|version| candidate.version == version)
+            };
+            let any_leaving = self.servers.values().filter(is_meant).any(Candidate::is_leaving);
             return if any_leaving { Blocked::Leaving } else { Blocked::NoServer };
         }
         // A server that is not resting has already received the request.
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use super::job::Job;
 use super::job::LOST_PATHS_HEADER;
 use super::job::SENDS_HEADER;
+use super::job::SERVER_VERSION_HEADER;
 use super::job::forwarded_headers;
 use super::shared::Reservation;
 use super::shared::Shared;
@@ -33,6 +34,7 @@
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::ResponseMetadata;
 use crate::protocol::caller;
+use crate::protocol::fleet::VersionHash;
 use crate::protocol::retry_after;
 use crate::state::clock;
 use crate::state::counters::Counter;
@@ -113,15 +115,16 @@
     job: &Job,
     address: std::net::SocketAddr,
     last_event: Option<u64>,
+    version: Option<VersionHash>,
 ) -> SendOutcome<A> {
-    let request = job.for_peer(&shared.adapter, last_event);
+    let request = job.for_peer(&shared.adapter, last_event, version);
     shared.counters.increment(Counter::ForwardedOut);
     match send(&shared.peers, job, address, request, false, || true).await {
         Ok(response) => {
             if response.headers().contains_key(LOST_PATHS_HEADER) {
                 record_path_refusal(shared, job, address);
             }
-            peer_outcome(shared, job, response).await
+            peer_outcome(shared, job, response, version).await
         }
         Err(no_response) => no_response.into_outcome(&address.to_string()),
     }
@@ -141,6 +144,7 @@
     shared: &Arc<Shared<A>>,
     job: &Job,
     response: Response<PooledBody>,
+    version: Option<VersionHash>,
 ) -> SendOutcome<A> {
     match peer_failure(&response) {
         Some(failure) if failure.executed() == Executed::No && !was_sent(&response) => {
@@ -148,6 +152,12 @@
         }
         Some(failure) if failure.executed() == Executed::No => SendOutcome::Refused(failure),
         Some(failure) => SendOutcome::MaybeRan(failure),
+        None if version.is_some() && peer_version(response.headers()) != version => {
+            let message = "the box continued the stream at another version";
+            SendOutcome::MaybeRan(
+                Failure::new(ErrorKind::BackendFailed, message).with_executed(Executed::Unknown),
+            )
+        }
         None => receive(shared, job, response, None).await,
     }
 }
@@ -211,6 +221,12 @@
     response.headers().get(SENDS_HEADER).is_none_or(|sends| sends != "0")
 }
 
+/// The version of the server whose response another box forwards.
+fn peer_version(headers: &HeaderMap) -> Option<VersionHash> {
+    let text = headers.get(SERVER_VERSION_HEADER)?.to_str().ok()?;
+    VersionHash::from_str_radix(text, 16).ok()
+}
+
 /// The failure in the response of another box; `None` if that box forwards a server's response.
 fn peer_failure(response: &Response<PooledBody>) -> Option<Failure> {
     let ran = response
@@ -297,7 +313,11 @@
     let idle = idle_time(metadata.keep_alive);
     let headers = forwarded_headers(&head.headers);
     if head.status.is_success() && is_event_stream(&head.headers) {
-        let stream = Stream::new(exchange, reservation, idle);
+        let version = match &reservation {
+            Some(reservation) => Some(reservation.place.version),
+            None => peer_version(&head.headers),
+        };
+        let stream = Stream::new(exchange, reservation, idle, version);
         return await_first_event(shared, job, head.status, headers, stream).await;
     }
     let body = Limited::new(exchange.body(), MAX_BUFFERED_BYTES).collect();
--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -27,6 +28,7 @@
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::FailureDomainId;
 use crate::protocol::fleet::Server;
+use crate::protocol::fleet::VersionHash;
 use crate::protocol::platform::Revision;
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::ServiceId;
@@ -35,6 +37,10 @@
 /// be running and only have lost the store.
 const EXPIRED_BOX_RETENTION: Duration = Duration::from_secs(30);
 
+/// The versions of the servers of each service, and the regions in which servers of a version may
+/// get requests.
+pub type SoftwareVersions = HashMap<ServiceId, HashMap<VersionHash, HashSet<RegionId>>>;
+
 /// Location of a server of any region.
 #[derive(Clone, Debug)]
 pub struct ServerLocation {
--- a/lib/src/gateway/cluster_state/views.rs
+++ b/lib/src/gateway/cluster_state/views.rs
@@ -9,6 +9,8 @@
 use super::Entry;
 use super::LocalContext;
 use super::ServerLocation;
+use super::SoftwareVersions;
+use crate::coordination::candidate;
 use crate::coordination::candidate::ServerState;
 use crate::coordination::presence;
 use crate::coordination::rendezvous;
@@ -38,6 +40,20 @@
         usable_servers
     }
 
+    /// Versions of all known servers, and the regions in which they may get requests.
+    pub fn software_versions(&self) -> SoftwareVersions {
+        let mut versions = SoftwareVersions::default();
+        for entry in self.servers.values() {
+            let version = candidate::version_hash(&entry.server.version);
+            let regions =
+                get_or_insert(&mut versions, &entry.server.service).entry(version).or_default();
+            if let Some(names) = entry.names.as_ref().filter(|_| self.is_usable(entry)) {
+                regions.insert(names.region.to_string());
+            }
+        }
+        versions
+    }
+
     /// Slots that may get requests, by service and region.
     pub fn slots(&self) -> HashMap<ServiceId, HashMap<RegionId, u32>> {
         let mut slots: HashMap<ServiceId, HashMap<RegionId, u32>> = HashMap::new();
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -454,6 +454,7 @@
             fleet_size,
             slots: self.cluster_state.slots(),
             servers: self.cluster_state.usable_servers(),
+            software: self.cluster_state.software_versions(),
             versions,
             upgrading_servers: upgrading_servers.clone(),
             stage: self.drain.stage(),
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -87,7 +87,8 @@
     }
 }
 
-/// Sends the request of a broken stream again, to continue after the event `after_event`.
+/// Sends the request of a broken stream again, to continue after the event `after_event` at the
+/// version that began it.
 pub async fn resume_stream<A: Adapter>(
     shared: &Arc<Shared<A>>,
     job: &Job,
@@ -143,7 +144,7 @@
                 if reason.is_in_region() { &mut history.neighbors } else { &mut history.boxes };
             boxes.push(address);
             decision_log::passed_on(job, history, address, reason);
-            attempt::to_peer(shared, job, address, after_event).await
+            attempt::to_peer(shared, job, address, after_event, history.version).await
         }
     };
     let failure = match outcome {
@@ -209,7 +210,7 @@
     // A healthy server in another region is preferred to a local one that failed recently. When
     // requests were sent to ten unresponsive servers first, each send cost 400 ms, up to four times
     // per request.
-    if let Some(address) = forwarding::fallback_target(shared, job, &history.boxes) {
+    if let Some(address) = forwarding::fallback_target(shared, job, history) {
         return Ok(Target::Peer(address, ForwardReason::NoPlace));
     }
     if blocked == Blocked::Failing
@@ -244,6 +245,7 @@
                 throttles: &throttles,
                 eligible,
                 role,
+                version: history.version,
                 stale,
             };
             let place = service.placement.choose(demand, now, &mut rand::rng())?;
--- a/lib/src/gateway/forwarding.rs
+++ b/lib/src/gateway/forwarding.rs
@@ -92,6 +92,15 @@
     share: f64,
 }
 
+/// Whether servers in a region may run the request: one that continues a stream needs servers of
+/// the version that began it.
+fn has_version(job: &Job, history: &RequestHistory, region: &str) -> bool {
+    let Some(version) = history.version else { return true };
+    let versions = job.snapshot.software.get(&job.service);
+    let regions = versions.and_then(|versions| versions.get(&version));
+    regions.is_some_and(|regions| regions.contains(region))
+}
+
 /// The boxes of a region that accept requests and reach servers of the service.
 fn serving_boxes<'a, A>(shared: &Shared<A>, job: &'a Job, region: &str) -> Vec<ReachingBox<'a>> {
     let (service_hash, now) = (rendezvous::weight(&job.service, ""), clock::now());
@@ -191,7 +200,9 @@
     let servers = job.snapshot.servers.get(&job.service)?;
     let home_server = servers
         .iter()
-        .filter(|server| job.is_allowed_in(&server.region))
+        .filter(|server| {
+            job.is_allowed_in(&server.region) && has_version(job, history, &server.region)
+        })
         .max_by_key(|server| prefix.weight(server.hash))?;
     if *home_server.region == *shared.settings.region
         || !has_capacity(shared, job, &home_server.region)
@@ -228,7 +239,9 @@
     let service_hash = rendezvous::weight(&job.service, "");
     let regions = lock(&shared.regions);
     let allowed = |region: &str| {
-        job.is_allowed_in(region) && regions.may_have_capacity(service_hash, region, now)
+        job.is_allowed_in(region)
+            && has_version(job, history, region)
+            && regions.may_have_capacity(service_hash, region, now)
     };
     let (region, share) = regions.overflow_target(service_hash, own_utilization, allowed, now)?;
     if rand::rng().random::<f64>() >= share {
@@ -243,8 +256,9 @@
 pub fn fallback_target<A: Adapter>(
     shared: &Shared<A>,
     job: &Job,
-    tried: &[SocketAddr],
+    history: &RequestHistory,
 ) -> Option<SocketAddr> {
+    let tried = &history.boxes;
     if tried.len() >= MAX_PEER_SENDS {
         return None;
     }
@@ -259,6 +273,7 @@
             && share(other) > 0.0
             && !tried.contains(&other.peers)
             && job.is_allowed_in(&other.region)
+            && has_version(job, history, &other.region)
             && slots.get(&other.region).is_some_and(|slots| *slots > 0)
             && regions.may_have_capacity(service_hash, &other.region, now)
     };
--- a/lib/src/gateway/history.rs
+++ b/lib/src/gateway/history.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::protocol::ServerId;
+use crate::protocol::fleet::VersionHash;
 
 /// The sends of a request so far.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +25,8 @@
     pub unsent: usize,
     /// Whether a send may have run.
     pub maybe_ran: bool,
+    /// The version of a stream that has begun and must go on at servers of this version only.
+    pub version: Option<VersionHash>,
 }
 
 impl RequestHistory {
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -17,6 +17,7 @@
 use super::job::LOST_PATHS_HEADER;
 use super::job::Origin;
 use super::job::SENDS_HEADER;
+use super::job::SERVER_VERSION_HEADER;
 use super::quarantine;
 use super::quotas;
 use super::relay::Relay;
@@ -95,7 +96,7 @@
     shared: &Arc<Shared<A>>,
     job: Job,
     history: RequestHistory,
-    reply: Reply<A>,
+    mut reply: Reply<A>,
     in_flight_guard: InFlightGuard<A>,
 ) -> Response<NonRelayBody> {
     let body = match reply.payload {
@@ -106,6 +107,12 @@
             ResponseBody::buffered(bytes)
         }
         Payload::Stream(stream) => {
+            if job.forward.understands_versions
+                && let Some(version) = stream.version()
+                && let Ok(version) = HeaderValue::try_from(format!("{version:x}"))
+            {
+                reply.headers.insert(SERVER_VERSION_HEADER, version);
+            }
             let stream_timing = StreamTiming::begin(job.arrived, clock::now());
             shared.latencies.record(Timing::FirstEvent, stream_timing.first_event);
             let shared = Arc::clone(shared);
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -33,6 +33,7 @@
 use crate::protocol::adapter::OutboundMetadata;
 use crate::protocol::adapter::RequestMetadata;
 use crate::protocol::caller;
+use crate::protocol::fleet::VersionHash;
 use crate::protocol::routing::Route;
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::ServiceId;
@@ -42,10 +43,13 @@
 use crate::transport::http1;
 use crate::transport::timer;
 
-/// Marks a request that another box has forwarded. It is not forwarded again.
+/// Marks a request that another box has forwarded. It is not forwarded again. The value is that of
+/// a [`Forward`].
 pub const FORWARDED_HEADER: HeaderName = HeaderName::from_static("copperweir-passed-on");
 /// How many sends a box made for a request that got no response.
 pub const SENDS_HEADER: HeaderName = HeaderName::from_static("copperweir-sends");
+/// Version of the server that runs a stream, in a response to a box that understands it.
+pub const SERVER_VERSION_HEADER: HeaderName = HeaderName::from_static("copperweir-server-version");
 /// Marks the refusal of a box that has lost paths to servers of the request's service.
 pub const LOST_PATHS_HEADER: HeaderName = HeaderName::from_static("copperweir-lost-paths");
 /// Digest of the caller's API key, for another box.
@@ -58,8 +62,14 @@
 const FINGERPRINT_HEADER: HeaderName = HeaderName::from_static("copperweir-fingerprint");
 /// Headers that only boxes send to each other. They are ignored in requests of callers, and are
 /// never sent to backend servers.
-const INTERNAL_HEADERS: [HeaderName; 5] =
-    [FORWARDED_HEADER, KEY_HEADER, TEAM_HEADER, VERSION_HEADER, FINGERPRINT_HEADER];
+const INTERNAL_HEADERS: [HeaderName; 6] = [
+    FORWARDED_HEADER,
+    KEY_HEADER,
+    TEAM_HEADER,
+    VERSION_HEADER,
+    FINGERPRINT_HEADER,
+    SERVER_VERSION_HEADER,
+];
 /// Timeout of a request that specifies none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -72,12 +82,40 @@
     Peer,
 }
 
+/// What a box that forwards a request expects of the other one. Boxes of older builds send `1`, and
+/// read no value.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Forward {
+    /// Whether the response may have [`SERVER_VERSION_HEADER`].
+    pub understands_versions: bool,
+    /// The only version at which a stream may continue.
+    pub version: Option<VersionHash>,
+}
+
+impl Forward {
+    fn parse(headers: &HeaderMap) -> Forward {
+        let value = headers.get(FORWARDED_HEADER).and_then(|value| value.to_str().ok());
+        let mut words = value.unwrap_or_default().split(' ');
+        Forward {
+            understands_versions: words.next() == Some("2"),
+            version: words.next().and_then(|hash| VersionHash::from_str_radix(hash, 16).ok()),
+        }
+    }
+
+    fn value(version: Option<VersionHash>) -> HeaderValue {
+        let value = version.map_or("2".to_owned(), |version| format!("2 {version:x}"));
+        HeaderValue::try_from(value).expect("digits and a space")
+    }
+}
+
 /// A caller's request that has been read and checked.
 pub struct Job {
     /// Data of the caller's headers.
     pub metadata: RequestMetadata,
     /// The sender.
     pub origin: Origin,
+    /// What the sender expects, if it is another box.
+    pub forward: Forward,
     /// The matching route.
     pub route: Arc<Route>,
     /// The service that runs the request.
@@ -114,6 +152,10 @@
         let snapshot = shared.snapshot.load_full();
         let routing = current_routing(&snapshot)?;
         let route = find_route(&routing, &head.headers, &head.uri)?;
+        let forward = match origin {
+            Origin::Caller => Forward::default(),
+            Origin::Peer => Forward::parse(&head.headers),
+        };
         let claim = identity_claim(origin, &metadata, &head.headers);
         metadata.key = claim.key;
         let team = identify_team(shared, &claim, &routing, &route)?;
@@ -129,6 +171,7 @@
         Ok(Job {
             metadata,
             origin,
+            forward,
             route,
             service,
             team,
@@ -194,11 +237,12 @@
         &self,
         adapter: &A,
         last_event: Option<u64>,
+        version: Option<VersionHash>,
     ) -> Request<http_body_util::Full<Bytes>> {
         let mut request = self.request();
         let headers = request.headers_mut();
         adapter.set_forward_headers(headers, self.time_left(clock::now()));
-        headers.insert(FORWARDED_HEADER, HeaderValue::from_static("1"));
+        headers.insert(FORWARDED_HEADER, Forward::value(version));
         headers.insert(VERSION_HEADER, self.version.into());
         if let Ok(fingerprint) = HeaderValue::try_from(self.fingerprint.to_string()) {
             headers.insert(FINGERPRINT_HEADER, fingerprint);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -156,6 +156,7 @@
                 fleet_size: 1,
                 slots: HashMap::new(),
                 servers: HashMap::new(),
+                software: HashMap::new(),
                 versions: BTreeMap::new(),
                 upgrading_servers: BTreeMap::new(),
                 stage: Stage::Serving,
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -1,6 +1,7 @@
 //! The task that forwards a stream of events to the caller, and resumes it on another server if it
 //! breaks.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
@@ -119,6 +120,13 @@
         }
     }
 
+    /// Whether the version that began the stream is known, or there is only one.
+    fn knows_version(&self) -> bool {
+        let snapshot = self.shared.snapshot.load();
+        let versions = snapshot.software.get(&self.job.service).map_or(0, HashMap::len);
+        self.stream.version().is_some() || versions <= 1
+    }
+
     /// Resumes the stream on another server.
     async fn resume(
         &mut self,
@@ -128,6 +136,10 @@
         if !self.job.route.resumable {
             return Err(cut);
         }
+        if !self.knows_version() {
+            return Err(cut);
+        }
+        self.history.version = self.stream.version();
         decision_log::stream_broken(
             &self.job,
             &self.history,
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use super::cluster_state::ServerLocation;
+use super::cluster_state::SoftwareVersions;
 use super::replica::Replica;
 use super::settings::Settings;
 use super::state_transfer::CompressedState;
@@ -70,6 +71,8 @@
     pub slots: HashMap<ServiceId, HashMap<RegionId, u32>>,
     /// Servers of all regions that may get requests, by service.
     pub servers: HashMap<ServiceId, Vec<ServerLocation>>,
+    /// Versions of the servers of each service, and the regions in which they may get requests.
+    pub software: SoftwareVersions,
     /// Roles of the versions of services that are or were upgraded.
     pub versions: BTreeMap<ServiceId, Versions>,
     /// Usable servers of these services by version.
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -8,6 +8,7 @@
 use super::shared::Reservation;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::events::Splitter;
+use crate::protocol::fleet::VersionHash;
 use crate::transport::backend::PooledBody;
 use crate::transport::body::BodyError;
 
@@ -19,14 +20,17 @@
     /// Events that were read when waiting for the first one.
     buffered_events: Option<Bytes>,
     idle_time: Duration,
+    version: Option<VersionHash>,
 }
 
 impl<A: Adapter> Stream<A> {
-    /// Creates a stream whose connection may be idle for `idle_time` afterwards.
+    /// Creates a stream of a server of `version`, which a box of an older build doesn't report. The
+    /// connection may be idle for `idle_time` afterwards.
     pub fn new(
         exchange: PooledBody,
         reservation: Option<Reservation<A>>,
         idle_time: Duration,
+        version: Option<VersionHash>,
     ) -> Stream<A> {
         Stream {
             exchange,
@@ -34,6 +38,7 @@
             splitter: Splitter::default(),
             buffered_events: None,
             idle_time,
+            version,
         }
     }
 
@@ -65,6 +70,11 @@
         &mut self.reservation
     }
 
+    /// Version of the server's software, if it is known.
+    pub fn version(&self) -> Option<VersionHash> {
+        self.version
+    }
+
     /// Name of the backend server, if it is in this region.
     pub fn server(&self) -> Option<&str> {
         self.reservation.as_ref().map(|reservation| reservation.place.server.as_str())
--- a/lib/src/protocol/fleet.rs
+++ b/lib/src/protocol/fleet.rs
@@ -18,6 +18,9 @@
 /// The version of a backend server's software.
 pub type ServerVersion = String;
 
+/// A hash that identifies a version of a service's software between boxes.
+pub type VersionHash = u64;
+
 /// The registration of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Server {
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -68,6 +68,7 @@
         expired_boxes: Vec::new(),
         slots: HashMap::new(),
         servers: HashMap::new(),
+        software: HashMap::new(),
         versions: BTreeMap::new(),
         upgrading_servers: BTreeMap::new(),
         stage: Stage::Serving,
--- a/lib/tests/test_learning.rs
+++ b/lib/tests/test_learning.rs
@@ -104,6 +104,7 @@
             throttles: &self.throttles,
             eligible: Eligible::Healthy,
             role: Role::Serving,
+            version: None,
             stale: false,
         };
         self.placement.choose(demand, self.now, &mut self.rng)
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -113,6 +113,7 @@
             throttles,
             eligible,
             role: Role::Serving,
+            version: None,
             stale: self.stale,
         };
         self.placement.choose(demand, self.now, &mut self.rng)
