gateway: a stream that its caller takes up goes on at the version that began it

What users saw: 174 streams with events of two software versions, also over a caller's tries.

Cause, second part: a request that continues a stream was placed like any other, at any box, and the attempt that it names was not read. Nothing that it carries tells the version, and the box that knows it may be gone.

Each box keeps the versions of the streams that it began, under a key made from the caller's first attempt, service and team, for a minute. While a service has several versions, it also tells three or four holders, one in each region, found by rendezvous hashing of the key, before the first event goes out; when a second version appears, the holders of the running streams are told. A box that is asked to continue a stream looks here and at the holders, one round trip of at most 0.3 s. The request then runs at servers of this version only, here, at neighbors or in other regions. If there is none, or if the version is unknown while there are several, it is refused at once, not run, with Retry-After. With a single version it goes on. A stream also stays with the service that began it: the split between services is drawn by the first attempt.

--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -13,6 +13,7 @@
 use super::quarantine::wire;
 use super::quota::BoxUsage;
 use super::quota::RegionUsage;
+use super::stream_versions::StreamReport;
 use super::throttle::wire::ThrottleReport;
 use super::unlisted::NeighborRecord;
 use super::upgrade::wire::UpgradeReport;
@@ -148,6 +149,9 @@
     /// region.
     #[prost(fixed64, repeated, tag = "38")]
     pub unreached_servers: Vec<u64>,
+    /// Versions of streams, and questions about them.
+    #[prost(message, optional, tag = "39")]
+    pub streams: Option<StreamReport>,
     /// Whether the sender reaches no server of any service.
     #[prost(bool, tag = "34")]
     pub isolated: bool,
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -45,6 +45,7 @@
 pub mod server;
 pub mod shared_prefix;
 pub mod store_rollback;
+pub mod stream_versions;
 pub mod throttle;
 pub mod ticket;
 pub mod token_bucket;
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -18,6 +18,7 @@
 use super::quarantine;
 use super::shared::Shared;
 use super::shared::lock;
+use super::stream_versions;
 use super::upgrade;
 use super::with_port;
 use crate::coordination::drain::Stage;
@@ -79,6 +80,7 @@
                 lock(&shared.peer_paths).expire(now);
                 lock(&shared.path_checks).expire(now);
                 lock(&shared.unlisted).expire(now);
+                lock(&shared.streams).expire(now);
                 lock(&shared.quotas).tick(quota_fleet(&shared), now);
                 tick_throttles(&shared, now);
                 quarantine::tick(&shared, now);
@@ -95,6 +97,9 @@
                 number += 1;
                 send_to_all(&shared, &socket, number);
             }
+            () = shared.stream_report.notified() => {
+                stream_versions::send_reports(&shared, &socket);
+            }
             readable = socket.readable() => {
                 if let Err(error) = readable {
                     log::error!("event=reports_off error=\"{error}\"");
@@ -114,6 +119,7 @@
         match BoxReport::decode(&buffer[..length]) {
             Ok(report) if report.number == REPLY_NUMBER => {
                 upgrade::receive(shared, &report, now);
+                stream_versions::receive(shared, socket, &report, from, now);
                 feedback::receive_leaving(shared, &report.leaving_servers, now);
                 let rates = report.throttle.unwrap_or_default();
                 lock(&shared.throttles).merge_rates(&rates.words, now);
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -31,6 +31,7 @@
 use super::shared::Shared;
 use super::shared::Snapshot;
 use super::shared::lock;
+use super::stream_versions;
 use super::throttle;
 use super::upgrade;
 use crate::coordination::drain;
@@ -447,7 +448,7 @@
         let listed = boxes.iter().chain(&expired_boxes).chain([&self.own_record]);
         let listed = listed.map(|record| presence::box_hash(&record.name)).collect();
         lock(&self.shared.unlisted).set_listed(listed);
-        self.shared.snapshot.store(Arc::new(Snapshot {
+        let snapshot = Arc::new(Snapshot {
             routing: self.cluster_state.routing.clone(),
             boxes,
             expired_boxes,
@@ -458,7 +459,9 @@
             versions,
             upgrading_servers: upgrading_servers.clone(),
             stage: self.drain.stage(),
-        }));
+        });
+        self.shared.snapshot.store(Arc::clone(&snapshot));
+        stream_versions::record_versions(&self.shared, &snapshot, now);
         if !upgrading_servers.is_empty() {
             let counts =
                 |service: &str| upgrading_servers.get(service).cloned().unwrap_or_default();
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -17,6 +17,7 @@
 use crate::coordination::quarantine::Suspicion;
 use crate::coordination::shared_prefix::SharedPrefix;
 use crate::error::Failure;
+use crate::protocol::fleet::VersionHash;
 use crate::protocol::server_status::ServerStatus;
 use crate::state::clock;
 use crate::transport::body::BodyError;
@@ -182,6 +183,21 @@
     );
 }
 
+/// Logs that a caller takes a stream up, and the hash of the version that began it.
+pub fn stream_taken_up(job: &Job, version: Option<VersionHash>) {
+    log::info!(
+        target: TARGET,
+        "event=stream_taken_up request={} route={} service={} resumes={} last_event={:?} began_at={} age_ms={}",
+        job.metadata.id,
+        job.route.name,
+        job.service,
+        job.metadata.resumes.as_deref().unwrap_or("-"),
+        job.metadata.last_event,
+        version.map_or("-".to_owned(), |version| format!("{version:x}")),
+        age_ms(job),
+    );
+}
+
 /// Logs the status in the head of a response, if it affects which requests the server gets.
 pub fn status_received(job: &Job, server: &str, server_status: &ServerStatus, status: StatusCode) {
     log::info!(
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -23,6 +23,7 @@
 use super::shared::Reservation;
 use super::shared::Shared;
 use super::shared::lock;
+use super::stream_versions;
 use super::throttle;
 use super::upgrade;
 use super::upgrade::TrackedSend;
@@ -63,6 +64,7 @@
 ) -> Result<Reply<A>, Failure> {
     let after_event = job.metadata.last_event;
     count_first_send(shared, job);
+    history.version = stream_versions::version_to_continue(shared, job).await?;
     // A server error, kept while another server is tried.
     let mut failed_reply: Option<Reply<A>> = None;
     loop {
@@ -202,7 +204,7 @@
         Err(blocked) => blocked,
     };
     if job.origin == Origin::Peer {
-        return Err(refusal(shared, job, blocked));
+        return Err(refusal(shared, job, history, blocked));
     }
     if let Some(address) = forwarding::neighbor(shared, job, history) {
         return Ok(Target::Peer(address, ForwardReason::LostPath));
@@ -218,7 +220,7 @@
     {
         return Ok(Target::Server(reservation));
     }
-    Err(refusal(shared, job, blocked))
+    Err(refusal(shared, job, history, blocked))
 }
 
 /// Reserves a slot on a server of this region.
@@ -274,10 +276,19 @@
     Ok(Box::new(Reservation::new(shared, &job.service, place, job.fingerprint, tracked)))
 }
 
-fn refusal<A: Adapter>(shared: &Shared<A>, job: &Job, blocked: Blocked) -> Failure {
+fn refusal<A: Adapter>(
+    shared: &Shared<A>,
+    job: &Job,
+    history: &RequestHistory,
+    blocked: Blocked,
+) -> Failure {
     let retry_after = job.route.latency_objective / RETRY_AFTER_DIVISOR;
     match blocked {
         Blocked::Throttled => return throttle::refuse(shared, job),
+        Blocked::NoServer if history.version.is_some() => {
+            let message = "no backend server of the version that began the stream may run it now";
+            return Failure::new(ErrorKind::NoServer, message).with_retry_after(REPLACEMENT_DELAY);
+        }
         Blocked::NoServer => {
             Failure::new(ErrorKind::NoServer, "no backend server may run the request now")
         }
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -24,6 +24,7 @@
 use super::shared::InFlightGuard;
 use super::shared::Shared;
 use super::stream_timing::StreamTiming;
+use super::stream_versions;
 use crate::coordination::drain::Stage;
 use crate::error::ErrorKind;
 use crate::error::Executed;
@@ -107,6 +108,7 @@
             ResponseBody::buffered(bytes)
         }
         Payload::Stream(stream) => {
+            stream_versions::record_begin(shared, &job, stream.version());
             if job.forward.understands_versions
                 && let Some(version) = stream.version()
                 && let Ok(version) = HeaderValue::try_from(format!("{version:x}"))
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -163,7 +163,7 @@
         let deadline = arrived + time_limit;
         let body = read_body(body, routing.limits.max_body_bytes, deadline).await?;
         let fingerprint = fingerprint(origin, &metadata, &head, &body);
-        let routing_point = rapidhash::v3::rapidhash_v3(metadata.id.as_bytes());
+        let routing_point = rapidhash::v3::rapidhash_v3(first_attempt(&metadata).as_bytes());
         let service = route
             .pick_service(routing_point)
             .cloned()
@@ -203,6 +203,17 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Whether the request continues a stream whose first events the caller has.
+    pub fn continues_stream(&self) -> bool {
+        let has_events = self.metadata.last_event.is_some_and(|id| id > 0);
+        self.route.resumable && (has_events || self.metadata.resumes.is_some())
+    }
+
+    /// The caller's attempt that brought the first event of the stream.
+    pub fn first_attempt(&self) -> &str {
+        first_attempt(&self.metadata)
+    }
+
     /// Maximum number of servers that this box may send the request to. The box that received the
     /// request from the caller counts the sends, so a box that it was forwarded to sends it only
     /// once.
@@ -268,6 +279,11 @@
     }
 }
 
+/// The attempt that a request continues, or its own. A stream stays with the service that began it.
+fn first_attempt(metadata: &RequestMetadata) -> &str {
+    metadata.resumes.as_deref().unwrap_or(&metadata.id)
+}
+
 fn current_routing(snapshot: &Snapshot) -> Result<Arc<Routing>, Failure> {
     let not_ready = || Failure::new(ErrorKind::NotReady, "the box has no configuration yet");
     snapshot.routing.clone().ok_or_else(not_ready)
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod store_keys;
 pub mod stream;
 pub mod stream_timing;
+pub mod stream_versions;
 pub mod throttle;
 pub mod upgrade;
 
@@ -181,6 +182,8 @@
             eras,
             quarantine: Mutex::default(),
             upgrades: Mutex::new(Upgrades::new(settings.exposure_limit)),
+            streams: Mutex::default(),
+            stream_report: Notify::new(),
             region_update: Notify::new(),
             global_update: Notify::new(),
             verdicts: Notify::new(),
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -1,7 +1,6 @@
 //! The task that forwards a stream of events to the caller, and resumes it on another server if it
 //! breaks.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
@@ -16,6 +15,7 @@
 use super::shared::Shared;
 use super::stream::Stream;
 use super::stream_timing::StreamTiming;
+use super::stream_versions;
 use crate::coordination::attempt::AttemptEvent;
 use crate::protocol::adapter::Adapter;
 use crate::state::clock;
@@ -122,9 +122,8 @@
 
     /// Whether the version that began the stream is known, or there is only one.
     fn knows_version(&self) -> bool {
-        let snapshot = self.shared.snapshot.load();
-        let versions = snapshot.software.get(&self.job.service).map_or(0, HashMap::len);
-        self.stream.version().is_some() || versions <= 1
+        self.stream.version().is_some()
+            || !stream_versions::has_several_versions(&self.shared, &self.job.service)
     }
 
     /// Resumes the stream on another server.
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -19,6 +19,7 @@
 use super::replica::Replica;
 use super::settings::Settings;
 use super::state_transfer::CompressedState;
+use super::stream_versions::StreamDirectory;
 use super::upgrade::TrackedSend;
 use crate::coordination::candidate::Outcome;
 use crate::coordination::departures::Departures;
@@ -136,6 +137,10 @@
     /// Orders and plans of upgrades, and the counted responses. No other lock is taken while it is
     /// held.
     pub upgrades: Mutex<Upgrades>,
+    /// Versions of streams. No other lock is taken while it is held.
+    pub streams: Mutex<StreamDirectory>,
+    /// Notified when other boxes are to be told or asked about streams.
+    pub stream_report: Notify,
     /// When the store responded to this box again after an outage.
     pub store_recovered_at: Mutex<Option<Instant>>,
     /// Newest era of the store that was reported to this box.
--- /dev/null
+++ b/lib/src/gateway/stream_versions.rs
@@ -0,0 +1,307 @@
+//! Keeps streams at the software version that began them when callers take them up: tells other
+//! boxes the versions of streams, and asks them for the version of a stream that this box did not
+//! begin.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use super::decision_log;
+use super::job::Job;
+use super::job::Origin;
+use super::shared::Shared;
+use super::shared::Snapshot;
+use super::shared::lock;
+use crate::coordination::loads::BoxReport;
+use crate::coordination::presence;
+use crate::coordination::rendezvous;
+use crate::coordination::stream_versions;
+use crate::coordination::stream_versions::BoxLocation;
+use crate::coordination::stream_versions::StreamKey;
+use crate::coordination::stream_versions::StreamReport;
+use crate::coordination::stream_versions::StreamVersions;
+use crate::error::ErrorKind;
+use crate::error::Failure;
+use crate::protocol::adapter::Adapter;
+use crate::protocol::fleet::VersionHash;
+use crate::protocol::routing::ServiceId;
+use crate::state::clock;
+use crate::state::counters::Counter;
+use crate::transport::timer;
+
+/// Number of a datagram outside the sequence of the sender's reports.
+const REPORT_NUMBER: u64 = 0;
+/// Maximum number of streams in a datagram, at 16 bytes each.
+const MAX_STREAMS_PER_REPORT: usize = 300;
+/// Maximum wait for the version of a stream: a round trip between distant regions.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum wait while this box knows only one version, since another box may know of a second one.
+const SINGLE_VERSION_LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
+/// Delay after which a caller is asked to retry if nobody knows the version of its stream.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A stream whose version this box has asked others for.
+#[derive(Debug, Default)]
+struct Lookup {
+    /// Hashes of the names of the boxes that have not answered.
+    unanswered: Vec<u64>,
+    requests: Vec<oneshot::Sender<Option<VersionHash>>>,
+}
+
+impl Lookup {
+    fn finish(self, version: Option<VersionHash>) {
+        for request in self.requests {
+            // The request may be over.
+            let _ = request.send(version);
+        }
+    }
+}
+
+/// The versions of streams, the pending questions about them, and what is to be sent.
+#[derive(Debug, Default)]
+pub struct StreamDirectory {
+    versions: StreamVersions,
+    lookups: HashMap<StreamKey, Lookup>,
+    outbox: HashMap<SocketAddr, StreamReport>,
+}
+
+impl StreamDirectory {
+    /// Drops expired versions, and questions whose requests are over.
+    pub fn expire(&mut self, now: Instant) {
+        self.versions.expire(now);
+        self.lookups.retain(|_, lookup| lookup.requests.iter().any(|request| !request.is_closed()));
+    }
+
+    fn tell(&mut self, holders: &[BoxLocation<'_>], key: StreamKey, version: VersionHash) {
+        for holder in holders {
+            let report = self.outbox.entry(holder.address).or_default();
+            report.told.push(key);
+            report.versions.push(version);
+        }
+    }
+
+    /// Asks for the version of a stream.
+    fn ask(
+        &mut self,
+        holders: &[BoxLocation<'_>],
+        key: StreamKey,
+    ) -> oneshot::Receiver<Option<VersionHash>> {
+        let (sender, receiver) = oneshot::channel();
+        let lookup = self.lookups.entry(key).or_default();
+        lookup.requests.push(sender);
+        for holder in holders {
+            lookup.unanswered.push(presence::box_hash(holder.name));
+            self.outbox.entry(holder.address).or_default().asked.push(key);
+        }
+        if holders.is_empty()
+            && let Some(lookup) = self.lookups.remove(&key)
+        {
+            lookup.finish(None);
+        }
+        receiver
+    }
+
+    fn receive(&mut self, sender: u64, report: &StreamReport, from: SocketAddr, now: Instant) {
+        for (key, version) in report.told.iter().zip(&report.versions) {
+            self.versions.record_told(*key, *version, now);
+            if let Some(lookup) = self.lookups.remove(key) {
+                lookup.finish(Some(*version));
+            }
+        }
+        for key in &report.asked {
+            let version = self.versions.version(*key, now);
+            let answer = self.outbox.entry(from).or_default();
+            match version {
+                Some(version) => {
+                    answer.told.push(*key);
+                    answer.versions.push(version);
+                }
+                None => answer.unknown.push(*key),
+            }
+        }
+        for key in &report.unknown {
+            let Some(lookup) = self.lookups.get_mut(key) else { continue };
+            lookup.unanswered.retain(|holder| *holder != sender);
+            if lookup.unanswered.is_empty()
+                && let Some(lookup) = self.lookups.remove(key)
+            {
+                lookup.finish(None);
+            }
+        }
+    }
+}
+
+/// The other boxes that hold the version of a stream.
+fn other_holders<'a, A>(
+    shared: &'a Shared<A>,
+    snapshot: &'a Snapshot,
+    key: StreamKey,
+) -> Vec<BoxLocation<'a>> {
+    let settings = &shared.settings;
+    let own = BoxLocation {
+        name: &settings.name,
+        region: &settings.region,
+        failure_domain: &settings.failure_domain,
+        address: settings.listen.peers,
+    };
+    let others = snapshot.boxes.iter().map(|other| BoxLocation {
+        name: &other.name,
+        region: &other.region,
+        failure_domain: &other.failure_domain,
+        address: other.peers,
+    });
+    let mut holders = stream_versions::holders(key, others.chain([own]));
+    holders.retain(|holder| holder.name != own.name);
+    holders
+}
+
+fn stream_key(job: &Job, attempt: &str) -> StreamKey {
+    let team = job.team.as_ref().map_or("", |team| team.name.as_str());
+    stream_versions::stream_key(attempt, &job.service, team)
+}
+
+/// Records the version of a stream whose first event is about to go to its caller, and tells its
+/// holders while the service has several versions.
+pub fn record_begin<A: Adapter>(shared: &Shared<A>, job: &Job, version: Option<VersionHash>) {
+    let Some(version) = version.filter(|_| job.origin == Origin::Caller && job.route.resumable)
+    else {
+        return;
+    };
+    let now = clock::now();
+    let key = stream_key(job, job.first_attempt());
+    let service = rendezvous::weight(&job.service, "");
+    let mut directory = lock(&shared.streams);
+    directory.versions.record_begin(key, service, version, now);
+    if directory.versions.has_several_versions(service, now) {
+        let snapshot = shared.snapshot.load();
+        directory.tell(&other_holders(shared, &snapshot, key), key, version);
+        shared.stream_report.notify_one();
+    }
+}
+
+/// Records the versions of the servers of each service. Where a second one has appeared, the holders
+/// of the streams that this box began are told.
+pub fn record_versions<A: Adapter>(shared: &Shared<A>, snapshot: &Snapshot, now: Instant) {
+    let mut directory = lock(&shared.streams);
+    for (service, versions) in &snapshot.software {
+        let service = rendezvous::weight(service, "");
+        if directory.versions.record_versions(service, versions.keys().copied(), now) {
+            let streams: Vec<_> = directory.versions.own_streams(service, now).collect();
+            for (key, version) in streams {
+                directory.tell(&other_holders(shared, snapshot, key), key, version);
+            }
+            shared.stream_report.notify_one();
+        }
+    }
+}
+
+/// The version at which a request must run because it continues a stream; `None` if any may run it.
+/// A stream of unknown version may go on only while there is a single one.
+pub async fn version_to_continue<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+) -> Result<Option<VersionHash>, Failure> {
+    if job.origin == Origin::Peer {
+        return Ok(job.forward.version);
+    }
+    if !job.continues_stream() {
+        return Ok(None);
+    }
+    shared.counters.increment(Counter::StreamsTakenUp);
+    let version = match &job.metadata.resumes {
+        Some(attempt) => find_version(shared, &job.service, stream_key(job, attempt)).await,
+        None => None,
+    };
+    decision_log::stream_taken_up(job, version);
+    if version.is_some() || !has_several_versions(shared, &job.service) {
+        return Ok(version);
+    }
+    shared.counters.increment(Counter::StreamsOfUnknownVersion);
+    let message = "the software version that began the stream is unknown";
+    Err(Failure::new(ErrorKind::NoServer, message).with_retry_after(UNKNOWN_RETRY_AFTER))
+}
+
+/// Whether a service has servers of several versions, or recently had.
+pub fn has_several_versions<A>(shared: &Shared<A>, service: &str) -> bool {
+    let service = rendezvous::weight(service, "");
+    lock(&shared.streams).versions.has_several_versions(service, clock::now())
+}
+
+/// Looks the version of a stream up here, and then at its holders.
+async fn find_version<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    service: &ServiceId,
+    key: StreamKey,
+) -> Option<VersionHash> {
+    let timeout = match has_several_versions(shared, service) {
+        true => LOOKUP_TIMEOUT,
+        false => SINGLE_VERSION_LOOKUP_TIMEOUT,
+    };
+    let answer = {
+        let mut directory = lock(&shared.streams);
+        if let Some(version) = directory.versions.version(key, clock::now()) {
+            return Some(version);
+        }
+        let snapshot = shared.snapshot.load();
+        directory.ask(&other_holders(shared, &snapshot, key), key)
+    };
+    shared.stream_report.notify_one();
+    timer::timeout(timeout, answer).await.ok()?.ok()?
+}
+
+/// Applies what another box tells or asks about streams, and answers it.
+pub fn receive<A: Adapter>(
+    shared: &Shared<A>,
+    socket: &UdpSocket,
+    report: &BoxReport,
+    from: SocketAddr,
+    now: Instant,
+) {
+    let Some(streams) = &report.streams else { return };
+    lock(&shared.streams).receive(report.sender, streams, from, now);
+    send_reports(shared, socket);
+}
+
+/// Sends what other boxes are to be told and asked about streams.
+pub fn send_reports<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket) {
+    let outbox = std::mem::take(&mut lock(&shared.streams).outbox);
+    for (address, report) in outbox {
+        for streams in split(report) {
+            let datagram = BoxReport {
+                number: REPORT_NUMBER,
+                sender: presence::box_hash(&shared.settings.name),
+                incarnation: shared.incarnation,
+                region: shared.settings.region.clone(),
+                streams: Some(streams),
+                ..BoxReport::default()
+            };
+            if let Err(error) = socket.try_send_to(&datagram.encode_to_vec(), address) {
+                log::debug!("event=report_not_sent to={address} error=\"{error}\"");
+            }
+        }
+    }
+}
+
+/// Divides a report into parts that fit in a datagram.
+fn split(mut report: StreamReport) -> Vec<StreamReport> {
+    let mut parts = Vec::new();
+    let take = |keys: &mut Vec<u64>| -> Vec<u64> {
+        let count = keys.len().min(MAX_STREAMS_PER_REPORT);
+        keys.drain(..count).collect()
+    };
+    while report != StreamReport::default() {
+        parts.push(StreamReport {
+            told: take(&mut report.told),
+            versions: take(&mut report.versions),
+            asked: take(&mut report.asked),
+            unknown: take(&mut report.unknown),
+        });
+    }
+    parts
+}
