stream versions: versions are not forgotten while nothing changes

A version counts now until a minute after its last server is gone. versions_whose_servers_do_not_change_are_not_forgotten failed before.

While a box knows a single version, it asks only the holder of its region about a stream that is taken up, instead of waiting 0.1 s for distant ones to say that they don't know it either. A lookup never outlasts the request.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -24,7 +24,7 @@
 type ServiceHash = u64;
 
 /// How long the version of a stream is kept, and how long a version counts after its last server
-/// was seen. A stream may run for tens of seconds before its caller takes it up.
+/// is gone. A stream may run for tens of seconds before its caller takes it up.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Age up to which streams are told to their holders when a second version appears. Older ones have
 /// ended.
@@ -88,14 +88,19 @@
     noted_at: Instant,
 }
 
+/// Whether a version without servers since `gone_since` still counts.
+fn counts(gone_since: Option<Instant>, now: Instant) -> bool {
+    gone_since.is_none_or(|since| now < since + RETENTION)
+}
+
 /// The streams whose version a box knows, and the versions of each service.
 #[derive(Debug, Default)]
 pub struct StreamVersions {
     entries: HashMap<StreamKey, Entry>,
     /// Keys by the time at which they were noted; a key may occur several times.
     noted: VecDeque<(Instant, StreamKey)>,
-    /// Versions of each service, and when a server of them was last known.
-    services: HashMap<ServiceHash, HashMap<VersionHash, Instant>>,
+    /// Versions of each service, and since when no server of them is known.
+    services: HashMap<ServiceHash, HashMap<VersionHash, Option<Instant>>>,
 }
 
 impl StreamVersions {
@@ -148,15 +153,18 @@
         now: Instant,
     ) -> bool {
         let had_several = self.has_several_versions(service, now);
-        let seen = self.services.entry(service).or_default();
-        seen.extend(versions.map(|version| (version, now)));
+        let known = self.services.entry(service).or_default();
+        for gone_since in known.values_mut() {
+            gone_since.get_or_insert(now);
+        }
+        known.extend(versions.map(|version| (version, None)));
         !had_several && self.has_several_versions(service, now)
     }
 
     /// Whether a service has servers of several versions, or recently had.
     pub fn has_several_versions(&self, service: ServiceHash, now: Instant) -> bool {
         let Some(versions) = self.services.get(&service) else { return false };
-        versions.values().filter(|seen_at| now < **seen_at + RETENTION).count() > 1
+        versions.values().filter(|gone_since| counts(**gone_since, now)).count() > 1
     }
 
     /// Streams of a service that this box began and that may still run.
@@ -178,7 +186,7 @@
             self.drop_oldest();
         }
         for versions in self.services.values_mut() {
-            versions.retain(|_, seen_at| now < *seen_at + RETENTION);
+            versions.retain(|_, gone_since| counts(*gone_since, now));
         }
     }
 
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -30,7 +30,6 @@
 use crate::error::Failure;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::VersionHash;
-use crate::protocol::routing::ServiceId;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::timer;
@@ -41,8 +40,9 @@
 const MAX_STREAMS_PER_REPORT: usize = 300;
 /// Maximum wait for the version of a stream: a round trip between distant regions.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum wait while this box knows only one version, since another box may know of a second one.
-const SINGLE_VERSION_LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum wait for the holder in this region, which is the only one to be asked while this box
+/// knows a single version. Another box may know of a second one already.
+const NEAR_LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
 /// Delay after which a caller is asked to retry if nobody knows the version of its stream.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -215,7 +215,7 @@
     }
     shared.counters.increment(Counter::StreamsTakenUp);
     let version = match &job.metadata.resumes {
-        Some(attempt) => find_version(shared, &job.service, stream_key(job, attempt)).await,
+        Some(attempt) => find_version(shared, job, stream_key(job, attempt)).await,
         None => None,
     };
     decision_log::stream_taken_up(job, version);
@@ -236,23 +236,23 @@
 /// Looks the version of a stream up here, and then at its holders.
 async fn find_version<A: Adapter>(
     shared: &Arc<Shared<A>>,
-    service: &ServiceId,
+    job: &Job,
     key: StreamKey,
 ) -> Option<VersionHash> {
-    let timeout = match has_several_versions(shared, service) {
-        true => LOOKUP_TIMEOUT,
-        false => SINGLE_VERSION_LOOKUP_TIMEOUT,
-    };
+    let has_several = has_several_versions(shared, &job.service);
+    let timeout = if has_several { LOOKUP_TIMEOUT } else { NEAR_LOOKUP_TIMEOUT };
     let answer = {
         let mut directory = lock(&shared.streams);
         if let Some(version) = directory.versions.version(key, clock::now()) {
             return Some(version);
         }
         let snapshot = shared.snapshot.load();
-        directory.ask(&other_holders(shared, &snapshot, key), key)
+        let mut holders = other_holders(shared, &snapshot, key);
+        holders.retain(|holder| has_several || holder.region == shared.settings.region);
+        directory.ask(&holders, key)
     };
     shared.stream_report.notify_one();
-    timer::timeout(timeout, answer).await.ok()?.ok()?
+    timer::timeout(timeout.min(job.time_left(clock::now())), answer).await.ok()?.ok()?
 }
 
 /// Applies what another box tells or asks about streams, and answers it.
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -107,3 +107,13 @@
     versions.record_versions(SERVICE, [20].into_iter(), now + 70 * SECOND);
     assert!(!versions.has_several_versions(SERVICE, now + 70 * SECOND));
 }
+
+#[test]
+fn versions_whose_servers_do_not_change_are_not_forgotten() {
+    let now = Instant::now();
+    let mut versions = StreamVersions::default();
+    versions.record_versions(SERVICE, [10, 20].into_iter(), now);
+    let later = now + 300 * SECOND;
+    versions.expire(later);
+    assert!(versions.has_several_versions(SERVICE, later));
+}
