--- a/lib/src/coordination/retries.rs
+++ b/lib/src/coordination/retries.rs
@@ -182,11 +182,16 @@
         }
     }
 
-    /// Sets the number of boxes that share the limits, and drops what no longer counts.
+    /// Sets the number of boxes that share the limits.
     pub fn set_fleet_size(&mut self, boxes: usize, now: Instant) {
         if self.fleet_sizes.back().is_none_or(|(_, latest)| *latest != boxes) {
             self.fleet_sizes.push_back((now, boxes));
         }
+        self.expire(now);
+    }
+
+    /// Drops what no longer counts.
+    pub fn expire(&mut self, now: Instant) {
         while self.fleet_sizes.get(1).is_some_and(|(since, _)| now >= *since + self.limit.window) {
             self.fleet_sizes.pop_front();
         }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -360,6 +360,7 @@
         }
         self.log_resends_at = now + RESEND_LOG_INTERVAL;
         let mut retries = lock(&self.shared.retries);
+        retries.expire(now);
         let boxes = retries.sharing_boxes();
         for (service, Resends { admitted, denied }, counted) in retries.take_unreported(now) {
             log::info!(
--- a/lib/tests/test_retries.rs
+++ b/lib/tests/test_retries.rs
@@ -134,6 +134,18 @@
     });
 }
 
+#[test]
+fn shares_of_boxes_that_left_are_used_again_after_a_window() {
+    let start = Instant::now();
+    let mut budgets = RetryBudgets::new(LIMIT, start);
+    budgets.set_fleet_size(9, start);
+    budgets.set_fleet_size(3, start + STEP);
+    budgets.expire(start + LIMIT.window);
+    assert_eq!(budgets.sharing_boxes(), 9);
+    budgets.expire(start + LIMIT.window + STEP);
+    assert_eq!(budgets.sharing_boxes(), 3);
+}
+
 #[test]
 fn service_that_is_new_to_a_running_box_has_its_share_at_once() {
     let start = Instant::now();
