--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -176,29 +176,42 @@
     let now = clock::now();
     let key = stream_key(job, job.first_attempt());
     let service = rendezvous::weight(&job.service, "");
-    let mut directory = lock(&shared.streams);
-    directory.versions.record_begin(key, service, version, now);
-    if directory.versions.has_several_versions(service, now) {
-        let snapshot = shared.snapshot.load();
-        directory.tell(&other_holders(shared, &snapshot, key), key, version);
-        shared.stream_report.notify_one();
+    let has_several = {
+        let mut directory = lock(&shared.streams);
+        directory.versions.record_begin(key, service, version, now);
+        directory.versions.has_several_versions(service, now)
+    };
+    if has_several {
+        tell_holders(shared, &shared.snapshot.load(), &[(key, version)]);
     }
 }
 
+/// Tells the holders of streams their versions. The holders are found without the lock, since that
+/// takes the longer the more boxes there are.
+fn tell_holders<A>(shared: &Shared<A>, snapshot: &Snapshot, streams: &[(StreamKey, VersionHash)]) {
+    for (key, version) in streams {
+        let holders = other_holders(shared, snapshot, *key);
+        lock(&shared.streams).tell(&holders, *key, *version);
+    }
+    shared.stream_report.notify_one();
+}
+
 /// Records the versions of the servers of each service. Where a second one has appeared, the holders
 /// of the streams that this box began are told.
 pub fn record_versions<A: Adapter>(shared: &Shared<A>, snapshot: &Snapshot, now: Instant) {
-    let mut directory = lock(&shared.streams);
-    for (service, versions) in &snapshot.software {
-        let service = rendezvous::weight(service, "");
-        if directory.versions.record_versions(service, versions.keys().copied(), now) {
-            let streams: Vec<_> = directory.versions.own_streams(service, now).collect();
-            for (key, version) in streams {
-                directory.tell(&other_holders(shared, snapshot, key), key, version);
+    let mut streams: Vec<(StreamKey, VersionHash)> = Vec::new();
+    {
+        let known = &mut lock(&shared.streams).versions;
+        for (service, versions) in &snapshot.software {
+            let service = rendezvous::weight(service, "");
+            if known.record_versions(service, versions.keys().copied(), now) {
+                streams.extend(known.own_streams(service, now));
             }
-            shared.stream_report.notify_one();
         }
     }
+    if !streams.is_empty() {
+        tell_holders(shared, snapshot, &streams);
+    }
 }
 
 /// The version at which a request must run because it continues a stream; `None` if any may run it.
@@ -241,15 +254,14 @@
 ) -> Option<VersionHash> {
     let has_several = has_several_versions(shared, &job.service);
     let timeout = if has_several { LOOKUP_TIMEOUT } else { NEAR_LOOKUP_TIMEOUT };
+    if let Some(version) = lock(&shared.streams).versions.version(key, clock::now()) {
+        return Some(version);
+    }
     let answer = {
-        let mut directory = lock(&shared.streams);
-        if let Some(version) = directory.versions.version(key, clock::now()) {
-            return Some(version);
-        }
         let snapshot = shared.snapshot.load();
         let mut holders = other_holders(shared, &snapshot, key);
         holders.retain(|holder| has_several || holder.region == shared.settings.region);
-        directory.ask(&holders, key)
+        lock(&shared.streams).ask(&holders, key)
     };
     shared.stream_report.notify_one();
     timer::timeout(timeout.min(job.time_left(clock::now())), answer).await.ok()?.ok()?
