--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -69,7 +69,8 @@
     pub eligible: Eligible,
     /// The role that these servers have while the service is upgraded.
     pub role: Role,
-    /// The version at which the request continues a stream; the role is of no account then.
+    /// The version at which the request continues a stream. Its servers qualify in either of the
+    /// roles that get requests.
     pub version: Option<VersionHash>,
     /// Whether servers may have turned cold without this box knowing.
     pub stale: bool,
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -52,9 +52,10 @@
 /// regions, because some datagrams are lost. After that, these boxes receive the status in rotation
 /// or from the store.
 const ANNOUNCEMENT_REPORTS: u32 = 5;
-/// Number of a datagram outside the sequence: one that replies to a box which has just started and
-/// contains only rates and leaving servers, or one for judges of upgrades. It is not part of the sequence of the sender's reports.
-const REPLY_NUMBER: u64 = 0;
+/// Number of a datagram that is not part of the sequence of the sender's reports: one that replies
+/// to a box which has just started and contains only rates and leaving servers, one for judges of
+/// upgrades, or one about streams.
+pub const REPLY_NUMBER: u64 = 0;
 /// Maximum size of a datagram in bytes: some hundred servers.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
@@ -431,7 +432,8 @@
     report.encode_to_vec()
 }
 
-fn send<'a>(socket: &UdpSocket, datagram: &[u8], to: impl Iterator<Item = &'a SocketAddr>) {
+/// Sends a datagram to each of the addresses.
+pub fn send<'a>(socket: &UdpSocket, datagram: &[u8], to: impl Iterator<Item = &'a SocketAddr>) {
     for address in to {
         // A datagram that can't be sent is treated as lost; the next report follows.
         if let Err(error) = socket.try_send_to(datagram, *address) {
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -173,16 +173,23 @@
 ) {
     log::info!(
         target: TARGET,
-        "event=stream_broken request={} route={} server={} sends={} last_event={last_event_id:?} content={} age_ms={} cause=\"{cut}\"",
+        "event=stream_broken request={} route={} server={} sends={} last_event={last_event_id:?} content={} age_ms={} began_at={} \
+         cause=\"{cut}\"",
         job.metadata.id,
         job.route.name,
         server.unwrap_or("-"),
         history.arrivals(),
         job.fingerprint,
         age_ms(job),
+        version_text(history.version),
     );
 }
 
+/// Hash of the version that began a stream for the log.
+fn version_text(version: Option<VersionHash>) -> String {
+    version.map_or("-".to_owned(), |version| format!("{version:x}"))
+}
+
 /// Logs that a caller takes a stream up, and the hash of the version that began it.
 pub fn stream_taken_up(job: &Job, version: Option<VersionHash>) {
     log::info!(
@@ -193,7 +200,7 @@
         job.service,
         job.metadata.resumes.as_deref().unwrap_or("-"),
         job.metadata.last_event,
-        version.map_or("-".to_owned(), |version| format!("{version:x}")),
+        version_text(version),
         age_ms(job),
     );
 }
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -135,9 +135,6 @@
         if !self.job.route.resumable {
             return Err(cut);
         }
-        if !self.knows_version() {
-            return Err(cut);
-        }
         self.history.version = self.stream.version();
         decision_log::stream_broken(
             &self.job,
@@ -146,6 +143,9 @@
             last_event_id,
             &cut,
         );
+        if !self.knows_version() {
+            return Err(cut);
+        }
         match dispatch::resume_stream(&self.shared, &self.job, &mut self.history, last_event_id)
             .await
         {
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -12,6 +12,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
+use super::box_reports;
+use super::box_reports::REPLY_NUMBER;
 use super::decision_log;
 use super::job::Job;
 use super::job::Origin;
@@ -34,8 +36,6 @@
 use crate::state::counters::Counter;
 use crate::transport::timer;
 
-/// Number of a datagram outside the sequence of the sender's reports.
-const REPORT_NUMBER: u64 = 0;
 /// Maximum number of streams in a datagram, at 16 bytes each.
 const MAX_STREAMS_PER_REPORT: usize = 300;
 /// Maximum wait for the version of a stream: a round trip between distant regions.
@@ -286,16 +286,14 @@
     for (address, report) in outbox {
         for streams in split(report) {
             let datagram = BoxReport {
-                number: REPORT_NUMBER,
+                number: REPLY_NUMBER,
                 sender: presence::box_hash(&shared.settings.name),
                 incarnation: shared.incarnation,
                 region: shared.settings.region.clone(),
                 streams: Some(streams),
                 ..BoxReport::default()
             };
-            if let Err(error) = socket.try_send_to(&datagram.encode_to_vec(), address) {
-                log::debug!("event=report_not_sent to={address} error=\"{error}\"");
-            }
+            box_reports::send(socket, &datagram.encode_to_vec(), std::iter::once(&address));
         }
     }
 }
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use tokio::net::UdpSocket;
 
+use super::box_reports::REPLY_NUMBER;
 use super::job::Job;
 use super::shared::Shared;
 use super::shared::lock;
@@ -51,8 +52,6 @@
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Reports that one judge receives in a second, at most, from a large fleet.
 const JUDGE_REPORT_RATE: f64 = 1000.0;
-/// Number of a datagram that contains only reports about upgrades.
-const REPORT_NUMBER: u64 = 0;
 
 /// Draws the role of the servers that a request is to be sent to. Repeated sends avoid a version
 /// that is not proven yet.
@@ -144,7 +143,7 @@
     let reports = lock(&shared.upgrades).reports(|service| draining.of(service));
     for (service, report) in reports {
         let message = BoxReport {
-            number: REPORT_NUMBER,
+            number: REPLY_NUMBER,
             sender: presence::box_hash(&shared.settings.name),
             incarnation: shared.incarnation,
             region: shared.settings.region.clone(),
