--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -9,6 +9,7 @@
 use copperweir_lib::coordination::candidate::Outcome;
 use copperweir_lib::coordination::candidate::ServerState;
 use copperweir_lib::coordination::candidate::server_hash;
+use copperweir_lib::coordination::candidate::version_hash;
 use copperweir_lib::coordination::loads::BoxReport;
 use copperweir_lib::coordination::loads::Load;
 use copperweir_lib::coordination::loads::Loads;
@@ -25,6 +26,7 @@
 use copperweir_lib::coordination::warmup;
 use copperweir_lib::protocol::adapter::PromptSegment;
 use copperweir_lib::protocol::fleet::Server;
+use copperweir_lib::protocol::fleet::VersionHash;
 use copperweir_lib::protocol::routing::Service;
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -103,6 +105,15 @@
         &mut self,
         parts: &[PromptSegment],
         eligible: Eligible,
+    ) -> Result<Place, Blocked> {
+        self.choose_at_version(parts, eligible, None)
+    }
+
+    fn choose_at_version(
+        &mut self,
+        parts: &[PromptSegment],
+        eligible: Eligible,
+        version: Option<VersionHash>,
     ) -> Result<Place, Blocked> {
         let loads = &self.loads;
         let throttles = &self.throttles;
@@ -113,7 +124,7 @@
             throttles,
             eligible,
             role: Role::Serving,
-            version: None,
+            version,
             stale: self.stale,
         };
         self.placement.choose(demand, self.now, &mut self.rng)
@@ -617,6 +628,34 @@
     assert!(budget.try_resend(1, now));
 }
 
+#[test]
+fn stream_that_continues_gets_servers_of_its_version_unless_an_upgrade_took_them_out() {
+    let state = |number: usize, version: &str, role| {
+        let server = server_state(number, 8).server;
+        let server = Arc::new(Server { version: version.to_owned(), ..(*server).clone() });
+        ServerState { server, role, ..server_state(number, 8) }
+    };
+    let mut states: Vec<ServerState> = (0..8).map(|n| state(n, "v1", Role::Serving)).collect();
+    states.push(state(8, "v2", Role::Canary));
+    states.push(state(9, "v3", Role::Retired));
+    states.push(state(10, "v4", Role::Rejected));
+    let mut fixture = Fixture::new(placement(0, 8, 1));
+    let service = Service { max_connections: 100, ..Service::default() };
+    fixture.placement.update(states, 1, &service, fixture.now);
+    let mut chosen_at = |version: &str| {
+        let version = Some(version_hash(version));
+        let chosen = fixture.choose_at_version(&[], Eligible::Any, version);
+        chosen.map(|place| place.registration.version.clone())
+    };
+    for _ in 0..20 {
+        assert_eq!(chosen_at("v1").as_deref(), Ok("v1"));
+    }
+    assert_eq!(chosen_at("v2").as_deref(), Ok("v2"));
+    for version in ["v3", "v4", "V1", "v1 ", ""] {
+        assert_eq!(chosen_at(version), Err(Blocked::NoServer), "{version:?}");
+    }
+}
+
 /// A server restarts under its id: requests of the earlier incarnation end without effect, and its
 /// failures, cached prefixes and reports by other boxes count no longer.
 #[test]
