--- a/lib/benches/stream_versions.rs
+++ b/lib/benches/stream_versions.rs
@@ -51,12 +51,13 @@
         let min = rounds.iter().copied().fold(f64::MAX, f64::min);
         let max = rounds.iter().copied().fold(0.0, f64::max);
         let holder_count = chosen / STREAMS as usize;
-        let told = StreamReport { told: vec![1], versions: vec![2], ..StreamReport::default() };
+        let announcement =
+            StreamReport { announced: vec![1], versions: vec![2], ..StreamReport::default() };
         let datagram = BoxReport {
             sender: u64::MAX,
             incarnation: u64::MAX,
             region: "pohjois-pohjanmaa".to_owned(),
-            streams: Some(told),
+            streams: Some(announcement),
             ..BoxReport::default()
         };
         let bytes = datagram.encoded_len();
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -149,7 +149,7 @@
     /// region.
     #[prost(fixed64, repeated, tag = "38")]
     pub unreached_servers: Vec<u64>,
-    /// Versions of streams, and questions about them.
+    /// Versions of streams, and queries for them.
     #[prost(message, optional, tag = "39")]
     pub streams: Option<StreamReport>,
     /// Whether the sender reaches no server of any service.
--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -1,12 +1,12 @@
-//! The software versions at which streams began, so that a stream that a caller takes up goes on at
-//! the same version.
+//! The software versions at which streams began, so that a stream that its caller resumes continues
+//! at the same version.
 //!
-//! What servers of two versions write does not fit together. A caller may take a stream up at any
-//! box, also after the box that began it is gone, and names only the attempt that brought the first
-//! event. A box that begins a stream keeps its version under a key made from that attempt. While
-//! the service has several versions, it also tells the holders of the key, a few boxes that any box
-//! finds by rendezvous hashing. Nothing is sent while there is a single version; a box that sees a
-//! second one appear tells the holders of the streams that it began before.
+//! Servers of two versions write events that do not fit together. A caller may resume a stream at
+//! any box, also after the box that began it is gone, and names only the attempt that brought the
+//! first event. A box that begins a stream keeps its version under a key made from that attempt.
+//! While the service has several versions, it also announces the version to the holders of the key,
+//! a few boxes that any box finds by rendezvous hashing. Nothing is sent while there is a single
+//! version; a box that sees a second one appear then announces the streams that it began before.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -26,8 +26,7 @@
 /// How long the version of a stream is kept, and how long a version counts after its last server
 /// is gone. A stream may run for tens of seconds before its caller takes it up.
 const RETENTION: Duration = Duration::from_secs(60);
-/// Age up to which streams are told to their holders when a second version appears. Older ones have
-/// ended.
+/// Age up to which streams are announced when a second version appears. Older ones have ended.
 const MAX_STREAM_AGE: Duration = Duration::from_secs(30);
 /// Maximum number of streams kept; the oldest are dropped first.
 const MAX_STREAMS: usize = 50_000;
@@ -37,7 +36,7 @@
 const MAX_HOLDERS: usize = 4;
 
 /// Key of the stream that an attempt of a caller began. Attempts of another service or team have
-/// other keys, so a caller learns nothing of them.
+/// other keys, so a caller can't find out whether they exist.
 pub fn stream_key(attempt: &str, service: &str, team: &str) -> StreamKey {
     rendezvous::mix(rendezvous::weight(attempt, service), rendezvous::weight(team, ""))
 }
@@ -115,9 +114,8 @@
         self.insert(key, Entry { version, began_for: Some(service), noted_at: now });
     }
 
-    /// Records what another box tells of a stream. The version at which this box knows it to have
-    /// begun stays.
-    pub fn record_told(&mut self, key: StreamKey, version: VersionHash, now: Instant) {
+    /// Records the version that another box announces. A version that is known already stays.
+    pub fn record_announcement(&mut self, key: StreamKey, version: VersionHash, now: Instant) {
         if self.version(key, now).is_none() {
             self.insert(key, Entry { version, began_for: None, noted_at: now });
         }
@@ -201,19 +199,19 @@
     }
 }
 
-/// What boxes tell and ask each other about streams.
+/// Announcements of stream versions, queries for them and responses to queries.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct StreamReport {
-    /// Streams whose version the sender tells.
+    /// Streams whose versions are announced.
     #[prost(fixed64, repeated, tag = "1")]
-    pub told: Vec<StreamKey>,
+    pub announced: Vec<StreamKey>,
     /// Versions of these streams, in their order.
     #[prost(fixed64, repeated, tag = "2")]
     pub versions: Vec<VersionHash>,
-    /// Streams whose version the sender asks for.
+    /// Streams whose versions are queried.
     #[prost(fixed64, repeated, tag = "3")]
-    pub asked: Vec<StreamKey>,
-    /// Streams that the sender was asked for and doesn't know.
+    pub queried: Vec<StreamKey>,
+    /// Queried streams that the sender doesn't know.
     #[prost(fixed64, repeated, tag = "4")]
     pub unknown: Vec<StreamKey>,
 }
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -190,11 +190,11 @@
     version.map_or("-".to_owned(), |version| format!("{version:x}"))
 }
 
-/// Logs that a caller takes a stream up, and the hash of the version that began it.
-pub fn stream_taken_up(job: &Job, version: Option<VersionHash>) {
+/// Logs that a caller resumes a stream, and the hash of the version that began it.
+pub fn stream_resumed(job: &Job, version: Option<VersionHash>) {
     log::info!(
         target: TARGET,
-        "event=stream_taken_up request={} route={} service={} resumes={} last_event={:?} began_at={} age_ms={}",
+        "event=stream_resumed request={} route={} service={} resumes={} last_event={:?} began_at={} age_ms={}",
         job.metadata.id,
         job.route.name,
         job.service,
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -139,7 +139,7 @@
     pub upgrades: Mutex<Upgrades>,
     /// Versions of streams. No other lock is taken while it is held.
     pub streams: Mutex<StreamDirectory>,
-    /// Notified when other boxes are to be told or asked about streams.
+    /// Notified when there are reports about streams to send.
     pub stream_report: Notify,
     /// When the store responded to this box again after an outage.
     pub store_recovered_at: Mutex<Option<Instant>>,
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -1,6 +1,6 @@
-//! Keeps streams at the software version that began them when callers take them up: tells other
-//! boxes the versions of streams, and asks them for the version of a stream that this box did not
-//! begin.
+//! Keeps streams at the software version that began them when callers resume them: announces the
+//! versions of streams to other boxes, and queries them for the version of a stream that this box
+//! did not begin.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -40,17 +40,17 @@
 const MAX_STREAMS_PER_REPORT: usize = 300;
 /// Maximum wait for the version of a stream: a round trip between distant regions.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum wait for the holder in this region, which is the only one to be asked while this box
+/// Maximum wait for the holder in this region, which is the only one to be queried while this box
 /// knows a single version. Another box may know of a second one already.
 const NEAR_LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
-/// Delay after which a caller is asked to retry if nobody knows the version of its stream.
+/// Delay after which a caller is asked to retry if no box knows the version of its stream.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A stream whose version this box has asked others for.
+/// A stream whose version this box has queried.
 #[derive(Debug, Default)]
 struct Lookup {
-    /// Hashes of the names of the boxes that have not answered.
-    unanswered: Vec<u64>,
+    /// Hashes of the names of the boxes that have not responded.
+    pending: Vec<u64>,
     requests: Vec<oneshot::Sender<Option<VersionHash>>>,
 }
 
@@ -63,7 +63,7 @@
     }
 }
 
-/// The versions of streams, the pending questions about them, and what is to be sent.
+/// The versions of streams, the pending lookups, and the reports to be sent.
 #[derive(Debug, Default)]
 pub struct StreamDirectory {
     versions: StreamVersions,
@@ -72,22 +72,22 @@
 }
 
 impl StreamDirectory {
-    /// Drops expired versions, and questions whose requests are over.
+    /// Drops expired versions, and lookups whose requests are over.
     pub fn expire(&mut self, now: Instant) {
         self.versions.expire(now);
         self.lookups.retain(|_, lookup| lookup.requests.iter().any(|request| !request.is_closed()));
     }
 
-    fn tell(&mut self, holders: &[BoxLocation<'_>], key: StreamKey, version: VersionHash) {
+    fn announce(&mut self, holders: &[BoxLocation<'_>], key: StreamKey, version: VersionHash) {
         for holder in holders {
             let report = self.outbox.entry(holder.address).or_default();
-            report.told.push(key);
+            report.announced.push(key);
             report.versions.push(version);
         }
     }
 
-    /// Asks for the version of a stream.
-    fn ask(
+    /// Queries the holders of a stream for its version.
+    fn query(
         &mut self,
         holders: &[BoxLocation<'_>],
         key: StreamKey,
@@ -96,8 +96,8 @@
         let lookup = self.lookups.entry(key).or_default();
         lookup.requests.push(sender);
         for holder in holders {
-            lookup.unanswered.push(presence::box_hash(holder.name));
-            self.outbox.entry(holder.address).or_default().asked.push(key);
+            lookup.pending.push(presence::box_hash(holder.name));
+            self.outbox.entry(holder.address).or_default().queried.push(key);
         }
         if holders.is_empty()
             && let Some(lookup) = self.lookups.remove(&key)
@@ -108,27 +108,27 @@
     }
 
     fn receive(&mut self, sender: u64, report: &StreamReport, from: SocketAddr, now: Instant) {
-        for (key, version) in report.told.iter().zip(&report.versions) {
-            self.versions.record_told(*key, *version, now);
+        for (key, version) in report.announced.iter().zip(&report.versions) {
+            self.versions.record_announcement(*key, *version, now);
             if let Some(lookup) = self.lookups.remove(key) {
                 lookup.finish(Some(*version));
             }
         }
-        for key in &report.asked {
+        for key in &report.queried {
             let version = self.versions.version(*key, now);
-            let answer = self.outbox.entry(from).or_default();
+            let response = self.outbox.entry(from).or_default();
             match version {
                 Some(version) => {
-                    answer.told.push(*key);
-                    answer.versions.push(version);
+                    response.announced.push(*key);
+                    response.versions.push(version);
                 }
-                None => answer.unknown.push(*key),
+                None => response.unknown.push(*key),
             }
         }
         for key in &report.unknown {
             let Some(lookup) = self.lookups.get_mut(key) else { continue };
-            lookup.unanswered.retain(|holder| *holder != sender);
-            if lookup.unanswered.is_empty()
+            lookup.pending.retain(|holder| *holder != sender);
+            if lookup.pending.is_empty()
                 && let Some(lookup) = self.lookups.remove(key)
             {
                 lookup.finish(None);
@@ -166,8 +166,8 @@
     stream_versions::stream_key(attempt, &job.service, team)
 }
 
-/// Records the version of a stream whose first event is about to go to its caller, and tells its
-/// holders while the service has several versions.
+/// Records the version of a stream whose first event is about to be forwarded to its caller, and
+/// announces it while the service has several versions.
 pub fn record_begin<A: Adapter>(shared: &Shared<A>, job: &Job, version: Option<VersionHash>) {
     let Some(version) = version.filter(|_| job.origin == Origin::Caller && job.route.resumable)
     else {
@@ -182,22 +182,22 @@
         directory.versions.has_several_versions(service, now)
     };
     if has_several {
-        tell_holders(shared, &shared.snapshot.load(), &[(key, version)]);
+        announce(shared, &shared.snapshot.load(), &[(key, version)]);
     }
 }
 
-/// Tells the holders of streams their versions. The holders are found without the lock, since that
-/// takes the longer the more boxes there are.
-fn tell_holders<A>(shared: &Shared<A>, snapshot: &Snapshot, streams: &[(StreamKey, VersionHash)]) {
+/// Announces the versions of streams to their holders. The holders are found without the lock, since
+/// the time that this takes grows with the number of boxes.
+fn announce<A>(shared: &Shared<A>, snapshot: &Snapshot, streams: &[(StreamKey, VersionHash)]) {
     for (key, version) in streams {
         let holders = other_holders(shared, snapshot, *key);
-        lock(&shared.streams).tell(&holders, *key, *version);
+        lock(&shared.streams).announce(&holders, *key, *version);
     }
     shared.stream_report.notify_one();
 }
 
-/// Records the versions of the servers of each service. Where a second one has appeared, the holders
-/// of the streams that this box began are told.
+/// Records the versions of the servers of each service. Where a second one has appeared, the streams
+/// that this box began are announced.
 pub fn record_versions<A: Adapter>(shared: &Shared<A>, snapshot: &Snapshot, now: Instant) {
     let mut streams: Vec<(StreamKey, VersionHash)> = Vec::new();
     {
@@ -210,12 +210,12 @@
         }
     }
     if !streams.is_empty() {
-        tell_holders(shared, snapshot, &streams);
+        announce(shared, snapshot, &streams);
     }
 }
 
-/// The version at which a request must run because it continues a stream; `None` if any may run it.
-/// A stream of unknown version may go on only while there is a single one.
+/// The version at which a request must run because it continues a stream; `None` if any version may
+/// run it. A stream of unknown version may continue only while there is a single one.
 pub async fn version_to_continue<A: Adapter>(
     shared: &Arc<Shared<A>>,
     job: &Job,
@@ -226,12 +226,12 @@
     if !job.continues_stream() {
         return Ok(None);
     }
-    shared.counters.increment(Counter::StreamsTakenUp);
+    shared.counters.increment(Counter::StreamsResumed);
     let version = match &job.metadata.resumes {
         Some(attempt) => find_version(shared, job, stream_key(job, attempt)).await,
         None => None,
     };
-    decision_log::stream_taken_up(job, version);
+    decision_log::stream_resumed(job, version);
     if version.is_some() || !has_several_versions(shared, &job.service) {
         return Ok(version);
     }
@@ -257,17 +257,17 @@
     if let Some(version) = lock(&shared.streams).versions.version(key, clock::now()) {
         return Some(version);
     }
-    let answer = {
+    let response = {
         let snapshot = shared.snapshot.load();
         let mut holders = other_holders(shared, &snapshot, key);
         holders.retain(|holder| has_several || holder.region == shared.settings.region);
-        lock(&shared.streams).ask(&holders, key)
+        lock(&shared.streams).query(&holders, key)
     };
     shared.stream_report.notify_one();
-    timer::timeout(timeout.min(job.time_left(clock::now())), answer).await.ok()?.ok()?
+    timer::timeout(timeout.min(job.time_left(clock::now())), response).await.ok()?.ok()?
 }
 
-/// Applies what another box tells or asks about streams, and answers it.
+/// Applies a report about streams, and responds to its queries.
 pub fn receive<A: Adapter>(
     shared: &Shared<A>,
     socket: &UdpSocket,
@@ -280,7 +280,7 @@
     send_reports(shared, socket);
 }
 
-/// Sends what other boxes are to be told and asked about streams.
+/// Sends the pending announcements, queries and responses.
 pub fn send_reports<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket) {
     let outbox = std::mem::take(&mut lock(&shared.streams).outbox);
     for (address, report) in outbox {
@@ -307,9 +307,9 @@
     };
     while report != StreamReport::default() {
         parts.push(StreamReport {
-            told: take(&mut report.told),
+            announced: take(&mut report.announced),
             versions: take(&mut report.versions),
-            asked: take(&mut report.asked),
+            queried: take(&mut report.queried),
             unknown: take(&mut report.unknown),
         });
     }
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -50,7 +50,7 @@
     Attempts "attempts" "Attempts to send a request to a backend server of this region.";
     Retries "retries" "Attempts after the first.";
     RetriesDenied "retries_denied" "Retries that the retry budget did not allow.";
-    StreamsTakenUp "streams_taken_up" "Streams that callers continued with another request.";
+    StreamsResumed "streams_resumed" "Streams that callers resumed with another request.";
     StreamsOfUnknownVersion "streams_of_unknown_version" "Streams that were not continued because the software version that began them is unknown.";
     Queued "queued" "Requests that waited for a slot.";
     ForwardedOut "forwarded_out" "Requests sent to another box.";
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -75,7 +75,7 @@
     let now = Instant::now();
     let mut versions = StreamVersions::default();
     versions.record_begin(1, SERVICE, 10, now);
-    versions.record_told(1, 20, now);
+    versions.record_announcement(1, 20, now);
     assert_eq!(versions.version(1, now), Some(10));
     assert_eq!(versions.version(2, now), None);
 }
