--- a/lib/src/coordination/retries.rs
+++ b/lib/src/coordination/retries.rs
@@ -102,7 +102,7 @@
         slice
     }
 
-    /// The slice before which `age` others have begun; `None` if it was empty or not counted.
+    /// The slice that began `age` slices before the newest one; `None` if nothing was counted in it.
     fn slice_at_age(&self, newest: u64, age: usize) -> Option<&Slice> {
         let index = newest.checked_sub(age as u64)?;
         let slice = &self.slices[index as usize % COUNTED_SLICES];
@@ -135,12 +135,13 @@
         let counted = || (0..COUNTED_SLICES).map(|age| (age, self.slice_at_age(newest, age)));
         let share = extra / boxes.max(1) as f64;
         let all_requests: u32 = counted().filter_map(|(_, slice)| Some(slice?.requests)).sum();
-        let at_once = if self.age(now) < window {
-            0.0
-        } else {
-            (1.0 - ACCRUING_SHARE) * (ratio * f64::from(all_requests) + share)
+        let has_full_window = self.age(now) >= window;
+        let at_once = match has_full_window {
+            true => (1.0 - ACCRUING_SHARE) * (ratio * f64::from(all_requests) + share),
+            false => 0.0,
         };
         let (mut requests, mut resends) = (0, 0);
+        // From the newest slice back, so that each step is one of the periods.
         counted().all(|(age, slice)| {
             if let Some(slice) = slice {
                 requests += slice.requests;
