retries: a box that has not run before has its whole share at once

What callers saw: a box that has just started refused a request that its first server had turned away, though another server had room, and broke off a stream that another could have continued.

Cause: a part of the limit accrues, and a box that starts had nothing for its first moments, since it can't know what its predecessor resent. A box whose name is not in the roster has no predecessor. Its first write of its record is conditional on that, one call as before; a box that ran before makes one call more. A lost response counts as having run before.

--- a/lib/src/coordination/retries.rs
+++ b/lib/src/coordination/retries.rs
@@ -8,7 +8,7 @@
 //! part of the limit only accrues, with the requests and with time, and is not granted at once.
 //! Whatever restarts happen in a window, the accrued parts add up to no more than one box would
 //! have accrued that ran all the time. The rest may be spent at once, by boxes that have counted
-//! for a whole window.
+//! for a whole window, or that have not run before.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -183,6 +183,15 @@
         }
     }
 
+    /// Gives a box that has not run before its whole share. Without a predecessor there are no
+    /// resends that it doesn't know of.
+    pub fn assume_no_predecessor(&mut self) {
+        if let Some(before) = self.started_at.checked_sub(self.limit.window) {
+            self.started_at = before;
+            self.budgets.clear();
+        }
+    }
+
     /// Sets the number of boxes that share the limits.
     pub fn set_fleet_size(&mut self, boxes: usize, now: Instant) {
         if self.fleet_sizes.back().is_none_or(|(_, latest)| *latest != boxes) {
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -289,6 +289,7 @@
         match event {
             Event::Stop => self.begin_stop(),
             Event::Reload => log::info!("event=reload settings=\"count from the next start\""),
+            Event::FirstStart => lock(&self.shared.retries).assume_no_predecessor(),
             Event::StoreRecovered => self.cluster_state.record_store_recovered(clock::now()),
             // Boxes that start together read the store before the others' records are in it. Of any
             // two, the box that writes later finds the other by polling again now, and sends it
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -12,4 +12,6 @@
     StoreRecovered,
     /// This box's record is in the store.
     RecordWritten,
+    /// No box of this name has run before, according to the store.
+    FirstStart,
 }
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -20,6 +20,7 @@
 use crate::protocol::platform::Era;
 use crate::protocol::platform::LeaseId;
 use crate::protocol::platform::PlatformError;
+use crate::protocol::platform::Revision;
 use crate::state::clock;
 use crate::transport::store;
 use crate::transport::timer;
@@ -60,6 +61,9 @@
     }
 }
 
+/// Revision of a key that must be absent.
+const ABSENT: Revision = 0;
+
 /// Keeps the newest record in the store until its sender is dropped, then removes the record.
 pub async fn maintain<A: Adapter>(
     store: store::Client<A>,
@@ -72,6 +76,8 @@
     let mut written = false;
     let mut in_roster = false;
     let mut announced = false;
+    let mut is_first_write = true;
+    let mut is_first_start = false;
     loop {
         let era = store.newest_era();
         if lease.as_ref().is_some_and(|lease| lease.may_be_lost(era)) {
@@ -91,7 +97,13 @@
             }),
             Some(Lease { id, .. }) if !written || record.has_changed().unwrap_or(false) => {
                 let newest = record.borrow_and_update().clone();
-                write_record(&store, &newest, id, !in_roster).await.map(|()| {
+                is_first_start = std::mem::take(&mut is_first_write)
+                    && write_first_record(&store, &newest, id).await;
+                let result = match is_first_start {
+                    true => Ok(()),
+                    false => write_record(&store, &newest, id, !in_roster).await,
+                };
+                result.map(|()| {
                     written = true;
                     in_roster = true;
                 })
@@ -103,6 +115,11 @@
                 let era = store.newest_era();
                 lease.iter_mut().for_each(|lease| lease.confirm(era));
                 retry_pause = store::RETRY_DELAY;
+                if std::mem::take(&mut is_first_start)
+                    && events.send(Event::FirstStart).await.is_err()
+                {
+                    return;
+                }
                 if written && !announced {
                     announced = true;
                     if events.send(Event::RecordWritten).await.is_err() {
@@ -169,12 +186,28 @@
     }
 }
 
+/// Writes the record if no box of this name is in the roster yet. Returns whether it was written; a
+/// response that is lost counts as not written.
+async fn write_first_record<A: Adapter>(
+    store: &store::Client<A>,
+    record: &BoxRecord,
+    lease: LeaseId,
+) -> bool {
+    let expected = vec![(store_keys::roster_key(record), ABSENT)];
+    let writes = record_writes(record, lease, true);
+    store.call(&Operation::PutIf { expected, writes }).await.is_ok()
+}
+
 async fn write_record<A: Adapter>(
     store: &store::Client<A>,
     record: &BoxRecord,
     lease: LeaseId,
     add_to_roster: bool,
 ) -> Result<(), PlatformError> {
+    store.call(&Operation::Put(record_writes(record, lease, add_to_roster))).await.map(|_| ())
+}
+
+fn record_writes(record: &BoxRecord, lease: LeaseId, add_to_roster: bool) -> Vec<KeyWrite> {
     let (key, value) = store_keys::box_entry(record);
     let mut rows = vec![KeyWrite { key, value, lease }];
     if add_to_roster {
@@ -184,5 +217,5 @@
             lease: NO_LEASE,
         });
     }
-    store.call(&Operation::Put(rows)).await.map(|_| ())
+    rows
 }
--- a/lib/tests/test_retries.rs
+++ b/lib/tests/test_retries.rs
@@ -146,6 +146,16 @@
     assert_eq!(budgets.sharing_boxes(), 3);
 }
 
+#[test]
+fn box_that_has_not_run_before_has_its_share_at_once() {
+    let now = Instant::now();
+    let mut budgets = RetryBudgets::new(LIMIT, now);
+    budgets.set_fleet_size(1, now);
+    assert!(!budgets.try_resend(SERVICE, now));
+    budgets.assume_no_predecessor();
+    assert!((0..10).all(|_| budgets.try_resend(SERVICE, now)));
+}
+
 #[test]
 fn service_that_is_new_to_a_running_box_has_its_share_at_once() {
     let start = Instant::now();
