forwarding: full regions and neighbors that reach no more servers get none

Cause: the links between boxes were full. While servers crash under load, a request that finds no place is sent to two boxes of regions that are as full, and to two neighbors that have lost the same servers; each takes the body over two links and is refused there.

Change: a region whose servers have 2.5 requests a slot, by its reports, counts as full. Servers that a box can't reach no longer count as free slots there. A request goes to a neighbor only if that one reaches more.

--- a/lib/src/coordination/placement/utilization.rs
+++ b/lib/src/coordination/placement/utilization.rs
@@ -21,7 +21,8 @@
     }
 
     /// Utilization of the servers. A server with a rate limit counts with the slots that this rate
-    /// occupies, a brittle one with those that boxes use; a server that is resting does not count.
+    /// occupies, a brittle one with those that boxes use; a server that is resting, or that this box
+    /// can't reach, does not count.
     pub fn utilization(
         &self,
         service: ServiceHash,
@@ -33,6 +34,7 @@
         let mut utilization = Utilization::default();
         for candidate in self.servers.values() {
             if candidate.is_usable()
+                && !candidate.path.is_lost()
                 && self.rest_periods.until(candidate.incarnation, now).is_none()
             {
                 let slots = f64::from(candidate.state.server.slots);
--- a/lib/src/coordination/regions.rs
+++ b/lib/src/coordination/regions.rs
@@ -22,6 +22,9 @@
 const SHARE_GAIN: f64 = 1.5;
 /// Maximum share of a box's requests that is sent to other regions.
 const MAX_REMOTE_SHARE: f64 = 0.6;
+/// Utilization from which the servers of a region count as full: each has nearly as many requests as
+/// boxes let wait there.
+const FULL_UTILIZATION: f64 = 2.5;
 /// Age at which a report is ignored: several reports have been lost by then.
 const REPORT_TTL: Duration = Duration::from_secs(2);
 
@@ -67,10 +70,16 @@
     }
 
     /// Returns whether a service may have capacity in another region, according to the reports.
-    /// Requests that would be refused there after a network latency of 110 ms are not sent.
+    /// Requests that would be refused there are not sent: each takes its body over the links of two
+    /// boxes.
     pub fn may_have_capacity(&self, service: u64, region: &str, now: Instant) -> bool {
         let reported = self.closed_services.get(region).filter(|(_, at)| now < *at + REPORT_TTL);
-        reported.is_none_or(|(services, _)| !services.contains(&service))
+        let is_closed = reported.is_some_and(|(services, _)| services.contains(&service));
+        let utilization = self.reported.get(&(service, region.to_owned()));
+        let is_full = utilization.is_some_and(|(utilization, at)| {
+            now < *at + REPORT_TTL && utilization.ratio() >= FULL_UTILIZATION
+        });
+        !is_closed && !is_full
     }
 
     /// Returns the region with the lowest utilization for a service, and the share of requests to
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -447,6 +447,10 @@
 fn add_region_load<A: Adapter>(shared: &Shared<A>, report: &mut BoxReport) {
     let now = clock::now();
     for (name, service) in lock(&shared.services).iter_mut() {
+        // A box without paths knows nothing of the load.
+        if service.placement.is_unreachable() {
+            continue;
+        }
         let (loads, throttles) = (lock(&shared.loads), lock(&shared.throttles));
         let service_hash = rendezvous::weight(name, "");
         let utilization = service.placement.utilization(service_hash, &loads, &throttles, now);
--- a/lib/src/gateway/forwarding.rs
+++ b/lib/src/gateway/forwarding.rs
@@ -170,18 +170,21 @@
     less_loaded(shared, &neighbors)
 }
 
-/// A neighbor, for a request that no server which this box reaches can run now.
+/// A neighbor that reaches more servers, for a request that no server which this box reaches can run
+/// now. While servers are down, all boxes reach the same ones.
 pub fn neighbor<A: Adapter>(
     shared: &Shared<A>,
     job: &Job,
     history: &RequestHistory,
 ) -> Option<SocketAddr> {
-    let has_lost_paths =
-        shared.with_service(&job.service, |service| service.placement.has_lost_paths())?;
-    if !has_lost_paths {
+    let own_share =
+        shared.with_service(&job.service, |service| service.placement.reached_share())?;
+    if own_share >= 1.0 {
         return None;
     }
-    less_loaded(shared, &untried_neighbors(shared, job, history))
+    let mut neighbors = untried_neighbors(shared, job, history);
+    neighbors.retain(|other| other.share > own_share);
+    less_loaded(shared, &neighbors)
 }
 
 /// A neighbor that may have requests at brittle servers of the service, if this box may have none,
@@ -268,9 +271,12 @@
     }
     let service_hash = rendezvous::weight(&job.service, "");
     let own_utilization = shared.with_service(&job.service, |service| {
+        if service.placement.is_unreachable() {
+            return None;
+        }
         let (loads, throttles) = (lock(&shared.loads), lock(&shared.throttles));
-        service.placement.utilization(service_hash, &loads, &throttles, now)
-    })?;
+        Some(service.placement.utilization(service_hash, &loads, &throttles, now))
+    })??;
     let regions = lock(&shared.regions);
     let allowed = |region: &str| {
         job.is_allowed_in(region)
