forwarding: forwards under way are bounded by bytes and by their time

Cause: nothing tells a box that its link is full, so it forwards requests that arrive after their callers have left, and their bodies hold up the responses of others.

Change: a box counts the bodies of its forwards under way, 256 KiB at most besides a single one, and how long forwards take. A request is not forwarded if forwards take more than two thirds of the time that it has left; it runs here or is refused at once. The mean expires after a second, so that free links are found again.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 pub mod ejection;
 pub mod feedback;
 pub mod fingerprint;
+pub mod forwards;
 pub mod freshness;
 pub mod gossip;
 pub mod health;
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -121,6 +122,7 @@
 ) -> SendOutcome<A> {
     let request = job.for_peer(&shared.adapter, last_event, version);
     shared.counters.increment(Counter::ForwardedOut);
+    let _under_way = UnderWay::new(shared, job);
     match send(&shared.peers, job, address, request, false, || true).await {
         Ok(response) => {
             if response.headers().contains_key(LOST_PATHS_HEADER) {
@@ -132,6 +134,29 @@
     }
 }
 
+/// Counts a forward as under way until it is dropped.
+struct UnderWay<'a, A> {
+    shared: &'a Shared<A>,
+    bytes: usize,
+    sent_at: Instant,
+}
+
+impl<'a, A> UnderWay<'a, A> {
+    fn new(shared: &'a Shared<A>, job: &Job) -> UnderWay<'a, A> {
+        let bytes = job.body_bytes();
+        lock(&shared.forwards).begin(bytes);
+        UnderWay { shared, bytes, sent_at: clock::now() }
+    }
+}
+
+impl<A> Drop for UnderWay<'_, A> {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let time = now.saturating_duration_since(self.sent_at);
+        lock(&self.shared.forwards).finish(self.bytes, time, now);
+    }
+}
+
 /// Records that a box refused a request while it had lost paths to servers of the service.
 fn record_path_refusal<A: Adapter>(shared: &Shared<A>, job: &Job, address: std::net::SocketAddr) {
     let record = job.snapshot.boxes.iter().find(|other| other.peers == address);
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -201,14 +201,17 @@
     job: &Job,
     history: &RequestHistory,
 ) -> Result<Target<A>, Blocked> {
-    if let Some(address) = forwarding::home_box(shared, job, history) {
+    let may_forward = forwarding::may_forward(shared, job);
+    if may_forward && let Some(address) = forwarding::home_box(shared, job, history) {
         return Ok(Target::Peer(address, ForwardReason::Home));
     }
-    if let Some((address, reason)) = forwarding::overflow_target(shared, job, history, clock::now())
+    if may_forward
+        && let Some((address, reason)) =
+            forwarding::overflow_target(shared, job, history, clock::now())
     {
         return Ok(Target::Peer(address, reason));
     }
-    if let Some(address) = forwarding::detour(shared, job, history) {
+    if may_forward && let Some(address) = forwarding::detour(shared, job, history) {
         return Ok(Target::Peer(address, ForwardReason::LostPath));
     }
     lock(&shared.throttles).record_request(throttle::service_hash(&job.service), clock::now());
@@ -218,8 +221,8 @@
         Some(Err(blocked)) => blocked,
         None => Blocked::Brittle,
     };
-    if job.origin == Origin::Peer {
-        return Err(blocked);
+    if job.origin == Origin::Peer || !may_forward {
+        return reserve_failing(shared, job, history, blocked);
     }
     if let Some(address) = forwarding::neighbor(shared, job, history) {
         return Ok(Target::Peer(address, ForwardReason::LostPath));
@@ -235,12 +238,22 @@
     if let Some(address) = forwarding::fallback_target(shared, job, history) {
         return Ok(Target::Peer(address, ForwardReason::NoPlace));
     }
-    if blocked == Blocked::Failing
-        && let Ok(reservation) = reserve_server(shared, job, history, Eligible::Any)
-    {
-        return Ok(Target::Server(reservation));
+    reserve_failing(shared, job, history, blocked)
+}
+
+/// Reserves a slot on a server that failed recently, for a caller's request that no other server can
+/// run.
+fn reserve_failing<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    history: &RequestHistory,
+    blocked: Blocked,
+) -> Result<Target<A>, Blocked> {
+    if blocked != Blocked::Failing || job.origin == Origin::Peer {
+        return Err(blocked);
     }
-    Err(blocked)
+    let reserved = reserve_server(shared, job, history, Eligible::Any);
+    reserved.map(Target::Server).map_err(|_| blocked)
 }
 
 /// Reserves a slot on a server of this region.
--- a/lib/src/gateway/forwarding.rs
+++ b/lib/src/gateway/forwarding.rs
@@ -81,6 +81,12 @@
     }
 }
 
+/// Whether the links between boxes have room for the request, and a response would be in time.
+pub fn may_forward<A: Adapter>(shared: &Shared<A>, job: &Job) -> bool {
+    let now = clock::now();
+    lock(&shared.forwards).admits(job.body_bytes(), job.time_left(now), now)
+}
+
 /// Whether this is the first send of a caller's request.
 fn is_first_send(job: &Job, history: &RequestHistory) -> bool {
     job.origin == Origin::Caller
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -198,6 +198,11 @@
         urgency::rank(team_priority, self.route.priority)
     }
 
+    /// Length of the body, bytes.
+    pub fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -177,6 +177,7 @@
             regions: Mutex::default(),
             presence: Mutex::default(),
             peer_paths: Mutex::default(),
+            forwards: Mutex::default(),
             path_checks: Mutex::default(),
             unlisted: Mutex::default(),
             freshness: Mutex::default(),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -25,6 +25,7 @@
 use crate::coordination::departures::Departures;
 use crate::coordination::drain::Stage;
 use crate::coordination::fingerprint::Fingerprint;
+use crate::coordination::forwards::Forwards;
 use crate::coordination::freshness::Freshness;
 use crate::coordination::interrupted::InterruptedRequests;
 use crate::coordination::join_tree::JoinTree;
@@ -152,6 +153,8 @@
     pub presence: Mutex<Presence>,
     /// Services that other boxes reach.
     pub peer_paths: Mutex<PeerReachability>,
+    /// Forwards under way. No other lock is taken while it is held.
+    pub forwards: Mutex<Forwards>,
     /// Checks of servers that boxes carry out for each other.
     pub path_checks: Mutex<PathChecks>,
     /// Boxes that send datagrams though the store doesn't list them.
--- a/lib/tests/test_forwards.rs
+++ b/lib/tests/test_forwards.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use copperweir_lib::coordination::forwards::Forwards;
 use copperweir_lib::coordination::regions::RegionUtilization;
 use copperweir_lib::coordination::regions::Utilization;
 
 const SERVICE: u64 = 3;
+const TIME_LEFT: Duration = Duration::from_secs(1);
 
 #[test]
 fn full_region_gets_no_forwards_until_its_report_expires() {
@@ -21,3 +23,30 @@
     assert!(!regions.may_have_capacity(SERVICE, "south", now));
     assert!(regions.may_have_capacity(SERVICE, "south", now + Duration::from_secs(3)));
 }
+
+#[test]
+fn bytes_under_way_are_bounded() {
+    let (now, size) = (Instant::now(), 100 << 10);
+    let mut forwards = Forwards::default();
+    assert!(forwards.admits(10 << 20, TIME_LEFT, now), "a single forward may have any size");
+    forwards.begin(size);
+    forwards.begin(size);
+    assert!(!forwards.admits(size, TIME_LEFT, now));
+    forwards.finish(size, Duration::from_millis(20), now);
+    assert!(forwards.admits(size, TIME_LEFT, now));
+}
+
+#[test]
+fn request_is_not_forwarded_if_forwards_take_longer_than_it_has() {
+    let mut now = Instant::now();
+    let mut forwards = Forwards::default();
+    for _ in 0..50 {
+        forwards.begin(1000);
+        now += Duration::from_millis(10);
+        forwards.finish(1000, Duration::from_millis(900), now);
+    }
+    assert!(!forwards.admits(1000, TIME_LEFT, now));
+    assert!(forwards.admits(1000, TIME_LEFT * 3, now));
+    now += Duration::from_secs(2);
+    assert!(forwards.admits(1000, TIME_LEFT, now), "the links may be free again");
+}
