quarantine: parts of prompts that crash servers are refused

Cause: crashes are counted by the whole content of a request. No two of these are alike, so none ever has three crashes.

Change: a crash counts against each part, but the last, of the requests that the server was executing. A success on any box ends the count of a part. A part with three crashes in a row is refused, or with five if it had succeeded shortly before; not if another part that succeeds less often accounts for the same crashes. Crashes at the same moment count once. Verdicts on parts are verdicts on their hashes: reports, the store and the state for starting boxes carry them as before, and boxes of older builds keep them without effect. Crashes of parts go in a field of their own. A verdict on a part that had succeeded lasts a minute and is not stored; any other ten minutes, and is not extended, because nothing can clear it while it is refused.

--- a/lib/src/coordination/feedback.rs
+++ b/lib/src/coordination/feedback.rs
@@ -22,6 +22,7 @@
 use super::quarantine::Quarantine;
 use super::throttle::ServiceHash;
 use super::throttle::Throttles;
+use crate::protocol::adapter::PromptSegment;
 use crate::protocol::server_status::ServerStatus;
 
 /// A request and where it was sent.
@@ -33,6 +34,8 @@
     pub service: ServiceHash,
     /// Fingerprint of the request.
     pub request: Fingerprint,
+    /// The parts of its prompt.
+    pub parts: &'a [PromptSegment],
 }
 
 /// The server that made a statement.
@@ -119,7 +122,7 @@
         now: Instant,
     ) -> Effects {
         let mut effects = Effects::default();
-        let SentRequest { place, service, request } = sent_request;
+        let SentRequest { place, service, request, parts } = sent_request;
         let server_ref =
             ServerRef { server: &place.server, incarnation: place.incarnation, service };
         // A response from another instance at the address contains no status of the intended
@@ -133,8 +136,13 @@
         match report.event {
             AttemptEvent::Refused => self.handle_rejection(sent_request, &mut effects, now),
             AttemptEvent::Interrupted => self.handle_interruption(sent_request, &mut effects, now),
-            AttemptEvent::Answered if self.quarantine.record_success(request, now) => {
-                effects.observations.push(Observation::Cleared(request));
+            AttemptEvent::Answered => {
+                if self.quarantine.record_success(request, now) {
+                    effects.observations.push(Observation::Cleared(request));
+                }
+                if self.quarantine.record_part_success(parts, now) {
+                    effects.notify(Audience::AllRegions);
+                }
             }
             _ => {}
         }
@@ -233,7 +241,8 @@
         effects: &mut Effects,
         now: Instant,
     ) {
-        let SentRequest { place, request, .. } = sent_request;
+        let SentRequest { place, request, parts, .. } = sent_request;
+        self.quarantine.record_interrupted_parts(place.incarnation, parts, place.reserved_at, now);
         let interrupted =
             InterruptedRequest { request, sent_at: place.reserved_at, interrupted_at: now };
         match self.interrupted.record(place.incarnation, interrupted, now) {
@@ -264,6 +273,10 @@
         now: Instant,
     ) {
         effects.notify(Audience::Region);
+        self.quarantine.record_part_crash(server, now);
+        if self.quarantine.has_suspected_parts() {
+            effects.notify(Audience::AllRegions);
+        }
         for interrupted in &interrupted_requests {
             if self.quarantine.record_crash(server, *interrupted, now) == Some(Audience::AllRegions)
             {
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -89,6 +89,9 @@
     /// Age of these responses, in their order, milliseconds.
     #[prost(uint32, repeated, tag = "19")]
     pub asked_ms: Vec<u32>,
+    /// Parts of prompts under which servers crashed, with new crashes or successes.
+    #[prost(message, repeated, tag = "40")]
+    pub parts: Vec<wire::PartReport>,
     /// Boxes that send datagrams though the store does not list them.
     #[prost(message, repeated, tag = "20")]
     pub unlisted: Vec<NeighborRecord>,
@@ -164,12 +167,19 @@
     /// limits and capacity is kept.
     pub fn truncate_to(&mut self, max_bytes: usize) {
         while self.encoded_len() > max_bytes {
-            let half_lengths =
-                [self.ends.len(), self.verdicts.len(), self.servers.len(), self.asked.len()];
-            let [ends, verdicts, servers, asked] = half_lengths.map(|length| length / 2);
+            let half_lengths = [
+                self.ends.len(),
+                self.parts.len(),
+                self.verdicts.len(),
+                self.servers.len(),
+                self.asked.len(),
+            ];
+            let [ends, parts, verdicts, servers, asked] = half_lengths.map(|length| length / 2);
             // Each list is ordered by importance.
             if ends > 0 {
                 self.ends.truncate(ends);
+            } else if parts > 0 {
+                self.parts.truncate(parts);
             } else if verdicts > 0 {
                 self.verdicts.truncate(verdicts);
             } else if servers > 0 {
--- a/lib/src/coordination/quarantine.rs
+++ b/lib/src/coordination/quarantine.rs
@@ -12,11 +12,15 @@
 //! all boxes. A verdict is sent to all boxes at once, written to the store,
 //! and passed to a starting box by the box that it queries for the state.
 //!
+//! Requests that are all different may have a part of their prompts in common that crashes servers;
+//! see `parts`.
+//!
 //! All tables are bounded. They evict what a verdict needs least, and of that the oldest entry.
 
 mod evaluation;
 mod evidence;
 mod executions;
+mod parts;
 mod reports;
 mod successes;
 mod verdicts;
@@ -32,6 +36,10 @@
 use self::evidence::Crash;
 use self::evidence::Evidence;
 use self::executions::Executions;
+pub use self::parts::PartHash;
+pub use self::parts::PartVerdict;
+use self::parts::Parts;
+pub use self::parts::shared_parts;
 use self::successes::RecentSuccesses;
 pub use self::verdicts::VERDICT_TTL;
 use self::verdicts::Verdict;
@@ -41,6 +49,7 @@
 use super::interrupted::InterruptedRequest;
 use super::interrupted::ServerIncarnation;
 use crate::protocol::ServerId;
+use crate::protocol::adapter::PromptSegment;
 
 /// Consecutive crashes from which a request is taken to be their cause. A request that was only
 /// executed on a crashing server may be sent again two or three times by its box and its caller.
@@ -123,6 +132,7 @@
     verdicts: HashMap<Target, Verdict>,
     cleared: HashMap<Target, Instant>,
     executions: Executions,
+    parts: Parts,
     successes: RecentSuccesses,
     unwritten: BTreeSet<Target>,
     /// Verdicts issued since the last tick.
@@ -131,12 +141,14 @@
     recorded_crashes: u64,
     /// Evaluations that were not taken yet.
     evaluations: Vec<Evaluation>,
+    /// Verdicts on parts that were not taken yet.
+    part_verdicts: Vec<PartVerdict>,
 }
 
 impl Quarantine {
     /// Whether there are neither suspects nor verdicts.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.verdicts.is_empty()
+        self.suspects.is_empty() && self.verdicts.is_empty() && self.parts.is_empty()
     }
 
     /// Records a crash under a request of this box. Returns the boxes to notify, if any.
@@ -375,8 +387,74 @@
         self.executions.finish(server, request.content);
     }
 
+    /// Records the parts of a request whose response broke off.
+    pub fn record_interrupted_parts(
+        &mut self,
+        server: ServerIncarnation,
+        segments: &[PromptSegment],
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        self.parts.record_interruption(server, parts::shared_parts(segments), sent_at, now);
+    }
+
+    /// Records that a server crashed while it was executing requests with these parts.
+    pub fn record_part_crash(&mut self, server: ServerIncarnation, now: Instant) {
+        self.parts.record_crash(server, now);
+    }
+
+    /// Records what another box reports about a part.
+    pub fn receive_part(&mut self, report: &wire::PartReport, now: Instant) {
+        self.parts.receive(report, now);
+    }
+
+    /// Takes the verdicts that this box has reached on parts since the last call.
+    pub fn take_part_verdicts(&mut self) -> Vec<PartVerdict> {
+        std::mem::take(&mut self.part_verdicts)
+    }
+
+    /// Whether some part has seen several crashes without a success in between, so that all boxes
+    /// are to be notified.
+    pub fn has_suspected_parts(&self) -> bool {
+        self.parts.has_suspects(CRASHES_FOR_ISOLATION)
+    }
+
+    /// Parts with new crashes or successes, for a report.
+    pub fn part_reports(&mut self, now: Instant) -> Vec<wire::PartReport> {
+        self.parts.reports(now)
+    }
+
+    /// Records that a request with these parts succeeded, so that none of them crashes every server.
+    /// Returns whether one of them was refused, so that other boxes are notified at once.
+    pub fn record_part_success(&mut self, segments: &[PromptSegment], now: Instant) -> bool {
+        let mut was_refused = false;
+        for part in parts::shared_parts(segments) {
+            self.parts.record_success(part, now);
+            if self.verdicts.contains_key(&parts::target(part)) {
+                self.clear(parts::target(part), now);
+                was_refused = true;
+            }
+        }
+        was_refused
+    }
+
+    /// The part of a prompt that is refused, and for how much longer.
+    pub fn refused_part(
+        &mut self,
+        segments: &[PromptSegment],
+        now: Instant,
+    ) -> Option<(PartHash, Duration)> {
+        parts::shared_parts(segments).find_map(|part| {
+            if self.parts.is_held(part) {
+                return Some((part, EVALUATION_DELAY));
+            }
+            Some((part, self.enforce_until_expiry(parts::target(part), now)?))
+        })
+    }
+
     /// Evaluates suspects that are due, and drops old entries. Returns the new verdicts.
     pub fn tick(&mut self, now: Instant) -> Vec<Target> {
+        let deadly_parts = self.parts.tick(now);
         if self.is_empty() && self.cleared.is_empty() {
             return Vec::new();
         }
@@ -385,6 +463,14 @@
             self.suspects.iter().filter(|(_, suspect)| due(suspect)).map(|(c, _)| *c).collect();
         let mut new_verdicts = std::mem::take(&mut self.unannounced);
         new_verdicts.extend(due.into_iter().flat_map(|content| self.evaluate(content, now)));
+        for verdict in deadly_parts {
+            let target = parts::target(verdict.part);
+            if self.verdicts.get(&target).is_none_or(|verdict| verdict.until <= now) {
+                self.issue_part_verdict(target, verdict.ttl(), now);
+                self.part_verdicts.push(verdict);
+                new_verdicts.push(target);
+            }
+        }
         self.suspects.retain(|_, suspect| now < suspect.last_crash_at + CRASH_RETENTION);
         self.verdicts.retain(|_, verdict| now < verdict.until + CRASH_RETENTION);
         self.cleared.retain(|_, at| now < *at + CLEARED_RETENTION);
--- a/lib/src/coordination/quarantine/verdicts.rs
+++ b/lib/src/coordination/quarantine/verdicts.rs
@@ -68,6 +68,25 @@
         Some(time_left)
     }
 
+    /// As [`Quarantine::enforce`], but the verdict expires although requests keep arriving. A part
+    /// that was refused by mistake succeeds nowhere while it is refused.
+    pub(super) fn enforce_until_expiry(
+        &mut self,
+        target: Target,
+        now: Instant,
+    ) -> Option<Duration> {
+        let verdict = self.verdicts.get_mut(&target)?;
+        let time_left = verdict.until.saturating_duration_since(now);
+        if time_left.is_zero() {
+            return None;
+        }
+        if !verdict.stored && now >= verdict.issued_at + WRITE_GRACE {
+            verdict.issued_at = now;
+            self.unwritten.insert(target);
+        }
+        Some(time_left)
+    }
+
     pub(super) fn issue_verdict(&mut self, target: Target, observed_here: bool, now: Instant) {
         self.make_room_for_verdict();
         let verdict = Verdict { issued_at: now, until: now + VERDICT_TTL, stored: false };
@@ -78,6 +97,16 @@
         }
     }
 
+    /// Issues a verdict on a part. A short one is not written to the store, which would keep it for
+    /// longer.
+    pub(super) fn issue_part_verdict(&mut self, target: Target, ttl: Duration, now: Instant) {
+        self.issue_verdict(target, ttl == VERDICT_TTL, now);
+        if let Some(verdict) = self.verdicts.get_mut(&target) {
+            verdict.until = now + ttl;
+            verdict.stored = ttl < VERDICT_TTL;
+        }
+    }
+
     /// Removes a verdict if the table is full: one on a single caller of a content that is refused
     /// to all, or else the oldest.
     fn make_room_for_verdict(&mut self) {
--- a/lib/src/coordination/quarantine/wire.rs
+++ b/lib/src/coordination/quarantine/wire.rs
@@ -21,6 +21,30 @@
     pub ended_ms: u32,
 }
 
+/// Report of a part of prompts under which servers crashed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PartReport {
+    /// Hash of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Incarnations of the servers that crashed.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub lives: Vec<u64>,
+    /// Time since their crashes, in their order, milliseconds.
+    #[prost(uint32, repeated, tag = "3")]
+    pub ended_ms: Vec<u32>,
+    /// Time since the last request with the part was sent to these servers, in their order,
+    /// milliseconds.
+    #[prost(uint32, repeated, tag = "6")]
+    pub sent_ms: Vec<u32>,
+    /// Successes of the part on one box shortly before its first crash.
+    #[prost(uint32, tag = "4")]
+    pub successes: u32,
+    /// Time since the last success on the sender, milliseconds.
+    #[prost(uint32, optional, tag = "5")]
+    pub succeeded_ms: Option<u32>,
+}
+
 /// Report of a verdict.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VerdictReport {
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -56,6 +56,8 @@
 /// to a box which has just started and contains only rates and leaving servers, one for judges of
 /// upgrades, or one about streams.
 pub const REPLY_NUMBER: u64 = 0;
+/// Number of crashes from which boxes of other regions get reports of a part of prompts.
+const MIN_CRASHES_FOR_OTHER_REGIONS: usize = 2;
 /// Maximum size of a datagram in bytes: some hundred servers.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
@@ -218,9 +220,11 @@
 
 fn apply_quarantine<A: Adapter>(shared: &Shared<A>, report: &BoxReport, now: Instant) {
     let mut quarantine = lock(&shared.quarantine);
-    if quarantine.is_empty() && report.ends.is_empty() && report.verdicts.is_empty() {
+    let is_silent = report.ends.is_empty() && report.verdicts.is_empty() && report.parts.is_empty();
+    if quarantine.is_empty() && is_silent {
         return;
     }
+    report.parts.iter().for_each(|part| quarantine.receive_part(part, now));
     if report.region == shared.settings.region {
         quarantine.receive_reserved_servers(report.sender, &report.trials, now);
     }
@@ -384,6 +388,7 @@
     report.unreached_servers.clear();
     report.flows = lock(&shared.quotas).region_usage_to_report(now);
     report.ends = lock(&shared.quarantine).crash_reports(Audience::AllRegions, now);
+    report.parts.retain(|part| part.lives.len() >= MIN_CRASHES_FOR_OTHER_REGIONS);
     add_region_load(shared, report);
 }
 
@@ -515,9 +520,10 @@
     report.reached_servers = checks.results_to_report(true);
     report.unreached_servers = checks.results_to_report(false);
     drop(checks);
-    let quarantine = lock(&shared.quarantine);
+    let mut quarantine = lock(&shared.quarantine);
     if !quarantine.is_empty() {
         report.ends = quarantine.crash_reports(Audience::Region, now);
+        report.parts = quarantine.part_reports(now);
         report.verdicts = quarantine.verdict_reports(now, &mut rand::rng());
         report.trials = quarantine.own_reserved_servers();
     }
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -14,6 +14,7 @@
 use crate::coordination::interrupted::InterruptedRequest;
 use crate::coordination::placement::Place;
 use crate::coordination::quarantine::Evaluation;
+use crate::coordination::quarantine::PartVerdict;
 use crate::coordination::quarantine::Suspicion;
 use crate::coordination::shared_prefix::SharedPrefix;
 use crate::error::Failure;
@@ -60,6 +61,12 @@
     log::info!(target: TARGET, "event=evaluated {evaluation}");
 }
 
+/// Logs that requests with a part in their prompts are refused from now on.
+pub fn part_quarantined(verdict: &PartVerdict) {
+    let PartVerdict { part, crashes, successes } = verdict;
+    log::warn!("event=part_quarantined part={part:016x} ends={crashes} successes={successes}");
+}
+
 /// Logs that a backend server was chosen.
 pub fn placed(
     job: &Job,
--- a/lib/src/gateway/feedback.rs
+++ b/lib/src/gateway/feedback.rs
@@ -44,6 +44,7 @@
         place: &reservation.place,
         service: throttle::service_hash(&job.service),
         request: job.fingerprint,
+        parts: &job.metadata.segments,
     };
     let now = clock::now();
     let effects = with_feedback_handler(shared, &job.service, |handler| {
--- a/lib/src/gateway/quarantine.rs
+++ b/lib/src/gateway/quarantine.rs
@@ -60,13 +60,18 @@
     if quarantine.is_empty() {
         return Ok(());
     }
-    let Some(remaining) = quarantine.refused_for(job.fingerprint, clock::now()) else {
-        return Ok(());
-    };
+    let now = clock::now();
+    let refused = quarantine.refused_for(job.fingerprint, now);
+    let refused = refused.map(|left| (format!("request {}", job.fingerprint), left));
+    let refused = refused.or_else(|| {
+        let (part, left) = quarantine.refused_part(&job.metadata.segments, now)?;
+        Some((format!("requests with part {part:016x}"), left))
+    });
+    let Some((cause, remaining)) = refused else { return Ok(()) };
     drop(quarantine);
     shared.counters.increment(Counter::Quarantined);
     shared.verdicts.notify_one();
-    let message = format!("servers ended under request {} before", job.fingerprint);
+    let message = format!("servers ended under {cause} before");
     Err(Failure::new(ErrorKind::Quarantined, message).with_retry_after(remaining))
 }
 
@@ -100,6 +105,7 @@
     let mut quarantine = lock(&shared.quarantine);
     let decided = quarantine.tick(now);
     quarantine.take_evaluations().iter().for_each(decision_log::evaluated);
+    quarantine.take_part_verdicts().iter().for_each(decision_log::part_quarantined);
     drop(quarantine);
     for Target { content, caller } in &decided {
         log::warn!("event=quarantined content={content:016x} caller={caller:x?}");
--- a/lib/tests/test_learning.rs
+++ b/lib/tests/test_learning.rs
@@ -123,7 +123,7 @@
 
     fn handle_report(&mut self, place: &Place, report: AttemptReport) -> Effects {
         let now = self.now;
-        let sent = SentRequest { place, service: SERVICE, request: request() };
+        let sent = SentRequest { place, service: SERVICE, request: request(), parts: &[] };
         self.handler().handle_report(sent, &report, now)
     }
 }
