throttle: names of the field for what a room depends on; a rejected request goes to no neighbor

A request that a brittle server rejected was still forwarded to a neighbor if this box had no place; the neighbor would have offered it to another brittle server of the region.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -12,7 +12,7 @@
 use super::prefix_cache::PrefixCache;
 use super::reachability::Path;
 use super::rendezvous;
-use super::throttle::RoomOf;
+use super::throttle::ServerCapacity;
 use super::throttle::ServiceHash;
 use super::throttle::Throttles;
 use super::upgrade::Role;
@@ -334,9 +334,9 @@
         is_within_cold_share && f64::from(load.in_flight) < self.limit
     }
 
-    /// The server as far as its room depends on it.
-    pub fn room_of(&self, service: ServiceHash) -> RoomOf {
-        RoomOf {
+    /// What the room of the server depends on.
+    pub fn capacity(&self, service: ServiceHash) -> ServerCapacity {
+        ServerCapacity {
             server: self.incarnation,
             service,
             slots: self.state.server.slots,
@@ -353,10 +353,10 @@
         service: ServiceHash,
         now: Instant,
     ) -> bool {
-        let room_of = self.room_of(service);
+        let capacity = self.capacity(service);
         let total = self.in_flight + loads.on_server(self.incarnation).in_flight;
-        throttles.room_share(room_of, now).is_none_or(|share| self.in_flight < share)
-            && throttles.room_limit(room_of, now).is_none_or(|limit| total < limit)
+        throttles.room_share(capacity, now).is_none_or(|share| self.in_flight < share)
+            && throttles.room_limit(capacity, now).is_none_or(|limit| total < limit)
     }
 
     /// Estimates the work that a request would cause at this server.
--- a/lib/src/coordination/feedback.rs
+++ b/lib/src/coordination/feedback.rs
@@ -225,12 +225,12 @@
     ) {
         let SentRequest { place, service, .. } = sent_request;
         let placement = self.placement.as_ref();
-        let Some(room_of) = placement.and_then(|placement| placement.room_of(place, service))
+        let Some(capacity) = placement.and_then(|placement| placement.capacity(place, service))
         else {
             return;
         };
         let held = place.in_flight.saturating_sub(1) + place.others_in_flight;
-        if self.throttles.record_rejection(room_of, held, now) {
+        if self.throttles.record_rejection(capacity, held, now) {
             effects.notify(Audience::Region);
         }
     }
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -35,7 +35,7 @@
 use super::rest_period::RestPeriods;
 use super::retry_spread::RetrySpread;
 use super::shared_prefix::SharedPrefix;
-use super::throttle::RoomOf;
+use super::throttle::ServerCapacity;
 use super::throttle::ServiceHash;
 use super::throttle::Throttles;
 use super::upgrade::Role;
@@ -390,17 +390,17 @@
         (candidate.incarnation == place.incarnation).then_some(candidate)
     }
 
-    /// The server of a place as far as its room depends on it; `None` if the server is gone.
-    pub fn room_of(&self, place: &Place, service: ServiceHash) -> Option<RoomOf> {
+    /// What the room of the server of a place depends on; `None` if the server is gone.
+    pub fn capacity(&self, place: &Place, service: ServiceHash) -> Option<ServerCapacity> {
         let candidate = self.servers.get(&place.server)?;
-        (candidate.incarnation == place.incarnation).then(|| candidate.room_of(service))
+        (candidate.incarnation == place.incarnation).then(|| candidate.capacity(service))
     }
 
-    /// The servers that this box may use, as far as their room depends on them.
-    pub fn rooms(&self, service: ServiceHash) -> impl Iterator<Item = RoomOf> {
+    /// What the room of the servers that this box may use depends on.
+    pub fn capacities(&self, service: ServiceHash) -> impl Iterator<Item = ServerCapacity> {
         let servers = self.servers.values();
         let usable = servers.filter(|candidate| candidate.is_usable() && !candidate.path.is_lost());
-        usable.map(move |candidate| candidate.room_of(service))
+        usable.map(move |candidate| candidate.capacity(service))
     }
 
     /// Releases a place and records the outcome of its request.
--- a/lib/src/coordination/placement/utilization.rs
+++ b/lib/src/coordination/placement/utilization.rs
@@ -41,7 +41,7 @@
                 let used_slots = throttles
                     .rate(candidate.incarnation)
                     .map(|rate| rate * REQUEST_DURATION.as_secs_f64());
-                let room = throttles.room_limit(candidate.room_of(service), now);
+                let room = throttles.room_limit(candidate.capacity(service), now);
                 let slots = room.map_or(slots, |room| f64::from(room).min(slots));
                 utilization.in_flight +=
                     f64::from(candidate.load(loads, unreported_boxes).in_flight);
@@ -73,7 +73,7 @@
                 saturated = true;
             } else if throttles.has_capacity(candidate.incarnation, now)
                 && throttles
-                    .room_limit(candidate.room_of(service), now)
+                    .room_limit(candidate.capacity(service), now)
                     .is_none_or(|room| load.in_flight < room)
             {
                 return false;
--- a/lib/src/coordination/throttle.rs
+++ b/lib/src/coordination/throttle.rs
@@ -46,8 +46,8 @@
 use self::demand::Demand;
 use self::region::Peer;
 use self::region::PeerTotals;
-pub use self::room::RoomOf;
 use self::room::Rooms;
+pub use self::room::ServerCapacity;
 use super::rendezvous;
 
 /// Hash that identifies one incarnation of a server, as in [`super::interrupted`].
@@ -218,9 +218,9 @@
 
     /// Records that a server rejected a request while it had `held` others. Returns whether the
     /// server is brittle, so that the other boxes are notified at once.
-    pub fn record_rejection(&mut self, room_of: RoomOf, held: u32, now: Instant) -> bool {
+    pub fn record_rejection(&mut self, capacity: ServerCapacity, held: u32, now: Instant) -> bool {
         let reports = self.rounds + REPORT_REPEATS;
-        self.rooms.record_rejection(room_of, held, self.others.len() + 1, reports, now)
+        self.rooms.record_rejection(capacity, held, self.others.len() + 1, reports, now)
     }
 
     /// Returns how many rejections in a second a server survives, if it is brittle.
@@ -230,14 +230,14 @@
 
     /// Returns the number of requests that all boxes together may have at a server; `None` if the
     /// server is not brittle.
-    pub fn room_limit(&self, room_of: RoomOf, now: Instant) -> Option<u32> {
-        self.rooms.limit(room_of, now)
+    pub fn room_limit(&self, capacity: ServerCapacity, now: Instant) -> Option<u32> {
+        self.rooms.limit(capacity, now)
     }
 
     /// Returns the number of requests that this box may have at a server; `None` if the server is
     /// not brittle.
-    pub fn room_share(&self, room_of: RoomOf, now: Instant) -> Option<u32> {
-        self.rooms.share(room_of, now)
+    pub fn room_share(&self, capacity: ServerCapacity, now: Instant) -> Option<u32> {
+        self.rooms.share(capacity, now)
     }
 
     /// Returns how many requests each box of the region, by its hash, may have at brittle servers of
@@ -245,7 +245,7 @@
     pub fn room_places(
         &self,
         service: ServiceHash,
-        servers: impl Iterator<Item = RoomOf>,
+        servers: impl Iterator<Item = ServerCapacity>,
         now: Instant,
     ) -> HashMap<u64, u32> {
         self.rooms.places(service, servers, now)
--- a/lib/src/coordination/throttle/exchange.rs
+++ b/lib/src/coordination/throttle/exchange.rs
@@ -80,7 +80,7 @@
                 weight: Some(weight),
             });
         }
-        report.rooms = self.rooms.to_report(MAX_ROOMS, now);
+        report.rooms = self.rooms.next_rooms(MAX_ROOMS, now);
         report
     }
 
--- a/lib/src/coordination/throttle/room.rs
+++ b/lib/src/coordination/throttle/room.rs
@@ -48,9 +48,9 @@
 /// Minimum time after which a larger share is used.
 const MIN_SHARE_DELAY: Duration = Duration::from_millis(600);
 
-/// A server as far as its room depends on it.
+/// What the room of a server depends on besides its statements.
 #[derive(Clone, Copy, Debug)]
-pub struct RoomOf {
+pub struct ServerCapacity {
     /// The incarnation of the server.
     pub server: ServerIncarnation,
     /// The service of the server.
@@ -204,15 +204,15 @@
     /// whether the server is brittle, so that the other boxes are notified at once.
     pub fn record_rejection(
         &mut self,
-        room_of: RoomOf,
+        capacity: ServerCapacity,
         held: u32,
         boxes: usize,
         reports: u32,
         now: Instant,
     ) -> bool {
-        let Some(limit) = self.limit(room_of, now) else { return false };
-        let Some(room) = self.rooms.get_mut(&room_of.server) else { return false };
-        let lowest = (f64::from(room_of.slots) * INITIAL_FRACTION).max(1.0);
+        let Some(limit) = self.limit(capacity, now) else { return false };
+        let Some(room) = self.rooms.get_mut(&capacity.server) else { return false };
+        let lowest = (f64::from(capacity.slots) * INITIAL_FRACTION).max(1.0);
         let mut limit = f64::from(limit.saturating_sub(1)).min(f64::from(held)).max(lowest);
         room.rejected_at.retain(|at| now < *at + REJECTION_WINDOW);
         room.rejected_at.push_back(now);
@@ -231,23 +231,23 @@
 
     /// Returns the number of requests that all boxes together may have at a server; `None` if the
     /// server is not brittle.
-    pub fn limit(&self, room_of: RoomOf, now: Instant) -> Option<u32> {
-        let room = self.rooms.get(&room_of.server);
+    pub fn limit(&self, capacity: ServerCapacity, now: Instant) -> Option<u32> {
+        let room = self.rooms.get(&capacity.server);
         // A server that has not stated anything yet is like the others of its service.
-        let is_brittle =
-            room.map_or_else(|| self.brittle_services.contains(&room_of.service), Room::is_brittle);
+        let is_brittle = room
+            .map_or_else(|| self.brittle_services.contains(&capacity.service), Room::is_brittle);
         if !is_brittle {
             return None;
         }
         if room.and_then(|room| room.closed_until).is_some_and(|until| now < until) {
             return Some(0);
         }
-        let slots = f64::from(room_of.slots.max(1));
+        let slots = f64::from(capacity.slots.max(1));
         let grown = |limit: f64, since: Instant| {
             limit + slots * GROWTH_PER_SECOND * now.saturating_duration_since(since).as_secs_f64()
         };
         let initial = (slots * INITIAL_FRACTION).max(1.0);
-        let after_start = grown(initial, room_of.available_since);
+        let after_start = grown(initial, capacity.available_since);
         let ceiling = room.and_then(|room| room.ceiling);
         let after_rejection =
             ceiling.map_or(slots, |ceiling| grown(ceiling.limit, ceiling.rejected_at + HOLD_TIME));
@@ -256,10 +256,10 @@
 
     /// Returns the number of requests that this box may have at a server; `None` if the server is
     /// not brittle.
-    pub fn share(&self, room_of: RoomOf, now: Instant) -> Option<u32> {
-        let limit = self.limit(room_of, now)?;
-        let offset = offset(room_of.server);
-        let shares = self.shares.get(&room_of.service).into_iter().flatten();
+    pub fn share(&self, capacity: ServerCapacity, now: Instant) -> Option<u32> {
+        let limit = self.limit(capacity, now)?;
+        let offset = offset(capacity.server);
+        let shares = self.shares.get(&capacity.service).into_iter().flatten();
         Some(shares.map(|share| share.places(limit, offset)).min().unwrap_or(limit))
     }
 
@@ -267,11 +267,11 @@
     pub fn places(
         &self,
         service: ServiceHash,
-        servers: impl Iterator<Item = RoomOf>,
+        servers: impl Iterator<Item = ServerCapacity>,
         now: Instant,
     ) -> HashMap<u64, u32> {
         let limits: Vec<(u32, f64)> = servers
-            .filter_map(|room_of| Some((self.limit(room_of, now)?, offset(room_of.server))))
+            .filter_map(|capacity| Some((self.limit(capacity, now)?, offset(capacity.server))))
             .collect();
         let places = |share: &Share| {
             limits.iter().map(|(limit, offset)| share.places(*limit, *offset)).sum()
@@ -321,7 +321,7 @@
     }
 
     /// Composes the rooms for the next report, at most `max_count`.
-    pub fn to_report(&mut self, max_count: usize, now: Instant) -> Vec<ServerRoom> {
+    pub fn next_rooms(&mut self, max_count: usize, now: Instant) -> Vec<ServerRoom> {
         let due = self.rooms.iter_mut().filter(|(_, room)| room.reports_left > 0);
         due.take(max_count)
             .map(|(server, room)| {
--- a/lib/src/gateway/forwarding.rs
+++ b/lib/src/gateway/forwarding.rs
@@ -200,6 +200,9 @@
     job: &Job,
     history: &RequestHistory,
 ) -> Option<SocketAddr> {
+    if history.refused_by_brittle {
+        return None;
+    }
     let (service_hash, now) = (rendezvous::weight(&job.service, ""), clock::now());
     let own = presence::box_hash(&shared.settings.name);
     let places = shared.with_service(&job.service, |service| {
@@ -207,7 +210,7 @@
             return None;
         }
         let (loads, throttles) = (lock(&shared.loads), lock(&shared.throttles));
-        let rooms = service.placement.rooms(service_hash);
+        let rooms = service.placement.capacities(service_hash);
         let places = throttles.room_places(service_hash, rooms, now);
         let has_places = places.get(&own).is_some_and(|own_places| *own_places > 0);
         let is_closed = service.placement.is_closed(service_hash, &loads, &throttles, now);
--- a/lib/src/gateway/room.rs
+++ b/lib/src/gateway/room.rs
@@ -87,8 +87,8 @@
 /// Requests that this box may have at the brittle servers of the service.
 fn places<A>(shared: &Shared<A>, service: &Service, job: &Job, now: Instant) -> u32 {
     let throttles = lock(&shared.throttles);
-    let rooms = service.placement.rooms(throttle::service_hash(&job.service));
-    rooms.filter_map(|room_of| throttles.room_share(room_of, now)).sum()
+    let rooms = service.placement.capacities(throttle::service_hash(&job.service));
+    rooms.filter_map(|capacity| throttles.room_share(capacity, now)).sum()
 }
 
 /// Refuses a request because this box has all the requests at brittle servers that it may have.
--- a/lib/tests/test_brittle_room.rs
+++ b/lib/tests/test_brittle_room.rs
@@ -8,7 +8,7 @@
 
 use copperweir_lib::coordination::quota::ReportId;
 use copperweir_lib::coordination::rendezvous;
-use copperweir_lib::coordination::throttle::RoomOf;
+use copperweir_lib::coordination::throttle::ServerCapacity;
 use copperweir_lib::coordination::throttle::Throttles;
 use copperweir_lib::coordination::throttle::wire::ThrottleReport;
 use rand::Rng;
@@ -326,11 +326,19 @@
         }
     }
 
-    fn rooms(&self) -> impl Iterator<Item = (usize, RoomOf)> {
+    fn rooms(&self) -> impl Iterator<Item = (usize, ServerCapacity)> {
         let running = self.servers.iter().enumerate().filter(|(_, one)| one.down_until.is_none());
         running.map(|(index, server)| {
             let Server { incarnation, available_since, .. } = *server;
-            (index, RoomOf { server: incarnation, service: SERVICE, slots: SLOTS, available_since })
+            (
+                index,
+                ServerCapacity {
+                    server: incarnation,
+                    service: SERVICE,
+                    slots: SLOTS,
+                    available_since,
+                },
+            )
         })
     }
 
@@ -339,7 +347,7 @@
         if self.boxes[number].brittle_count() == 0 {
             return number;
         }
-        let rooms: Vec<RoomOf> = self.rooms().map(|(_, room_of)| room_of).collect();
+        let rooms: Vec<ServerCapacity> = self.rooms().map(|(_, capacity)| capacity).collect();
         let places = self.boxes[number].room_places(SERVICE, rooms.into_iter(), now);
         let places = |number: &usize| places.get(&box_hash(*number)).copied().unwrap_or(0);
         let may_wait = |number: usize| {
@@ -359,8 +367,8 @@
 
     /// Whether a box knows of no server with room.
     fn is_closed(&self, number: usize, now: Instant) -> bool {
-        self.rooms().all(|(index, room_of)| {
-            let limit = self.boxes[number].room_limit(room_of, now).unwrap_or(3 * SLOTS);
+        self.rooms().all(|(index, capacity)| {
+            let limit = self.boxes[number].room_limit(capacity, now).unwrap_or(3 * SLOTS);
             let others = self.reported_by_others(number, index);
             self.held_by(index, number) + others >= limit as usize
         })
@@ -371,10 +379,16 @@
         self.servers[index].held_by[number]
     }
 
-    fn has_room(&self, number: usize, index: usize, room_of: RoomOf, now: Instant) -> bool {
+    fn has_room(
+        &self,
+        number: usize,
+        index: usize,
+        capacity: ServerCapacity,
+        now: Instant,
+    ) -> bool {
         let throttles = &self.boxes[number];
         let (share, limit) =
-            (throttles.room_share(room_of, now), throttles.room_limit(room_of, now));
+            (throttles.room_share(capacity, now), throttles.room_limit(capacity, now));
         let Some((share, limit)) = share.zip(limit) else {
             return self.held(index) < 3 * SLOTS as usize;
         };
@@ -399,18 +413,18 @@
                 self.waiting[number].pop_front();
                 continue;
             }
-            let open: Vec<(usize, RoomOf)> = self
+            let open: Vec<(usize, ServerCapacity)> = self
                 .rooms()
-                .filter(|(index, room_of)| self.has_room(number, *index, *room_of, now))
+                .filter(|(index, capacity)| self.has_room(number, *index, *capacity, now))
                 .collect();
-            let load = |(index, _): &(usize, RoomOf)| self.held(*index);
-            let Some((index, room_of)) = open.into_iter().min_by_key(load) else { return };
+            let load = |(index, _): &(usize, ServerCapacity)| self.held(*index);
+            let Some((index, capacity)) = open.into_iter().min_by_key(load) else { return };
             self.waiting[number].pop_front();
-            self.offer(number, index, room_of, now);
+            self.offer(number, index, capacity, now);
         }
     }
 
-    fn offer(&mut self, number: usize, index: usize, room_of: RoomOf, now: Instant) {
+    fn offer(&mut self, number: usize, index: usize, capacity: ServerCapacity, now: Instant) {
         let room = if self.second(now) >= SMALL_AT { self.scenario.room } else { 3 * SLOTS };
         let (held, stated) = (self.held(index), self.stated(now));
         let server = &mut self.servers[index];
@@ -434,8 +448,8 @@
             server.held_by.fill(0);
         }
         let throttles = &mut self.boxes[number];
-        let is_news = throttles.record_brittle(room_of.server, SERVICE, stated, now);
-        if throttles.record_rejection(room_of, held as u32, now) || is_news {
+        let is_news = throttles.record_brittle(capacity.server, SERVICE, stated, now);
+        if throttles.record_rejection(capacity, held as u32, now) || is_news {
             self.report_to_all(number, now);
         }
     }
