quarantine: parts are not refused for crashes that have another cause

Cause: crashes at the same moment counted as one only within 40 ms, and a part with few requests may see three crashes without a success by chance. A deadly content blames all parts of its prompt.

Change: a crash counts only if a request with the part was sent after the crash before. The part must have been present at half of all crashes since its first one, and under more than one content.

--- a/lib/src/coordination/feedback.rs
+++ b/lib/src/coordination/feedback.rs
@@ -242,9 +242,9 @@
         now: Instant,
     ) {
         let SentRequest { place, request, parts, .. } = sent_request;
-        self.quarantine.record_interrupted_parts(place.incarnation, parts, place.reserved_at, now);
         let interrupted =
             InterruptedRequest { request, sent_at: place.reserved_at, interrupted_at: now };
+        self.quarantine.record_interrupted_parts(place.incarnation, parts, interrupted);
         match self.interrupted.record(place.incarnation, interrupted, now) {
             NextStep::AwaitProbe => {}
             NextStep::Probe => effects.probe = true,
--- a/lib/src/coordination/quarantine.rs
+++ b/lib/src/coordination/quarantine.rs
@@ -39,6 +39,7 @@
 pub use self::parts::PartHash;
 pub use self::parts::PartVerdict;
 use self::parts::Parts;
+use self::parts::SentPart;
 pub use self::parts::shared_parts;
 use self::successes::RecentSuccesses;
 pub use self::verdicts::VERDICT_TTL;
@@ -177,6 +178,7 @@
         else {
             return;
         };
+        self.parts.record_server(report.life, crashed_at);
         let crash = Crash {
             incarnation: report.life,
             caller: report.caller,
@@ -392,10 +394,12 @@
         &mut self,
         server: ServerIncarnation,
         segments: &[PromptSegment],
-        sent_at: Instant,
-        now: Instant,
+        interrupted: InterruptedRequest,
     ) {
-        self.parts.record_interruption(server, parts::shared_parts(segments), sent_at, now);
+        let InterruptedRequest { request, sent_at, interrupted_at } = interrupted;
+        let sent = SentPart { content: request.content, sent_at };
+        let shared = parts::shared_parts(segments);
+        self.parts.record_interruption(server, shared, sent, interrupted_at);
     }
 
     /// Records that a server crashed while it was executing requests with these parts.
--- a/lib/src/coordination/quarantine/parts.rs
+++ b/lib/src/coordination/quarantine/parts.rs
@@ -7,6 +7,11 @@
 //! in between if it had not succeeded shortly before, and after five otherwise. A part whose crashes
 //! another part accounts for as well is not refused if it succeeds more often.
 //!
+//! Crashes under a single content are left to the verdict on that content.
+//!
+//! Servers also crash for other reasons, each time under many parts. A part is therefore refused only
+//! if it was present at half of all crashes since its first one.
+//!
 //! Verdicts on parts are kept, reported and stored as those on contents.
 
 use std::collections::HashMap;
@@ -28,8 +33,9 @@
 const CRASHES_FOR_CERTAINTY: usize = 5;
 /// Time from a crash to the verdict: by then other regions have reported successes of the part.
 const EVALUATION_DELAY: Duration = Duration::from_millis(250);
-/// Crashes less than this apart count as one.
-const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(40);
+/// Fraction of all servers that crashed since the first crash of a part at which it must have been
+/// present. If servers crash for another reason, each part was present at few of them.
+const MIN_PRESENCE: f64 = 0.5;
 /// Precision of the times in reports.
 const REPORT_PRECISION: Duration = Duration::from_millis(2);
 /// How long a part is refused that had succeeded shortly before its crashes. It may stand in most
@@ -114,6 +120,8 @@
     /// When the last of these requests was sent to the server.
     sent_at: Instant,
     crashed_at: Instant,
+    /// Content of that request.
+    content: ContentHash,
 }
 
 #[derive(Clone, Debug)]
@@ -137,15 +145,12 @@
         self.crashes.iter().filter(counts)
     }
 
-    /// Number of crashes since the last success. Crashes at the same moment have a common cause that
-    /// is not a request, unless a request was sent to the second server after the first crash.
+    /// Number of crashes since the last success, each of a server that got a request with the part
+    /// after the crash before. Others may have a common cause that is not a request.
     fn crashes_in_a_row(&self) -> usize {
         let mut crashes: Vec<&PartCrash> = self.counted().collect();
         crashes.sort_unstable_by_key(|crash| crash.crashed_at);
-        crashes.dedup_by(|later, earlier| {
-            later.sent_at + REPORT_PRECISION <= earlier.crashed_at
-                && later.crashed_at < earlier.crashed_at + COMMON_CAUSE_WINDOW
-        });
+        crashes.dedup_by(|later, earlier| later.sent_at + REPORT_PRECISION <= earlier.crashed_at);
         crashes.len()
     }
 
@@ -157,12 +162,26 @@
         self.crashes.iter().any(|crash| crash.server == server)
     }
 
+    /// Whether the crashes that count occurred under different contents. A content that crashes servers
+    /// has a verdict of its own.
+    fn has_several_contents(&self) -> bool {
+        let first = self.counted().next().map(|crash| crash.content);
+        self.counted().any(|crash| Some(crash.content) != first)
+    }
+
     /// Whether this part was present at each of the crashes that count against the other.
     fn accounts_for(&self, other: &Suspect) -> bool {
         other.counted().all(|crash| self.includes(crash.server))
     }
 }
 
+/// The last request with a part that was sent to a server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SentPart {
+    pub content: ContentHash,
+    pub sent_at: Instant,
+}
+
 /// Crashes and successes of parts, as known to a box.
 #[derive(Debug, Default)]
 pub(super) struct Parts {
@@ -170,7 +189,9 @@
     successes: Successes,
     /// Parts that a server was executing when responses broke off, and when they were last sent to
     /// it, until its crash is confirmed.
-    pending: HashMap<ServerIncarnation, (HashMap<PartHash, Instant>, Instant)>,
+    pending: HashMap<ServerIncarnation, (HashMap<PartHash, SentPart>, Instant)>,
+    /// When servers crashed, whatever they were executing.
+    crashed_at: HashMap<ServerIncarnation, Instant>,
     /// Number of reports composed.
     report_count: u64,
 }
@@ -191,34 +212,56 @@
         &mut self,
         server: ServerIncarnation,
         parts: impl Iterator<Item = PartHash>,
-        sent_at: Instant,
+        sent: SentPart,
         now: Instant,
     ) {
         let (pending, _) = self.pending.entry(server).or_insert_with(|| (HashMap::new(), now));
         for part in parts {
-            let last_sent_at = pending.entry(part).or_insert(sent_at);
-            *last_sent_at = sent_at.max(*last_sent_at);
+            let last = pending.entry(part).or_insert(sent);
+            if sent.sent_at > last.sent_at {
+                *last = sent;
+            }
         }
     }
 
     /// Records that a server crashed while it was executing requests of this box.
     pub fn record_crash(&mut self, server: ServerIncarnation, now: Instant) {
         let Some((parts, crashed_at)) = self.pending.remove(&server) else { return };
-        for (part, sent_at) in parts {
+        self.record_server(server, crashed_at);
+        for (part, SentPart { content, sent_at }) in parts {
             let succeeded_before = self.successes.count(part);
-            let crash = PartCrash { server, sent_at, crashed_at };
+            let crash = PartCrash { server, sent_at, crashed_at, content };
             self.add_crash(part, crash, succeeded_before, now);
         }
     }
 
+    /// Records that a server crashed.
+    pub fn record_server(&mut self, server: ServerIncarnation, crashed_at: Instant) {
+        let earliest = self.crashed_at.entry(server).or_insert(crashed_at);
+        *earliest = crashed_at.min(*earliest);
+    }
+
+    /// Whether a part was present at enough of the crashes since its first one that counts.
+    fn is_present_at_crashes(&self, suspect: &Suspect) -> bool {
+        let Some(first) = suspect.counted().map(|crash| crash.crashed_at).min() else {
+            return false;
+        };
+        let since = first.checked_sub(REPORT_PRECISION).unwrap_or(first);
+        let all = self.crashed_at.values().filter(|at| **at >= since).count();
+        suspect.counted().count() as f64 >= MIN_PRESENCE * all as f64
+    }
+
     /// Records what another box reports about a part.
     pub fn receive(&mut self, report: &wire::PartReport, now: Instant) {
         let ago = |ms: u32| now.checked_sub(Duration::from_millis(ms.into()));
         let times = report.sent_ms.iter().zip(&report.ended_ms);
-        for (server, (sent_ms, ended_ms)) in report.lives.iter().zip(times) {
+        let requests = report.contents.iter().zip(times);
+        for (server, (content, (sent_ms, ended_ms))) in report.lives.iter().zip(requests) {
             let Some((sent_at, crashed_at)) = ago(*sent_ms).zip(ago(*ended_ms)) else { continue };
+            self.record_server(*server, crashed_at);
             let own = self.successes.count(report.part);
-            let crash = PartCrash { server: *server, sent_at, crashed_at };
+            let (server, content) = (*server, *content);
+            let crash = PartCrash { server, sent_at, crashed_at, content };
             self.add_crash(report.part, crash, own.max(report.successes), now);
         }
         let succeeded_at = report.succeeded_ms.and_then(ago);
@@ -275,6 +318,7 @@
     /// Drops what no longer counts, and returns the parts that are to be refused.
     pub fn tick(&mut self, now: Instant) -> Vec<PartVerdict> {
         self.pending.retain(|_, (_, at)| now < *at + PENDING_RETENTION);
+        self.crashed_at.retain(|_, at| now < *at + CRASH_RETENTION);
         for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(|crash| now < crash.crashed_at + CRASH_RETENTION);
         }
@@ -304,7 +348,10 @@
 
     /// Whether a part is taken to be the cause of its crashes.
     fn is_cause(&self, part: PartHash, suspect: &Suspect) -> bool {
-        if suspect.crashes_in_a_row() < suspect.required_crashes() {
+        if suspect.crashes_in_a_row() < suspect.required_crashes()
+            || !suspect.has_several_contents()
+            || !self.is_present_at_crashes(suspect)
+        {
             return false;
         }
         let others = self.suspects.iter().filter(|(other, _)| **other != part);
@@ -332,6 +379,7 @@
         let reports = reports.map(|(part, suspect)| wire::PartReport {
             part: *part,
             lives: suspect.crashes.iter().map(|crash| crash.server).collect(),
+            contents: suspect.crashes.iter().map(|crash| crash.content).collect(),
             sent_ms: suspect.crashes.iter().map(|crash| millis_ago(crash.sent_at)).collect(),
             ended_ms: suspect.crashes.iter().map(|crash| millis_ago(crash.crashed_at)).collect(),
             successes: suspect.succeeded_before,
--- a/lib/src/coordination/quarantine/wire.rs
+++ b/lib/src/coordination/quarantine/wire.rs
@@ -37,6 +37,9 @@
     /// milliseconds.
     #[prost(uint32, repeated, tag = "6")]
     pub sent_ms: Vec<u32>,
+    /// Contents of these requests.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub contents: Vec<u64>,
     /// Successes of the part on one box shortly before its first crash.
     #[prost(uint32, tag = "4")]
     pub successes: u32,
--- a/lib/tests/test_quarantine_parts.rs
+++ b/lib/tests/test_quarantine_parts.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use copperweir_lib::coordination::fingerprint::Fingerprint;
+use copperweir_lib::coordination::interrupted::InterruptedRequest;
 use copperweir_lib::coordination::quarantine::Quarantine;
 use copperweir_lib::coordination::quarantine::VERDICT_TTL;
 use copperweir_lib::protocol::adapter::PromptSegment;
@@ -27,11 +29,14 @@
     quarantine: Quarantine,
     now: Instant,
     next_server: u64,
+    /// Content of all requests; `None` if no two are alike.
+    content: Option<u64>,
 }
 
 impl Fixture {
     fn new() -> Fixture {
-        Fixture { quarantine: Quarantine::default(), now: Instant::now() + SECOND, next_server: 0 }
+        let now = Instant::now() + SECOND;
+        Fixture { quarantine: Quarantine::default(), now, next_server: 0, content: None }
     }
 
     fn succeed(&mut self, parts: &[u64]) {
@@ -42,12 +47,20 @@
     fn crash(&mut self, requests: &[&[u64]]) {
         self.next_server += 1;
         for parts in requests {
-            let (prompt, sent_at) = (prompt(parts), self.now - EXECUTION);
-            self.quarantine.record_interrupted_parts(self.next_server, &prompt, sent_at, self.now);
+            let interrupted = self.interrupted(self.now - EXECUTION);
+            let prompt = prompt(parts);
+            self.quarantine.record_interrupted_parts(self.next_server, &prompt, interrupted);
         }
         self.quarantine.record_part_crash(self.next_server, self.now);
     }
 
+    /// A request of this content that was interrupted now.
+    fn interrupted(&self, sent_at: Instant) -> InterruptedRequest {
+        let content = self.content.unwrap_or(self.next_server);
+        let request = Fingerprint { content, caller: 0 };
+        InterruptedRequest { request, sent_at, interrupted_at: self.now }
+    }
+
     fn wait(&mut self, duration: Duration) {
         self.now += duration;
         self.quarantine.tick(self.now);
@@ -84,6 +97,17 @@
     assert!(!fixture.is_refused(&[FIRST, 77]));
 }
 
+#[test]
+fn part_of_a_single_deadly_content_is_not_refused() {
+    let mut fixture = Fixture::new();
+    fixture.content = Some(5);
+    for _ in 0..6 {
+        fixture.crash(&[&[FIRST, DEADLY]]);
+        fixture.wait(EVALUATION);
+    }
+    assert!(!fixture.is_refused(&[FIRST, DEADLY]));
+}
+
 #[test]
 fn last_part_is_never_suspected() {
     let mut fixture = Fixture::new();
@@ -142,7 +166,9 @@
         let sent_at = fixture.now;
         fixture.wait(Duration::from_millis(20));
         let deadly = prompt(&[DEADLY]);
-        fixture.quarantine.record_interrupted_parts(server, &deadly, sent_at, fixture.now);
+        fixture.next_server = server;
+        let interrupted = fixture.interrupted(sent_at);
+        fixture.quarantine.record_interrupted_parts(server, &deadly, interrupted);
         fixture.quarantine.record_part_crash(server, fixture.now);
         fixture.wait(Duration::from_millis(2));
     }
@@ -150,6 +176,21 @@
     assert!(fixture.is_refused(&[DEADLY]));
 }
 
+#[test]
+fn rare_part_is_not_refused_for_servers_that_crash_for_another_reason() {
+    let mut fixture = Fixture::new();
+    for _ in 0..5 {
+        for rare_part in 100..110 {
+            fixture.crash(&[&[FIRST, rare_part]]);
+        }
+        fixture.crash(&[&[FIRST, HARMLESS]]);
+        fixture.wait(SECOND / 2);
+    }
+    fixture.wait(EVALUATION);
+    assert!(!fixture.is_refused(&[HARMLESS]));
+    assert!(!fixture.is_refused(&[105]));
+}
+
 #[test]
 fn success_on_another_box_ends_the_count() {
     let (mut one, mut other) = (Fixture::new(), Fixture::new());
