gateway: the decision log says how old a server's word is

They name the age of its last report (warm_ms, -1 without one) and the requests of this box since (since_warm).

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -251,6 +251,16 @@
         Some((cold.unwrap_or_default(), at))
     }
 
+    /// Time since the server last reported that it is not cold.
+    pub fn warm_report_age(&self, now: Instant) -> Option<Duration> {
+        self.reported_warm_at.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Recent requests of this box since that report.
+    pub fn sent_since_report(&mut self, now: Instant) -> usize {
+        self.warmup.sent_since(self.reported_warm_at, now)
+    }
+
     /// Requests a second that this box recently sent to the server.
     pub fn sent_per_second(&mut self, now: Instant) -> f64 {
         self.warmup.sent_per_second(now)
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -115,6 +115,10 @@
     pub at_home: bool,
     /// Whether the server is or may be cold.
     pub cold: bool,
+    /// Time since the server reported that it is warm; `None` without such a report.
+    pub warm_report_age: Option<Duration>,
+    /// Requests of this box since then, of the last second.
+    pub sent_since_report: usize,
     /// When the place was reserved.
     pub reserved_at: Instant,
     awaiting_first_byte: bool,
@@ -370,6 +374,8 @@
             candidates,
             at_home,
             cold: candidate.is_cold(selection.stale, selection.now),
+            warm_report_age: candidate.warm_report_age(selection.now),
+            sent_since_report: candidate.sent_since_report(selection.now),
             reserved_at: selection.now,
             awaiting_first_byte: true,
         }
--- a/lib/src/coordination/warmup.rs
+++ b/lib/src/coordination/warmup.rs
@@ -83,6 +83,12 @@
         self.unknown_until.is_none_or(|until| now >= until) && self.sent.len() < share as usize
     }
 
+    /// Number of recent requests since an instant.
+    pub fn sent_since(&mut self, since: Option<Instant>, now: Instant) -> usize {
+        self.expire(now);
+        self.sent.iter().filter(|sent| since.is_none_or(|since| **sent > since)).count()
+    }
+
     /// Recent requests a second.
     pub fn sent_per_second(&mut self, now: Instant) -> f64 {
         self.expire(now);
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -79,7 +79,7 @@
         target: TARGET,
         "event=placed request={} route={} team={} service={} server={} send={} in_flight={} others={} unread={:.0} \
          candidates={} at_home={} cold={} text={:x} content={} version={} boxes={} {state} left_ms={} \
-         software={} after_event={} resumes={}",
+         software={} after_event={} resumes={} warm_ms={} since_warm={}",
         job.metadata.id,
         job.route.name,
         team(job),
@@ -100,6 +100,8 @@
         software(&place.registration.version),
         after_event.map_or(-1, |id| id as i64),
         job.metadata.resumes.as_deref().unwrap_or("-"),
+        place.warm_report_age.map_or(-1, |age| age.as_millis() as i64),
+        place.sent_since_report,
     );
 }
 
