cold servers: a report of being warm covers a share of requests, not a time

Callers of servers that turned cold soon after an evacuation lost their requests: the servers got up to 23 in a second where 17.5 are allowed, and broke off. A box trusted any state from the store that was younger than 2.5 s, and queried no server while it had one. With 20 to 30 requests a second a server has more than it bears after half a second, and while the store gets writes late no age of its state helps: only the server knows.

A server's report that it is warm now covers this box's share of what a cold server bears, and no more. Whenever the server turns cold after its last report, all boxes together send it no more than these shares, however late they hear of it. A report counts from when it was asked for. Servers that are used less are never queried. Where there are more boxes than requests to share, half of the limit has holders, and a box without a share needs a report that is younger, the more the server is used. The states' ages decide nothing of this any more, so the queries of aging states go.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -6,6 +6,10 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use super::coldness::Admission;
+use super::coldness::Allowance;
+use super::coldness::Coldness;
+use super::coldness::Usage;
 use super::ejection::Ejection;
 use super::loads::Load;
 use super::loads::Loads;
@@ -16,7 +20,7 @@
 use super::throttle::ServiceHash;
 use super::throttle::Throttles;
 use super::upgrade::Role;
-use super::warmup::Warmup;
+use super::warmup::Share;
 use crate::protocol::adapter::PromptSegment;
 use crate::protocol::fleet::Server;
 use crate::protocol::fleet::VersionHash;
@@ -41,16 +45,6 @@
 /// engine in use. A low cost such as 2 lets servers compute many more shared tokens again.
 const DUPLICATE_PREFILL_COST: f64 = 10.0;
 
-/// How long a server counts as warm after it reported so, if there is no newer report. The probing
-/// boxes have probed it three times by then, and reported the result twice.
-const WARM_REPORT_TTL: Duration = Duration::from_millis(600);
-
-/// How long reports of being warm are ignored after a server of the same failure domain has turned
-/// cold: servers of a failure domain mostly turn cold together. Of five servers that did, the last
-/// one to report it received the requests that the four others no longer got: 19 in 0.12 s instead
-/// of 17 in a second.
-const WARM_DISTRUST: Duration = Duration::from_secs(1);
-
 /// A server according to the configuration and the store.
 #[derive(Clone, Debug)]
 pub struct ServerState {
@@ -62,9 +56,9 @@
     pub role: Role,
     /// Until when the server is cold.
     pub cold_until: Option<Instant>,
-    /// Requests a second that this box may send to the server while it is cold; `None` if the
+    /// Share of this box in the requests that the server can handle while it is cold; `None` if the
     /// server never is.
-    pub cold_share: Option<u32>,
+    pub cold_share: Option<Share>,
     /// Whether the server is in the failure domain of this box.
     pub same_failure_domain: bool,
 }
@@ -136,16 +130,8 @@
     pub path: Path,
     /// When the server appeared, or when this box could reach it again.
     pub available_since: Instant,
-    warmup: Warmup,
+    coldness: Coldness,
     prefix_cache: PrefixCache,
-    /// Until when the server is cold by its own report, which the store may not show yet.
-    reported_cold_until: Option<Instant>,
-    /// When the server last reported that it is not cold.
-    reported_warm_at: Option<Instant>,
-    /// Until when reports of being warm are ignored.
-    distrusted_until: Option<Instant>,
-    /// When the server last responded to a probe of this box.
-    probed_at: Option<Instant>,
 }
 
 /// Initial and maximal number of requests from all boxes at a server.
@@ -195,75 +181,42 @@
             ejection: Ejection::default(),
             path: Path::default(),
             available_since: now,
-            warmup: Warmup::new(unknown_before),
+            coldness: Coldness::new(unknown_before),
             prefix_cache: PrefixCache::new(memory_tokens.unwrap_or(0)),
-            reported_cold_until: None,
-            reported_warm_at: None,
-            distrusted_until: None,
-            probed_at: None,
         }
     }
 
-    /// Whether the server is or may be cold: with a `stale` state only a recent report shows that
-    /// it is not.
-    pub fn is_cold(&self, stale: bool, now: Instant) -> bool {
-        let until = self.state.cold_until.max(self.reported_cold_until);
-        let is_reported_cold = until.is_some_and(|until| now < until);
-        self.state.cold_share.is_some()
-            && (is_reported_cold || (stale && !self.reported_warm_recently(now)))
-    }
-
-    fn reported_warm_recently(&self, now: Instant) -> bool {
-        let distrusted = self.distrusted_until.is_some_and(|until| now < until);
-        !distrusted && self.reported_warm_at.is_some_and(|at| now < at + WARM_REPORT_TTL)
+    /// Whether the server is known to be cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.state.cold_share.is_some() && self.coldness.is_cold(self.state.cold_until, now)
     }
 
-    /// Ignores reports of being warm for a while, since another server of the failure domain has
-    /// turned cold.
-    pub fn distrust_warm_reports(&mut self, now: Instant) {
-        self.distrusted_until = Some(now + WARM_DISTRUST);
+    /// Reports of the server about being cold, and what was sent since.
+    pub fn coldness(&mut self) -> &mut Coldness {
+        &mut self.coldness
     }
 
-    /// Records a report made at `at` that the server is cold for another `left`, or not cold if
-    /// that is 0. Returns whether the server has newly turned cold.
-    pub fn record_cold_report(&mut self, cold_left: Duration, at: Instant) -> bool {
-        if cold_left.is_zero() {
-            self.reported_warm_at = self.reported_warm_at.max(Some(at));
-            return false;
-        }
-        let turned_cold = self.reported_cold_until.is_none_or(|until| until <= at);
-        self.reported_cold_until = self.reported_cold_until.max(Some(at + cold_left));
-        self.reported_warm_at = None;
-        turned_cold
-    }
-
-    /// Records the response to a probe of this box.
-    pub fn record_probe_response(&mut self, cold_left: Duration, now: Instant) -> bool {
-        self.probed_at = Some(now);
-        self.record_cold_report(cold_left, now)
-    }
-
-    /// The latest response to a probe of this box, if recent: remaining cold time and time of the
-    /// response.
+    /// The last report of the server to this box, if recent: remaining cold time and time for which
+    /// it holds.
     pub fn recent_cold_report(&self, now: Instant) -> Option<(Duration, Instant)> {
-        let at = self.probed_at.filter(|at| now < *at + WARM_REPORT_TTL)?;
-        let cold = self.reported_cold_until.map(|until| until.saturating_duration_since(now));
-        Some((cold.unwrap_or_default(), at))
-    }
-
-    /// Time since the server last reported that it is not cold.
-    pub fn warm_report_age(&self, now: Instant) -> Option<Duration> {
-        self.reported_warm_at.map(|at| now.saturating_duration_since(at))
+        self.coldness.recent_report(now)
     }
 
-    /// Recent requests of this box since that report.
-    pub fn sent_since_report(&mut self, now: Instant) -> usize {
-        self.warmup.sent_since(self.reported_warm_at, now)
+    /// Whether a request may be sent to the server now, as far as the server is cold or may be. If
+    /// so, it is counted. The server runs `in_flight` requests of all boxes.
+    pub fn admit_send(&mut self, usage: Usage, in_flight: u32, now: Instant) -> Admission {
+        match self.allowance(usage, in_flight, now) {
+            Some(allowance) => self.coldness.admit_send(allowance, now),
+            None => Admission::Granted,
+        }
     }
 
-    /// Requests a second that this box recently sent to the server.
-    pub fn sent_per_second(&mut self, now: Instant) -> f64 {
-        self.warmup.sent_per_second(now)
+    /// What this box may send while the server is cold or may be; `None` if it never is.
+    fn allowance(&mut self, usage: Usage, in_flight: u32, now: Instant) -> Option<Allowance> {
+        let share = self.state.cold_share?;
+        let sent = self.coldness.recently_sent(now);
+        let stored_cold_until = self.state.cold_until;
+        Some(Allowance { stored_cold_until, ..usage.allowance(share, sent, in_flight) })
     }
 
     /// Replaces the state, in the update with this number.
@@ -338,21 +291,10 @@
     }
 
     /// Whether the server has capacity for another request.
-    pub fn has_capacity(&mut self, load: Load, stale: bool, now: Instant) -> bool {
-        let share = self.state.cold_share.filter(|_| self.is_cold(stale, now));
-        let is_within_cold_share = share.is_none_or(|share| self.warmup.admits_place(share, now));
-        is_within_cold_share && f64::from(load.in_flight) < self.limit
-    }
-
-    /// Whether a request may be sent to the server now, as far as the server is cold. If so, it is
-    /// counted.
-    pub fn admit_send(&mut self, stale: bool, now: Instant) -> bool {
-        let share = self.state.cold_share.filter(|_| self.is_cold(stale, now));
-        let is_admitted = share.is_none_or(|share| self.warmup.admits_send(share, now));
-        if is_admitted {
-            self.warmup.record_send(now);
-        }
-        is_admitted
+    pub fn has_capacity(&mut self, load: Load, usage: Usage, now: Instant) -> bool {
+        let allowance = self.allowance(usage, load.in_flight, now);
+        f64::from(load.in_flight) < self.limit
+            && allowance.is_none_or(|allowance| self.coldness.admits_place(allowance, now))
     }
 
     /// What the room of the server depends on.
@@ -416,7 +358,7 @@
         self.in_flight += 1;
         self.prefill_tokens += work.prefill_tokens;
         self.ejection.record_attempt(now);
-        self.warmup.record_place(now);
+        self.coldness.record_place(now);
         self.prefix_cache.insert(parts, now);
     }
 
--- a/lib/src/coordination/feedback.rs
+++ b/lib/src/coordination/feedback.rs
@@ -149,18 +149,26 @@
         effects
     }
 
-    /// Handles the response to a probe. A server that only refused the probe may have omitted part
-    /// of its state.
-    pub fn handle_probe_response(
+    /// Handles the answer to a query that was sent at `queried_at`. A server that only refused the
+    /// query may have omitted part of its state.
+    pub fn handle_query_answer(
         &mut self,
         server_ref: ServerRef<'_>,
         status: &ServerStatus,
         refused: bool,
+        queried_at: Instant,
         now: Instant,
     ) -> Effects {
         let mut effects = Effects::default();
         let cold_left = status.cold_left.or((!refused).then_some(Duration::ZERO));
-        let status = ServerStatus { cold_left, ..*status };
+        if let Some(cold_left) = cold_left
+            && let Some(placement) = &mut self.placement
+            && placement.record_query_answer(server_ref.server, cold_left, queried_at, now)
+        {
+            effects.notify(Audience::Region);
+            effects.observations.push(Observation::TurnedCold(cold_left));
+        }
+        let status = ServerStatus { cold_left: None, ..*status };
         self.apply_status(server_ref, &status, false, &mut effects, now);
         effects
     }
--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -5,14 +5,11 @@
 //! store, and reports the version of its copy to the others. A box without a newer version confirms
 //! the copy of this box; a box with a newer version can be queried for it.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
-use super::rendezvous;
 use crate::protocol::platform::Era;
 use crate::protocol::platform::Position;
 
@@ -29,27 +26,16 @@
 const RECONNECTING_BOXES: f64 = 8.0;
 /// Interval between checks of the state's age.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Age from which servers are probed, so that their responses are available when the state is
-/// stale.
-const PROBE_AGE: Duration = Duration::from_secs(2);
-/// Age from which the state may miss that a server turned cold: engines of an evacuated failure
-/// domain turned cold 5 s after the evacuation.
-const STALE_AGE: Duration = Duration::from_millis(2500);
-/// Boxes that probe each server. With only one, its failure would leave the others without reports.
-const PROBERS_PER_SERVER: usize = 2;
-/// Maximum number of servers that one box probes. Servers that no box probes count as cold.
-const MAX_PROBED_SERVERS: usize = 64;
+/// Age from which a box counts as having been without the store.
+const AGING: Duration = Duration::from_secs(2);
 /// Additional time that a box waits before it queries a box of another region: a round trip, and
 /// the time in which boxes of its own region receive the new state.
 const REMOTE_EXTRA_LAG: Duration = Duration::from_millis(300);
 /// Usual maximum latency of a datagram within a region and between regions. It is added to the
 /// reported age: if it were left out, the age would shrink with each report, and boxes without news
 /// from the store would confirm each other's state until none of them checks.
-const MAX_LATENCY_IN_REGION: Duration = Duration::from_millis(10);
+pub const MAX_LATENCY_IN_REGION: Duration = Duration::from_millis(10);
 const MAX_LATENCY_BETWEEN_REGIONS: Duration = Duration::from_millis(100);
-/// How long a box counts as probing after its last report: some datagrams are lost.
-const PROBER_TTL: Duration = Duration::from_secs(1);
-
 /// Version of the store's state.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Version {
@@ -135,9 +121,6 @@
     newer_peer: Option<PeerState>,
     /// Since when this box knows of a newer state without having received one.
     behind_since: Option<Instant>,
-    /// Boxes of this region that probe servers because their state is aging, and when they last
-    /// reported.
-    probers: HashMap<u64, Instant>,
 }
 
 impl Freshness {
@@ -168,11 +151,6 @@
     pub fn record_peer(&mut self, peer: &PeerState, now: Instant) -> bool {
         let was_behind = self.behind_since.is_some();
         self.observe_era(peer.version.position.era);
-        if peer.is_same_region && peer.age >= PROBE_AGE {
-            self.probers.insert(peer.sender, now);
-        } else {
-            self.probers.remove(&peer.sender);
-        }
         if peer.version.digest == self.version.digest {
             // No followed key has changed up to that position.
             self.version.position = self.version.position.max(peer.version.position);
@@ -236,45 +214,9 @@
         (RECONNECTING_BOXES / boxes.max(1) as f64).min(1.0)
     }
 
-    /// Whether servers may have turned cold without this box knowing.
-    pub fn is_stale(&self, now: Instant) -> bool {
-        self.age(now).is_none_or(|age| age >= STALE_AGE)
-    }
-
-    /// Whether the state will be stale soon.
+    /// Whether this box has had no recent state for a while.
     pub fn is_aging(&self, now: Instant) -> bool {
-        self.age(now).is_none_or(|age| age >= PROBE_AGE)
-    }
-
-    /// Selects the servers, by their hashes, that the box with hash `own` probes. A box that knows
-    /// no other prober yet would probe all servers of its region: at 4,328 of them, each probe in
-    /// progress held 7.5 KB.
-    pub fn probed_servers(
-        &self,
-        own: u64,
-        servers: impl Iterator<Item = u64>,
-        now: Instant,
-    ) -> HashSet<u64> {
-        let weight = |server: u64| rendezvous::mix(own, server);
-        let assigned = servers.filter(|server| self.probes_server(own, *server, now));
-        let mut assigned: Vec<u64> = assigned.collect();
-        if assigned.len() > MAX_PROBED_SERVERS {
-            assigned.select_nth_unstable_by_key(MAX_PROBED_SERVERS, |server| {
-                std::cmp::Reverse(weight(*server))
-            });
-            assigned.truncate(MAX_PROBED_SERVERS);
-        }
-        assigned.into_iter().collect()
-    }
-
-    /// Whether the box with hash `own` is among those that probe a server: the first ones by
-    /// rendezvous hashing among the boxes that have lost the store and receive each other's
-    /// reports.
-    pub fn probes_server(&self, own: u64, server: u64, now: Instant) -> bool {
-        let weight = rendezvous::mix(own, server);
-        let others = self.probers.iter().filter(|(_, at)| now < **at + PROBER_TTL);
-        others.filter(|(other, _)| rendezvous::mix(**other, server) > weight).count()
-            < PROBERS_PER_SERVER
+        self.age(now).is_none_or(|age| age >= AGING)
     }
 
     /// Summary of the state for the log.
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod candidate;
+pub mod coldness;
 pub mod departures;
 pub mod drain;
 pub mod ejection;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -7,13 +7,14 @@
 //! that server is much busier than others.
 
 mod blocked;
+mod cold;
 mod paths;
 mod status;
 mod utilization;
 
 pub use self::blocked::Blocked;
+pub use self::cold::QueryTarget;
 pub use self::paths::PathTarget;
-pub use self::status::ProbeTarget;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
 use super::candidate::Outcome;
 use super::candidate::ServerState;
 use super::candidate::Work;
+use super::coldness::Usage;
 use super::loads::Load;
 use super::loads::Loads;
 use super::reachability::PathChange;
@@ -39,6 +41,7 @@
 use super::throttle::ServiceHash;
 use super::throttle::Throttles;
 use super::upgrade::Role;
+use super::warmup::Window;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::PromptSegment;
 use crate::protocol::fleet::Server;
@@ -76,8 +79,6 @@
     /// The version at which the request continues a stream. Its servers qualify in either of the
     /// roles that get requests.
     pub version: Option<VersionHash>,
-    /// Whether servers may have turned cold without this box knowing.
-    pub stale: bool,
 }
 
 /// Servers that may be chosen.
@@ -113,7 +114,7 @@
     pub candidates: usize,
     /// Whether the server is the home of the request's shared prefix.
     pub at_home: bool,
-    /// Whether the server is or may be cold.
+    /// Whether the server is known to be cold.
     pub cold: bool,
     /// Time since the server reported that it is warm; `None` without such a report.
     pub warm_report_age: Option<Duration>,
@@ -133,8 +134,8 @@
     unreported_boxes: usize,
     /// Hash of the home server of the request's shared prefix in this region.
     home: Option<u64>,
-    /// Whether servers without a recent report of being warm count as cold.
-    stale: bool,
+    /// Use of the servers.
+    usage: Usage,
     /// Random bits of this request; together with a server's incarnation they decide whether the
     /// rate limit of that server admits the request.
     random_bits: u64,
@@ -164,8 +165,10 @@
     sharing_boxes: usize,
     max_connections: f64,
     health_path: Option<String>,
-    /// Requests a second that a cold server may get.
-    cold_rate: f64,
+    /// Recent requests of this box, sent or not.
+    placed: Window,
+    /// Answers to queries of this box that other boxes have not been told, by server incarnation.
+    untold_answers: Vec<(u64, Instant)>,
     started_at: Instant,
     /// When servers were removed. A server that returns may have received its cold share just
     /// before: entries expire and return while the store is unavailable.
@@ -189,7 +192,8 @@
             sharing_boxes: 0,
             max_connections: 0.0,
             health_path: None,
-            cold_rate: 0.0,
+            placed: Window::default(),
+            untold_answers: Vec::new(),
             started_at,
             removed_at: BTreeMap::new(),
             rest_periods: RestPeriods::default(),
@@ -209,7 +213,6 @@
     ) {
         self.sharing_boxes = sharing_boxes;
         self.health_path.clone_from(&service.health_path);
-        self.cold_rate = service.warmup_rate;
         self.max_connections = service.max_connections as f64 * MAX_CONNECTION_FRACTION;
         self.updates += 1;
         for state in states {
@@ -281,9 +284,7 @@
                 .sharing_boxes
                 .saturating_sub(1 + request.loads.reporting_boxes()),
             home: self.home(request),
-            // Servers without a health path cannot be probed; they would be limited for as long as
-            // the store is unavailable.
-            stale: request.stale && self.health_path.is_some(),
+            usage: self.usage(now),
             random_bits: rng.random(),
             now,
         };
@@ -328,7 +329,7 @@
                 request.eligible == Eligible::Any || candidate.is_healthy(selection.now);
             if !has_connection
                 || !is_eligible
-                || !candidate.has_capacity(load, selection.stale, selection.now)
+                || !candidate.has_capacity(load, selection.usage, selection.now)
             {
                 continue;
             }
@@ -364,6 +365,8 @@
         let Choice { id, work, at_home, candidates } = choice;
         let candidate = self.servers.get_mut(&id).expect("chosen from the same map");
         candidate.start_request(request.parts, work, selection.now);
+        self.placed.record(selection.now);
+        let (warm_report_age, sent_since_report) = candidate.coldness().exposure(selection.now);
         Place {
             server: id,
             incarnation: candidate.incarnation,
@@ -375,9 +378,9 @@
             others_in_flight: request.loads.on_server(candidate.incarnation).in_flight,
             candidates,
             at_home,
-            cold: candidate.is_cold(selection.stale, selection.now),
-            warm_report_age: candidate.warm_report_age(selection.now),
-            sent_since_report: candidate.sent_since_report(selection.now),
+            cold: candidate.is_cold(selection.now),
+            warm_report_age,
+            sent_since_report,
             reserved_at: selection.now,
             awaiting_first_byte: true,
             is_sent: false,
--- a/lib/src/coordination/placement/blocked.rs
+++ b/lib/src/coordination/placement/blocked.rs
@@ -53,7 +53,7 @@
                 continue;
             }
             let load = candidate.load(request.loads, selection.unreported_boxes);
-            let has_capacity = candidate.has_capacity(load, selection.stale, selection.now);
+            let has_capacity = candidate.has_capacity(load, selection.usage, selection.now);
             if !candidate.is_healthy(selection.now) && has_capacity {
                 return Blocked::Failing;
             }
--- a/lib/src/coordination/placement/utilization.rs
+++ b/lib/src/coordination/placement/utilization.rs
@@ -61,6 +61,7 @@
         now: Instant,
     ) -> bool {
         let unreported_boxes = self.sharing_boxes.saturating_sub(1 + loads.reporting_boxes());
+        let usage = self.usage(now);
         let (mut resting, mut throttled, mut saturated) = (false, false, false);
         for candidate in self.servers.values_mut().filter(|candidate| candidate.is_usable()) {
             let load = candidate.load(loads, unreported_boxes);
@@ -68,7 +69,7 @@
                 resting = true;
             } else if !candidate.is_healthy(now)
                 || candidate.path.is_lost()
-                || !candidate.has_capacity(load, false, now)
+                || !candidate.has_capacity(load, usage, now)
             {
                 saturated = true;
             } else if throttles.has_capacity(candidate.incarnation, now)
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -40,7 +40,9 @@
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::backend;
+use crate::transport::backend::Always;
 use crate::transport::backend::AttemptError;
+use crate::transport::backend::Permit;
 use crate::transport::backend::PooledBody;
 use crate::transport::timer;
 
@@ -98,10 +100,8 @@
     let new_connection = !job.route.repeatable();
     let address = reservation.place.address;
     let server = reservation.place.server.clone();
-    // Checked again once connected: the server may have reported another status since it was
-    // chosen, as connecting may take long.
-    let admits = || reservation.admit_send();
-    let response = send(&shared.servers, job, address, request, new_connection, admits).await;
+    let response =
+        send(&shared.servers, job, address, request, new_connection, &mut reservation).await;
     let mut reservation = Some(reservation);
     match response {
         Ok(response) => receive(shared, job, response, reservation).await,
@@ -123,7 +123,7 @@
     let request = job.for_peer(&shared.adapter, last_event, version);
     shared.counters.increment(Counter::ForwardedOut);
     let _under_way = UnderWay::new(shared, job);
-    match send(&shared.peers, job, address, request, false, || true).await {
+    match send(&shared.peers, job, address, request, false, &mut Always).await {
         Ok(response) => {
             if response.headers().contains_key(LOST_PATHS_HEADER) {
                 record_path_refusal(shared, job, address);
@@ -218,9 +218,9 @@
     address: std::net::SocketAddr,
     request: Request<Full<Bytes>>,
     new_connection: bool,
-    admits: impl FnMut() -> bool,
+    permit: &mut impl Permit,
 ) -> Result<Response<PooledBody>, NoResponse> {
-    let exchange = client.send_if(address, request, new_connection, admits);
+    let exchange = client.send_if(address, request, new_connection, permit);
     match timer::timeout_at(job.deadline, exchange).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(AttemptError::NotSent(message))) => {
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -22,6 +22,7 @@
 use super::upgrade;
 use super::with_port;
 use crate::coordination::drain::Stage;
+use crate::coordination::freshness::MAX_LATENCY_IN_REGION;
 use crate::coordination::freshness::PeerState;
 use crate::coordination::freshness::Version;
 use crate::coordination::loads::BoxReport;
@@ -53,8 +54,8 @@
 /// or from the store.
 const ANNOUNCEMENT_REPORTS: u32 = 5;
 /// Number of a datagram that is not part of the sequence of the sender's reports: one that replies
-/// to a box which has just started and contains only rates and leaving servers, one for judges of
-/// upgrades, or one about streams.
+/// to a box which has just started and contains only rates and leaving servers, one that tells which
+/// servers are warm, one for judges of upgrades, or one about streams.
 pub const REPLY_NUMBER: u64 = 0;
 /// Number of crashes from which boxes of other regions get reports of a part of prompts.
 const MIN_CRASHES_FOR_OTHER_REGIONS: usize = 2;
@@ -96,6 +97,7 @@
                 number += 1;
                 send_to_region(&shared, &socket, number);
             }
+            () = shared.server_report.notified() => send_server_reports(&shared, &socket),
             () = shared.global_update.notified() => {
                 number += 1;
                 send_to_all(&shared, &socket, number);
@@ -124,6 +126,9 @@
                 upgrade::receive(shared, &report, now);
                 stream_versions::receive(shared, socket, &report, from, now);
                 feedback::receive_leaving(shared, &report.leaving_servers, now);
+                if report.region == shared.settings.region {
+                    apply_cold_reports(shared, &report, now);
+                }
                 let rates = report.throttle.unwrap_or_default();
                 let mut throttles = lock(&shared.throttles);
                 throttles.merge_rates(&rates.words, now);
@@ -233,16 +238,20 @@
 }
 
 fn apply_cold_reports<A: Adapter>(shared: &Shared<A>, report: &BoxReport, now: Instant) {
+    if report.asked.is_empty() {
+        return;
+    }
     let reports = report.cold_ms.iter().zip(&report.asked_ms);
+    let mut services = lock(&shared.services);
     for (server, (cold_ms, asked_ms)) in report.asked.iter().zip(reports) {
         let cold_left = Duration::from_millis(u64::from(*cold_ms));
-        let Some(at) = now.checked_sub(Duration::from_millis(u64::from(*asked_ms))) else {
-            continue;
-        };
-        for service in lock(&shared.services).values_mut() {
+        let age = Duration::from_millis(u64::from(*asked_ms)) + MAX_LATENCY_IN_REGION;
+        let Some(at) = now.checked_sub(age) else { continue };
+        for service in services.values_mut() {
             service.placement.record_peer_cold_report(*server, cold_left, at);
         }
     }
+    services.values().for_each(|service| service.reported.notify_waiters());
 }
 
 fn apply_quota_counts<A: Adapter>(shared: &Shared<A>, report: &BoxReport, now: Instant) {
@@ -329,6 +338,32 @@
     send(socket, &datagram, region_addresses(shared).iter());
 }
 
+/// Reports to all boxes of the region which servers have just reported that they are warm.
+fn send_server_reports<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket) {
+    let now = clock::now();
+    let mut report = BoxReport {
+        number: REPLY_NUMBER,
+        sender: presence::box_hash(&shared.settings.name),
+        incarnation: shared.incarnation,
+        region: shared.settings.region.clone(),
+        ..BoxReport::default()
+    };
+    for service in lock(&shared.services).values_mut() {
+        for (server, at) in service.placement.take_untold_answers() {
+            add_cold_report(&mut report, server, Duration::ZERO, now.saturating_duration_since(at));
+        }
+    }
+    if !report.asked.is_empty() {
+        send(socket, &encode(&mut report), region_addresses(shared).iter());
+    }
+}
+
+fn add_cold_report(report: &mut BoxReport, server: u64, cold_left: Duration, age: Duration) {
+    report.asked.push(server);
+    report.cold_ms.push(cold_left.as_millis() as u32);
+    report.asked_ms.push(age.as_millis() as u32);
+}
+
 /// Sends a report to all boxes of all regions at once.
 fn send_to_all<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64) {
     let mut report = build_report(shared, number);
@@ -535,9 +570,8 @@
             report.unread.push(load.prefill_tokens);
         }
         for (server, cold_left, at) in service.placement.cold_reports(now) {
-            report.asked.push(server);
-            report.cold_ms.push(cold_left.as_millis() as u32);
-            report.asked_ms.push(now.saturating_duration_since(at).as_millis() as u32);
+            let age = now.saturating_duration_since(at);
+            add_cold_report(&mut report, server, cold_left, age);
         }
     }
     report
--- a/lib/src/gateway/cluster_state/views.rs
+++ b/lib/src/gateway/cluster_state/views.rs
@@ -181,7 +181,7 @@
     service: &Service,
     id_hash: u64,
     sharing_boxes: &BTreeSet<u64>,
-) -> Option<u32> {
+) -> Option<warmup::Share> {
     if service.warmup_rate <= 0.0 {
         return None;
     }
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -267,7 +267,6 @@
         return Err(Blocked::NoServer);
     }
     let now = clock::now();
-    let stale = lock(&shared.freshness).is_stale(now);
     let role = upgrade::draw_role(shared, job, history.tried.is_empty());
     let choose_with_role = |role: Role, tried: &[ServerId]| {
         let chosen = shared.with_service(&job.service, |service| {
@@ -282,7 +281,6 @@
                 eligible,
                 role,
                 version: history.version,
-                stale,
             };
             let place = service.placement.choose(demand, now, &mut rand::rng())?;
             throttles.record_sent(place.incarnation, now);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod path_checks;
 pub mod path_probe;
+mod permit;
 pub mod probe;
 pub mod quarantine;
 pub mod quotas;
@@ -189,6 +190,7 @@
             streams: Mutex::default(),
             stream_report: Notify::new(),
             region_update: Notify::new(),
+            server_report: Notify::new(),
             global_update: Notify::new(),
             verdicts: Notify::new(),
             path_lost: Notify::new(),
@@ -331,7 +333,6 @@
         Err(error) => log::error!("event=reports_off error=\"{error}\""),
     }
     tokio::spawn(timer::watch_for_suspensions());
-    tokio::spawn(probe::probe_servers(Arc::clone(&shared), stop.clone()));
     tokio::spawn(path_probe::probe_paths(Arc::clone(&shared), stop.clone()));
     let (Some(callers), Some(ready), Some(directory), Some(peers), Some(handover), Some(metrics)) = (
         tokio_listener(callers),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -94,6 +94,8 @@
     pub turn: Arc<tokio::sync::Mutex<()>>,
     /// Notified when a request on a server has ended.
     pub released: Arc<Notify>,
+    /// Notified when a server has reported whether it is cold.
+    pub reported: Arc<Notify>,
 }
 
 impl Service {
@@ -104,6 +106,7 @@
             queue: RoomQueue::default(),
             turn: Arc::default(),
             released: Arc::default(),
+            reported: Arc::default(),
         }
     }
 
@@ -178,6 +181,8 @@
     pub eras: NewestEra,
     /// Notified when the other boxes of the region must get a report at once.
     pub region_update: Notify,
+    /// Notified when servers have reported to this box that they are not cold.
+    pub server_report: Notify,
     /// Notified when all boxes must get a report at once.
     pub global_update: Notify,
     /// Notified when there may be verdicts to write to the store.
@@ -258,8 +263,8 @@
 
 /// A reserved slot on a server, released when dropped.
 pub struct Reservation<A> {
-    shared: Arc<Shared<A>>,
-    service: ServiceId,
+    pub(super) shared: Arc<Shared<A>>,
+    pub(super) service: ServiceId,
     /// The server and the load that it was chosen by.
     pub place: Place,
     outcome: Outcome,
@@ -288,15 +293,6 @@
         Reservation { shared, service: service.to_owned(), place, outcome, request, tracked }
     }
 
-    /// Whether the request may be sent now. If so, it counts as sent.
-    pub fn admit_send(&mut self) -> bool {
-        let now = clock::now();
-        let stale = lock(&self.shared.freshness).is_stale(now);
-        let place = &mut self.place;
-        let admit = |service: &mut Service| service.placement.admit_send(place, stale, now);
-        self.shared.with_service(&self.service, admit).unwrap_or(false)
-    }
-
     /// Sets the outcome that is recorded when the slot is released.
     pub fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -63,6 +63,7 @@
     HeartbeatBytes "heartbeat_bytes" "Bytes of heartbeats sent and received, without framing.";
     PeerRefused "peer_refused" "Calls from other boxes that failed authentication.";
     Probes "probes" "Probes of backend servers.";
+    ReportWaits "report_waits" "Requests that waited until a server reported whether it is cold.";
     PathProbes "path_probes" "Probes of lost paths to backend servers.";
     StoreReads "store_reads" "Reads and watches of the platform's store.";
     StoreRenewals "store_renewals" "Lease renewals in the platform's store.";
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -66,6 +66,21 @@
     Withheld,
 }
 
+/// Decides whether a request is sent, immediately before it is.
+pub trait Permit: Send {
+    /// Waits for the decision.
+    fn granted(&mut self) -> impl Future<Output = bool> + Send;
+}
+
+/// Permits every request.
+pub struct Always;
+
+impl Permit for Always {
+    async fn granted(&mut self) -> bool {
+        true
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 /// The idle connections, by thread and address.
 type IdleConnections = Arc<Mutex<HashMap<(usize, SocketAddr), Vec<Connection>>>>;
@@ -172,17 +187,17 @@
         request: Request<Full<Bytes>>,
         fresh: bool,
     ) -> Result<Response<PooledBody>, AttemptError> {
-        self.send_if(address, request, fresh, || true).await
+        self.send_if(address, request, fresh, &mut Always).await
     }
 
-    /// As [`Client::send`], but calls `still_wanted` once a connection is established and sends the
-    /// request only if it returns true.
+    /// As [`Client::send`], but sends the request only if `permit` grants it once a connection is
+    /// established.
     pub async fn send_if(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         fresh: bool,
-        mut still_wanted: impl FnMut() -> bool,
+        permit: &mut impl Permit,
     ) -> Result<Response<PooledBody>, AttemptError> {
         while !fresh && let Some(mut connection) = self.take_idle(address) {
             // Immediately after a response, the connection's task may not have processed its end
@@ -191,7 +206,7 @@
                 Ok(Ok(())) => {}
                 _ => continue,
             }
-            if !still_wanted() {
+            if !permit.granted().await {
                 store_idle(&self.idle, address, connection);
                 return Err(AttemptError::Withheld);
             }
@@ -204,7 +219,7 @@
             }
         }
         let mut connection = self.connect(address).await?;
-        if !still_wanted() {
+        if !permit.granted().await {
             return Err(AttemptError::Withheld);
         }
         match connection.sender.try_send_request(request).await {
--- a/lib/tests/test_cluster_state.rs
+++ b/lib/tests/test_cluster_state.rs
@@ -68,6 +68,7 @@
     cluster_state.local_servers(&context(own_record, just_started))["s"][0]
         .cold_share
         .expect("it may turn cold")
+        .cold
 }
 
 #[test]
