cold servers: late datagrams don't undo the doubt of a failure domain

A server that turns cold makes the reports of its failure domain void, but a datagram with an older report that arrived later made it count again. Reports for the time of the doubt and earlier ones stay void. Found by reading; the test was shown failing first. Only boxes without a share could send more for it.

--- a/lib/src/coordination/coldness.rs
+++ b/lib/src/coordination/coldness.rs
@@ -83,6 +83,8 @@
     cold_until: Option<Instant>,
     /// The latest time for which the server reported that it is warm.
     warm_at: Option<Instant>,
+    /// Reports of being warm for this time and earlier ones are void.
+    void_at: Option<Instant>,
     /// When this box sent the query that the server has not answered yet.
     queried_at: Option<Instant>,
     /// Time for which the last report to this box holds.
@@ -98,6 +100,7 @@
             known_cold_since: None,
             cold_until: None,
             warm_at: None,
+            void_at: None,
             queried_at: None,
             reported_at: None,
         }
@@ -197,19 +200,22 @@
     /// that is 0. Returns whether it has newly turned cold.
     pub fn record_report(&mut self, left: Duration, at: Instant) -> bool {
         if left.is_zero() {
-            self.warm_at = self.warm_at.max(Some(at));
+            if Some(at) > self.void_at {
+                self.warm_at = self.warm_at.max(Some(at));
+            }
             return false;
         }
         let turned_cold = self.cold_until.is_none_or(|until| until <= at);
         self.cold_until = self.cold_until.max(Some(at + left));
-        self.warm_at = None;
+        self.doubt(at);
         turned_cold
     }
 
-    /// Disregards the last report of being warm, because another server of the failure domain has
-    /// turned cold: these mostly turn cold together.
-    pub fn doubt(&mut self) {
-        self.warm_at = None;
+    /// Disregards reports of being warm for the time `at` and earlier ones, because this server or
+    /// another one of the failure domain has turned cold: these mostly turn cold together.
+    pub fn doubt(&mut self, at: Instant) {
+        self.void_at = self.void_at.max(Some(at));
+        self.warm_at = self.warm_at.filter(|warm_at| *warm_at > at);
     }
 
     /// The last report to this box, if recent: remaining cold time and time for which it holds.
--- a/lib/src/coordination/placement/cold.rs
+++ b/lib/src/coordination/placement/cold.rs
@@ -69,7 +69,7 @@
         let turned_cold = candidate.coldness().record_own_report(cold_left, now);
         let failure_domain = candidate.state.server.failure_domain.clone();
         if turned_cold {
-            self.doubt_warm_reports(&failure_domain);
+            self.doubt_warm_reports(&failure_domain, now);
         }
         turned_cold
     }
@@ -90,7 +90,7 @@
             self.untold_answers.push((candidate.incarnation, queried_at));
         }
         if turned_cold {
-            self.doubt_warm_reports(&failure_domain);
+            self.doubt_warm_reports(&failure_domain, now);
         }
         turned_cold
     }
@@ -107,13 +107,13 @@
         let Server { id, failure_domain, .. } = &*candidate.state.server;
         log::info!("event=server_says server={id} cold_ms={} by=box", cold_left.as_millis());
         let failure_domain = failure_domain.clone();
-        self.doubt_warm_reports(&failure_domain);
+        self.doubt_warm_reports(&failure_domain, at);
     }
 
-    fn doubt_warm_reports(&mut self, failure_domain: &str) {
+    fn doubt_warm_reports(&mut self, failure_domain: &str, at: Instant) {
         for candidate in self.servers.values_mut() {
             if candidate.state.server.failure_domain == failure_domain {
-                candidate.coldness().doubt();
+                candidate.coldness().doubt(at);
             }
         }
     }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -606,10 +606,13 @@
 fn warm_reports_of_a_failure_domain_are_doubted_when_one_of_its_servers_turns_cold() {
     let mut fixture = Fixture::new(placement(3, 64, 1));
     while try_to_send(&mut fixture) > 0 {}
-    fixture.now += Duration::from_millis(1);
+    fixture.now += Duration::from_millis(20);
     (0..3).for_each(|server| record_warm_answer(&mut fixture, server));
     fixture.placement.record_cold_report("i-1", Duration::from_secs(3), fixture.now);
     assert_eq!(try_to_send(&mut fixture), 0);
+    let before = fixture.now - Duration::from_millis(10);
+    fixture.placement.record_peer_cold_report(server_hash("i-2"), Duration::ZERO, before);
+    assert_eq!(try_to_send(&mut fixture), 0, "the datagram with an older report is late");
     fixture.now += Duration::from_millis(1);
     record_warm_answer(&mut fixture, 0);
     assert_eq!(try_to_send(&mut fixture), 2, "one of them is warm after that");
