--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use super::cold_reports;
 use super::feedback;
 use super::path_checks;
 use super::quarantine;
@@ -22,7 +23,6 @@
 use super::upgrade;
 use super::with_port;
 use crate::coordination::drain::Stage;
-use crate::coordination::freshness::MAX_LATENCY_IN_REGION;
 use crate::coordination::freshness::PeerState;
 use crate::coordination::freshness::Version;
 use crate::coordination::loads::BoxReport;
@@ -97,7 +97,7 @@
                 number += 1;
                 send_to_region(&shared, &socket, number);
             }
-            () = shared.server_report.notified() => send_server_reports(&shared, &socket),
+            () = shared.server_report.notified() => cold_reports::send_new(&shared, &socket),
             () = shared.global_update.notified() => {
                 number += 1;
                 send_to_all(&shared, &socket, number);
@@ -127,7 +127,7 @@
                 stream_versions::receive(shared, socket, &report, from, now);
                 feedback::receive_leaving(shared, &report.leaving_servers, now);
                 if report.region == shared.settings.region {
-                    apply_cold_reports(shared, &report, now);
+                    cold_reports::receive(shared, &report, now);
                 }
                 let rates = report.throttle.unwrap_or_default();
                 let mut throttles = lock(&shared.throttles);
@@ -143,7 +143,7 @@
                 upgrade::receive(shared, &report, now);
                 if report.region == shared.settings.region {
                     lock(&shared.loads).receive(&report, now);
-                    apply_cold_reports(shared, &report, now);
+                    cold_reports::receive(shared, &report, now);
                     feedback::receive_leaving(shared, &report.leaving_servers, now);
                     path_checks::receive(shared, &report, now);
                     apply_quota_counts(shared, &report, now);
@@ -237,23 +237,6 @@
     report.verdicts.iter().for_each(|verdict| quarantine.receive_verdict(verdict, now));
 }
 
-fn apply_cold_reports<A: Adapter>(shared: &Shared<A>, report: &BoxReport, now: Instant) {
-    if report.asked.is_empty() {
-        return;
-    }
-    let reports = report.cold_ms.iter().zip(&report.asked_ms);
-    let mut services = lock(&shared.services);
-    for (server, (cold_ms, asked_ms)) in report.asked.iter().zip(reports) {
-        let cold_left = Duration::from_millis(u64::from(*cold_ms));
-        let age = Duration::from_millis(u64::from(*asked_ms)) + MAX_LATENCY_IN_REGION;
-        let Some(at) = now.checked_sub(age) else { continue };
-        for service in services.values_mut() {
-            service.placement.record_peer_cold_report(*server, cold_left, at);
-        }
-    }
-    services.values().for_each(|service| service.reported.notify_waiters());
-}
-
 fn apply_quota_counts<A: Adapter>(shared: &Shared<A>, report: &BoxReport, now: Instant) {
     let BoxReport { sender, incarnation, number, .. } = *report;
     let source = ReportId { sender, incarnation, number };
@@ -338,31 +321,6 @@
     send(socket, &datagram, region_addresses(shared).iter());
 }
 
-/// Reports to all boxes of the region which servers have just reported that they are warm.
-fn send_server_reports<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket) {
-    let now = clock::now();
-    // Many of these are sent, so they name nothing but the servers.
-    let mut report = BoxReport {
-        number: REPLY_NUMBER,
-        region: shared.settings.region.clone(),
-        ..BoxReport::default()
-    };
-    for service in lock(&shared.services).values_mut() {
-        for (server, at) in service.placement.take_untold_answers() {
-            add_cold_report(&mut report, server, Duration::ZERO, now.saturating_duration_since(at));
-        }
-    }
-    if !report.asked.is_empty() {
-        send(socket, &encode(&mut report), region_addresses(shared).iter());
-    }
-}
-
-fn add_cold_report(report: &mut BoxReport, server: u64, cold_left: Duration, age: Duration) {
-    report.asked.push(server);
-    report.cold_ms.push(cold_left.as_millis() as u32);
-    report.asked_ms.push(age.as_millis() as u32);
-}
-
 /// Sends a report to all boxes of all regions at once.
 fn send_to_all<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64) {
     let mut report = build_report(shared, number);
@@ -468,7 +426,7 @@
 }
 
 /// Encodes a report, truncated to fit a datagram.
-fn encode(report: &mut BoxReport) -> Vec<u8> {
+pub fn encode(report: &mut BoxReport) -> Vec<u8> {
     report.truncate_to(MAX_DATAGRAM_BYTES);
     report.encode_to_vec()
 }
@@ -504,7 +462,7 @@
 
 /// The other boxes of this region. They include those whose records are gone, because a box that
 /// lost the store depends on the reports of others.
-fn region_addresses<A: Adapter>(shared: &Shared<A>) -> Vec<SocketAddr> {
+pub fn region_addresses<A: Adapter>(shared: &Shared<A>) -> Vec<SocketAddr> {
     let snapshot = shared.snapshot.load();
     let boxes = snapshot.boxes.iter().chain(&snapshot.expired_boxes);
     let region_boxes = boxes.filter(|other| other.region == shared.settings.region);
@@ -568,10 +526,7 @@
             report.in_flight.push(load.in_flight);
             report.unread.push(load.prefill_tokens);
         }
-        for (server, cold_left, at) in service.placement.cold_reports(now) {
-            let age = now.saturating_duration_since(at);
-            add_cold_report(&mut report, server, cold_left, age);
-        }
     }
+    cold_reports::add_recent(shared, &mut report, now);
     report
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod box_reports;
 pub mod cluster_state;
+mod cold_reports;
 pub mod control;
 pub mod decision_log;
 pub mod directory;
--- a/lib/src/gateway/probe.rs
+++ b/lib/src/gateway/probe.rs
@@ -15,6 +15,7 @@
 
 use super::feedback;
 use super::shared::Reservation;
+use super::shared::Service;
 use super::shared::Shared;
 use super::throttle;
 use crate::coordination::coldness::QUERY_TIMEOUT;
@@ -42,8 +43,7 @@
     pub(super) fn query_server(&self) {
         let Place { server, incarnation, .. } = &self.place;
         let now = clock::now();
-        let start =
-            |state: &mut super::shared::Service| state.placement.start_query(&self.place, now);
+        let start = |state: &mut Service| state.placement.start_query(&self.place, now);
         let Some(Some(target)) = self.shared.with_service(&self.service, start) else { return };
         let query = Query {
             service: self.service.clone(),
