review: an entry of another writer ends all boxes

A script puts an entry of a service that is not named among those of the workers. The number in it ends the control thread of each box, and again at each start.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -4,6 +4,7 @@
 //! this one, and writes `record.txt` to the folder. Exit codes: 0 the rule held, 1 it was broken, 2
 //! the case could not run. If TROUBLE is 0, the disruption is left out.
 
+mod foreign_entry;
 mod gateway;
 mod http;
 mod json;
@@ -29,6 +30,7 @@
     let folder = Folder::create()?;
     match name {
         "slow-head" => slow_head::run(record, &folder, trouble),
+        "foreign-entry" => foreign_entry::run(record, &folder, trouble),
         other => Err(format!("unknown case {other}").into()),
     }
 }
