review: a box forwards requests to one with an older configuration

A script partitions one of three boxes from the store while configurations move a route. Requests that clients send to another box are run by the older configuration after its workers saw the newer one.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod setup;
 mod slow_head;
+mod stale_forward;
 mod store;
 mod worker;
 
@@ -29,6 +30,7 @@
 fn run_case(name: &str, record: &Record, trouble: bool) -> Result<Verdict, Failure> {
     let folder = Folder::create()?;
     match name {
+        "stale-forward" => stale_forward::run(record, &folder, trouble),
         "slow-head" => slow_head::run(record, &folder, trouble),
         "foreign-entry" => foreign_entry::run(record, &folder, trouble),
         other => Err(format!("unknown case {other}").into()),
