quarantine: boxes report only what they observed of parts of prompts, in bounded bytes

Cause: a crash concerns the parts of all prompts that a server was executing. Each box repeated in its reports, for 1.2 s after every change, what it had observed and what others had reported, up to 8 KB to each box of its region five times a second. A box has a link of 10 Mbit/s.

Change: reports in the region name crashes that the sender observed first; other regions get parts that may be the cause (two crashes in a row, several contents, present at half of the crashes) and parts that succeeded; a crash notifies all regions only if it makes such a part. Bytes about parts are bounded for a round of reports. The wire format is unchanged. Metrics: report_bytes, remote_report_bytes.

--- a/lib/src/coordination/feedback.rs
+++ b/lib/src/coordination/feedback.rs
@@ -281,8 +281,7 @@
         now: Instant,
     ) {
         effects.notify(Audience::Region);
-        self.quarantine.record_part_crash(server, now);
-        if self.quarantine.has_suspected_parts() {
+        if self.quarantine.record_part_crash(server, now) {
             effects.notify(Audience::AllRegions);
         }
         for interrupted in &interrupted_requests {
--- a/lib/src/coordination/quarantine.rs
+++ b/lib/src/coordination/quarantine.rs
@@ -402,9 +402,10 @@
         self.parts.record_interruption(server, shared, sent, interrupted_at);
     }
 
-    /// Records that a server crashed while it was executing requests with these parts.
-    pub fn record_part_crash(&mut self, server: ServerIncarnation, now: Instant) {
-        self.parts.record_crash(server, now);
+    /// Records that a server crashed while it was executing requests with these parts. Returns whether
+    /// one of them may turn out to be the cause, so that all boxes are notified at once.
+    pub fn record_part_crash(&mut self, server: ServerIncarnation, now: Instant) -> bool {
+        self.parts.record_crash(server, now)
     }
 
     /// Records what another box reports about a part.
@@ -417,15 +418,15 @@
         std::mem::take(&mut self.part_verdicts)
     }
 
-    /// Whether some part has seen several crashes without a success in between, so that all boxes
-    /// are to be notified.
-    pub fn has_suspected_parts(&self) -> bool {
-        self.parts.has_suspects(CRASHES_FOR_ISOLATION)
-    }
-
-    /// Parts with new crashes or successes, for a report.
-    pub fn part_reports(&mut self, now: Instant) -> Vec<wire::PartReport> {
-        self.parts.reports(now)
+    /// Parts with crashes or successes that this box observed lately, for a report of at most
+    /// `max_bytes`.
+    pub fn part_reports(
+        &mut self,
+        audience: Audience,
+        max_bytes: usize,
+        now: Instant,
+    ) -> Vec<wire::PartReport> {
+        self.parts.reports(audience, max_bytes, now)
     }
 
     /// Records that a request with these parts succeeded, so that none of them crashes every server.
--- a/lib/src/coordination/quarantine/parts.rs
+++ b/lib/src/coordination/quarantine/parts.rs
@@ -13,11 +13,19 @@
 //! if it was present at half of all crashes since its first one.
 //!
 //! Verdicts on parts are kept, reported and stored as those on contents.
+//!
+//! A crash concerns many parts, most of them harmless. A box therefore reports only what it observed
+//! itself, and to other regions only the parts that may turn out to be the cause. When boxes also
+//! repeated what others had reported, crashes of a fifth of the servers filled links of 10 Mbit/s.
 
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use prost::Message;
+
+use super::Audience;
+use super::CRASHES_FOR_ISOLATION;
 use super::Target;
 use super::VERDICT_TTL;
 use super::evict_lowest_if_full;
@@ -54,8 +62,10 @@
 const MAX_CRASHES: usize = 12;
 /// How long reports repeat a crash or a success.
 const REPEAT_DURATION: Duration = Duration::from_millis(1200);
-/// Maximum number of parts in a report, at some 35 bytes each.
-const MAX_REPORTED_PARTS: usize = 64;
+/// Maximum number of crashes in the report of a part: as many as the strictest verdict requires.
+const MAX_REPORTED_CRASHES: usize = CRASHES_FOR_CERTAINTY;
+/// Bytes of the tag and the length of a part in a report.
+const FIELD_OVERHEAD_BYTES: usize = 3;
 /// Distinguishes hashes of parts from those of contents.
 const PART_SALT: u64 = 0x7061_7274;
 
@@ -122,6 +132,8 @@
     crashed_at: Instant,
     /// Content of that request.
     content: ContentHash,
+    /// Whether this box observed the crash before another one reported it.
+    observed_here: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -135,6 +147,8 @@
     succeeded_here_at: Option<Instant>,
     evaluate_at: Option<Instant>,
     changed_at: Instant,
+    /// The last change that this box observed, which reports repeat for some time.
+    observed_at: Option<Instant>,
 }
 
 impl Suspect {
@@ -169,6 +183,36 @@
         self.counted().any(|crash| Some(crash.content) != first)
     }
 
+    /// Whether this box observed a change that reports still repeat.
+    fn is_news(&self, now: Instant) -> bool {
+        self.observed_at.is_some_and(|at| now < at + REPEAT_DURATION)
+    }
+
+    /// The crashes that reports name, the last ones first.
+    fn reported_crashes(&self, audience: Audience) -> impl Iterator<Item = &PartCrash> {
+        let mut crashes: Vec<&PartCrash> = self.crashes.iter().collect();
+        crashes.retain(|crash| crash.observed_here || audience == Audience::AllRegions);
+        crashes.sort_unstable_by_key(|crash| std::cmp::Reverse(crash.crashed_at));
+        crashes.into_iter().take(MAX_REPORTED_CRASHES)
+    }
+
+    fn report(&self, part: PartHash, audience: Audience, now: Instant) -> wire::PartReport {
+        let millis_ago = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+        let mut report = wire::PartReport {
+            part,
+            successes: self.succeeded_before,
+            succeeded_ms: self.succeeded_here_at.map(millis_ago),
+            ..wire::PartReport::default()
+        };
+        for crash in self.reported_crashes(audience) {
+            report.lives.push(crash.server);
+            report.contents.push(crash.content);
+            report.sent_ms.push(millis_ago(crash.sent_at));
+            report.ended_ms.push(millis_ago(crash.crashed_at));
+        }
+        report
+    }
+
     /// Whether this part was present at each of the crashes that count against the other.
     fn accounts_for(&self, other: &Suspect) -> bool {
         other.counted().all(|crash| self.includes(crash.server))
@@ -197,11 +241,6 @@
 }
 
 impl Parts {
-    /// Whether some part has seen this many crashes without a success in between.
-    pub fn has_suspects(&self, crashes: usize) -> bool {
-        self.suspects.values().any(|suspect| suspect.crashes_in_a_row() >= crashes)
-    }
-
     /// Whether no part has seen a crash.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -224,15 +263,18 @@
         }
     }
 
-    /// Records that a server crashed while it was executing requests of this box.
-    pub fn record_crash(&mut self, server: ServerIncarnation, now: Instant) {
-        let Some((parts, crashed_at)) = self.pending.remove(&server) else { return };
+    /// Records that a server crashed while it was executing requests of this box. Returns whether
+    /// one of their parts may turn out to be the cause, so that all boxes are notified at once.
+    pub fn record_crash(&mut self, server: ServerIncarnation, now: Instant) -> bool {
+        let Some((parts, crashed_at)) = self.pending.remove(&server) else { return false };
         self.record_server(server, crashed_at);
-        for (part, SentPart { content, sent_at }) in parts {
-            let succeeded_before = self.successes.count(part);
-            let crash = PartCrash { server, sent_at, crashed_at, content };
-            self.add_crash(part, crash, succeeded_before, now);
+        for (part, SentPart { content, sent_at }) in &parts {
+            let succeeded_before = self.successes.count(*part);
+            let (sent_at, content) = (*sent_at, *content);
+            let crash = PartCrash { server, sent_at, crashed_at, content, observed_here: true };
+            self.add_crash(*part, crash, succeeded_before, now);
         }
+        parts.keys().any(|part| self.suspects.get(part).is_some_and(|one| self.is_candidate(one)))
     }
 
     /// Records that a server crashed.
@@ -261,7 +303,7 @@
             self.record_server(*server, crashed_at);
             let own = self.successes.count(report.part);
             let (server, content) = (*server, *content);
-            let crash = PartCrash { server, sent_at, crashed_at, content };
+            let crash = PartCrash { server, sent_at, crashed_at, content, observed_here: false };
             self.add_crash(report.part, crash, own.max(report.successes), now);
         }
         let succeeded_at = report.succeeded_ms.and_then(ago);
@@ -282,6 +324,7 @@
             succeeded_here_at: None,
             evaluate_at: None,
             changed_at: now,
+            observed_at: None,
         });
         suspect.succeeded_before = suspect.succeeded_before.max(succeeded_before);
         if suspect.includes(crash.server) {
@@ -292,6 +335,9 @@
         }
         suspect.crashes.push(crash);
         suspect.changed_at = now;
+        if crash.observed_here {
+            suspect.observed_at = Some(now);
+        }
         if suspect.crashes_in_a_row() >= CRASHES_FOR_VERDICT {
             suspect.evaluate_at.get_or_insert(now + EVALUATION_DELAY);
         }
@@ -303,6 +349,7 @@
         let Some(suspect) = self.suspects.get_mut(&part) else { return };
         if suspect.crashes_in_a_row() > 0 {
             suspect.changed_at = now;
+            suspect.observed_at = Some(now);
         }
         suspect.succeeded_at = Some(now);
         suspect.succeeded_here_at = Some(now);
@@ -346,6 +393,13 @@
         convicted
     }
 
+    /// Whether a part may turn out to be the cause of its crashes.
+    fn is_candidate(&self, suspect: &Suspect) -> bool {
+        suspect.crashes_in_a_row() >= CRASHES_FOR_ISOLATION
+            && suspect.has_several_contents()
+            && self.is_present_at_crashes(suspect)
+    }
+
     /// Whether a part is taken to be the cause of its crashes.
     fn is_cause(&self, part: PartHash, suspect: &Suspect) -> bool {
         if suspect.crashes_in_a_row() < suspect.required_crashes()
@@ -363,29 +417,37 @@
         likelier.next().is_none()
     }
 
-    /// What a report tells about parts whose crashes or successes are new, those with the most
-    /// crashes first. Which others are left out of a full report changes from one to the next.
-    pub fn reports(&mut self, now: Instant) -> Vec<wire::PartReport> {
+    /// What a report tells about parts whose crashes or successes this box observed lately, those with
+    /// the most crashes first, in at most `max_bytes`. Which others are left out of a full report
+    /// changes from one to the next. Boxes of other regions get candidates, and parts with several
+    /// crashes that succeeded here.
+    pub fn reports(
+        &mut self,
+        audience: Audience,
+        max_bytes: usize,
+        now: Instant,
+    ) -> Vec<wire::PartReport> {
         self.report_count += 1;
-        let is_new = |suspect: &Suspect| now < suspect.changed_at + REPEAT_DURATION;
-        let mut new: Vec<(&PartHash, &Suspect)> =
-            self.suspects.iter().filter(|(_, suspect)| is_new(suspect)).collect();
-        new.sort_by_cached_key(|(part, suspect)| {
+        let is_reported = |suspect: &Suspect| {
+            let is_cleared = || {
+                suspect.crashes.len() >= CRASHES_FOR_ISOLATION && suspect.crashes_in_a_row() == 0
+            };
+            audience == Audience::Region || is_cleared() || self.is_candidate(suspect)
+        };
+        let news = self.suspects.iter().filter(|(_, suspect)| suspect.is_news(now));
+        let mut news: Vec<(&PartHash, &Suspect)> =
+            news.filter(|(_, suspect)| is_reported(suspect)).collect();
+        news.sort_by_cached_key(|(part, suspect)| {
             let rank = rendezvous::mix(**part, self.report_count);
             (std::cmp::Reverse(suspect.crashes_in_a_row()), rank)
         });
-        let millis_ago = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
-        let reports = new.into_iter().take(MAX_REPORTED_PARTS);
-        let reports = reports.map(|(part, suspect)| wire::PartReport {
-            part: *part,
-            lives: suspect.crashes.iter().map(|crash| crash.server).collect(),
-            contents: suspect.crashes.iter().map(|crash| crash.content).collect(),
-            sent_ms: suspect.crashes.iter().map(|crash| millis_ago(crash.sent_at)).collect(),
-            ended_ms: suspect.crashes.iter().map(|crash| millis_ago(crash.crashed_at)).collect(),
-            successes: suspect.succeeded_before,
-            succeeded_ms: suspect.succeeded_here_at.map(millis_ago),
+        let mut bytes = 0;
+        let reports = news.into_iter().map(|(part, suspect)| suspect.report(*part, audience, now));
+        let fitting = reports.take_while(|report| {
+            bytes += report.encoded_len() + FIELD_OVERHEAD_BYTES;
+            bytes <= max_bytes
         });
-        reports.collect()
+        fitting.collect()
     }
 }
 
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -28,6 +28,7 @@
 use crate::coordination::loads::BoxReport;
 use crate::coordination::presence;
 use crate::coordination::quarantine::Audience;
+use crate::coordination::quarantine::wire::PartReport;
 use crate::coordination::quota::FleetSize;
 use crate::coordination::quota::ReportId;
 use crate::coordination::regions::Utilization;
@@ -37,6 +38,7 @@
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::Position;
 use crate::state::clock;
+use crate::state::counters::Counter;
 use crate::transport::listen::Shutdown;
 use crate::transport::timer;
 
@@ -57,8 +59,11 @@
 /// to a box which has just started and contains only rates and leaving servers, one that tells which
 /// servers are warm, one for judges of upgrades, or one about streams.
 pub const REPLY_NUMBER: u64 = 0;
-/// Number of crashes from which boxes of other regions get reports of a part of prompts.
-const MIN_CRASHES_FOR_OTHER_REGIONS: usize = 2;
+/// Bytes about parts of prompts in the reports to all boxes of the region together: a tenth of a link
+/// of 10 Mbit/s. Each box has a part of them, so that the bound holds in regions of any size.
+const MAX_PART_BYTES_PER_ROUND: usize = 24 << 10;
+/// Maximum number of bytes about parts of prompts in one report.
+const MAX_PART_BYTES: usize = 4 << 10;
 /// Maximum size of a datagram in bytes: some hundred servers.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
@@ -318,15 +323,18 @@
 /// rotation.
 fn send_to_region<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64) {
     let datagram = encode(&mut build_report(shared, number));
-    send(socket, &datagram, region_addresses(shared).iter());
+    let region = region_addresses(shared);
+    send_counted(shared, socket, &datagram, region.iter(), Counter::ReportBytes);
 }
 
 /// Sends a report to all boxes of all regions at once.
 fn send_to_all<A: Adapter>(shared: &Shared<A>, socket: &UdpSocket, number: u64) {
     let mut report = build_report(shared, number);
-    send(socket, &encode(&mut report), region_addresses(shared).iter());
+    let region = region_addresses(shared);
+    send_counted(shared, socket, &encode(&mut report), region.iter(), Counter::ReportBytes);
     reduce_for_other_regions(shared, &mut report);
-    send(socket, &encode(&mut report), other_region_boxes(shared).iter());
+    let others = other_region_boxes(shared);
+    send_counted(shared, socket, &encode(&mut report), others.iter(), Counter::RemoteReportBytes);
 }
 
 /// Sends the periodic report to the next boxes of the region in rotation, and to a random box of
@@ -342,14 +350,15 @@
     let others = region_addresses(shared);
     let offset = number as usize * MAX_RECIPIENTS % others.len().max(1);
     let recipients = others.iter().cycle().skip(offset).take(MAX_RECIPIENTS.min(others.len()));
-    send(socket, &datagram, recipients);
+    let recipients: Vec<&SocketAddr> = recipients.collect();
+    send_counted(shared, socket, &datagram, recipients.into_iter(), Counter::ReportBytes);
     reduce_for_other_regions(shared, &mut report);
     let remote_boxes = other_region_boxes(shared);
     let datagram = encode(&mut report);
     let recipients =
         if announcer.should_announce(&report) { MAX_ANNOUNCEMENT_RECIPIENTS } else { 1 };
     let recipients = remote_boxes.iter().choose_multiple(&mut rand::rng(), recipients);
-    send(socket, &datagram, recipients.into_iter());
+    send_counted(shared, socket, &datagram, recipients.into_iter(), Counter::RemoteReportBytes);
     // This report tells unlisted boxes of other regions about each other, and which box to query
     // for a newer state. They get no reports for a long time while their datagrams do not arrive.
     // So this report doesn't confirm the age of their state, and these boxes probe servers to find
@@ -380,10 +389,22 @@
     report.unreached_servers.clear();
     report.flows = lock(&shared.quotas).region_usage_to_report(now);
     report.ends = lock(&shared.quarantine).crash_reports(Audience::AllRegions, now);
-    report.parts.retain(|part| part.lives.len() >= MIN_CRASHES_FOR_OTHER_REGIONS);
+    report.parts =
+        part_reports(shared, Audience::AllRegions, other_region_boxes(shared).len(), now);
     add_region_load(shared, report);
 }
 
+/// What a report to `recipients` boxes tells about parts of prompts under which servers crashed.
+fn part_reports<A: Adapter>(
+    shared: &Shared<A>,
+    audience: Audience,
+    recipients: usize,
+    now: Instant,
+) -> Vec<PartReport> {
+    let max_bytes = MAX_PART_BYTES.min(MAX_PART_BYTES_PER_ROUND / recipients.max(1));
+    lock(&shared.quarantine).part_reports(audience, max_bytes, now)
+}
+
 /// The boxes of other regions.
 fn other_region_boxes<A: Adapter>(shared: &Shared<A>) -> Vec<SocketAddr> {
     let snapshot = shared.snapshot.load();
@@ -431,6 +452,18 @@
     report.encode_to_vec()
 }
 
+/// Sends a report and counts its bytes.
+fn send_counted<'a, A: Adapter>(
+    shared: &Shared<A>,
+    socket: &UdpSocket,
+    datagram: &[u8],
+    to: impl ExactSizeIterator<Item = &'a SocketAddr>,
+    counter: Counter,
+) {
+    shared.counters.add(counter, (datagram.len() * to.len()) as u64);
+    send(socket, datagram, to);
+}
+
 /// Sends a datagram to each of the addresses.
 pub fn send<'a>(socket: &UdpSocket, datagram: &[u8], to: impl Iterator<Item = &'a SocketAddr>) {
     for address in to {
@@ -512,14 +545,18 @@
     report.reached_servers = checks.results_to_report(true);
     report.unreached_servers = checks.results_to_report(false);
     drop(checks);
-    let mut quarantine = lock(&shared.quarantine);
+    let quarantine = lock(&shared.quarantine);
     if !quarantine.is_empty() {
         report.ends = quarantine.crash_reports(Audience::Region, now);
-        report.parts = quarantine.part_reports(now);
         report.verdicts = quarantine.verdict_reports(now, &mut rand::rng());
         report.trials = quarantine.own_reserved_servers();
     }
+    let has_suspects = !quarantine.is_empty();
     drop(quarantine);
+    if has_suspects {
+        let recipients = region_addresses(shared).len().min(MAX_RECIPIENTS);
+        report.parts = part_reports(shared, Audience::Region, recipients, now);
+    }
     for service in lock(&shared.services).values() {
         for (server, load) in service.placement.own_loads() {
             report.servers.push(server);
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -62,6 +62,8 @@
     HeartbeatsReceived "heartbeats_received" "Heartbeats received.";
     HeartbeatBytes "heartbeat_bytes" "Bytes of heartbeats sent and received, without framing.";
     PeerRefused "peer_refused" "Calls from other boxes that failed authentication.";
+ReportBytes "report_bytes" "Bytes of load reports sent to boxes of the same region.";
+    RemoteReportBytes "remote_report_bytes" "Bytes of load reports sent to boxes of other regions.";
     Probes "probes" "Probes of backend servers.";
     ReportWaits "report_waits" "Requests that waited until a server reported whether it is cold.";
     PathProbes "path_probes" "Probes of lost paths to backend servers.";
--- a/lib/tests/test_quarantine_parts.rs
+++ b/lib/tests/test_quarantine_parts.rs
@@ -6,9 +6,11 @@
 
 use copperweir_lib::coordination::fingerprint::Fingerprint;
 use copperweir_lib::coordination::interrupted::InterruptedRequest;
+use copperweir_lib::coordination::quarantine::Audience;
 use copperweir_lib::coordination::quarantine::Quarantine;
 use copperweir_lib::coordination::quarantine::VERDICT_TTL;
 use copperweir_lib::protocol::adapter::PromptSegment;
+use prost::Message;
 
 const FIRST: u64 = 1;
 const DEADLY: u64 = 2;
@@ -19,6 +21,9 @@
 /// Time until a crash is evaluated.
 const EVALUATION: Duration = Duration::from_millis(300);
 
+/// Maximum size of what a report tells about parts.
+const MAX_BYTES: usize = 4 << 10;
+
 /// A prompt of these parts, and a last one of its own.
 fn prompt(parts: &[u64]) -> Vec<PromptSegment> {
     let segment = |id: &u64| PromptSegment { id: *id, tokens: 50 };
@@ -73,7 +78,7 @@
     /// Sends what this box knows to another.
     fn report_to(&mut self, other: &mut Fixture) {
         other.now = other.now.max(self.now);
-        for report in self.quarantine.part_reports(self.now) {
+        for report in self.quarantine.part_reports(Audience::Region, MAX_BYTES, self.now) {
             other.quarantine.receive_part(&report, other.now);
         }
         for verdict in self.quarantine.active_verdicts(self.now) {
@@ -260,3 +265,59 @@
     verdicts.iter().for_each(|verdict| one.quarantine.receive_verdict(verdict, one.now));
     assert!(!one.is_refused(&[HARMLESS]));
 }
+
+/// Guards against boxes that repeat each other's reports until these fill the links.
+#[test]
+fn crash_that_another_box_reported_is_not_reported_again() {
+    let (mut one, mut other) = (Fixture::new(), Fixture::new());
+    one.crash(&[&[FIRST, HARMLESS]]);
+    one.report_to(&mut other);
+    for audience in [Audience::Region, Audience::AllRegions] {
+        assert_eq!(other.quarantine.part_reports(audience, MAX_BYTES, other.now), []);
+    }
+    // What this box observes later at another server is reported without the first crash.
+    other.next_server = 50;
+    other.crash(&[&[FIRST, HARMLESS]]);
+    for report in other.quarantine.part_reports(Audience::Region, MAX_BYTES, other.now) {
+        assert_eq!(report.lives, [51]);
+    }
+}
+
+/// Guards against reports to all regions on days on which servers crash for reasons other than requests.
+#[test]
+fn crashes_of_many_servers_notify_no_other_region() {
+    let mut fixture = Fixture::new();
+    for round in 0..3 {
+        for rare_part in 0..40 {
+            let server = fixture.next_server + 1;
+            let parts = [FIRST, 1000 + rare_part];
+            let interrupted = fixture.interrupted(fixture.now - EXECUTION);
+            fixture.quarantine.record_interrupted_parts(server, &prompt(&parts), interrupted);
+            let notifies_all = fixture.quarantine.record_part_crash(server, fixture.now);
+            assert!(!notifies_all, "crash {server} in round {round}");
+            fixture.next_server = server;
+        }
+        fixture.succeed(&[FIRST]);
+        fixture.wait(SECOND);
+    }
+    let others = fixture.quarantine.part_reports(Audience::AllRegions, MAX_BYTES, fixture.now);
+    let parts: Vec<u64> = others.iter().map(|report| report.part).collect();
+    assert!(parts.len() <= 1, "only the part that succeeded: {parts:x?}");
+}
+
+/// Guards against datagrams that crowd out responses when a server crashes with many requests.
+#[test]
+fn report_stays_within_its_bytes_and_the_deadliest_part_comes_first() {
+    let mut fixture = Fixture::new();
+    for _ in 0..2 {
+        let requests: Vec<[u64; 2]> = (0..200).map(|one| [DEADLY, 2000 + one]).collect();
+        let requests: Vec<&[u64]> = requests.iter().map(|parts| &parts[..]).collect();
+        fixture.crash(&requests[..]);
+        fixture.wait(SECOND / 10);
+    }
+    let max_bytes = 1 << 10;
+    let reports = fixture.quarantine.part_reports(Audience::Region, max_bytes, fixture.now);
+    assert!(reports.iter().map(Message::encoded_len).sum::<usize>() <= max_bytes);
+    assert!(reports.len() > 3);
+    assert!(reports.iter().all(|report| report.lives.len() <= 5));
+}
