cold servers: the rate at a server is estimated by the duration of its requests

Cause: a report of being warm lasts a time by the rate at which the server is used. That rate was taken as the requests in progress divided by 0.25 s. An engine runs a request for some seconds, so the rate came out ten times too high and a report lasted 10 ms. Queries wait for a slot, as requests do, so a full server answers none in time.

Change: the requests in progress are divided by half of the mean duration of this box's requests, 0.25 s at least.

--- a/lib/src/coordination/coldness.rs
+++ b/lib/src/coordination/coldness.rs
@@ -19,8 +19,12 @@
 const REPORT_RETENTION: Duration = Duration::from_millis(600);
 /// Time without an answer to a query from which a server counts as slow to answer.
 const SLOW_ANSWER: Duration = Duration::from_millis(100);
-/// Assumed time for which a server runs a request.
-const REQUEST_DURATION: Duration = Duration::from_millis(250);
+/// Time for which a server runs a request as long as none has ended here, and the shortest that is
+/// assumed.
+pub const MIN_REQUEST_DURATION: Duration = Duration::from_millis(250);
+/// Fraction of the mean duration of requests that is assumed. Requests of other boxes may be shorter
+/// than those of this one, and a rate that is too low lets reports last too long.
+const DURATION_FRACTION: f64 = 0.5;
 /// Maximum wait for the answer to a query. A server without a free slot answers late.
 pub const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -56,6 +60,8 @@
     pub mean_rate: f64,
     /// Number of boxes that send to the servers.
     pub sharing_boxes: usize,
+    /// Mean time for which the servers run the requests of this box.
+    pub request_duration: Duration,
     /// Whether the servers can be queried.
     pub can_query: bool,
 }
@@ -66,7 +72,8 @@
     pub fn allowance(&self, share: Share, sent: usize, in_flight: u32) -> Allowance {
         // A single request doesn't show a rate.
         let own_rate = warmup::window_rate(sent.saturating_sub(1));
-        let running_rate = f64::from(in_flight) / REQUEST_DURATION.as_secs_f64();
+        let duration = self.request_duration.mul_f64(DURATION_FRACTION).max(MIN_REQUEST_DURATION);
+        let running_rate = f64::from(in_flight) / duration.as_secs_f64();
         let used = self.mean_rate.max(own_rate * self.sharing_boxes as f64).max(running_rate);
         let report_lifetime = share.report_lifetime(used);
         Allowance { share, report_lifetime, stored_cold_until: None, can_query: self.can_query }
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -29,6 +29,7 @@
 use super::candidate::Outcome;
 use super::candidate::ServerState;
 use super::candidate::Work;
+use super::coldness::MIN_REQUEST_DURATION;
 use super::coldness::Usage;
 use super::loads::Load;
 use super::loads::Loads;
@@ -53,6 +54,8 @@
 /// Number of servers compared for one request. Boxes act on reports that are some tenths of a
 /// second old; comparing only a random sample keeps them from all choosing the same server.
 const SAMPLE_SIZE: usize = 4;
+/// Weight of the latest request in the mean duration.
+const DURATION_WEIGHT: f64 = 0.05;
 /// Maximum number of servers for which all are compared, without a sample.
 const COMPARE_ALL_MAX_SERVERS: usize = 6;
 
@@ -169,6 +172,8 @@
     placed: Window,
     /// Answers to queries of this box that other boxes have not been told, by server incarnation.
     untold_answers: Vec<(u64, Instant)>,
+    /// Mean duration of the requests that servers responded to.
+    request_duration: Duration,
     started_at: Instant,
     /// When servers were removed. A server that returns may have received its cold share just
     /// before: entries expire and return while the store is unavailable.
@@ -194,6 +199,7 @@
             health_path: None,
             placed: Window::default(),
             untold_answers: Vec::new(),
+            request_duration: MIN_REQUEST_DURATION,
             started_at,
             removed_at: BTreeMap::new(),
             rest_periods: RestPeriods::default(),
@@ -424,6 +430,11 @@
         }
         candidate.in_flight = candidate.in_flight.saturating_sub(1);
         candidate.record_outcome(outcome, now);
+        if matches!(outcome, Outcome::Answered | Outcome::Failed) {
+            let duration = now.saturating_duration_since(place.reserved_at);
+            self.request_duration = self.request_duration.mul_f64(1.0 - DURATION_WEIGHT)
+                + duration.mul_f64(DURATION_WEIGHT);
+        }
         self.record_path(&place.server, outcome, now)
     }
 
--- a/lib/src/coordination/placement/cold.rs
+++ b/lib/src/coordination/placement/cold.rs
@@ -50,6 +50,7 @@
         Usage {
             mean_rate: own_rate * sharing_boxes as f64 / servers,
             sharing_boxes,
+            request_duration: self.request_duration,
             can_query: self.health_path.is_some(),
         }
     }
