--- a/lib/tests/common/cold_servers.rs
+++ b/lib/tests/common/cold_servers.rs
@@ -34,8 +34,6 @@
 const SERVICE: u64 = 3;
 /// One-way latency between two boxes, and between a box and a server.
 const LATENCY: Duration = Duration::from_micros(500);
-/// Duration of a request.
-const REQUEST_DURATION: Duration = Duration::from_millis(300);
 /// Maximum wait of a request for a report, and time between two checks while it waits.
 const MAX_WAIT: Duration = Duration::from_millis(250);
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -61,6 +59,8 @@
     pub rate: f64,
     /// Limit of a cold server.
     pub limit: ColdLimit,
+    /// Time for which a server runs a request.
+    pub request_duration: Duration,
     /// Time that a server takes to answer a query.
     pub answer_time: Duration,
     /// Share of the datagrams that are lost.
@@ -319,7 +319,7 @@
         match placement.admit_send(&mut place, now) {
             Admission::Granted => {
                 self.arrive(&place);
-                self.schedule(REQUEST_DURATION, Event::Finish { at_box, place });
+                self.schedule(self.setting.request_duration, Event::Finish { at_box, place });
             }
             Admission::Unconfirmed if now < until => {
                 let is_queried = placement.start_query(&place, now).is_some();
--- a/lib/tests/test_cold_servers.rs
+++ b/lib/tests/test_cold_servers.rs
@@ -24,6 +24,7 @@
         servers,
         rate,
         limit: limit(cold_rate),
+        request_duration: Duration::from_millis(300),
         answer_time: Duration::from_millis(1),
         loss: 0.0,
         hot_share: 0.0,
@@ -82,6 +83,34 @@
     }
 }
 
+/// Guards against reports that last too long because requests take long: each server has some thirty
+/// requests in progress.
+#[test]
+fn servers_with_long_requests_that_turn_cold_unnoticed_are_not_flooded() {
+    for setting in regions() {
+        let request_duration = Duration::from_secs(2);
+        assert_within_limit(Setting { request_duration, ..setting }, 3);
+    }
+}
+
+/// Guards against queries in proportion to the requests in progress, which wait for slots like these.
+/// Boxes assume half of the duration, so they may query twice as often.
+#[test]
+fn servers_with_long_requests_are_queried_no_more_often_than_others() {
+    for setting in regions() {
+        let queries = |request_duration| {
+            let setting = Setting { request_duration, turn_cold: false, ..setting };
+            let measurements = measure(setting, 0..2);
+            let total: f64 = measurements.iter().map(|one| one.queries_per_server).sum();
+            total / measurements.len() as f64
+        };
+        let (short, long) =
+            (queries(Duration::from_millis(300)), queries(Duration::from_millis(1500)));
+        println!("{} boxes: {short} and {long} queries a second and server", setting.boxes);
+        assert!(long <= 2.0 * short, "{long} with long requests, {short} with short ones");
+    }
+}
+
 /// A server that is used at less than it can handle while cold is not queried.
 #[test]
 fn servers_with_little_load_are_not_queried() {
