numbers: check external numbers where they are read

One entry of another writer with coldLeftMs ended all boxes with a panic in ClusterState::apply_server, and again at each start.

Numbers of entries, configurations, orders, responses, headers and datagrams become checked types (protocol::quantity) at the input boundary. Each maximum is a named constant. A value out of range makes its entry unreadable where it identifies something (born, durationS) and is clamped elsewhere. Clamped values are logged. Entries of services that the configuration doesn't name have no effect until it names them. Values that can't be read are logged once for each change, no longer once for each key. Weights of boxes, serials of plans and sums of reported counts are bounded, too.

--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -274,7 +274,8 @@
     /// Requests in flight from another box, on all servers.
     pub fn of_sender(&self, sender: u64) -> u32 {
         let loads = self.senders.get(&sender).map(|sender| &sender.loads);
-        loads.map_or(0, |loads| loads.iter().map(|(_, load)| load.in_flight).sum())
+        let in_flight = loads.into_iter().flatten().map(|(_, load)| load.in_flight);
+        in_flight.fold(0, u32::saturating_add)
     }
 
     /// Number of boxes with a current report.
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -40,6 +40,7 @@
 pub mod reachability;
 pub mod regions;
 pub mod rendezvous;
+pub mod report_limits;
 pub mod rest_period;
 pub mod retries;
 pub mod retry_spread;
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -121,7 +121,9 @@
 fn receive<A: Adapter>(shared: &Arc<Shared<A>>, socket: &UdpSocket, buffer: &mut [u8]) {
     let now = clock::now();
     while let Ok((length, from)) = socket.try_recv_from(buffer) {
-        match BoxReport::decode(&buffer[..length]) {
+        let mut decoded = BoxReport::decode(&buffer[..length]);
+        decoded.iter_mut().for_each(BoxReport::clamp_numbers);
+        match decoded {
             Ok(report) if report.number == REPLY_NUMBER => {
                 upgrade::receive(shared, &report, now);
                 stream_versions::receive(shared, socket, &report, from, now);
--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -1,6 +1,7 @@
 //! The servers, boxes, evacuations and configuration that the control thread has learned from the
 //! store.
 
+mod boxes;
 mod settling;
 mod views;
 
@@ -32,6 +33,7 @@
 use crate::protocol::platform::Revision;
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::ServiceId;
+use crate::protocol::team::Teams;
 
 /// How long boxes whose records are gone still count among the boxes that share a limit. They may
 /// be running and only have lost the store.
@@ -166,6 +168,7 @@
                         "event=configuration version={} before={known_version}",
                         routing.version
                     );
+                    self.log_unknown_regions(&routing);
                     self.routing = Some(Arc::new(*routing));
                 } else if routing.version < known_version {
                     log::warn!(
@@ -230,6 +233,14 @@
             server.cold_left.as_millis(),
             server.version,
         );
+        if !self.domains.contains_key(&server.failure_domain) {
+            log::warn!(
+                "event=unknown_failure_domain server={} failure_domain={:?}",
+                server.id,
+                server.failure_domain
+            );
+        }
+        let is_named = self.is_named(&server.service);
         let id = server.id.clone();
         let entry = Entry {
             names: self.domains.get(&server.failure_domain).cloned(),
@@ -243,21 +254,23 @@
             changed_at,
         };
         self.servers.insert(id, entry);
-        true
+        is_named
     }
 
-    /// Applies the record of a box.
-    pub fn apply_box(&mut self, record: BoxRecord) {
-        self.expired_boxes.remove(&record.name);
-        let before = self.boxes.insert(record.name.clone(), record.clone());
-        if before.as_ref() != Some(&record) {
-            log::info!(
-                "event=box box={} region={} incarnation={:x} leaving={}",
-                record.name,
-                record.region,
-                record.incarnation,
-                record.leaving
-            );
+    /// Whether the configuration names a service. Entries of other services are kept, because a
+    /// later configuration may name it, and have no effect until then.
+    fn is_named(&self, service: &str) -> bool {
+        self.routing.as_ref().is_some_and(|routing| routing.services.contains_key(service))
+    }
+
+    /// Logs regions that a configuration names and that no failure domain belongs to.
+    fn log_unknown_regions(&self, routing: &Routing) {
+        let known: BTreeSet<&str> = self.domains.values().map(|names| &*names.region).collect();
+        let routes = routing.routes().flat_map(|route| &route.home_regions);
+        let teams = routing.teams.iter().flat_map(Teams::iter).flat_map(|team| &team.home_regions);
+        let named: BTreeSet<&str> = routes.chain(teams).map(String::as_str).collect();
+        for region in named.difference(&known) {
+            log::warn!("event=unknown_region region={region:?} version={}", routing.version);
         }
     }
 
@@ -266,30 +279,6 @@
         self.servers.len()
     }
 
-    /// Whether the store lists a box.
-    pub fn is_listed(&self, name: &str) -> bool {
-        self.boxes.contains_key(name)
-    }
-
-    /// Applies the roster entry of a box, which remains after the box is gone.
-    pub fn apply_roster_entry(&mut self, region: &str, name: &str) {
-        self.roster.insert((region.to_owned(), name.to_owned()));
-    }
-
-    /// Number of boxes in all regions that share the limits.
-    pub fn fleet_size(&self, context: &LocalContext<'_>) -> usize {
-        let roster_size = if context.just_started { self.roster.len() } else { 0 };
-        (self.other_boxes(context.own_record).len() + 1).max(roster_size)
-    }
-
-    /// Removes a box whose record is gone.
-    pub fn remove_box(&mut self, name: &str, now: Instant) {
-        if let Some(record) = self.boxes.remove(name) {
-            log::info!("event=box_gone box={name} incarnation={:x}", record.incarnation);
-            self.expired_boxes.insert(name.to_owned(), (record, now));
-        }
-    }
-
     /// Removes an entry that is gone from the store.
     pub fn remove(&mut self, subject: &Subject, now: Instant) {
         self.rollback.discard_held(subject);
@@ -332,9 +321,9 @@
             if entry.server.failure_domain != domain {
                 continue;
             }
-            let cold = routing.services.get(&entry.server.service).map(|service| service.cold_time);
-            let until = now + cold.unwrap_or_default();
-            entry.cold_until = entry.cold_until.max(Some(until));
+            if let Some(service) = routing.services.get(&entry.server.service) {
+                entry.cold_until = entry.cold_until.max(Some(now + service.cold_time));
+            }
         }
     }
 
@@ -384,39 +373,6 @@
         self.settle(now) || dropped
     }
 
-    /// Other boxes whose records have been gone from the store only for seconds, or whose datagrams
-    /// still arrive.
-    pub fn other_expired_boxes(&self, own_record: &BoxRecord) -> Vec<BoxRecord> {
-        let records = self.expired_boxes.values().map(|(record, _)| record);
-        records.filter(|record| record.name != own_record.name).cloned().collect()
-    }
-
-    /// Keeps expired boxes whose datagrams still arrive. They send to servers like any other box,
-    /// and depend more on the reports of others than those do. With a lease of 4 s and shares that
-    /// grow 30 s after it ends, two boxes of four that lose the store for that long would send 20
-    /// requests in a second where 17 are allowed (calculated, not run).
-    pub fn refresh_expired_boxes(
-        &mut self,
-        has_recent_datagram: impl Fn(&str) -> bool,
-        now: Instant,
-    ) {
-        for (name, (_, since)) in &mut self.expired_boxes {
-            if has_recent_datagram(name) {
-                *since = now;
-            }
-        }
-    }
-
-    /// Records the boxes of this region that sent datagrams to this one. A box that started during
-    /// a store outage may have no other knowledge of them, and would use all of a limit itself: two
-    /// such boxes sent 21 requests in a second to a cold server where 17 are allowed. Returns
-    /// whether any of them is new.
-    pub fn record_senders(&mut self, senders: impl Iterator<Item = u64>, now: Instant) -> bool {
-        let previous_len = self.senders.len();
-        self.senders.extend(senders.map(|sender| (sender, now)));
-        self.senders.len() != previous_len
-    }
-
     /// The store's entry about an incarnation of a server.
     pub fn departure_entry(
         &self,
@@ -432,9 +388,4 @@
             entry.announced_leaving = leaves(entry.incarnation);
         }
     }
-
-    /// Live boxes except this one.
-    pub fn other_boxes(&self, own_record: &BoxRecord) -> Vec<BoxRecord> {
-        self.boxes.values().filter(|record| record.name != own_record.name).cloned().collect()
-    }
 }
--- a/lib/src/gateway/cluster_state/views.rs
+++ b/lib/src/gateway/cluster_state/views.rs
@@ -43,7 +43,7 @@
     /// Versions of all known servers, and the regions in which they may get requests.
     pub fn software_versions(&self) -> SoftwareVersions {
         let mut versions = SoftwareVersions::default();
-        for entry in self.servers.values() {
+        for entry in self.servers.values().filter(|entry| self.is_named(&entry.server.service)) {
             let version = candidate::version_hash(&entry.server.version);
             let regions =
                 get_or_insert(&mut versions, &entry.server.service).entry(version).or_default();
@@ -60,7 +60,8 @@
         for entry in self.servers.values().filter(|entry| self.is_home(entry)) {
             let Some(names) = &entry.names else { continue };
             let service = get_or_insert(&mut slots, &entry.server.service);
-            *get_or_insert(service, &names.region) += entry.server.slots;
+            let slots = get_or_insert(service, &names.region);
+            *slots = slots.saturating_add(entry.server.slots);
         }
         slots
     }
@@ -80,6 +81,7 @@
     fn accepts_requests(&self, entry: &Entry) -> bool {
         !entry.server.leaving
             && !entry.announced_leaving
+            && self.is_named(&entry.server.service)
             && !self.evacuated.contains_key(&entry.server.failure_domain)
     }
 
--- a/lib/src/gateway/cold_reports.rs
+++ b/lib/src/gateway/cold_reports.rs
@@ -12,6 +12,9 @@
 use crate::coordination::freshness::MAX_LATENCY_IN_REGION;
 use crate::coordination::loads::BoxReport;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::quantity::MAX_COLD_S;
+use crate::protocol::quantity::Millis;
+use crate::protocol::quantity::Span;
 use crate::state::clock;
 
 /// Applies what servers reported to another box of the region.
@@ -22,7 +25,7 @@
     let reports = report.cold_ms.iter().zip(&report.asked_ms);
     let mut services = lock(&shared.services);
     for (server, (cold_ms, asked_ms)) in report.asked.iter().zip(reports) {
-        let cold_left = Duration::from_millis(u64::from(*cold_ms));
+        let cold_left = Span::<MAX_COLD_S>::saturating(Millis(f64::from(*cold_ms))).get();
         let age = Duration::from_millis(u64::from(*asked_ms)) + MAX_LATENCY_IN_REGION;
         let Some(at) = now.checked_sub(age) else { continue };
         for service in services.values_mut() {
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -8,7 +8,6 @@
 mod join;
 mod peer_sync;
 mod store_sync;
-mod unreadable_keys;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -21,7 +20,6 @@
 use tokio::sync::watch;
 
 use self::peer_sync::StartOutcome;
-use self::unreadable_keys::UnreadableKeys;
 use super::cluster_state::ClusterState;
 use super::cluster_state::LocalContext;
 pub use super::event::Event;
@@ -33,6 +31,7 @@
 use super::shared::lock;
 use super::stream_versions;
 use super::throttle;
+use super::unreadable_keys::UnreadableKeys;
 use super::upgrade;
 use crate::coordination::drain;
 use crate::coordination::drain::Drain;
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -33,6 +33,8 @@
 use crate::protocol::platform::Era;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Position;
+use crate::protocol::quantity::MAX_PLAN_SERIAL;
+use crate::protocol::quantity::Notes;
 use crate::state::clock;
 use crate::transport::store;
 use crate::transport::store::ResponseWithEra;
@@ -421,30 +423,38 @@
         }
         if item.key.starts_with(BOXES) {
             match serde_json::from_slice::<BoxRecord>(&item.value) {
-                Ok(record) => {
+                Ok(mut record) => {
+                    record.clamp_weight();
                     self.rewrite_outdated_record(&record);
                     self.cluster_state.apply_box(record);
                 }
-                Err(error) => self.unreadable_keys.record(&item.key, &error.to_string()),
+                Err(error) => {
+                    self.unreadable_keys.record(&item.key, &item.value, &error.to_string())
+                }
             }
             return;
         }
         if item.key.starts_with(QUARANTINE) {
             if let Err(error) = quarantine::apply_stored_verdict(&self.shared, &item.value) {
-                self.unreadable_keys.record(&item.key, &error.to_string());
+                self.unreadable_keys.record(&item.key, &item.value, &error.to_string());
             }
             return;
         }
         if item.key.starts_with(RATES) {
             if let Err(error) = throttle::apply_stored_rate(&self.shared, &item.value) {
-                self.unreadable_keys.record(&item.key, &error.to_string());
+                self.unreadable_keys.record(&item.key, &item.value, &error.to_string());
             }
             return;
         }
         if let Some(service) = item.key.strip_prefix(UPGRADES) {
             match serde_json::from_slice::<Plan>(&item.value) {
+                Ok(plan) if plan.serial > MAX_PLAN_SERIAL => {
+                    self.unreadable_keys.record(&item.key, &item.value, "serial: too large");
+                }
                 Ok(plan) => lock(&self.shared.upgrades).apply_plan(service, plan, clock::now()),
-                Err(error) => self.unreadable_keys.record(&item.key, &error.to_string()),
+                Err(error) => {
+                    self.unreadable_keys.record(&item.key, &item.value, &error.to_string())
+                }
             }
             return;
         }
@@ -452,7 +462,14 @@
         if subject == Subject::Other {
             return;
         }
-        match self.shared.adapter.decode_fact(&subject, &item.value) {
+        let mut notes = Notes::default();
+        let decoded = self.shared.adapter.decode_noted_fact(&subject, &item.value, &mut notes);
+        if decoded.is_ok()
+            && let Some(notes) = notes.into_line()
+        {
+            self.unreadable_keys.record_notes(&item.key, &item.value, &notes);
+        }
+        match decoded {
             Ok(Some(Fact::Upgrade(order))) => {
                 let position = Position { era: self.applied_era, revision: item.revision };
                 log::info!(
@@ -471,7 +488,7 @@
                 if let Subject::Server(id) = &subject {
                     self.cluster_state.discard_server(id);
                 }
-                self.unreadable_keys.record(&item.key, &error);
+                self.unreadable_keys.record(&item.key, &item.value, &error);
             }
         }
     }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 pub mod stream_timing;
 pub mod stream_versions;
 pub mod throttle;
+pub mod unreadable_keys;
 pub mod upgrade;
 
 use std::collections::BTreeMap;
--- a/lib/src/gateway/throttle.rs
+++ b/lib/src/gateway/throttle.rs
@@ -23,6 +23,8 @@
 use crate::protocol::adapter::Operation;
 use crate::protocol::adapter::StoreResponse;
 use crate::protocol::platform::PlatformError;
+use crate::protocol::quantity::Amount;
+use crate::protocol::quantity::MAX_RATE;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::store;
@@ -55,11 +57,12 @@
 }
 
 /// Applies a rate from the store.
-pub fn apply_stored_rate<A: Adapter>(
-    shared: &Shared<A>,
-    value: &[u8],
-) -> Result<(), serde_json::Error> {
-    let stored_rate = serde_json::from_slice(value)?;
+pub fn apply_stored_rate<A: Adapter>(shared: &Shared<A>, value: &[u8]) -> Result<(), String> {
+    let stored_rate: StoredRate =
+        serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    if let Some(rate) = stored_rate.rate {
+        Amount::<MAX_RATE>::try_from(rate).map_err(|error| format!("rate: {error}"))?;
+    }
     lock(&shared.throttles).merge_stored(stored_rate, clock::now());
     Ok(())
 }
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -82,7 +82,9 @@
         let snapshot = shared.snapshot.load();
         let (plan, target) = snapshot.versions.get(&job.service)?.plan.as_ref()?;
         let parts = &job.metadata.segments;
-        let tokens = |parts: &[PromptSegment]| parts.iter().map(|part| part.tokens).sum::<u32>();
+        let tokens = |parts: &[PromptSegment]| {
+            parts.iter().fold(0, |sum: u32, part| sum.saturating_add(part.tokens))
+        };
         let own = parts.last().map_or(0, |part| part.tokens);
         let prompt_tokens = tokens(parts);
         Some(TrackedSend {
--- a/lib/src/protocol/adapter.rs
+++ b/lib/src/protocol/adapter.rs
@@ -17,6 +17,7 @@
 use super::platform::LeaseId;
 use super::platform::PlatformError;
 use super::platform::Revision;
+use super::quantity::Notes;
 use super::routing::Routing;
 use super::routing::ServiceId;
 use super::server_status::ServerStatus;
@@ -284,8 +285,19 @@
     /// Returns the kind of object that a key refers to.
     fn subject(&self, key: &str) -> Subject;
 
-    /// Decodes a value written by the operator or by a backend server.
-    fn decode_fact(&self, subject: &Subject, value: &[u8]) -> Result<Option<Fact>, String>;
+    /// Decodes a value written by the operator or by a backend server. Adds to `notes` the numbers
+    /// that were out of range and replaced by the nearest one in range.
+    fn decode_noted_fact(
+        &self,
+        subject: &Subject,
+        value: &[u8],
+        notes: &mut Notes,
+    ) -> Result<Option<Fact>, String>;
+
+    /// As [`StoreCodec::decode_noted_fact`], without the notes.
+    fn decode_fact(&self, subject: &Subject, value: &[u8]) -> Result<Option<Fact>, String> {
+        self.decode_noted_fact(subject, value, &mut Notes::default())
+    }
 
     /// Encodes the status of an order: the key and the value that the operator reads.
     fn upgrade_status(
--- a/lib/src/protocol/fleet.rs
+++ b/lib/src/protocol/fleet.rs
@@ -11,6 +11,7 @@
 use super::Incarnation;
 use super::RegionId;
 use super::ServerId;
+use super::quantity::MAX_BOX_WEIGHT;
 use super::routing::ServiceId;
 
 /// The name of a failure domain.
@@ -64,3 +65,10 @@
     /// The relative capacity of the box: its share of the processor.
     pub weight: f64,
 }
+
+impl BoxRecord {
+    /// Replaces a weight out of range by the nearest one in range.
+    pub fn clamp_weight(&mut self) {
+        self.weight = self.weight.clamp(0.0, MAX_BOX_WEIGHT);
+    }
+}
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -8,6 +8,7 @@
 pub mod jsonc;
 pub mod peer;
 pub mod platform;
+pub mod quantity;
 pub mod retry_after;
 pub mod routing;
 pub mod schema;
--- a/lib/src/protocol/routing.rs
+++ b/lib/src/protocol/routing.rs
@@ -159,6 +159,11 @@
         Routing { teams, ..self }
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes_by_host.values().flatten().map(std::sync::Arc::as_ref)
+    }
+
     /// Returns the number of routes of a host that a region may execute.
     pub fn count_routes(&self, host: &str, region: &str) -> usize {
         let routes = self.routes_by_host.get(host).into_iter().flatten();
