forwards: never handle a request by an older state than it was forwarded by

A box that was partitioned from the store routed forwarded requests by its own, older configuration, after callers of the forwarding box had seen a newer one.

The receiving box compares the configuration of the request, and the position of the last change of configuration, evacuations or upgrades, with its own state. If it is behind, it fetches the state from the forwarding box and waits up to 150 ms. Otherwise it refuses the request as not run, and the forwarding box tries another one. A receiving box that is ahead uses its own configuration and names it in the response, and the forwarding box fetches it.

--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -188,6 +188,11 @@
         (now >= since + allowed_lag).then_some(peer.address)
     }
 
+    /// Address of a box with a newer state, whatever its region.
+    pub fn newer_peer_address(&self) -> Option<SocketAddr> {
+        self.newer_peer.map(|peer| peer.address)
+    }
+
     /// Drops the box with the newer state because it does not respond; another one may.
     pub fn forget_newer_peer(&mut self) {
         self.newer_peer = None;
--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod ejection;
 pub mod feedback;
 pub mod fingerprint;
+pub mod forwarded_version;
 pub mod forwards;
 pub mod freshness;
 pub mod gossip;
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 
 use super::decision_log;
 use super::feedback;
+use super::forwarded_versions;
 use super::job::Job;
 use super::job::LOST_PATHS_HEADER;
 use super::job::SENDS_HEADER;
@@ -120,11 +121,12 @@
     last_event: Option<u64>,
     version: Option<VersionHash>,
 ) -> SendOutcome<A> {
-    let request = job.for_peer(&shared.adapter, last_event, version);
+    let request = job.for_peer(shared, last_event, version);
     shared.counters.increment(Counter::ForwardedOut);
     let _under_way = UnderWay::new(shared, job);
     match send(&shared.peers, job, address, request, false, &mut Always).await {
         Ok(response) => {
+            forwarded_versions::note_response(shared, response.headers());
             if response.headers().contains_key(LOST_PATHS_HEADER) {
                 record_path_refusal(shared, job, address);
             }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -103,6 +103,11 @@
     has_unpublished_changes: bool,
     /// Era of the store that the entries belong to which are being applied.
     applied_era: Era,
+    /// Position up to which entries are being applied.
+    applied_position: Position,
+    /// Position of the last change of configuration, evacuations or upgrades. It is too late, never
+    /// too early, if the key was removed, because removals come without their positions.
+    decided_at: Position,
     unreadable_keys: UnreadableKeys,
     /// When resends are logged next.
     log_resends_at: Instant,
@@ -137,6 +142,8 @@
             published_at: None,
             has_unpublished_changes: false,
             applied_era: 0,
+            applied_position: Position::default(),
+            decided_at: Position::default(),
             unreadable_keys: UnreadableKeys::default(),
             log_resends_at: clock::now() + RESEND_LOG_INTERVAL,
         }
@@ -392,7 +399,8 @@
         let gap = PUBLICATION_GAP_PER_SERVER * self.cluster_state.server_count() as u32;
         let gap =
             gap.min(self.shared.settings.propagation_limit.mul_f64(MAX_PUBLICATION_GAP_SHARE));
-        let is_due = self.published_at.is_none_or(|at| clock::now() >= at + gap);
+        let is_due = self.published_at.is_none_or(|at| clock::now() >= at + gap)
+            || self.shared.forwarded_versions.is_awaited();
         if is_due {
             self.publish();
         } else {
@@ -449,6 +457,8 @@
         lock(&self.shared.unlisted).set_listed(listed);
         let snapshot = Arc::new(Snapshot {
             routing: self.cluster_state.routing.clone(),
+            state: lock(&self.shared.freshness).version(),
+            decided_at: self.decided_at,
             boxes,
             expired_boxes,
             fleet_size,
@@ -460,6 +470,7 @@
             stage: self.drain.stage(),
         });
         self.shared.snapshot.store(Arc::clone(&snapshot));
+        self.shared.forwarded_versions.notify_published();
         stream_versions::record_versions(&self.shared, &snapshot, now);
         if !upgrading_servers.is_empty() {
             let counts =
--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -262,6 +262,7 @@
             self.begin_era(recovered_at.unwrap_or(now), before, position);
         }
         self.applied_era = position.era;
+        self.applied_position = position;
         removed.into_iter().for_each(|key| self.apply_change(Change::Removed(key)));
         written.into_iter().for_each(|item| self.apply_change(Change::Written(item)));
         lock(&self.shared.replica).advance_to(position);
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -33,6 +33,7 @@
 use crate::protocol::platform::Era;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Position;
+use crate::protocol::platform::Revision;
 use crate::protocol::quantity::MAX_PLAN_SERIAL;
 use crate::protocol::quantity::Notes;
 use crate::state::clock;
@@ -164,6 +165,7 @@
             self.begin_era(clock::now(), before, position);
         }
         self.applied_era = position.era;
+        self.applied_position = position;
         let listed_hashes = items.iter().map(|item| replica::key_hash(&item.key)).collect();
         let removed = lock(&self.shared.replica).keys_not_in(&listed_hashes);
         removed.into_iter().for_each(|key| self.apply_change(Change::Removed(key)));
@@ -192,7 +194,10 @@
         let mut next_draw_at = clock::now();
         loop {
             let now = clock::now();
-            if let Some(address) = self.newer_peer(now) {
+            // A full read isn't abandoned: its result is newer than any state that is asked for.
+            let may_query = !matches!(pending, PendingCall::FullRead(_));
+            let source = may_query.then(|| self.shared.forwarded_versions.take_source()).flatten();
+            if let Some(address) = source.or_else(|| self.newer_peer(now)) {
                 // A watch that has not returned these changes by now has died.
                 pending = PendingCall::Idle;
                 self.fetch_state_from(address).await;
@@ -297,6 +302,7 @@
             })) => {
                 self.record_store_success();
                 self.applied_era = known_position.era;
+                self.applied_position = Position { revision, ..known_position };
                 let has_changes = !changes.is_empty();
                 changes.into_iter().for_each(|change| self.apply_change(change));
                 lock(&self.shared.replica).advance_to(Position { revision, ..known_position });
@@ -373,6 +379,7 @@
             }
             Change::Removed(key) if key.starts_with(UPGRADES) => {
                 self.remove_from_replica(&key);
+                self.decided_at = self.decided_at.max(self.applied_position);
                 if let Some(service) = key.strip_prefix(UPGRADES) {
                     lock(&self.shared.upgrades).remove_plan(service);
                 }
@@ -392,6 +399,9 @@
         if let Subject::Upgrade(service) = subject {
             lock(&self.shared.upgrades).remove_order(service);
         }
+        if matches!(subject, Subject::Upgrade(_) | Subject::Evacuation(_)) {
+            self.decided_at = self.decided_at.max(self.applied_position);
+        }
         self.cluster_state.remove(subject, now);
     }
 
@@ -412,6 +422,12 @@
         }
     }
 
+    /// Records a change of configuration, evacuations or upgrades.
+    fn record_decision(&mut self, revision: Revision) {
+        let position = Position { era: self.applied_era, revision };
+        self.decided_at = self.decided_at.max(position);
+    }
+
     /// Applies a key that was written.
     fn apply_item(&mut self, item: KeyValue) {
         lock(&self.shared.replica).insert(&item);
@@ -451,7 +467,10 @@
                 Ok(plan) if plan.serial > MAX_PLAN_SERIAL => {
                     self.unreadable_keys.record(&item.key, &item.value, "serial: too large");
                 }
-                Ok(plan) => lock(&self.shared.upgrades).apply_plan(service, plan, clock::now()),
+                Ok(plan) => {
+                    self.record_decision(item.revision);
+                    lock(&self.shared.upgrades).apply_plan(service, plan, clock::now());
+                }
                 Err(error) => {
                     self.unreadable_keys.record(&item.key, &item.value, &error.to_string())
                 }
@@ -478,9 +497,13 @@
                     order.target,
                     order.duration.as_millis()
                 );
+                self.record_decision(item.revision);
                 lock(&self.shared.upgrades).apply_order(order, position, clock::now());
             }
             Ok(Some(fact)) => {
+                if matches!(fact, Fact::Routing(_) | Fact::Evacuated(_)) {
+                    self.record_decision(item.revision);
+                }
                 self.cluster_state.apply(fact, item.revision, clock::now());
             }
             Ok(None) => {}
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -12,6 +12,7 @@
 use super::attempt::Reply;
 use super::decision_log;
 use super::dispatch;
+use super::forwarded_versions;
 use super::history::RequestHistory;
 use super::job::Job;
 use super::job::LOST_PATHS_HEADER;
@@ -49,6 +50,9 @@
         Origin::Peer => Counter::ForwardedIn,
     });
     let mut response = process(&shared, origin, request, in_flight_guard).await;
+    if origin == Origin::Peer {
+        forwarded_versions::add_version(&shared, response.headers_mut());
+    }
     if shared.snapshot.load().stage != Stage::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -18,6 +18,10 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use super::forwarded_versions;
+pub use super::forwarded_versions::FORWARDED_HEADER;
+pub use super::forwarded_versions::Forward;
+use super::forwarded_versions::VERSION_HEADER;
 use super::shared::Shared;
 use super::shared::Snapshot;
 use super::shared::lock;
@@ -43,9 +47,6 @@
 use crate::transport::http1;
 use crate::transport::timer;
 
-/// Marks a request that another box has forwarded. It is not forwarded again. The value is that of
-/// a [`Forward`].
-pub const FORWARDED_HEADER: HeaderName = HeaderName::from_static("copperweir-passed-on");
 /// How many sends a box made for a request that got no response.
 pub const SENDS_HEADER: HeaderName = HeaderName::from_static("copperweir-sends");
 /// Version of the server that runs a stream, in a response to a box that understands it.
@@ -56,8 +57,6 @@
 const KEY_HEADER: HeaderName = HeaderName::from_static("copperweir-key");
 /// Name of the caller's team, for another box.
 const TEAM_HEADER: HeaderName = HeaderName::from_static("copperweir-team");
-/// Version of the configuration in which the forwarding box looked up key and team.
-const VERSION_HEADER: HeaderName = HeaderName::from_static("copperweir-version");
 /// Fingerprint of the caller's request, for another box.
 const FINGERPRINT_HEADER: HeaderName = HeaderName::from_static("copperweir-fingerprint");
 /// Headers that only boxes send to each other. They are ignored in requests of callers, and are
@@ -82,32 +81,6 @@
     Peer,
 }
 
-/// What a box that forwards a request expects of the other one. Boxes of older builds send `1`, and
-/// read no value.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Forward {
-    /// Whether the response may have [`SERVER_VERSION_HEADER`].
-    pub understands_versions: bool,
-    /// The only version at which a stream may continue.
-    pub version: Option<VersionHash>,
-}
-
-impl Forward {
-    fn parse(headers: &HeaderMap) -> Forward {
-        let value = headers.get(FORWARDED_HEADER).and_then(|value| value.to_str().ok());
-        let mut words = value.unwrap_or_default().split(' ');
-        Forward {
-            understands_versions: words.next() == Some("2"),
-            version: words.next().and_then(|hash| VersionHash::from_str_radix(hash, 16).ok()),
-        }
-    }
-
-    fn value(version: Option<VersionHash>) -> HeaderValue {
-        let value = version.map_or("2".to_owned(), |version| format!("2 {version:x}"));
-        HeaderValue::try_from(value).expect("digits and a space")
-    }
-}
-
 /// A caller's request that has been read and checked.
 pub struct Job {
     /// Data of the caller's headers.
@@ -149,13 +122,17 @@
     ) -> Result<Job, Failure> {
         let arrived = clock::now();
         let (head, body) = request.into_parts();
-        let snapshot = shared.snapshot.load_full();
-        let routing = current_routing(&snapshot)?;
-        let route = find_route(&routing, &head.headers, &head.uri)?;
         let forward = match origin {
             Origin::Caller => Forward::default(),
             Origin::Peer => Forward::parse(&head.headers),
         };
+        if origin == Origin::Peer {
+            let time_limit = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT);
+            forwarded_versions::await_state(shared, &head.headers, &forward, time_limit).await?;
+        }
+        let snapshot = shared.snapshot.load_full();
+        let routing = current_routing(&snapshot)?;
+        let route = find_route(&routing, &head.headers, &head.uri)?;
         let claim = identity_claim(origin, &metadata, &head.headers);
         metadata.key = claim.key;
         let team = identify_team(shared, &claim, &routing, &route)?;
@@ -251,14 +228,14 @@
     /// The request to forward to a box of another region.
     pub fn for_peer<A: Adapter>(
         &self,
-        adapter: &A,
+        shared: &Shared<A>,
         last_event: Option<u64>,
         version: Option<VersionHash>,
     ) -> Request<http_body_util::Full<Bytes>> {
         let mut request = self.request();
         let headers = request.headers_mut();
-        adapter.set_forward_headers(headers, self.time_left(clock::now()));
-        headers.insert(FORWARDED_HEADER, Forward::value(version));
+        shared.adapter.set_forward_headers(headers, self.time_left(clock::now()));
+        headers.insert(FORWARDED_HEADER, Forward::value(shared, version));
         headers.insert(VERSION_HEADER, self.version.into());
         if let Ok(fingerprint) = HeaderValue::try_from(self.fingerprint.to_string()) {
             headers.insert(FINGERPRINT_HEADER, fingerprint);
@@ -345,7 +322,7 @@
     }
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
     let key = text(&KEY_HEADER).and_then(|key| key.parse::<KeyDigest>().ok());
-    let version = text(&VERSION_HEADER).and_then(|version| version.parse().ok());
+    let version = forwarded_versions::configuration_version(headers);
     let team = text(&TEAM_HEADER).map(str::to_owned);
     Credentials { key, forwarded: version.map(|version| ForwardedIdentity { team, version }) }
 }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod dispatch;
 pub mod event;
 pub mod feedback;
+pub mod forwarded_versions;
 pub mod forwarding;
 pub mod history;
 pub mod ingress;
@@ -58,12 +59,14 @@
 use self::cluster_state::ClusterState;
 use self::control::Control;
 use self::control::Event;
+use self::forwarded_versions::ForwardedVersions;
 use self::job::Origin;
 use self::settings::Listen;
 use self::settings::Settings;
 use self::shared::Shared;
 use self::shared::Snapshot;
 use crate::coordination::drain::Stage;
+use crate::coordination::freshness::Version;
 use crate::coordination::presence;
 use crate::coordination::quota;
 use crate::coordination::quota::Quotas;
@@ -78,6 +81,7 @@
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::FailureDomainId;
+use crate::protocol::platform::Position;
 use crate::state::clock;
 use crate::state::counters::Counters;
 use crate::state::latency::Latencies;
@@ -158,6 +162,8 @@
             adapter,
             snapshot: ArcSwap::from_pointee(Snapshot {
                 routing: None,
+                state: Version::default(),
+                decided_at: Position::default(),
                 boxes: Vec::new(),
                 expired_boxes: Vec::new(),
                 fleet_size: 1,
@@ -198,6 +204,7 @@
             path_lost: Notify::new(),
             path_results: Notify::new(),
             peer_ahead: Notify::new(),
+            forwarded_versions: ForwardedVersions::default(),
             servers: backend::Client::new(SERVER_CONNECT_TIMEOUT, liveness::SERVER)
                 .with_routes(settings.server_routes.clone()),
             peers: backend::Client::new(PEER_CONNECT_TIMEOUT, liveness::REMOTE),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -16,6 +16,7 @@
 
 use super::cluster_state::ServerLocation;
 use super::cluster_state::SoftwareVersions;
+use super::forwarded_versions::ForwardedVersions;
 use super::replica::Replica;
 use super::settings::Settings;
 use super::state_transfer::CompressedState;
@@ -27,6 +28,7 @@
 use crate::coordination::fingerprint::Fingerprint;
 use crate::coordination::forwards::Forwards;
 use crate::coordination::freshness::Freshness;
+use crate::coordination::freshness::Version;
 use crate::coordination::interrupted::InterruptedRequests;
 use crate::coordination::join_tree::JoinTree;
 use crate::coordination::loads::Loads;
@@ -50,6 +52,7 @@
 use crate::protocol::Incarnation;
 use crate::protocol::RegionId;
 use crate::protocol::fleet::BoxRecord;
+use crate::protocol::platform::Position;
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::ServiceId;
 use crate::state::clock;
@@ -63,6 +66,10 @@
 pub struct Snapshot {
     /// The configuration; `None` until the first one is known.
     pub routing: Option<Arc<Routing>>,
+    /// Version of the state from the store that this snapshot shows.
+    pub state: Version,
+    /// Position of the last change of configuration, evacuations or upgrades.
+    pub decided_at: Position,
     /// Other live boxes.
     pub boxes: Vec<BoxRecord>,
     /// Boxes whose records are gone from the store. They may be running and only have lost the
@@ -193,6 +200,8 @@
     pub path_results: Notify,
     /// Notified when another box has a newer state from the store than this one.
     pub peer_ahead: Notify,
+    /// Forwarded requests that wait for a newer state.
+    pub forwarded_versions: ForwardedVersions,
     /// Client for backend servers.
     pub servers: backend::Client,
     /// Client for other boxes.
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use copperweir_lib::coordination::drain::Stage;
+use copperweir_lib::coordination::freshness::Version;
 use copperweir_lib::coordination::presence::Presence;
 use copperweir_lib::coordination::presence::box_hash;
 use copperweir_lib::coordination::reachability::PeerReachability;
@@ -16,6 +17,7 @@
 use copperweir_lib::gateway::shared::Snapshot;
 use copperweir_lib::protocol::adapter::DirectoryQuery;
 use copperweir_lib::protocol::fleet::BoxRecord;
+use copperweir_lib::protocol::platform::Position;
 use copperweir_lib::protocol::routing::Limits;
 use copperweir_lib::protocol::routing::Repeatability;
 use copperweir_lib::protocol::routing::Route;
@@ -63,6 +65,8 @@
     let routing = Routing::new(1, routes, BTreeMap::new(), Limits::default());
     Snapshot {
         routing: Some(Arc::new(routing)),
+        state: Version::default(),
+        decided_at: Position::default(),
         fleet_size: boxes.len() + 1,
         boxes,
         expired_boxes: Vec::new(),
