--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -33,6 +33,9 @@
 use crate::protocol::platform::Era;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Position;
+use crate::protocol::platform::Revision;
+use crate::protocol::quantity::MAX_PLAN_SERIAL;
+use crate::protocol::quantity::Notes;
 use crate::state::clock;
 use crate::transport::store;
 use crate::transport::store::ResponseWithEra;
@@ -162,6 +165,7 @@
             self.begin_era(clock::now(), before, position);
         }
         self.applied_era = position.era;
+        self.applied_position = position;
         let listed_hashes = items.iter().map(|item| replica::key_hash(&item.key)).collect();
         let removed = lock(&self.shared.replica).keys_not_in(&listed_hashes);
         removed.into_iter().for_each(|key| self.apply_change(Change::Removed(key)));
@@ -190,7 +194,10 @@
         let mut next_draw_at = clock::now();
         loop {
             let now = clock::now();
-            if let Some(address) = self.newer_peer(now) {
+            // A full read isn't abandoned: its result is newer than any state that is asked for.
+            let may_query = !matches!(pending, PendingCall::FullRead(_));
+            let source = may_query.then(|| self.shared.forwarded_versions.take_source()).flatten();
+            if let Some(address) = source.or_else(|| self.newer_peer(now)) {
                 // A watch that has not returned these changes by now has died.
                 pending = PendingCall::Idle;
                 self.fetch_state_from(address).await;
@@ -295,6 +302,7 @@
             })) => {
                 self.record_store_success();
                 self.applied_era = known_position.era;
+                self.applied_position = Position { revision, ..known_position };
                 let has_changes = !changes.is_empty();
                 changes.into_iter().for_each(|change| self.apply_change(change));
                 lock(&self.shared.replica).advance_to(Position { revision, ..known_position });
@@ -371,6 +379,7 @@
             }
             Change::Removed(key) if key.starts_with(UPGRADES) => {
                 self.remove_from_replica(&key);
+                self.decided_at = self.decided_at.max(self.applied_position);
                 if let Some(service) = key.strip_prefix(UPGRADES) {
                     lock(&self.shared.upgrades).remove_plan(service);
                 }
@@ -390,6 +399,9 @@
         if let Subject::Upgrade(service) = subject {
             lock(&self.shared.upgrades).remove_order(service);
         }
+        if matches!(subject, Subject::Upgrade(_) | Subject::Evacuation(_)) {
+            self.decided_at = self.decided_at.max(self.applied_position);
+        }
         self.cluster_state.remove(subject, now);
     }
 
@@ -410,6 +422,12 @@
         }
     }
 
+    /// Records a change of configuration, evacuations or upgrades.
+    fn record_decision(&mut self, revision: Revision) {
+        let position = Position { era: self.applied_era, revision };
+        self.decided_at = self.decided_at.max(position);
+    }
+
     /// Applies a key that was written.
     fn apply_item(&mut self, item: KeyValue) {
         lock(&self.shared.replica).insert(&item);
@@ -421,30 +439,41 @@
         }
         if item.key.starts_with(BOXES) {
             match serde_json::from_slice::<BoxRecord>(&item.value) {
-                Ok(record) => {
+                Ok(mut record) => {
+                    record.clamp_weight();
                     self.rewrite_outdated_record(&record);
                     self.cluster_state.apply_box(record);
                 }
-                Err(error) => self.unreadable_keys.record(&item.key, &error.to_string()),
+                Err(error) => {
+                    self.unreadable_keys.record(&item.key, &item.value, &error.to_string())
+                }
             }
             return;
         }
         if item.key.starts_with(QUARANTINE) {
             if let Err(error) = quarantine::apply_stored_verdict(&self.shared, &item.value) {
-                self.unreadable_keys.record(&item.key, &error.to_string());
+                self.unreadable_keys.record(&item.key, &item.value, &error.to_string());
             }
             return;
         }
         if item.key.starts_with(RATES) {
             if let Err(error) = throttle::apply_stored_rate(&self.shared, &item.value) {
-                self.unreadable_keys.record(&item.key, &error.to_string());
+                self.unreadable_keys.record(&item.key, &item.value, &error.to_string());
             }
             return;
         }
         if let Some(service) = item.key.strip_prefix(UPGRADES) {
             match serde_json::from_slice::<Plan>(&item.value) {
-                Ok(plan) => lock(&self.shared.upgrades).apply_plan(service, plan, clock::now()),
-                Err(error) => self.unreadable_keys.record(&item.key, &error.to_string()),
+                Ok(plan) if plan.serial > MAX_PLAN_SERIAL => {
+                    self.unreadable_keys.record(&item.key, &item.value, "serial: too large");
+                }
+                Ok(plan) => {
+                    self.record_decision(item.revision);
+                    lock(&self.shared.upgrades).apply_plan(service, plan, clock::now());
+                }
+                Err(error) => {
+                    self.unreadable_keys.record(&item.key, &item.value, &error.to_string())
+                }
             }
             return;
         }
@@ -452,7 +481,14 @@
         if subject == Subject::Other {
             return;
         }
-        match self.shared.adapter.decode_fact(&subject, &item.value) {
+        let mut notes = Notes::default();
+        let decoded = self.shared.adapter.decode_noted_fact(&subject, &item.value, &mut notes);
+        if decoded.is_ok()
+            && let Some(notes) = notes.into_line()
+        {
+            self.unreadable_keys.record_notes(&item.key, &item.value, &notes);
+        }
+        match decoded {
             Ok(Some(Fact::Upgrade(order))) => {
                 let position = Position { era: self.applied_era, revision: item.revision };
                 log::info!(
@@ -461,9 +497,13 @@
                     order.target,
                     order.duration.as_millis()
                 );
+                self.record_decision(item.revision);
                 lock(&self.shared.upgrades).apply_order(order, position, clock::now());
             }
             Ok(Some(fact)) => {
+                if matches!(fact, Fact::Routing(_) | Fact::Evacuated(_)) {
+                    self.record_decision(item.revision);
+                }
                 self.cluster_state.apply(fact, item.revision, clock::now());
             }
             Ok(None) => {}
@@ -471,7 +511,7 @@
                 if let Subject::Server(id) = &subject {
                     self.cluster_state.discard_server(id);
                 }
-                self.unreadable_keys.record(&item.key, &error);
+                self.unreadable_keys.record(&item.key, &item.value, &error);
             }
         }
     }
