gateway: the age of a state counts from when its call was sent

Cause: the age was counted from the time at which a response of the store was read.

Change: a response proves what the store contained when the call was sent, so the age counts from then. This includes watches: when a watch was answered is unknown, and the polls keep the age low while watches wait. A full read counts from its first call, and the state of another box from the query to that box.

--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -224,8 +224,15 @@
 
     /// Applies the state of another box. Returns whether this box then has the same state.
     fn apply_fetched_state(&mut self, state: FetchedState) -> bool {
-        let FetchedState { source, version, age, recovered_ago, written, removed_keys, verdicts } =
-            state;
+        let FetchedState {
+            source,
+            version,
+            confirmed_at,
+            recovered_ago,
+            written,
+            removed_keys,
+            verdicts,
+        } = state;
         let mut quarantine = lock(&self.shared.quarantine);
         verdicts.iter().for_each(|verdict| quarantine.receive_verdict(verdict, clock::now()));
         drop(quarantine);
@@ -242,7 +249,7 @@
         };
         log::info!(
             "event=state_taken by={source} position={position} before={before} age_ms={} written={} removed={}",
-            age.as_millis(),
+            confirmed_at.map_or(Duration::MAX, clock::since).as_millis(),
             written.len(),
             removed.len()
         );
@@ -266,7 +273,7 @@
         written.into_iter().for_each(|item| self.apply_change(Change::Written(item)));
         lock(&self.shared.replica).advance_to(position);
         let own_version = lock(&self.shared.replica).version();
-        lock(&self.shared.freshness).record_state(own_version, now.checked_sub(age), now);
+        lock(&self.shared.freshness).record_state(own_version, confirmed_at, now);
         self.publish_changes();
         if own_version != version {
             log::warn!(
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -97,6 +97,8 @@
     items: Vec<KeyValue>,
     /// Position in the history from which on to watch for changes.
     position: Position,
+    /// When the first call of the read was sent.
+    asked_at: Instant,
 }
 
 /// Reads the complete contents of the store, in the newest known era. It never uses stale reads,
@@ -111,6 +113,7 @@
     let mut after = None;
     let mut oldest: Option<Position> = None;
     let mut all_items = Vec::new();
+    let asked_at = clock::now();
     loop {
         let prefix = ALL_KEYS.to_owned();
         let page = store.call_with_era(&Operation::Range { prefix, after }).await?;
@@ -128,7 +131,7 @@
         oldest = Some(position);
         all_items.extend(items);
         if !more || after.is_none() {
-            return Ok(Some(FullState { items: all_items, position }));
+            return Ok(Some(FullState { items: all_items, position, asked_at }));
         }
         if all_items.len() >= max_keys {
             return Ok(None);
@@ -146,10 +149,11 @@
         Ok(())
     }
 
-    pub(super) fn apply_full_state(&mut self, FullState { items, position }: FullState) {
+    pub(super) fn apply_full_state(&mut self, state: FullState) {
+        let FullState { items, position, asked_at } = state;
         self.record_store_success();
         self.replace_state(items, position);
-        self.mark_current();
+        self.mark_current(asked_at);
         self.publish();
         self.shared.region_update.notify_one();
     }
@@ -291,6 +295,7 @@
             }
             Ok(SyncResponse::Incremental(ResponseWithEra {
                 response: StoreResponse::Changes { changes, revision },
+                asked_at,
                 ..
             })) => {
                 self.record_store_success();
@@ -298,7 +303,7 @@
                 let has_changes = !changes.is_empty();
                 changes.into_iter().for_each(|change| self.apply_change(change));
                 lock(&self.shared.replica).advance_to(Position { revision, ..known_position });
-                self.mark_current();
+                self.mark_current(asked_at);
                 if !has_changes {
                     return ResponseEffect::Unchanged;
                 }
@@ -317,11 +322,14 @@
         }
     }
 
-    /// Records that the state known to this box matches the store now.
-    fn mark_current(&self) {
+    /// Records that the state known to this box is at least as new as the store's was at
+    /// `asked_at`, when the call was sent. This holds for a watch too, which may have waited: with
+    /// the time at which its response is read, a box that was suspended meanwhile would take a
+    /// state from before its suspension for a current one. The polls of the boxes keep the age low
+    /// while watches wait.
+    fn mark_current(&self, asked_at: Instant) {
         let version = lock(&self.shared.replica).version();
-        let now = clock::now();
-        lock(&self.shared.freshness).record_state(version, Some(now), now);
+        lock(&self.shared.freshness).record_state(version, Some(asked_at), clock::now());
     }
 
     /// Draws whether this box polls the store: a waiting watch may have died unnoticed, and no box
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -159,8 +160,8 @@
     pub source: SocketAddr,
     /// Version of its state.
     pub version: Version,
-    /// How long ago this was the store's state.
-    pub age: Duration,
+    /// When this was the store's state; `None` if that is before the clock's beginning.
+    pub confirmed_at: Option<Instant>,
     /// How long ago the store responded to that box again, if it had an outage shortly before.
     /// Entries may be missing that will be written again.
     pub recovered_ago: Option<Duration>,
@@ -359,8 +360,9 @@
     scope: &StateScope,
     requester: Option<&Neighbor>,
 ) -> Result<Option<FetchedState>, String> {
+    let asked_at = clock::now();
     let reply = query_state(client, address, &scope.to_query(), requester).await?;
-    fetched_state(address, reply)
+    fetched_state(address, reply, asked_at)
 }
 
 async fn query_state(
@@ -387,7 +389,11 @@
 }
 
 /// The state in a reply; `None` if the box that sent it has none.
-fn fetched_state(source: SocketAddr, reply: StateReply) -> Result<Option<FetchedState>, String> {
+fn fetched_state(
+    source: SocketAddr,
+    reply: StateReply,
+    asked_at: Instant,
+) -> Result<Option<FetchedState>, String> {
     let Some(age_ms) = reply.age_ms else { return Ok(None) };
     let mut written: Vec<KeyValue> = reply.entries.into_iter().map(to_item).collect();
     if !reply.deflated.is_empty() {
@@ -402,7 +408,7 @@
         source,
         version: Version { position, digest: reply.digest },
         recovered_ago: reply.returned_ms.map(Duration::from_millis),
-        age: Duration::from_millis(age_ms),
+        confirmed_at: asked_at.checked_sub(Duration::from_millis(age_ms)),
         written,
         removed_keys,
         verdicts: reply.verdicts,
--- a/lib/src/gateway/state_transfer/start.rs
+++ b/lib/src/gateway/state_transfer/start.rs
@@ -124,6 +124,7 @@
         failure_domain: join.map(|(domain, _)| domain.to_owned()).unwrap_or_default(),
         ..StateQuery::default()
     };
+    let asked_at = clock::now();
     let reply = query_state(client, address, &query, Some(requester));
     let reply = match timer::timeout(START_TIMEOUT, reply).await {
         Ok(reply) => reply?,
@@ -135,14 +136,14 @@
     }
     let Some(age_ms) = reply.age_ms else { return Ok(StartResponse::NoState) };
     let age = Duration::from_millis(age_ms);
-    let confirmed_at = clock::now().checked_sub(age).ok_or("the state is too old")?;
+    let confirmed_at = asked_at.checked_sub(age).ok_or("the state is too old")?;
     let version = Version {
         position: Position { era: reply.era, revision: reply.revision },
         digest: reply.digest,
     };
     // A box of the version before replies with single entries.
     let deflated = reply.deflated.clone();
-    let mut state = fetched_state(address, reply)?.ok_or("a state without an age")?;
+    let mut state = fetched_state(address, reply, asked_at)?.ok_or("a state without an age")?;
     let mut compressed = None;
     if !deflated.is_empty() {
         state.removed_keys = RemovedKeys::Listed(HashSet::new());
--- a/lib/src/transport/store.rs
+++ b/lib/src/transport/store.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Request;
@@ -72,6 +73,9 @@
     pub response: StoreResponse,
     /// The era of the store, if reported.
     pub era: Option<Era>,
+    /// When the call was sent. The response shows what the store contained then. When the store gave
+    /// it is not known: a box may have been suspended before it read the response.
+    pub asked_at: Instant,
 }
 
 /// The metrics in which calls are recorded.
@@ -112,7 +116,7 @@
         let StoreMetrics { counters, latencies } = &self.metrics;
         counters.increment(counter);
         let started_at = clock::now();
-        let result = self.send(operation).await;
+        let result = self.send(operation, started_at).await;
         if result.is_err() {
             counters.increment(Counter::StoreFailures);
         } else if !matches!(operation, Operation::Watch { .. }) {
@@ -121,7 +125,11 @@
         result
     }
 
-    async fn send(&self, operation: &Operation) -> Result<ResponseWithEra, PlatformError> {
+    async fn send(
+        &self,
+        operation: &Operation,
+        asked_at: Instant,
+    ) -> Result<ResponseWithEra, PlatformError> {
         let call = self.codec.encode(operation);
         let timeout = match operation {
             Operation::Watch { wait, .. } => *wait + CALL_TIMEOUT,
@@ -133,7 +141,8 @@
             self.newest_era.observe(era, self.address);
         }
         let (status, body) = check_status(response)?;
-        Ok(ResponseWithEra { response: self.codec.decode(operation, status, &body)?, era })
+        let response = self.codec.decode(operation, status, &body)?;
+        Ok(ResponseWithEra { response, era, asked_at })
     }
 
     /// Returns the newest era that was reported; 0 if none was.
