gateway: one rule for the end of a box, and readiness after the retry share is known

Cause of the first: a stopping box read the number of requests in progress once per tick, and closed all connections 0.4 s after it was zero. Requests whose heads became complete in between were executed and got no response. Connections in the backlog of a port, heads on kept connections, forwarded requests and responses to slow callers were cut in the same way.

Change: a box is done when no request is in progress and no connection is open on its ports for callers, boxes and the directory (drain::Event::Tick carries their number). transport::activity knows from the reads and flushes of a connection whether a part of a head has arrived or a response is not flushed yet. While closing, idle connections are closed at once, silent ones and incomplete heads (408) after headerTimeoutMs; a request that becomes complete gets 503 "leaving" with Copperweir-Ran: no and Retry-After, after its body was read.

Cause of the second: a box was ready before the store had said whether it ran before, which decides how much it may resend. Requests that a server refused in between got 503.

Change: a box is ready only once it knows this, or after 2 s with a configuration. A first write of the record that had no effect is tried again as the first one.

The property test of the state machine now also covers open connections.

--- a/lib/src/coordination/drain.rs
+++ b/lib/src/coordination/drain.rs
@@ -4,6 +4,10 @@
 //! announces that it is leaving and still accepts requests, because callers learn of the stop with
 //! a delay. In [`Stage::Closing`] it refuses new requests and finishes those in progress, until
 //! [`Stage::Done`].
+//!
+//! A box is done when no request is in progress and none can become so. The number of requests in
+//! progress doesn't show this: while a request head is being read, or a response is being flushed,
+//! it may be zero.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -30,6 +34,9 @@
         now: Instant,
         /// Number of requests in progress.
         in_flight: usize,
+        /// Number of open connections and ports on which a request may still become complete, or
+        /// whose last response is still being flushed.
+        open: usize,
     },
 }
 
@@ -42,9 +49,9 @@
     Announced,
     /// The box is leaving and refuses new requests.
     Closing,
-    /// All requests have finished.
+    /// No request is in progress, and none can become so.
     Done,
-    /// The time limit passed, or a second stop was requested, while requests were in progress.
+    /// The time limit passed, or a second stop was requested, before that.
     Cut,
 }
 
@@ -122,7 +129,7 @@
         fn closing(&mut self, since: &mut Instant, event: &Event) -> Outcome<State> {
             match event {
                 Event::Stop(_) => Transition(State::cut()),
-                Event::Tick { in_flight: 0, .. } => Transition(State::done()),
+                Event::Tick { in_flight: 0, open: 0, .. } => Transition(State::done()),
                 Event::Tick { now, .. } if *now >= *since + self.timeouts.limit => {
                     Transition(State::cut())
                 }
--- a/lib/src/daemon/control/mod.rs
+++ b/lib/src/daemon/control/mod.rs
@@ -357,7 +357,8 @@
             return;
         }
         let in_flight = self.shared.in_flight.load(Ordering::Acquire);
-        let stage = self.drain.handle(drain::Event::Tick { now, in_flight });
+        // The traffic threads wait for open connections themselves.
+        let stage = self.drain.handle(drain::Event::Tick { now, in_flight, open: 0 });
         if stage != previous_stage {
             log::info!("event=stop_stage stage={stage:?} in_flight={in_flight}");
             self.publish();
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -489,7 +489,7 @@
     let version = lock(&shared.freshness).version();
     let snapshot = shared.snapshot.load();
     let mut report = BoxReport {
-        leaving: snapshot.routing.is_some().then_some(snapshot.stage != Stage::Serving),
+        leaving: snapshot.has_started.then_some(snapshot.stage != Stage::Serving),
         sender: presence::box_hash(&shared.settings.name),
         incarnation: shared.incarnation,
         region: shared.settings.region.clone(),
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -7,12 +7,13 @@
 
 mod join;
 mod peer_sync;
+mod start;
+mod stop;
 mod store_sync;
 mod unreadable_keys;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,7 +21,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use self::peer_sync::StartOutcome;
 use self::unreadable_keys::UnreadableKeys;
 use super::cluster_state::ClusterState;
 use super::cluster_state::LocalContext;
@@ -36,7 +36,6 @@
 use super::upgrade;
 use crate::coordination::drain;
 use crate::coordination::drain::Drain;
-use crate::coordination::drain::Stage;
 use crate::coordination::presence;
 use crate::coordination::retries::Resends;
 use crate::coordination::upgrade::table::ServerCounts;
@@ -52,7 +51,6 @@
 use crate::state::counters::Counter;
 use crate::transport::listen::Shutdown;
 use crate::transport::store;
-use crate::transport::timer;
 
 /// How long a box counts as just started. Boxes that started at the same time have their records in
 /// the store by then.
@@ -76,9 +74,6 @@
 /// it for a while. After that, connections are refused and callers go to another box at once.
 const STOP_GRACE: Duration = Duration::from_millis(2500);
 
-/// Maximum time at shutdown to flush responses that are already written.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// State of the control thread.
 pub struct Control<A: Adapter> {
     shared: Arc<Shared<A>>,
@@ -107,6 +102,10 @@
     unreadable_keys: UnreadableKeys,
     /// When resends are logged next.
     log_resends_at: Instant,
+    /// Whether it is known how much this box may resend.
+    knows_resends: bool,
+    /// Since when there has been a configuration.
+    configured_since: Option<Instant>,
 }
 
 impl<A: Adapter> Control<A> {
@@ -140,6 +139,8 @@
             applied_era: 0,
             unreadable_keys: UnreadableKeys::default(),
             log_resends_at: clock::now() + RESEND_LOG_INTERVAL,
+            knows_resends: false,
+            configured_since: None,
         }
     }
 
@@ -159,67 +160,19 @@
             self.store.clone(),
             self.own_record.clone(),
         ));
-        if self.load_initial_state(&mut events).await {
-            self.run_sync(&mut events).await;
-        }
-        let stage = self.drain.stage();
-        let in_flight = self.shared.in_flight.load(Ordering::Acquire);
-        let ending = match stage {
-            Stage::Done => StopOutcome::Done,
-            _ => StopOutcome::Cut(in_flight),
-        };
-        if stage == Stage::Done && timer::timeout(FLUSH_TIMEOUT, self.stop.closed()).await.is_err()
-        {
-            log::warn!("event=connections_cut reason=\"answers were not read in time\"");
-        }
-        // The send fails if the traffic thread has already ended.
-        let _ = self.stop.send(Shutdown::Immediate);
-        drop(self.record_sender);
-        if timer::timeout(FLUSH_TIMEOUT, lease_task).await.is_err() {
-            log::info!("event=lease_not_ended error=\"no answer in time\"");
-        }
-        log::info!("event=stopped stage={stage:?} in_flight={in_flight}");
-        ending
-    }
-
-    /// Loads an initial state from the store or from other boxes. Returns whether there is one
-    /// before the process ends.
-    async fn load_initial_state(&mut self, events: &mut mpsc::Receiver<Event>) -> bool {
-        // The first state of a new fleet may lack a configuration, which follows like any change.
-        match self.join_fleet(events).await {
-            StartOutcome::HasState => return true,
-            StartOutcome::Stopped => return false,
-            StartOutcome::NoState => {}
-        }
-        while self.cluster_state.routing.is_none() {
-            match self.load_full_state().await {
-                Ok(()) => return true,
-                Err(error) => {
-                    self.record_store_failure(&error);
-                    self.load_state_from_seeds().await;
-                    if self.wait_before_retry(events).await {
-                        return false;
-                    }
-                }
-            }
-        }
-        true
-    }
-
-    /// Waits before the next attempt after a failed call. Returns whether the process ends.
-    async fn wait_before_retry(&mut self, events: &mut mpsc::Receiver<Event>) -> bool {
-        let until = clock::now() + store::RETRY_DELAY;
-        while clock::now() < until {
-            let left = until.saturating_duration_since(clock::now()).min(TICK_INTERVAL);
-            tokio::select! {
-                Some(event) = events.recv() => { self.handle_event(event); }
-                () = timer::sleep(left) => {}
-            }
-            if self.tick() {
-                return true;
+        let stop_limit = self.shared.settings.stop_limit;
+        let (event_sender, mut control_events) = super::events();
+        let run = async {
+            if self.load_initial_state(&mut control_events).await {
+                self.run_sync(&mut control_events).await;
             }
+        };
+        tokio::select! {
+            biased;
+            () = run => {}
+            () = stop::forward_events(&mut events, event_sender, stop_limit) => {}
         }
-        false
+        self.end(lease_task).await
     }
 
     /// Whether this box should watch the store on behalf of its region. A box that is not listed in
@@ -288,7 +241,11 @@
         match event {
             Event::Stop => self.begin_stop(),
             Event::Reload => log::info!("event=reload settings=\"count from the next start\""),
-            Event::FirstStart => lock(&self.shared.retries).assume_no_predecessor(),
+            Event::FirstStart => {
+                lock(&self.shared.retries).assume_no_predecessor();
+                self.record_history_known();
+            }
+            Event::Restart => self.record_history_known(),
             Event::StoreRecovered => self.cluster_state.record_store_recovered(clock::now()),
             // Boxes that start together read the store before the others' records are in it. Of any
             // two, the box that writes later finds the other by polling again now, and sends it
@@ -304,21 +261,11 @@
         }
     }
 
-    fn begin_stop(&mut self) {
-        let before = self.drain.stage();
-        let stage = self.drain.handle(drain::Event::Stop(clock::now()));
-        if stage != before {
-            log::info!("event=stop_requested stage={stage:?}");
-            self.own_record.leaving = true;
-            self.record_sender.send_replace(self.own_record.clone());
-            self.publish();
-        }
-    }
-
     /// Handles everything that depends on time. Returns whether the process ends.
     fn tick(&mut self) -> bool {
         let now = clock::now();
         self.log_resends(now);
+        self.limit_history_wait(now);
         let startup_over = self.just_started && now >= self.started_at + STARTUP_PERIOD;
         let found_box = self.update_senders(now);
         let store_entry = |incarnation| self.cluster_state.departure_entry(incarnation);
@@ -336,21 +283,7 @@
             self.just_started &= !startup_over;
             self.publish();
         }
-        let before = self.drain.stage();
-        if before == Stage::Serving {
-            return false;
-        }
-        let in_flight = self.shared.in_flight.load(Ordering::Acquire);
-        let stage = self.drain.handle(drain::Event::Tick { now, in_flight });
-        if stage != before {
-            log::info!("event=stop_stage stage={stage:?} in_flight={in_flight}");
-            if stage == Stage::Closing {
-                // The send fails if the traffic thread has already ended.
-                let _ = self.stop.send(Shutdown::Graceful);
-            }
-            self.publish();
-        }
-        stage.is_finished()
+        self.update_drain(now)
     }
 
     /// Logs the resends of each service. The lines of single requests are limited in number.
@@ -459,6 +392,7 @@
             versions,
             upgrading_servers: upgrading_servers.clone(),
             stage: self.drain.stage(),
+            has_started: self.cluster_state.routing.is_some() && self.knows_resends,
         });
         self.shared.snapshot.store(Arc::clone(&snapshot));
         stream_versions::record_versions(&self.shared, &snapshot, now);
--- a/lib/src/gateway/directory.rs
+++ b/lib/src/gateway/directory.rs
@@ -44,7 +44,7 @@
         return empty_response(StatusCode::NOT_FOUND);
     }
     let snapshot = shared.snapshot.load();
-    let is_ready = snapshot.routing.is_some() && snapshot.stage == Stage::Serving;
+    let is_ready = snapshot.has_started && snapshot.stage == Stage::Serving;
     empty_response(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
 
@@ -107,9 +107,9 @@
     let mut accepting: Vec<&BoxRecord> =
         boxes.filter(|record| presence.may_be_named(record, now)).collect();
     match snapshot.stage {
-        Stage::Serving => serving.push(own.record),
+        Stage::Serving if snapshot.has_started => serving.push(own.record),
         Stage::Announced => accepting.push(own.record),
-        Stage::Closing | Stage::Done | Stage::Cut => {}
+        Stage::Serving | Stage::Closing | Stage::Done | Stage::Cut => {}
     }
     let reaches_servers = |record: &BoxRecord| {
         if record.name == own.record.name {
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -14,4 +14,6 @@
     RecordWritten,
     /// No box of this name has run before, according to the store.
     FirstStart,
+    /// A box of this name may have run before.
+    Restart,
 }
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -1,6 +1,7 @@
 //! Handles requests of callers and of other boxes, from the head to the response.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderValue;
 use http::Request;
@@ -36,6 +37,11 @@
 use crate::state::latency::Timing;
 use crate::transport::body::NonRelayBody;
 use crate::transport::body::ResponseBody;
+use crate::transport::timer;
+
+/// When a caller may retry a request that a leaving box refuses. Other boxes serve it at once; the
+/// smallest delay that the header can state and that isn't zero.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 /// Handles a request.
 pub async fn handle<A: Adapter>(
@@ -71,7 +77,19 @@
         }
     };
     let id = metadata.id.clone();
-    let job = match Job::read(shared, origin, metadata, request).await {
+    let job = tokio::select! {
+        biased;
+        job = Job::read(shared, origin, metadata, request) => job,
+        () = read_limit(shared) => {
+            Err(Failure::new(ErrorKind::BodyTimeout, "the box is leaving; the body came too late"))
+        }
+    };
+    let job = match job {
+        Ok(job) if is_closing(shared) => {
+            let failure = Failure::new(ErrorKind::Leaving, "the box is leaving")
+                .with_retry_after(LEAVING_RETRY_AFTER);
+            return failure_response(shared, &id, Some(&job), &history, &failure);
+        }
         Ok(job) => job,
         Err(failure) => return failure_response(shared, &id, None, &history, &failure),
     };
@@ -129,6 +147,23 @@
     response
 }
 
+/// Whether this box refuses new requests because it is leaving. A request counts as new until its
+/// body is complete.
+fn is_closing<A>(shared: &Shared<A>) -> bool {
+    shared.closing_since.borrow().is_some()
+}
+
+/// Waits until a leaving box reads no more of a request: as long after it began to refuse requests
+/// as a request head may take.
+async fn read_limit<A>(shared: &Shared<A>) {
+    let mut closing = shared.closing_since.subscribe();
+    // The sender is in `shared`, so it exists.
+    let since = closing.wait_for(Option::is_some).await.ok().and_then(|since| *since);
+    let routing = shared.snapshot.load().routing.clone();
+    let limits = routing.map(|routing| routing.limits).unwrap_or_default();
+    timer::sleep_until(since.unwrap_or_else(clock::now) + limits.header_timeout).await;
+}
+
 /// Whether this box can't reach some servers of the request's service.
 fn has_lost_paths<A: Adapter>(shared: &Shared<A>, job: &Job) -> bool {
     shared.with_service(&job.service, |service| service.placement.has_lost_paths()) == Some(true)
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -77,7 +77,7 @@
     let mut in_roster = false;
     let mut announced = false;
     let mut is_first_write = true;
-    let mut is_first_start = false;
+    let mut start_event: Option<Event> = None;
     loop {
         let era = store.newest_era();
         if lease.as_ref().is_some_and(|lease| lease.may_be_lost(era)) {
@@ -97,11 +97,24 @@
             }),
             Some(Lease { id, .. }) if !written || record.has_changed().unwrap_or(false) => {
                 let newest = record.borrow_and_update().clone();
-                is_first_start = std::mem::take(&mut is_first_write)
-                    && write_first_record(&store, &newest, id).await;
-                let result = match is_first_start {
-                    true => Ok(()),
-                    false => write_record(&store, &newest, id, !in_roster).await,
+                let first_write = match is_first_write {
+                    true => write_first_record(&store, &newest, id).await,
+                    false => Ok(false),
+                };
+                let result = match first_write {
+                    Ok(is_first) => {
+                        start_event = match (is_first_write, is_first) {
+                            (true, true) => Some(Event::FirstStart),
+                            (true, false) => Some(Event::Restart),
+                            (false, _) => None,
+                        };
+                        is_first_write = false;
+                        match is_first {
+                            true => Ok(()),
+                            false => write_record(&store, &newest, id, !in_roster).await,
+                        }
+                    }
+                    Err(error) => Err(error),
                 };
                 result.map(|()| {
                     written = true;
@@ -110,16 +123,16 @@
             }
             Some(Lease { id, .. }) => store.call(&Operation::Renew(id)).await.map(|_| ()),
         };
+        if let Some(event) = start_event.take()
+            && events.send(event).await.is_err()
+        {
+            return;
+        }
         match result {
             Ok(()) => {
                 let era = store.newest_era();
                 lease.iter_mut().for_each(|lease| lease.confirm(era));
                 retry_pause = store::RETRY_DELAY;
-                if std::mem::take(&mut is_first_start)
-                    && events.send(Event::FirstStart).await.is_err()
-                {
-                    return;
-                }
                 if written && !announced {
                     announced = true;
                     if events.send(Event::RecordWritten).await.is_err() {
@@ -187,15 +200,24 @@
 }
 
 /// Writes the record if no box of this name is in the roster yet. Returns whether it was written; a
-/// response that is lost counts as not written.
+/// response that is lost counts as not written. An error means that the call had no effect, so the
+/// next one may still be the first write.
 async fn write_first_record<A: Adapter>(
     store: &store::Client<A>,
     record: &BoxRecord,
     lease: LeaseId,
-) -> bool {
+) -> Result<bool, PlatformError> {
     let expected = vec![(store_keys::roster_key(record), ABSENT)];
     let writes = record_writes(record, lease, true);
-    store.call(&Operation::PutIf { expected, writes }).await.is_ok()
+    match store.call(&Operation::PutIf { expected, writes }).await {
+        Ok(_) => Ok(true),
+        Err(
+            error @ (PlatformError::Unreachable(_)
+            | PlatformError::RateLimited
+            | PlatformError::LeaseExpired),
+        ) => Err(error),
+        Err(_) => Ok(false),
+    }
 }
 
 async fn write_record<A: Adapter>(
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -80,6 +80,7 @@
 use crate::state::clock;
 use crate::state::counters::Counters;
 use crate::state::latency::Latencies;
+use crate::transport::activity::OpenConnections;
 use crate::transport::backend;
 use crate::transport::http1;
 use crate::transport::http1::ConnectionLimits;
@@ -166,6 +167,7 @@
                 versions: BTreeMap::new(),
                 upgrading_servers: BTreeMap::new(),
                 stage: Stage::Serving,
+                has_started: false,
             }),
             replica: Mutex::default(),
             compressed_state: Mutex::default(),
@@ -201,6 +203,8 @@
                 .with_routes(settings.server_routes.clone()),
             peers: backend::Client::new(PEER_CONNECT_TIMEOUT, liveness::REMOTE),
             in_flight: AtomicUsize::new(0),
+            open: OpenConnections::default(),
+            closing_since: watch::Sender::new(None),
             counters,
             latencies,
             settings,
@@ -361,39 +365,65 @@
     let handle_metrics = move |request| metrics::handle(Arc::clone(&state), request);
     let state = Arc::clone(&shared);
     let handle_handover = move |request| state_transfer::handle(Arc::clone(&state), request);
-    let small_port_limits =
-        || ConnectionLimits { max_header_bytes: 8 << 10, idle_timeout: Duration::from_secs(60) };
+    let state = Arc::clone(&shared);
+    let small_port_limits = move || ConnectionLimits {
+        max_header_bytes: 8 << 10,
+        idle_timeout: Duration::from_secs(60),
+        ..caller_limits(&state)
+    };
+    // A box that stops waits for the connections that requests may arrive on, and only briefly for
+    // those of the platform's checks and of boxes that ask for the state, which ask another box.
+    let open = || shared.open.clone();
+    let uncounted = OpenConnections::default;
     tokio::join!(
         http1::serve(
             callers,
             max_connections(CALLER_DESCRIPTOR_SHARE),
-            connection_limits.clone(),
+            open(),
+            connection_limits,
             handle_caller,
             stop.clone()
         ),
         http1::serve(
             peers,
             max_connections(PEER_DESCRIPTOR_SHARE),
-            small_port_limits,
+            open(),
+            small_port_limits.clone(),
             handle_peer,
             stop.clone()
         ),
-        http1::serve(ready, SMALL_PORT_CONNECTIONS, small_port_limits, handle_ready, stop.clone()),
+        http1::serve(
+            ready,
+            SMALL_PORT_CONNECTIONS,
+            uncounted(),
+            small_port_limits.clone(),
+            handle_ready,
+            stop.clone()
+        ),
         http1::serve(
             directory,
             max_connections(DIRECTORY_DESCRIPTOR_SHARE),
-            small_port_limits,
+            open(),
+            small_port_limits.clone(),
             handle_directory,
             stop.clone()
         ),
         http1::serve(
             handover,
             max_connections(HANDOVER_DESCRIPTOR_SHARE),
-            small_port_limits,
+            uncounted(),
+            small_port_limits.clone(),
             handle_handover,
             stop.clone()
         ),
-        http1::serve(metrics, SMALL_PORT_CONNECTIONS, small_port_limits, handle_metrics, stop),
+        http1::serve(
+            metrics,
+            SMALL_PORT_CONNECTIONS,
+            uncounted(),
+            small_port_limits,
+            handle_metrics,
+            stop
+        ),
     );
 }
 
@@ -404,6 +434,7 @@
     ConnectionLimits {
         max_header_bytes: limits.max_header_bytes,
         idle_timeout: limits.idle_timeout,
+        header_timeout: limits.header_timeout,
     }
 }
 
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -13,6 +13,7 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use super::cluster_state::ServerLocation;
 use super::cluster_state::SoftwareVersions;
@@ -55,6 +56,7 @@
 use crate::state::clock;
 use crate::state::counters::Counters;
 use crate::state::latency::Latencies;
+use crate::transport::activity::OpenConnections;
 use crate::transport::backend;
 use crate::transport::store::NewestEra;
 
@@ -82,6 +84,8 @@
     pub upgrading_servers: BTreeMap<ServiceId, ServerCounts>,
     /// Progress of a shutdown.
     pub stage: Stage,
+    /// Whether this box has a configuration and knows how much it may resend.
+    pub has_started: bool,
 }
 
 /// The servers of a service and the load on them.
@@ -199,6 +203,10 @@
     pub peers: backend::Client,
     /// Number of requests in progress.
     pub in_flight: AtomicUsize,
+    /// Open connections of callers and of other boxes.
+    pub open: OpenConnections,
+    /// Since when this box refuses new requests because it is leaving.
+    pub closing_since: watch::Sender<Option<Instant>>,
     /// Event counters.
     pub counters: Arc<Counters>,
     /// Latency histograms.
--- a/lib/src/protocol/routing.rs
+++ b/lib/src/protocol/routing.rs
@@ -109,6 +109,8 @@
     pub max_body_bytes: usize,
     /// How long a connection may be idle between requests.
     pub idle_timeout: Duration,
+    /// How long a caller may take for a request head.
+    pub header_timeout: Duration,
 }
 
 impl Default for Limits {
@@ -118,6 +120,7 @@
             max_header_bytes: 16 << 10,
             max_body_bytes: 4 << 20,
             idle_timeout: Duration::from_secs(15),
+            header_timeout: Duration::from_secs(3),
         }
     }
 }
--- /dev/null
+++ b/lib/src/transport/activity.rs
@@ -0,0 +1,261 @@
+//! What a server connection is doing, as far as it matters for its end.
+//!
+//! The HTTP library doesn't tell whether a part of a request head has arrived, or whether a response
+//! is flushed. Both follow from the reads and writes of the connection: the first byte after a
+//! response begins a head, and a flush after the end of a response's body shows that the operating
+//! system has all of it.
+
+use std::io::IoSlice;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use socket2::SockRef;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+use crate::state::clock;
+
+/// Counts ports that accept connections, and open connections. While there are none, no request is
+/// in progress or can become so.
+#[derive(Clone, Debug, Default)]
+pub struct OpenConnections(Arc<AtomicUsize>);
+
+impl OpenConnections {
+    /// Counts one more until the guard is dropped.
+    pub fn track(&self) -> OpenGuard {
+        self.0.fetch_add(1, Ordering::AcqRel);
+        OpenGuard(self.clone())
+    }
+
+    /// The current number.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// Counts a port or a connection as open until it is dropped.
+#[derive(Debug)]
+pub struct OpenGuard(OpenConnections);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// Nothing has arrived since the connection was accepted.
+    Silent(Instant),
+    /// A part of a request head has arrived.
+    Head(Instant),
+    /// A request is in progress.
+    Request,
+    /// The response is complete, but not flushed.
+    Flushing,
+    /// A response was flushed, and nothing has arrived since.
+    Idle,
+}
+
+impl Phase {
+    /// When the connection is closed during a shutdown, if its caller sends no more; `None` if
+    /// nothing is expected of the caller.
+    pub fn closes_at(self, header_timeout: Duration) -> Option<Instant> {
+        match self {
+            Phase::Silent(since) | Phase::Head(since) => Some(since + header_timeout),
+            Phase::Request | Phase::Flushing | Phase::Idle => None,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    stream: TcpStream,
+    phase: Phase,
+    /// Whether the request in progress has arrived completely.
+    is_request_whole: bool,
+    /// Whether a part of the next request has arrived during the one in progress.
+    has_next: bool,
+}
+
+impl Inner {
+    fn record_read(&mut self) {
+        match self.phase {
+            Phase::Silent(_) | Phase::Idle => self.phase = Phase::Head(clock::now()),
+            Phase::Request | Phase::Flushing => self.has_next |= self.is_request_whole,
+            Phase::Head(_) => {}
+        }
+    }
+
+    fn record_flush(&mut self) {
+        if self.phase == Phase::Flushing {
+            let has_next = std::mem::take(&mut self.has_next);
+            self.phase = if has_next { Phase::Head(clock::now()) } else { Phase::Idle };
+        }
+    }
+}
+
+/// The connection, shared by the HTTP library and the task that decides about its end.
+#[derive(Clone, Debug)]
+pub struct Activity(Arc<Mutex<Inner>>);
+
+impl Activity {
+    /// Tracks a connection that was just accepted.
+    pub fn new(stream: TcpStream) -> Activity {
+        Activity(Arc::new(Mutex::new(Inner {
+            stream,
+            phase: Phase::Silent(clock::now()),
+            is_request_whole: false,
+            has_next: false,
+        })))
+    }
+
+    /// The stream for the HTTP library.
+    pub fn stream(&self) -> TrackedStream {
+        TrackedStream(self.clone())
+    }
+
+    /// What the connection is doing.
+    pub fn phase(&self) -> Phase {
+        self.lock().phase
+    }
+
+    /// Records a complete request head. `is_whole` tells that it has no body.
+    pub fn begin_request(&self, is_whole: bool) {
+        let mut inner = self.lock();
+        inner.phase = Phase::Request;
+        inner.is_request_whole = is_whole;
+        inner.has_next = false;
+    }
+
+    /// Wraps the response's body to find out when it ends.
+    pub fn track_body<B>(&self, body: B) -> TrackedBody<B> {
+        TrackedBody { body, _end: BodyEnd(self.clone()) }
+    }
+
+    /// Whether the operating system has received bytes that were not read.
+    pub fn has_unread(&self) -> bool {
+        let inner = self.lock();
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&inner.stream).peek(&mut byte).is_ok_and(|length| length > 0)
+    }
+
+    /// Sends bytes at once, without waiting. Only for a connection that has nothing else to send.
+    pub fn send_now(&self, bytes: &[u8]) {
+        // The caller may be gone, or reads nothing.
+        let _ = self.lock().stream.try_write(bytes);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A stream that records reads and flushes.
+#[derive(Debug)]
+pub struct TrackedStream(Activity);
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let mut inner = self.0.lock();
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut inner.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            inner.record_read();
+        }
+        result
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.0.lock().stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.0.lock().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.lock().stream.is_write_vectored()
+    }
+
+    /// The HTTP library flushes the stream only once its own buffer is empty.
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        let mut inner = self.0.lock();
+        let result = Pin::new(&mut inner.stream).poll_flush(context);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            inner.record_flush();
+        }
+        result
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.0.lock().stream).poll_shutdown(context)
+    }
+}
+
+#[derive(Debug)]
+struct BodyEnd(Activity);
+
+impl Drop for BodyEnd {
+    fn drop(&mut self) {
+        self.0.lock().phase = Phase::Flushing;
+    }
+}
+
+/// A response body whose end is recorded. The HTTP library drops a body once it has all of it.
+#[derive(Debug)]
+pub struct TrackedBody<B> {
+    body: B,
+    _end: BodyEnd,
+}
+
+impl<B: Body<Data = Bytes> + Unpin> Body for TrackedBody<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Network I/O: HTTP for callers, backend servers and the platform; gRPC between boxes.
 
+pub mod activity;
 pub mod backend;
 pub mod body;
 pub mod engine;
--- a/lib/tests/test_coordination.rs
+++ b/lib/tests/test_coordination.rs
@@ -523,7 +523,7 @@
 
 #[test]
 fn drain_finishes_only_without_requests_in_progress() {
-    let steps = prop::collection::vec((0..3usize, 0..500u64), 1..100);
+    let steps = prop::collection::vec((0..3usize, 0..3usize, 0..500u64), 1..100);
     let result = runner().run(&steps, |steps| {
         let timeouts =
             drain::Timeouts { grace: Duration::from_secs(1), limit: Duration::from_secs(20) };
@@ -531,11 +531,11 @@
         let start = Instant::now();
         let mut now = start;
         drain.handle(drain::Event::Stop(now));
-        for (in_flight, millis) in steps {
+        for (in_flight, open, millis) in steps {
             now += Duration::from_millis(millis);
             let before = drain.stage();
-            let stage = drain.handle(drain::Event::Tick { now, in_flight });
-            prop_assert!(stage != Stage::Done || before == Stage::Done || in_flight == 0);
+            let stage = drain.handle(drain::Event::Tick { now, in_flight, open });
+            prop_assert!(stage != Stage::Done || before == Stage::Done || in_flight + open == 0);
             prop_assert!(!stage.accepts_requests() || now < start + timeouts.grace);
             prop_assert!(stage != Stage::Cut || now >= start + timeouts.limit);
         }
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -72,6 +72,7 @@
         versions: BTreeMap::new(),
         upgrading_servers: BTreeMap::new(),
         stage: Stage::Serving,
+        has_started: true,
     }
 }
 
