gateway: bounds on the responses of backend servers

A faulty server could send without end, slowly, or bytes that are no valid response: heads, interim responses, bodies and events were read without a bound or to 8 MB each, and the splitter of events searched its whole buffer again for each frame.

protocol::bounds defines the bounds. transport::meter counts what is read from a connection below the HTTP library: bytes of a head, interim responses, the time of an incomplete head, framing. transport::memory is the common account of whole responses; a body for which it has no room is relayed as it arrives (gateway::body_relay). The splitter searches added bytes only and bounds an incomplete event. A response beyond a bound counts as a bad response (AttemptEvent::Invalid), neither as a lost path nor as a crash.

--- a/lib/src/daemon/dispatch.rs
+++ b/lib/src/daemon/dispatch.rs
@@ -311,7 +311,7 @@
             request.undo_send();
             AttemptOutcome::NotRun(failure.with_executed(Executed::No))
         }
-        AttemptError::NoResponse(_) | AttemptError::PathLost(_) => {
+        AttemptError::NoResponse(_) | AttemptError::PathLost(_) | AttemptError::Invalid(_) => {
             AttemptOutcome::MayHaveRun(failure.with_executed(Executed::Unknown))
         }
     }
--- a/lib/src/daemon/relay.rs
+++ b/lib/src/daemon/relay.rs
@@ -37,6 +37,7 @@
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::state::snapshot::Snapshot;
+use crate::transport::backend;
 use crate::transport::backend::PooledBody;
 use crate::transport::body::BodyError;
 
@@ -290,7 +291,7 @@
             Poll::Pending => return Poll::Pending,
             Poll::Ready(None) => return Poll::Ready(None),
             Poll::Ready(Some(Err(error))) => {
-                return Poll::Ready(Some(Err(BodyError::ConnectionLost(error.to_string()))));
+                return Poll::Ready(Some(Err(backend::body_error(&error))));
             }
             // Trailers are not relayed.
             Poll::Ready(Some(Ok(frame))) => {
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -10,17 +10,17 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 
+use super::body_relay::BodyReader;
 use super::decision_log;
 use super::feedback;
+use super::held_body;
+use super::held_body::HeldBody;
 use super::job::Job;
 use super::job::LOST_PATHS_HEADER;
-use super::job::SENDS_HEADER;
-use super::job::SERVER_VERSION_HEADER;
 use super::job::forwarded_headers;
+use super::peer_response;
 use super::shared::Reservation;
 use super::shared::Shared;
 use super::shared::lock;
@@ -34,9 +34,7 @@
 use crate::error::Failure;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::ResponseMetadata;
-use crate::protocol::caller;
 use crate::protocol::fleet::VersionHash;
-use crate::protocol::retry_after;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::backend;
@@ -44,10 +42,9 @@
 use crate::transport::backend::AttemptError;
 use crate::transport::backend::Permit;
 use crate::transport::backend::PooledBody;
+use crate::transport::body::BodyError;
 use crate::transport::timer;
 
-/// Maximum size in bytes of a response that is buffered before it is forwarded.
-const MAX_BUFFERED_BYTES: usize = 8 << 20;
 /// Safety margin subtracted from the announced idle time of a connection, for the time that
 /// requests take to the server.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
@@ -66,6 +63,8 @@
 pub enum Payload<A: Adapter> {
     /// A complete body.
     Whole(Bytes),
+    /// A body that is relayed as it arrives.
+    Part(Box<BodyReader<A>>),
     /// A stream of events whose first event has been read.
     Stream(Box<Stream<A>>),
 }
@@ -173,13 +172,15 @@
     response: Response<PooledBody>,
     version: Option<VersionHash>,
 ) -> SendOutcome<A> {
-    match peer_failure(&response) {
-        Some(failure) if failure.executed() == Executed::No && !was_sent(&response) => {
+    match peer_response::failure(&response) {
+        Some(failure)
+            if failure.executed() == Executed::No && !peer_response::was_sent(&response) =>
+        {
             SendOutcome::Unsent(failure)
         }
         Some(failure) if failure.executed() == Executed::No => SendOutcome::Refused(failure),
         Some(failure) => SendOutcome::MaybeRan(failure),
-        None if version.is_some() && peer_version(response.headers()) != version => {
+        None if version.is_some() && peer_response::version(response.headers()) != version => {
             let message = "the box continued the stream at another version";
             SendOutcome::MaybeRan(
                 Failure::new(ErrorKind::BackendFailed, message).with_executed(Executed::Unknown),
@@ -236,6 +237,9 @@
         Ok(Err(AttemptError::NoResponse(message))) => {
             Err(NoResponse { event: AttemptEvent::Interrupted, message })
         }
+        Ok(Err(AttemptError::Invalid(message))) => {
+            Err(NoResponse { event: AttemptEvent::Invalid, message })
+        }
         Err(_) => {
             let message = "no answer before the deadline".to_owned();
             Err(NoResponse { event: AttemptEvent::TimedOut, message })
@@ -243,38 +247,6 @@
     }
 }
 
-/// Whether the box that responded had sent the request to a server.
-fn was_sent(response: &Response<PooledBody>) -> bool {
-    response.headers().get(SENDS_HEADER).is_none_or(|sends| sends != "0")
-}
-
-/// The version of the server whose response another box forwards.
-fn peer_version(headers: &HeaderMap) -> Option<VersionHash> {
-    let text = headers.get(SERVER_VERSION_HEADER)?.to_str().ok()?;
-    VersionHash::from_str_radix(text, 16).ok()
-}
-
-/// The failure in the response of another box; `None` if that box forwards a server's response.
-fn peer_failure(response: &Response<PooledBody>) -> Option<Failure> {
-    let ran = response
-        .headers()
-        .get(caller::RAN_HEADER)?
-        .to_str()
-        .map_or(Executed::Unknown, Executed::parse);
-    let message = format!("the box answered {}", response.status());
-    let kind = match (ran, response.status()) {
-        (Executed::No, StatusCode::UNAUTHORIZED) => ErrorKind::Unauthorized,
-        (Executed::No, _) => ErrorKind::QueueFull,
-        (_, StatusCode::GATEWAY_TIMEOUT) => ErrorKind::BackendTimeout,
-        _ => ErrorKind::BackendFailed,
-    };
-    let failure = Failure::new(kind, message).with_executed(ran);
-    Some(match retry_after::from_headers(response.headers()) {
-        Some(delay) => failure.with_retry_after(delay),
-        None => failure,
-    })
-}
-
 /// Reads a response as far as needed to decide the outcome.
 async fn receive<A: Adapter>(
     shared: &Arc<Shared<A>>,
@@ -344,26 +316,34 @@
     if head.status.is_success() && is_event_stream(&head.headers) {
         let version = match &reservation {
             Some(reservation) => Some(reservation.place.version),
-            None => peer_version(&head.headers),
+            None => peer_response::version(&head.headers),
         };
         let stream = Stream::new(exchange, reservation, idle, version);
         return await_first_event(shared, job, head.status, headers, stream).await;
     }
-    let body = Limited::new(exchange.body(), MAX_BUFFERED_BYTES).collect();
+    let body = held_body::read(&mut exchange, &shared.response_memory);
     match timer::timeout_at(job.deadline, body).await {
-        Ok(Ok(body)) => {
+        Ok(Ok(HeldBody::Whole(body))) => {
             exchange.release_for(idle);
             reservation.iter_mut().for_each(Reservation::first_byte);
             feedback::record_end(shared, job, &mut reservation, body_event(head.status));
-            let payload = Payload::Whole(body.to_bytes());
+            let payload = Payload::Whole(body);
             SendOutcome::Answered(Reply { status: head.status, headers, payload })
         }
-        Ok(Err(error)) => maybe_ran(
-            &mut reservation,
-            AttemptEvent::Interrupted,
-            ErrorKind::BackendFailed,
-            &error.to_string(),
-        ),
+        Ok(Ok(HeldBody::Part { read, len })) => {
+            reservation.iter_mut().for_each(Reservation::first_byte);
+            let event = body_event(head.status);
+            if event == AttemptEvent::Failed {
+                // The body is dropped if another server succeeds.
+                reservation.iter_mut().for_each(|place| place.set_outcome(event.outcome()));
+            }
+            let reader = BodyReader { exchange, reservation, read, len, idle_time: idle, event };
+            let payload = Payload::Part(Box::new(reader));
+            SendOutcome::Answered(Reply { status: head.status, headers, payload })
+        }
+        Ok(Err(cut)) => {
+            maybe_ran(&mut reservation, cut_event(&cut), ErrorKind::BackendFailed, &cut.to_string())
+        }
         Err(_) => {
             let message = "the answer did not end in time";
             maybe_ran(&mut reservation, AttemptEvent::Invalid, ErrorKind::BackendTimeout, message)
@@ -371,6 +351,16 @@
     }
 }
 
+/// Classifies the end of a response that isn't complete.
+pub fn cut_event(cut: &BodyError) -> AttemptEvent {
+    match cut {
+        BodyError::TooLong(_) | BodyError::Malformed(_) | BodyError::IdleTimeout => {
+            AttemptEvent::Invalid
+        }
+        _ => AttemptEvent::Interrupted,
+    }
+}
+
 /// Classifies a response by its head.
 fn head_event(metadata: &ResponseMetadata) -> AttemptEvent {
     if metadata.instance_mismatch {
@@ -410,7 +400,7 @@
             SendOutcome::Answered(Reply { status, headers, payload })
         }
         Ok(Err(cut)) => {
-            feedback::record_end(shared, job, stream.reservation(), AttemptEvent::Interrupted);
+            feedback::record_end(shared, job, stream.reservation(), cut_event(&cut));
             SendOutcome::MaybeRan(
                 Failure::new(ErrorKind::BackendFailed, cut.to_string())
                     .with_executed(Executed::Unknown),
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -172,6 +172,19 @@
     );
 }
 
+/// Logs that a body broke off that was relayed as it arrived.
+pub fn body_broken(job: &Job, history: &RequestHistory, cut: &BodyError) {
+    log::info!(
+        target: TARGET,
+        "event=body_broken request={} route={} server={} sends={} age_ms={} cause=\"{cut}\"",
+        job.metadata.id,
+        job.route.name,
+        history.tried.last().map_or("-", String::as_str),
+        history.arrivals(),
+        age_ms(job),
+    );
+}
+
 /// Logs that a stream broke and is resumed on another server.
 pub fn stream_broken(
     job: &Job,
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -357,8 +357,8 @@
 /// Whether the response is a server error and the request may be repeated; another server may
 /// succeed.
 fn is_retryable_failure<A: Adapter>(reply: &Reply<A>, job: &Job) -> bool {
-    let is_whole = matches!(reply.payload, Payload::Whole(_));
-    is_whole && reply.status.is_server_error() && job.route.repeatable()
+    let is_stream = matches!(reply.payload, Payload::Stream(_));
+    !is_stream && reply.status.is_server_error() && job.route.repeatable()
 }
 
 /// Whether a request that got no response may be sent again. Only sends that may have run count as
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::Payload;
 use super::attempt::Reply;
+use super::body_relay::BodyRelay;
 use super::decision_log;
 use super::dispatch;
 use super::history::RequestHistory;
@@ -107,6 +108,17 @@
             decision_log::answered(&job, &history, reply.status.as_u16());
             ResponseBody::buffered(bytes)
         }
+        Payload::Part(reader) => {
+            let (shared, status) = (Arc::clone(shared), reply.status.as_u16());
+            let len = reader.len;
+            let relay =
+                BodyRelay { shared, job, reader: *reader, status, history, in_flight_guard };
+            let parts = relay.start();
+            match len {
+                Some(len) => ResponseBody::SizedChannel(parts, len),
+                None => ResponseBody::Channel(parts),
+            }
+        }
         Payload::Stream(stream) => {
             stream_versions::record_begin(shared, &job, stream.version());
             if job.forward.understands_versions
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! control publishes immutable snapshots.
 
 pub mod attempt;
+pub mod body_relay;
 pub mod box_reports;
 pub mod cluster_state;
 mod cold_reports;
@@ -15,6 +16,7 @@
 pub mod event;
 pub mod feedback;
 pub mod forwarding;
+pub mod held_body;
 pub mod history;
 pub mod ingress;
 pub mod job;
@@ -22,6 +24,7 @@
 pub mod metrics;
 pub mod path_checks;
 pub mod path_probe;
+pub mod peer_response;
 mod permit;
 pub mod probe;
 pub mod quarantine;
@@ -75,6 +78,7 @@
 use crate::daemon::new_incarnation;
 use crate::protocol::RegionId;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::bounds::HELD_RESPONSE_BYTES;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::FailureDomainId;
 use crate::state::clock;
@@ -85,6 +89,7 @@
 use crate::transport::http1::ConnectionLimits;
 use crate::transport::listen::Shutdown;
 use crate::transport::liveness;
+use crate::transport::memory::Account;
 use crate::transport::store;
 use crate::transport::store::NewestEra;
 use crate::transport::timer;
@@ -200,6 +205,7 @@
             servers: backend::Client::new(SERVER_CONNECT_TIMEOUT, liveness::SERVER)
                 .with_routes(settings.server_routes.clone()),
             peers: backend::Client::new(PEER_CONNECT_TIMEOUT, liveness::REMOTE),
+            response_memory: Account::new(HELD_RESPONSE_BYTES),
             in_flight: AtomicUsize::new(0),
             counters,
             latencies,
--- a/lib/src/gateway/probe.rs
+++ b/lib/src/gateway/probe.rs
@@ -24,6 +24,7 @@
 use crate::coordination::placement::QueryTarget;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::bounds::MAX_HEALTH_BYTES;
 use crate::protocol::routing::ServiceId;
 use crate::state::clock;
 use crate::state::counters::Counter;
@@ -91,7 +92,7 @@
             .body(Full::default())
             .inspect_err(|error| log::error!("event=bad_health_path error=\"{error}\""))
             .ok()?;
-        let response = shared.servers.fetch(*address, request);
+        let response = shared.servers.fetch_up_to(*address, request, MAX_HEALTH_BYTES);
         let error = match timer::timeout(QUERY_TIMEOUT, response).await {
             Ok(Ok(response)) => return Some(response),
             Ok(Err(error)) => error.to_string(),
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::mpsc;
 
+use super::attempt;
 use super::attempt::Payload;
 use super::decision_log;
 use super::dispatch;
@@ -112,7 +113,7 @@
                         &self.shared,
                         &self.job,
                         self.stream.reservation(),
-                        AttemptEvent::Interrupted,
+                        attempt::cut_event(&cut),
                     );
                     self.stream = self.resume(last_event_id, cut).await?;
                 }
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -56,6 +56,7 @@
 use crate::state::counters::Counters;
 use crate::state::latency::Latencies;
 use crate::transport::backend;
+use crate::transport::memory::Account;
 use crate::transport::store::NewestEra;
 
 /// Everything that control has published, as one consistent snapshot.
@@ -197,6 +198,8 @@
     pub servers: backend::Client,
     /// Client for other boxes.
     pub peers: backend::Client,
+    /// Memory for responses that are held as a whole.
+    pub response_memory: Account,
     /// Number of requests in progress.
     pub in_flight: AtomicUsize,
     /// Event counters.
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 
 use super::shared::Reservation;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::bounds::MAX_CHUNKS;
+use crate::protocol::bounds::MAX_EVENT_WIRE_BYTES;
 use crate::protocol::events::Splitter;
 use crate::protocol::fleet::VersionHash;
 use crate::transport::backend::PooledBody;
@@ -32,6 +33,7 @@
         idle_time: Duration,
         version: Option<VersionHash>,
     ) -> Stream<A> {
+        exchange.limit_next(MAX_EVENT_WIRE_BYTES);
         Stream {
             exchange,
             reservation,
@@ -81,12 +83,17 @@
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, BodyError> {
-        loop {
-            let Some(frame) = self.exchange.body().frame().await else { break };
-            let frame = frame.map_err(|error| BodyError::ConnectionLost(error.to_string()))?;
-            let Ok(bytes) = frame.into_data() else { continue };
-            if let Some(events) = self.splitter.push(bytes) {
-                return Ok(Some(events));
+        let mut chunks = 0;
+        while let Some(bytes) = self.exchange.read().await? {
+            let events =
+                self.splitter.push(bytes).map_err(|error| BodyError::TooLong(error.to_string()))?;
+            if events.is_some() {
+                self.exchange.limit_next(MAX_EVENT_WIRE_BYTES);
+                return Ok(events);
+            }
+            chunks += 1;
+            if chunks > MAX_CHUNKS {
+                return Err(BodyError::TooLong(format!("an event has over {MAX_CHUNKS} chunks")));
             }
         }
         if !self.splitter.is_at_boundary() {
--- a/lib/src/protocol/events.rs
+++ b/lib/src/protocol/events.rs
@@ -6,6 +6,16 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use super::bounds::MAX_EVENT_BYTES;
+
+/// The end of an event.
+const END: &[u8] = b"\n\n";
+
+/// An incomplete event has more than [`MAX_EVENT_BYTES`] bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("an event has over {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// A splitter that buffers the incomplete event at the end of a stream.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -14,18 +24,29 @@
 }
 
 impl Splitter {
-    /// Adds bytes and returns all events that are now complete as one buffer.
-    pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+    /// Adds bytes and returns all events that are now complete as one buffer. Only the added bytes
+    /// are searched.
+    pub fn push(&mut self, mut bytes: Bytes) -> Result<Option<Bytes>, EventTooLong> {
         // Common case: complete events arrive together and need no copy.
-        if self.incomplete.is_empty() && bytes.ends_with(b"\n\n") {
-            self.update_last_id(&bytes);
-            return Some(bytes);
+        if self.incomplete.is_empty() {
+            let Some(start) = find_last_end(&bytes) else { return self.buffer(&bytes) };
+            let complete = bytes.split_to(start + END.len());
+            self.incomplete.extend_from_slice(&bytes);
+            self.update_last_id(&complete);
+            return Ok(Some(complete));
         }
+        // The end of an event may begin with the last buffered byte.
+        let buffered = self.incomplete.len();
+        let begins_end = self.incomplete.ends_with(b"\n") && bytes.starts_with(b"\n");
+        let end = match find_last_end(&bytes) {
+            Some(start) => start + END.len(),
+            None if begins_end => 1,
+            None => return self.buffer(&bytes),
+        };
         self.incomplete.extend_from_slice(&bytes);
-        let end = self.incomplete.windows(2).rposition(|pair| pair == b"\n\n")? + 2;
-        let complete = self.incomplete.split_to(end).freeze();
+        let complete = self.incomplete.split_to(buffered + end).freeze();
         self.update_last_id(&complete);
-        Some(complete)
+        Ok(Some(complete))
     }
 
     /// Returns the ID of the last complete event.
@@ -44,6 +65,15 @@
         self.incomplete.clear();
     }
 
+    /// Buffers bytes that complete no event.
+    fn buffer(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLong> {
+        if self.incomplete.len() + bytes.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        self.incomplete.extend_from_slice(bytes);
+        Ok(None)
+    }
+
     fn update_last_id(&mut self, events: &[u8]) {
         let mut lines = events.rsplit(|byte| *byte == b'\n');
         let last = lines.find_map(|line| line.strip_prefix(b"id:"));
@@ -53,3 +83,8 @@
         }
     }
 }
+
+/// Returns where the last end of an event starts.
+fn find_last_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(END.len()).rposition(|pair| pair == END)
+}
--- a/lib/src/protocol/mod.rs
+++ b/lib/src/protocol/mod.rs
@@ -1,6 +1,7 @@
 //! Wire messages and file formats: codecs and validated types.
 
 pub mod adapter;
+pub mod bounds;
 pub mod caller;
 pub mod config;
 pub mod events;
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -20,19 +20,26 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http_body::Frame;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::body::BodyError;
 use super::liveness;
 use super::liveness::Liveness;
+use super::meter::Exceeded;
+use super::meter::Meter;
+use super::meter::Metered;
 use super::traffic_thread;
 
+use crate::protocol::bounds;
 use crate::state::clock;
 use crate::transport::timer;
 
@@ -45,8 +52,6 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(60);
 /// The longest wait for a connection to be established.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum size of a body that [`Client::fetch`] accepts.
-const MAX_FETCH_BYTES: usize = 4 << 20;
 
 /// The reason for which an attempt failed.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -61,6 +66,10 @@
     /// arrived.
     #[error("path lost: {0}")]
     PathLost(String),
+    /// The server sent bytes that are no valid response, or none within the bounds. The request, or
+    /// a part of it, has arrived.
+    #[error("invalid answer: {0}")]
+    Invalid(String),
     /// The sender cancelled the request before it was sent.
     #[error("withheld")]
     Withheld,
@@ -89,11 +98,30 @@
 /// the response is no longer needed.
 struct Connection {
     sender: Sender,
+    meter: Meter,
     task: AbortHandle,
     /// The time until which the connection may be reused.
     reusable_until: Instant,
 }
 
+impl Connection {
+    /// Sends a request and waits for the head of the response, which must be complete in time once
+    /// it has begun.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>, AttemptError> {
+        self.meter.begin();
+        tokio::select! {
+            biased;
+            result = self.sender.try_send_request(request) => Ok(result),
+            () = self.meter.head_overdue() => {
+                Err(AttemptError::Invalid(Exceeded::HeadTime.to_string()))
+            }
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -130,6 +158,35 @@
         &mut self.body
     }
 
+    /// Reads the next bytes of the body; `None` at its end. Trailers are skipped.
+    pub async fn read(&mut self) -> Result<Option<Bytes>, BodyError> {
+        if let Some((connection, ..)) = &self.connection {
+            connection.meter.limit_part(bounds::MAX_FRAMING_BYTES);
+        }
+        while let Some(frame) = self.body.frame().await {
+            match frame.map(Frame::into_data) {
+                Ok(Ok(bytes)) => return Ok(Some(bytes)),
+                Ok(Err(_trailers)) => {}
+                Err(error) => return Err(body_error(&error)),
+            }
+        }
+        Ok(None)
+    }
+
+    /// Bounds the number of bytes of the body and its framing.
+    pub fn limit_body(&self, max_bytes: u64) {
+        if let Some((connection, ..)) = &self.connection {
+            connection.meter.limit_body(max_bytes);
+        }
+    }
+
+    /// Bounds the number of bytes that may arrive from now on.
+    pub fn limit_next(&self, max_bytes: u64) {
+        if let Some((connection, ..)) = &self.connection {
+            connection.meter.limit_next(max_bytes);
+        }
+    }
+
     /// Returns the connection to the pool. Call this only after the body was read completely.
     pub fn release(&mut self) {
         self.release_for(MAX_IDLE_TIME);
@@ -210,7 +267,7 @@
                 store_idle(&self.idle, address, connection);
                 return Err(AttemptError::Withheld);
             }
-            match connection.sender.try_send_request(request).await {
+            match connection.exchange(request).await? {
                 Ok(response) => return Ok(self.wrap_response(response, connection, address, true)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -222,7 +279,7 @@
         if !permit.granted().await {
             return Err(AttemptError::Withheld);
         }
-        match connection.sender.try_send_request(request).await {
+        match connection.exchange(request).await? {
             Ok(response) => Ok(self.wrap_response(response, connection, address, !fresh)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -291,10 +348,22 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, AttemptError> {
+        self.fetch_up_to(address, request, bounds::MAX_FETCH_BYTES).await
+    }
+
+    /// As [`Client::fetch`], for a body of at most `max_bytes`.
+    pub async fn fetch_up_to(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
     ) -> Result<Response<Bytes>, AttemptError> {
         let response = self.send(address, request, false).await?;
         let (head, mut pooled_body) = response.into_parts();
-        let limited = http_body_util::Limited::new(pooled_body.body(), MAX_FETCH_BYTES);
+        // Chunks may take as many bytes as their data.
+        pooled_body.limit_body(2 * max_bytes as u64);
+        let limited = http_body_util::Limited::new(pooled_body.body(), max_bytes);
         let body =
             limited.collect().await.map_err(|error| AttemptError::NoResponse(error.to_string()))?;
         pooled_body.release();
@@ -304,8 +373,13 @@
 
 /// Classifies the error of an exchange in which the request, or a part of it, was written.
 fn no_response(error: &hyper::Error) -> AttemptError {
-    let cause = error.source().and_then(|source| source.downcast_ref::<std::io::Error>());
-    match cause.map(std::io::Error::kind) {
+    if let Some(exceeded) = exceeded_bound(error) {
+        return AttemptError::Invalid(exceeded.to_string());
+    }
+    if error.is_parse() {
+        return AttemptError::Invalid(error.to_string());
+    }
+    match io_cause(error).map(std::io::Error::kind) {
         Some(ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable) => {
             AttemptError::PathLost(error.to_string())
         }
@@ -313,6 +387,29 @@
     }
 }
 
+/// Classifies the error that ended a body.
+pub fn body_error(error: &hyper::Error) -> BodyError {
+    if let Some(exceeded) = exceeded_bound(error) {
+        return BodyError::TooLong(exceeded.to_string());
+    }
+    // The library reports invalid chunks and trailers by these kinds.
+    let is_invalid = io_cause(error).is_some_and(|cause| {
+        matches!(cause.kind(), ErrorKind::InvalidData | ErrorKind::InvalidInput)
+    });
+    if is_invalid || error.is_parse() {
+        return BodyError::Malformed(error.to_string());
+    }
+    BodyError::ConnectionLost(error.to_string())
+}
+
+fn exceeded_bound(error: &hyper::Error) -> Option<Exceeded> {
+    io_cause(error).and_then(Exceeded::from_io)
+}
+
+fn io_cause(error: &hyper::Error) -> Option<&std::io::Error> {
+    error.source().and_then(|source| source.downcast_ref::<std::io::Error>())
+}
+
 async fn connect(
     address: SocketAddr,
     timeout: Duration,
@@ -323,12 +420,15 @@
         .map_err(|_| format!("{address} did not accept in time"))?
         .map_err(|error| format!("{address}: {error}"))?;
     liveness.apply(&stream);
+    let meter = Meter::new();
+    let stream = Metered::new(stream, meter.clone());
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(bounds::READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
     let task = tokio::spawn(connection).abort_handle();
-    Ok(Connection { sender, task, reusable_until: clock::now() + MAX_IDLE_TIME })
+    Ok(Connection { sender, meter, task, reusable_until: clock::now() + MAX_IDLE_TIME })
 }
 
 /// Returns whether a process accepts connections at the address.
--- a/lib/src/transport/body.rs
+++ b/lib/src/transport/body.rs
@@ -22,6 +22,15 @@
     /// The stream ended without its end marker.
     #[error("the backend server's stream has no end mark")]
     MissingEnd,
+    /// The response exceeds a bound.
+    #[error("the backend server's answer is too long: {0}")]
+    TooLong(String),
+    /// The backend server sent bytes that are no valid body.
+    #[error("the backend server's answer is invalid: {0}")]
+    Malformed(String),
+    /// The caller read nothing for too long.
+    #[error("the caller read nothing for too long")]
+    CallerStalled,
     /// The task that relayed the response has ended.
     #[error("the answer was given up")]
     TaskGone,
@@ -40,6 +49,8 @@
     /// A body relayed by a task that outlives the caller's request. A final `None` marks its end; a
     /// channel that closes without it is an error.
     Channel(mpsc::Receiver<Option<Chunk>>),
+    /// As `Channel`, for a body of which this number of bytes is left.
+    SizedChannel(mpsc::Receiver<Option<Chunk>>, u64),
 }
 
 /// A body that is never relayed by polling: it is either complete or relayed by a task.
@@ -84,12 +95,15 @@
                 bytes.take().filter(|bytes| !bytes.is_empty()).map(|bytes| Ok(Frame::data(bytes))),
             ),
             ResponseBody::Relay(relay) => Pin::new(relay).poll_frame(context),
-            ResponseBody::Channel(parts) => match parts.poll_recv(context) {
-                Poll::Pending => Poll::Pending,
-                Poll::Ready(Some(Some(part))) => Poll::Ready(Some(part.map(Frame::data))),
-                Poll::Ready(Some(None)) => Poll::Ready(None),
-                Poll::Ready(None) => Poll::Ready(Some(Err(BodyError::TaskGone))),
-            },
+            ResponseBody::Channel(parts) => poll_channel(parts, context),
+            ResponseBody::SizedChannel(parts, bytes_left) => {
+                let polled = poll_channel(parts, context);
+                if let Poll::Ready(Some(Ok(frame))) = &polled {
+                    let len = frame.data_ref().map_or(0, Bytes::len) as u64;
+                    *bytes_left = bytes_left.saturating_sub(len);
+                }
+                polled
+            }
         }
     }
 
@@ -98,6 +112,7 @@
             ResponseBody::Buffered(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
             ResponseBody::Relay(relay) => relay.is_end_stream(),
             ResponseBody::Channel(_) => false,
+            ResponseBody::SizedChannel(_, bytes_left) => *bytes_left == 0,
         }
     }
 
@@ -108,6 +123,19 @@
             }
             ResponseBody::Relay(relay) => relay.size_hint(),
             ResponseBody::Channel(_) => SizeHint::default(),
+            ResponseBody::SizedChannel(_, bytes_left) => SizeHint::with_exact(*bytes_left),
         }
     }
 }
+
+fn poll_channel(
+    parts: &mut mpsc::Receiver<Option<Chunk>>,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    match parts.poll_recv(context) {
+        Poll::Pending => Poll::Pending,
+        Poll::Ready(Some(Some(part))) => Poll::Ready(Some(part.map(Frame::data))),
+        Poll::Ready(Some(None)) => Poll::Ready(None),
+        Poll::Ready(None) => Poll::Ready(Some(Err(BodyError::TaskGone))),
+    }
+}
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -6,6 +6,8 @@
 pub mod http1;
 pub mod listen;
 pub mod liveness;
+pub mod memory;
+pub mod meter;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
--- a/lib/src/transport/store.rs
+++ b/lib/src/transport/store.rs
@@ -168,9 +168,11 @@
         .map_err(|error| PlatformError::Malformed(error.to_string()))?;
     match timer::timeout(timeout, http.fetch(address, request)).await {
         Err(_) => Err(PlatformError::NoResponse("no answer in time".to_owned())),
-        Ok(Err(AttemptError::NoResponse(text) | AttemptError::PathLost(text))) => {
-            Err(PlatformError::NoResponse(text))
-        }
+        Ok(Err(
+            AttemptError::NoResponse(text)
+            | AttemptError::PathLost(text)
+            | AttemptError::Invalid(text),
+        )) => Err(PlatformError::NoResponse(text)),
         Ok(Err(unsent)) => Err(PlatformError::Unreachable(unsent.to_string())),
         Ok(Ok(response)) => Ok(response),
     }
