transport: bounds on the store, other boxes, health responses and engines

Fetched responses had a bound on their body alone. A keyed response of copperweir serve whose caller has gone was read without end; it is read up to 8 MB. The inflated state of another box may have 16 MB instead of 64 MB.

The bound on keyed responses has no test.

--- a/lib/src/daemon/idempotency.rs
+++ b/lib/src/daemon/idempotency.rs
@@ -43,6 +43,8 @@
 use crate::error::Executed;
 use crate::error::Failure;
 use crate::protocol::RegionId;
+use crate::protocol::bounds::MAX_KEPT_RESPONSE_BYTES;
+use crate::protocol::bounds::MAX_UNCLAIMED_RESPONSE_BYTES;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Put;
 use crate::protocol::platform::Store;
@@ -55,8 +57,6 @@
 /// Limits of the ledger of keyed requests.
 pub const LEDGER_LIMITS: LedgerLimits =
     LedgerLimits { max_entries: 100_000, max_response_bytes: 64 << 20 };
-/// Maximum size of a response that is kept for replay.
-const MAX_KEPT_RESPONSE_BYTES: usize = 256 << 10;
 /// Time to live of a claim in the store.
 pub const CLAIM_TTL: Duration = Duration::from_secs(3600);
 /// Time before the expiry of a claim from which its request may no longer be
@@ -346,14 +346,15 @@
     let _ = part_sender.send(None).await;
 }
 
-/// Relays all parts of a body, even if the receiver is gone. Returns the
-/// complete body, `None` if the body was truncated, or `Some(None)` if it is
-/// too large to keep.
+/// Relays all parts of a body, even if the receiver is gone, but then only up
+/// to a maximum. Returns the complete body, `None` if the body was truncated,
+/// or `Some(None)` if it is too large to keep.
 async fn relay_body(
     mut body: ResponseBody<Relay>,
     part_sender: &mpsc::Sender<Option<Chunk>>,
 ) -> Option<Option<Bytes>> {
     let mut kept_bytes = Some(BytesMut::new());
+    let mut unclaimed_bytes = 0;
     while let Some(frame) = body.frame().await {
         let data = match frame.map(http_body::Frame::into_data) {
             Ok(Ok(data)) => data,
@@ -367,7 +368,14 @@
             bytes.extend_from_slice(&data);
         }
         kept_bytes = kept_bytes.filter(|bytes| bytes.len() <= MAX_KEPT_RESPONSE_BYTES);
-        let _ = part_sender.send(Some(Ok(data))).await;
+        let len = data.len();
+        if part_sender.send(Some(Ok(data))).await.is_err() {
+            unclaimed_bytes += len;
+            if unclaimed_bytes > MAX_UNCLAIMED_RESPONSE_BYTES {
+                log::info!("event=response_unclaimed bytes={unclaimed_bytes}");
+                return Some(None);
+            }
+        }
     }
     Some(kept_bytes.map(BytesMut::freeze))
 }
--- a/lib/src/daemon/mod.rs
+++ b/lib/src/daemon/mod.rs
@@ -41,6 +41,7 @@
 use crate::coordination::drain::Stage;
 use crate::coordination::rate_limiter::RateLimiter;
 use crate::protocol::Incarnation;
+use crate::protocol::bounds::MAX_MESSAGE_BYTES;
 use crate::protocol::config::Configuration;
 use crate::protocol::peer::Member;
 use crate::protocol::peer::Phase;
@@ -344,8 +345,8 @@
     let state = Arc::clone(&shared);
     let handle_operator = move |request| operator_api::handle(Arc::clone(&state), request);
     let service = PeerServer::new(peer_service::PeerService::new(shared))
-        .max_decoding_message_size(peer_transport::MAX_MESSAGE_BYTES)
-        .max_encoding_message_size(peer_transport::MAX_MESSAGE_BYTES);
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES);
     tokio::spawn(peer_transport::serve(peers, service, stopping.clone()));
     tokio::join!(
         listen::serve(callers, handle_caller, stopping.clone()),
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -39,6 +39,7 @@
 use crate::coordination::unlisted::Neighbor;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::KeyValue;
+use crate::protocol::bounds::MAX_QUERY_BYTES;
 use crate::protocol::platform::Position;
 use crate::state::clock;
 use crate::transport::backend;
@@ -54,8 +55,6 @@
 const REQUESTER_ADDRESS: HeaderName = HeaderName::from_static("copperweir-address");
 /// Path of the query; the port serves nothing else.
 const STATE_PATH: &str = "/state";
-/// Maximum size of a query in bytes: digests of some hundred thousand keys.
-const MAX_QUERY_BYTES: usize = 1 << 20;
 /// Maximum wait for one box: two round trips to the farthest region.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Size of values in bytes from which on entries are deflated.
--- a/lib/src/gateway/state_transfer/start.rs
+++ b/lib/src/gateway/state_transfer/start.rs
@@ -31,6 +31,7 @@
 use crate::gateway::shared::lock;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::KeyValue;
+use crate::protocol::bounds::MAX_STATE_BYTES;
 use crate::protocol::platform::Position;
 use crate::state::clock;
 use crate::transport::backend;
@@ -40,8 +41,6 @@
 const START_TIMEOUT: Duration = Duration::from_secs(3);
 /// Age up to which a box hands on the compressed state that it has.
 const COMPRESSED_TTL: Duration = Duration::from_secs(2);
-/// Maximum size of a state in bytes, without compression.
-const MAX_STATE_BYTES: u64 = 64 << 20;
 
 /// A compressed state as it is handed to boxes that start. A box hands on what it got itself, as
 /// long as that is recent.
--- a/lib/src/protocol/bounds.rs
+++ b/lib/src/protocol/bounds.rs
@@ -5,10 +5,11 @@
 
 use std::time::Duration;
 
-/// Maximum size in bytes of a response head, together with the interim responses before it. Heads of
-/// healthy servers have some hundred bytes.
+/// Maximum size in bytes of a response head, together with the interim responses before it. Ample,
+/// since boxes accept request heads of 16 KB as configured today.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Maximum number of interim (1xx) responses before a response. No known server sends more than one.
+/// Maximum number of interim (1xx) responses before a response. Boxes don't ask for
+/// any; a server may send some hints of its own.
 pub const MAX_INTERIM_RESPONSES: u32 = 8;
 /// Maximum time from the first byte of a head until the head is complete. A head fits into few
 /// segments, and a lost segment is sent again within some 200 ms. A request that is sent to another
@@ -61,8 +62,22 @@
 /// Maximum time that a caller may take no byte of a body that is relayed as it arrives.
 pub const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Maximum size in bytes of a keyed response that is kept for replay.
+pub const MAX_KEPT_RESPONSE_BYTES: usize = 256 << 10;
+/// Maximum number of bytes of a keyed response that are read after its caller has gone. The request
+/// runs to its end then, but a response without end must not be read for ever.
+pub const MAX_UNCLAIMED_RESPONSE_BYTES: usize = 8 << 20;
+
 /// Maximum size in bytes of a response of the store, of another box about its state, or of an
 /// engine.
 pub const MAX_FETCH_BYTES: usize = 4 << 20;
 /// Maximum size in bytes of the body of a health response, of which only the head is used.
 pub const MAX_HEALTH_BYTES: usize = 64 << 10;
+/// Maximum size in bytes of another box's state after inflating it. Deflated, the
+/// state of 295 boxes has about 100 KB.
+pub const MAX_STATE_BYTES: u64 = 16 << 20;
+/// Maximum size in bytes of another box's query for the state: digests of some hundred thousand
+/// keys.
+pub const MAX_QUERY_BYTES: usize = 1 << 20;
+/// Maximum size in bytes of a gRPC message between boxes.
+pub const MAX_MESSAGE_BYTES: usize = 32 << 20;
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http_body::Body;
 use http_body::Frame;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -361,6 +362,10 @@
     ) -> Result<Response<Bytes>, AttemptError> {
         let response = self.send(address, request, false).await?;
         let (head, mut pooled_body) = response.into_parts();
+        if pooled_body.body().size_hint().lower() > max_bytes as u64 {
+            let message = format!("the body has over {max_bytes} bytes");
+            return Err(AttemptError::Invalid(message));
+        }
         // Chunks may take as many bytes as their data.
         pooled_body.limit_body(2 * max_bytes as u64);
         let limited = http_body_util::Limited::new(pooled_body.body(), max_bytes);
--- a/lib/src/transport/peer.rs
+++ b/lib/src/transport/peer.rs
@@ -26,14 +26,13 @@
 use super::liveness;
 use super::traffic_thread;
 use crate::protocol::Version;
+use crate::protocol::bounds::MAX_MESSAGE_BYTES;
 use crate::protocol::peer::SECRET_HEADER;
 use crate::protocol::peer::wire;
 use crate::protocol::peer::wire::peer_client::PeerClient;
 use crate::protocol::peer::wire::peer_server::Peer;
 use crate::protocol::peer::wire::peer_server::PeerServer;
 
-/// Maximum size of a message between boxes.
-pub const MAX_MESSAGE_BYTES: usize = 32 << 20;
 /// The longest wait for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The longest wait for the response to a heartbeat or a query.
