--- a/lib/src/protocol/bounds.rs
+++ b/lib/src/protocol/bounds.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-/// Maximum size in bytes of a response head, together with the interim responses before it. Ample,
-/// since boxes accept request heads of 16 KB as configured today.
+/// Maximum size in bytes of a response head, together with the interim responses before it. Four
+/// times the limit on request heads in the configuration of the tests.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of interim (1xx) responses before a response. Boxes don't ask for
 /// any; a server may send some hints of its own.
