cli: a gateway ends though nobody reads its output, and a second SIGTERM changes nothing

Cause: the last log lines were written on the main thread, which waited for the reader of a full pipe until SIGKILL. The same holds for the message of an error. A second SIGTERM ended the process together with its requests.

Change: the log is flushed, and an error printed, for at most 0.2 s. A flush also waits for lines that the writer thread has taken already.

--- a/cli/src/commands/gateway.rs
+++ b/cli/src/commands/gateway.rs
@@ -34,8 +34,9 @@
   --log <levels>     Log levels in flexi_logger's syntax; default: info
   --check            Check the settings and exit
 
-SIGTERM or SIGINT stops the box after all requests in progress have completed;
-a second one stops it immediately. SIGHUP aborts no requests and is only
+SIGTERM or SIGINT stops the box after all requests in progress have completed.
+SIGINT after another signal stops it immediately; a second SIGTERM changes
+nothing. SIGHUP aborts no requests and is only
 logged; changed settings take effect at the next start.
 ";
 
@@ -108,12 +109,18 @@
     std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
         let [mut terminate, mut interrupt, mut hangup] = signals;
         runtime.block_on(async move {
+            let mut is_stopping = false;
             loop {
                 let event = tokio::select! {
-                    _ = terminate.recv() => Event::Stop,
+                    // A second stop event cuts requests, which a repeated SIGTERM doesn't ask for.
+                    _ = terminate.recv() => match is_stopping {
+                        true => continue,
+                        false => Event::Stop,
+                    },
                     _ = interrupt.recv() => Event::Stop,
                     _ = hangup.recv() => Event::Reload,
                 };
+                is_stopping |= event == Event::Stop;
                 if events.send(event).await.is_err() {
                     return;
                 }
--- a/cli/src/log_writer.rs
+++ b/cli/src/log_writer.rs
@@ -1,8 +1,10 @@
 //! A log writer that buffers lines in bounded memory and never blocks its caller.
 //!
 //! A dedicated thread writes the buffer to standard output a few times a
-//! second, so a reader that stops reading blocks only this thread. Each kind of
-//! line has a rate limit; lines above it, and lines that do not fit into the
+//! second, so a reader that stops reading blocks only this thread. At the end of
+//! the process the last lines are written too, unless the reader doesn't take
+//! them within a short time: a full pipe without a reader must not keep the
+//! process running until it is killed. Each kind of line has a rate limit; lines above it, and lines that do not fit into the
 //! buffer, are dropped and counted.
 
 use std::collections::HashMap;
@@ -25,6 +27,9 @@
 const MAX_BUFFER_BYTES: usize = 1 << 20;
 /// Time between two writes to standard output.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum time that the end of the process waits for the last lines. Standard output that has room
+/// takes them within milliseconds.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time over which the rate limit counts lines.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -45,6 +50,9 @@
 #[derive(Clone)]
 pub struct BufferedLogWriter {
     state: Arc<Mutex<State>>,
+    /// Held while lines are written, so that a flush also waits for lines that were taken from the
+    /// buffer before.
+    output: Arc<Mutex<()>>,
 }
 
 impl BufferedLogWriter {
@@ -64,7 +72,7 @@
 
     fn new(now: Instant) -> BufferedLogWriter {
         let state = State { buffer: Vec::new(), counts_by_kind: HashMap::new(), window_start: now };
-        BufferedLogWriter { state: Arc::new(Mutex::new(state)) }
+        BufferedLogWriter { state: Arc::new(Mutex::new(state)), output: Arc::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -90,6 +98,7 @@
 
     /// Writes the buffered lines to `out`.
     fn write_buffer(&self, out: &mut impl Write) {
+        let _output = self.output.lock().unwrap_or_else(PoisonError::into_inner);
         let lines = std::mem::take(&mut self.lock().buffer);
         if lines.is_empty() {
             return;
@@ -128,8 +137,10 @@
     }
 
     fn flush(&self) -> std::io::Result<()> {
-        self.write_buffer(&mut std::io::stdout());
-        Ok(())
+        let writer = self.clone();
+        crate::output::run_within(FLUSH_TIMEOUT, move || {
+            writer.write_buffer(&mut std::io::stdout());
+        })
     }
 }
 
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,7 +7,9 @@
 mod log_writer;
 mod output;
 
+use std::io::Write;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use crate::error::CommandError;
 
@@ -18,10 +20,15 @@
     }
 }
 
+/// Maximum time to print an error. Standard error may be a full pipe without a reader.
+const PRINT_TIMEOUT: Duration = Duration::from_millis(200);
+
 fn print_error(error: &CommandError) -> ExitCode {
-    eprintln!("Error: {error}");
-    if let Some(hint) = error.hint() {
-        eprintln!("Hint: {hint}");
-    }
+    let hint = error.hint().map(|hint| format!("Hint: {hint}\n")).unwrap_or_default();
+    let text = format!("Error: {error}\n{hint}");
+    // If the text can't be printed, the exit code remains.
+    let _ = output::run_within(PRINT_TIMEOUT, move || {
+        let _ = std::io::stderr().write_all(text.as_bytes());
+    });
     error.exit_code()
 }
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -1,6 +1,9 @@
 //! Output formats and tables.
 
+use std::io;
 use std::str::FromStr;
+use std::sync::mpsc;
+use std::time::Duration;
 
 /// Output format of a command.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -24,6 +27,17 @@
     }
 }
 
+/// Runs something that may block on its output. It goes on in another thread if it takes longer.
+pub fn run_within(limit: Duration, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    let (sender, done) = mpsc::channel();
+    std::thread::Builder::new().name("output".to_owned()).spawn(move || {
+        run();
+        // The receiver is gone if it took too long.
+        let _ = sender.send(());
+    })?;
+    done.recv_timeout(limit).map_err(|error| io::Error::new(io::ErrorKind::TimedOut, error))
+}
+
 /// Formats a table with aligned columns.
 pub fn table(header: &[&str], rows: &[Vec<String>]) -> String {
     let mut widths: Vec<usize> = header.iter().map(|cell| cell.chars().count()).collect();
