--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -16,6 +16,7 @@
 use super::stream_versions::StreamReport;
 use super::throttle::wire::ThrottleReport;
 use super::unlisted::NeighborRecord;
+use super::upgrade::wire::UpgradeHold;
 use super::upgrade::wire::UpgradeReport;
 
 /// Age at which a report expires: several have been lost by then, or the box is gone.
@@ -135,6 +136,9 @@
     /// Plans whose target version a judge has found bad.
     #[prost(fixed64, repeated, tag = "32")]
     pub halted: Vec<u64>,
+    /// Plans that a judge holds at the share of their first stage.
+    #[prost(message, repeated, tag = "45")]
+    pub held: Vec<UpgradeHold>,
     /// Hashes of services of whose servers in its region the sender can't reach all.
     #[prost(fixed64, repeated, tag = "33")]
     pub limited_services: Vec<u64>,
--- a/lib/src/coordination/upgrade/evidence.rs
+++ b/lib/src/coordination/upgrade/evidence.rs
@@ -124,6 +124,13 @@
         self.latencies[class.min(CLASSES)..].iter().sum()
     }
 
+    fn subtract(&mut self, earlier: &Cell) {
+        self.responses = self.responses.saturating_sub(earlier.responses);
+        self.failed = self.failed.saturating_sub(earlier.failed);
+        let counts = self.latencies.iter_mut().zip(earlier.latencies);
+        counts.for_each(|(count, earlier)| *count = count.saturating_sub(earlier));
+    }
+
     fn add(&mut self, other: &Cell) {
         self.responses += other.responses;
         self.failed += other.failed;
@@ -171,8 +178,8 @@
 }
 
 impl Evidence {
-    /// Counts a response.
-    pub fn record(&mut self, sample: &Sample) {
+    /// Counts a response. Returns whether it is a bad one of the target version.
+    pub fn record(&mut self, sample: &Sample) -> bool {
         let failure = stratum(sample, Measure::Failure);
         let cell = self.cells.entry((failure, sample.is_target)).or_default();
         cell.responses += 1;
@@ -195,6 +202,7 @@
         if is_bad && sample.is_target {
             *self.tallies.entry(sample.server).or_default() += 1;
         }
+        is_bad && sample.is_target
     }
 
     /// Counts a latency. Returns whether it is slow by what this box knows of the other versions.
@@ -218,6 +226,11 @@
         }
     }
 
+    /// Bad responses of the target version, as the boxes that sent them see it.
+    pub fn bad_responses(&self) -> u32 {
+        self.tallies.values().sum()
+    }
+
     /// Responses of the target version.
     pub fn target_responses(&self) -> u64 {
         let target = self.cells.iter().filter(|((_, is_target), _)| *is_target);
@@ -227,39 +240,92 @@
     /// Why the target version, which has `servers` servers, is worse than the others; `None` if it
     /// is not known to be.
     pub fn defect(&self, servers: usize) -> Option<&'static str> {
+        self.failures(servers).or_else(|| self.slowness(servers))
+    }
+
+    /// Whether the target version, which has `servers` servers, fails more than the others.
+    pub fn failures(&self, servers: usize) -> Option<&'static str> {
         let disregarded = f64::from(self.disregarded(servers));
-        let (mut failures, mut slowness) = (Comparison::default(), Comparison::default());
-        for ((stratum, is_target), cell) in &self.cells {
-            if !is_target {
-                continue;
-            }
-            let none = Cell::default();
-            let baseline = self.cells.get(&(*stratum, false)).unwrap_or(&none);
-            let failed = Comparison::new(
-                (cell.failed, cell.responses),
-                (baseline.failed, baseline.responses),
-            );
-            if failed.is_significant(disregarded) {
+        let mut all = Comparison::default();
+        for (cell, baseline) in self.compared_cells() {
+            let counts = |cell: &Cell| (cell.failed, cell.responses);
+            let on_route = Comparison::new(counts(cell), counts(baseline));
+            if on_route.is_significant(disregarded) {
                 return Some("the version fails on a route");
             }
-            failures = failures.add(failed);
+            all = all.add(on_route);
+        }
+        all.is_significant(disregarded).then_some("the version fails")
+    }
+
+    /// Whether the target version, which has `servers` servers, is slower than the others.
+    pub fn slowness(&self, servers: usize) -> Option<&'static str> {
+        let disregarded = f64::from(self.disregarded(servers));
+        let mut all = Comparison::default();
+        for (cell, baseline) in self.compared_cells() {
             if baseline.timed() < MIN_BASELINE {
                 continue;
             }
             let limit = baseline.median() + SLOW_CLASSES;
-            let slow = Comparison::new(
-                (cell.slower_than(limit), cell.timed()),
-                (baseline.slower_than(limit), baseline.timed()),
-            );
-            if slow.is_significant(disregarded) {
+            let counts = |cell: &Cell| (cell.slower_than(limit), cell.timed());
+            let on_route = Comparison::new(counts(cell), counts(baseline));
+            if on_route.is_significant(disregarded) {
                 return Some("the version is slow on a route");
             }
-            slowness = slowness.add(slow);
+            all = all.add(on_route);
         }
-        if failures.is_significant(disregarded) {
-            return Some("the version fails");
+        all.is_significant(disregarded).then_some("the version is slow")
+    }
+
+    /// The cells of the target version, each with that of the other versions.
+    fn compared_cells(&self) -> impl Iterator<Item = (&Cell, &Cell)> {
+        static NONE: Cell = Cell { responses: 0, failed: 0, latencies: [0; CLASSES] };
+        let targets = self.cells.iter().filter(|((_, is_target), _)| *is_target);
+        targets
+            .map(|((stratum, _), cell)| (cell, self.cells.get(&(*stratum, false)).unwrap_or(&NONE)))
+    }
+
+    /// The counts that were added since an earlier state.
+    pub fn since(&self, earlier: &Evidence) -> Evidence {
+        let mut evidence = self.clone();
+        for (key, cell) in &mut evidence.cells {
+            if let Some(earlier) = earlier.cells.get(key) {
+                cell.subtract(earlier);
+            }
+        }
+        for (server, bad) in &mut evidence.tallies {
+            *bad = bad.saturating_sub(earlier.tallies.get(server).copied().unwrap_or(0));
         }
-        slowness.is_significant(disregarded).then_some("the version is slow")
+        evidence
+    }
+
+    /// The responses of the target version, compared with earlier ones of the other versions.
+    pub fn target_compared_with(&self, earlier: &Evidence) -> Evidence {
+        let cells = self.cells_of(true, true).chain(earlier.cells_of(false, false)).collect();
+        Evidence { cells, tallies: self.tallies.clone() }
+    }
+
+    /// The responses of the other versions, as those of a target that is compared with their
+    /// earlier responses.
+    pub fn others_compared_with(&self, earlier: &Evidence) -> Evidence {
+        let cells = self.cells_of(false, true).chain(earlier.cells_of(false, false)).collect();
+        Evidence { cells, tallies: HashMap::new() }
+    }
+
+    /// The cells of the target version or of the others, with another key.
+    fn cells_of(
+        &self,
+        is_target: bool,
+        as_target: bool,
+    ) -> impl Iterator<Item = ((Stratum, bool), Cell)> {
+        let cells = self.cells.iter().filter(move |((_, of_target), _)| *of_target == is_target);
+        cells.map(move |((stratum, _), cell)| ((*stratum, as_target), cell.clone()))
+    }
+
+    /// Responses of the other versions whose latency was counted.
+    pub fn other_timed(&self) -> u32 {
+        let others = self.cells.iter().filter(|((_, is_target), _)| !is_target);
+        others.map(|(_, cell)| cell.timed()).sum()
     }
 
     /// Bad responses of the servers that may be faulty themselves.
--- a/lib/src/coordination/upgrade/plan.rs
+++ b/lib/src/coordination/upgrade/plan.rs
@@ -1,10 +1,12 @@
 //! The plan of an upgrade, as kept in the store, and the decision about its next stage.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::history::Finding;
 use crate::coordination::rendezvous;
 use crate::protocol::fleet::ServerVersion;
 use crate::protocol::platform::Position;
@@ -37,6 +39,14 @@
 const MIN_SERVER_FRACTION: f64 = 0.5;
 /// Delay of each further judge before it takes over a decision of the first.
 const JUDGE_DELAY: Duration = Duration::from_millis(800);
+/// Minimum duration of a first stage that the plan returned to. The responses that show whether the
+/// load has made the version slow arrive in it.
+const MIN_RETURNED_CANARY: Duration = Duration::from_millis(1200);
+/// Times that a plan returns to the first stage because the version is slow in the last one.
+const MAX_RETURNS: u32 = 2;
+/// Time that a return takes until the last box follows what it shows: 1 s until the version is
+/// found slow, 2.4 s of observation and 1.5 s for a box that has lost the store.
+const RETURN_TIME: Duration = Duration::from_millis(4900);
 /// Maximum number of versions that a plan excludes.
 const MAX_EXCLUDED: usize = 16;
 
@@ -108,6 +118,12 @@
     /// Time from the order to the write of this stage, milliseconds.
     #[serde(default)]
     pub elapsed_ms: u64,
+    /// Rank of the judge that wrote this. It decides first, since it reaches the store.
+    #[serde(default)]
+    pub writer: u32,
+    /// Times that the plan returned to the first stage.
+    #[serde(default)]
+    pub returns: u32,
     /// Versions that were replaced by this or an earlier plan.
     #[serde(default)]
     pub retired: Vec<ServerVersion>,
@@ -165,8 +181,10 @@
     pub other_versions: Vec<ServerVersion>,
     /// Responses of the target version that were judged.
     pub responses: u64,
-    /// Why the target version is bad, if it is.
-    pub defect: Option<&'static str>,
+    /// What the responses say about the target version.
+    pub finding: Finding,
+    /// Time after bad responses by which a version must be rolled back; `None` if none is set.
+    pub rollback_limit: Option<Duration>,
     /// Whether all boxes have confirmed that the other versions have no requests in progress.
     pub is_drained: bool,
     /// Rank of this judge; 0 decides first.
@@ -199,10 +217,16 @@
         if plan.stage.is_final() {
             return self.restore(plan);
         }
-        if let Some(defect) = self.defect {
-            return self.change(plan, Stage::RolledBack, defect);
+        match self.finding {
+            Finding::Defect(defect) => self.change(plan, Stage::RolledBack, defect),
+            Finding::Slow(reason) => {
+                let may_return = plan.returns < MAX_RETURNS
+                    && self.rollback_limit.is_none_or(|limit| limit >= RETURN_TIME);
+                let stage = if may_return { Stage::Canary } else { Stage::RolledBack };
+                self.change(plan, stage, reason)
+            }
+            Finding::Sound | Finding::Open => self.advance(plan),
         }
-        self.advance(plan)
     }
 
     /// Starts a plan for a new order.
@@ -224,6 +248,8 @@
             order_era: position.era,
             order_revision: position.revision,
             elapsed_ms: self.elapsed_ms(),
+            writer: self.rank,
+            returns: 0,
             retired: earlier.map(|plan| plan.retired.clone()).unwrap_or_default(),
             rejected: earlier.map(|plan| plan.rejected.clone()).unwrap_or_default(),
         };
@@ -248,6 +274,11 @@
             return self.change(plan, Stage::RolledBack, "the version did not take over in time");
         }
         let due = match plan.stage {
+            Stage::Canary if plan.returns > 0 => {
+                self.finding == Finding::Sound
+                    && self.has_enough_servers()
+                    && self.stage_age >= MIN_RETURNED_CANARY + self.delay()
+            }
             Stage::Canary => {
                 let is_known =
                     self.responses >= MIN_RESPONSES || self.elapsed >= fraction(EVIDENCE_FRACTION);
@@ -270,6 +301,9 @@
             return None;
         }
         match plan.stage {
+            Stage::Canary if plan.returns > 0 => {
+                self.change(plan, Stage::Full, "the load slowed all versions")
+            }
             Stage::Canary => self.change(plan, Stage::Ramp, "the canary responds well"),
             Stage::Ramp => self.change(plan, Stage::Full, "the version responds well"),
             _ => self.change(plan, Stage::Succeeded, "the other versions are idle"),
@@ -283,8 +317,15 @@
     }
 
     fn change(&self, plan: &Plan, stage: Stage, reason: &'static str) -> Option<Decision> {
-        let mut plan =
-            Plan { serial: plan.serial + 1, stage, elapsed_ms: self.elapsed_ms(), ..plan.clone() };
+        let returns = plan.returns + u32::from(plan.stage == Stage::Full && stage == Stage::Canary);
+        let mut plan = Plan {
+            serial: plan.serial + 1,
+            stage,
+            elapsed_ms: self.elapsed_ms(),
+            writer: self.rank,
+            returns,
+            ..plan.clone()
+        };
         if let Some((_, position)) = self.order {
             plan.order_era = position.era;
             plan.order_revision = position.revision;
@@ -298,7 +339,10 @@
                 retired.retain(|version| !self.other_versions.contains(version));
                 exclude(rejected, target);
             }
-            Stage::Canary | Stage::Ramp | Stage::Succeeded => {}
+            Stage::Canary => {
+                plan.retired.retain(|version| !self.other_versions.contains(version));
+            }
+            Stage::Ramp | Stage::Succeeded => {}
         }
         Some(Decision { plan, reason })
     }
@@ -319,7 +363,14 @@
     }
 
     fn delay(&self) -> Duration {
-        JUDGE_DELAY * self.rank
+        // The judge that wrote last may be the only one that the store does not refuse.
+        let writer = self.plan.map_or(0, |plan| plan.writer);
+        let turn = match self.rank.cmp(&writer) {
+            Ordering::Less => self.rank + 1,
+            Ordering::Equal => 0,
+            Ordering::Greater => self.rank,
+        };
+        JUDGE_DELAY * turn
     }
 
     fn elapsed_ms(&self) -> u64 {
--- a/lib/src/coordination/upgrade/table.rs
+++ b/lib/src/coordination/upgrade/table.rs
@@ -9,11 +9,14 @@
 use super::Versions;
 use super::evidence::Evidence;
 use super::evidence::Sample;
+use super::history::Finding;
+use super::history::History;
 use super::plan::Decision;
 use super::plan::Plan;
 use super::plan::PlanId;
 use super::plan::Situation;
 use super::plan::Stage;
+use super::wire::UpgradeHold;
 use super::wire::UpgradeReport;
 use crate::protocol::Incarnation;
 use crate::protocol::fleet::ServerVersion;
@@ -59,18 +62,31 @@
     followed: u32,
     /// Whether a judge has found the target version bad.
     is_halted: bool,
+    /// Serial number of the plan that a judge holds at the share of the first stage; 0 for none.
+    held: u32,
     /// Since when servers of the target version have been usable.
     target_since: Option<Instant>,
     own_evidence: Evidence,
     reports: HashMap<u64, BoxEvidence>,
+    history: History,
+}
+
+/// What a version that turns out bad may get.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Limits {
+    /// Share of a service's requests.
+    pub exposure_share: f64,
+    /// Requests in addition; `None` if none is set.
+    pub exposure_slack: Option<f64>,
+    /// Time after bad responses from which on it may get none; `None` if none is set.
+    pub rollback: Option<Duration>,
 }
 
 /// Upgrades by service.
 #[derive(Clone, Debug, Default)]
 pub struct Upgrades {
     services: BTreeMap<ServiceId, Upgrade>,
-    /// Share of a service's requests that may reach a version that turns out bad.
-    exposure_limit: f64,
+    limits: Limits,
     /// Whether the roles of versions have changed since they were last taken.
     is_changed: bool,
 }
@@ -88,8 +104,8 @@
 
 impl Upgrades {
     /// Creates an empty table.
-    pub fn new(exposure_limit: f64) -> Upgrades {
-        Upgrades { exposure_limit, ..Upgrades::default() }
+    pub fn new(limits: Limits) -> Upgrades {
+        Upgrades { limits, ..Upgrades::default() }
     }
 
     /// Whether there are neither orders nor plans.
@@ -134,7 +150,9 @@
         if !is_same_plan {
             upgrade.own_evidence = Evidence::default();
             upgrade.reports.clear();
+            upgrade.history = History::default();
             upgrade.is_halted = false;
+            upgrade.held = 0;
         }
         if !is_same_plan || known.is_some_and(|known| known.stage != plan.stage) {
             upgrade.stage_since = Some(now);
@@ -161,6 +179,43 @@
         is_news
     }
 
+    /// Returns a plan to the share of its first stage until it has a higher serial number. Returns
+    /// whether that is news.
+    pub fn hold(&mut self, hold: UpgradeHold) -> bool {
+        let Some(upgrade) = self.running_mut(hold.plan) else { return false };
+        let is_news = hold.serial > upgrade.held;
+        upgrade.held = upgrade.held.max(hold.serial);
+        self.is_changed |= is_news;
+        is_news
+    }
+
+    /// Plans that judges found bad, and those that they hold.
+    pub fn stopped(&self) -> (Vec<PlanId>, Vec<UpgradeHold>) {
+        (self.halted(), self.held())
+    }
+
+    /// Applies a judge's own decision to send fewer requests to a version before it is written.
+    /// Returns whether boxes have to be told.
+    pub fn stop_before_write(&mut self, judged: &JudgedDecision) -> bool {
+        let Plan { id, serial, stage, .. } = judged.decision.plan;
+        match stage {
+            Stage::RolledBack => self.halt(id),
+            Stage::Canary if judged.decision.plan.returns > 0 => {
+                self.hold(UpgradeHold { plan: id, serial: serial - 1 })
+            }
+            _ => false,
+        }
+    }
+
+    /// Plans that judges hold at the share of their first stage.
+    pub fn held(&self) -> Vec<UpgradeHold> {
+        let held = |upgrade: &Upgrade| {
+            let plan = upgrade.running().filter(|plan| upgrade.held >= plan.serial)?;
+            Some(UpgradeHold { plan: plan.id, serial: upgrade.held })
+        };
+        self.services.values().filter_map(held).collect()
+    }
+
     /// Plans that judges found bad and that the store still shows as running.
     pub fn halted(&self) -> Vec<PlanId> {
         let halted = self.services.values().filter(|upgrade| upgrade.is_halted);
@@ -174,14 +229,17 @@
 
     /// The roles of the versions of each service that has an order or a plan.
     pub fn versions(&self) -> BTreeMap<ServiceId, Versions> {
-        let versions = |upgrade: &Upgrade| upgrade.versions(self.exposure_limit);
+        let versions = |upgrade: &Upgrade| upgrade.versions(self.limits.exposure_share);
         self.services.iter().map(|(name, upgrade)| (name.clone(), versions(upgrade))).collect()
     }
 
     /// Records that requests follow the plan of each service, and which servers are usable.
     pub fn record_published(&mut self, servers: impl Fn(&str) -> ServerCounts, now: Instant) {
         for (name, upgrade) in &mut self.services {
-            upgrade.followed = upgrade.plan.as_ref().map_or(0, |plan| plan.serial);
+            // A box that was told to stop sending to the target version confirms no plan: it sends
+            // to the other versions again.
+            let followed = upgrade.plan.as_ref().filter(|_| !upgrade.is_stopped());
+            upgrade.followed = followed.map_or(0, |plan| plan.serial);
             let Some((order, ..)) = &upgrade.order else { continue };
             let is_usable = servers(name).by_version.get(&order.target).is_some_and(|n| *n > 0);
             if is_usable {
@@ -192,11 +250,13 @@
         }
     }
 
-    /// Counts a response under a plan.
-    pub fn record_sample(&mut self, plan: PlanId, sample: &Sample) {
-        if let Some(upgrade) = self.running_mut(plan) {
-            upgrade.own_evidence.record(sample);
-        }
+    /// Counts a response under a plan. Returns whether the judges should know it at once: it is a
+    /// bad one of the target version, which gets a large share.
+    pub fn record_sample(&mut self, plan: PlanId, sample: &Sample) -> bool {
+        let Some(upgrade) = self.running_mut(plan) else { return false };
+        let is_bad = upgrade.own_evidence.record(sample);
+        let stage = upgrade.running().map(|plan| plan.stage);
+        is_bad && !upgrade.is_stopped() && matches!(stage, Some(Stage::Ramp | Stage::Full))
     }
 
     /// Reports to the judges, by service. `draining` gives the requests of this box in progress on
@@ -213,20 +273,22 @@
         self.services.iter().filter_map(report).collect()
     }
 
-    /// Receives the report of another box.
+    /// Receives the report of another box. Returns whether it contains further bad responses.
     pub fn receive(
         &mut self,
         sender: u64,
         (incarnation, number): (Incarnation, u64),
         report: &UpgradeReport,
         now: Instant,
-    ) {
-        let Some(upgrade) = self.running_mut(report.plan) else { return };
+    ) -> bool {
+        let Some(upgrade) = self.running_mut(report.plan) else { return false };
         let is_older =
             |known: &BoxEvidence| known.incarnation == incarnation && known.number >= number;
-        if upgrade.reports.get(&sender).is_some_and(is_older) {
-            return;
+        let known = upgrade.reports.get(&sender);
+        if known.is_some_and(is_older) {
+            return false;
         }
+        let known_bad = known.map_or(0, |known| known.evidence.bad_responses());
         let received = BoxEvidence {
             incarnation,
             number,
@@ -235,7 +297,9 @@
             evidence: Evidence::from_reports(&report.cells, &report.tallies),
             received_at: now,
         };
+        let is_worse = received.evidence.bad_responses() > known_bad;
         upgrade.reports.insert(sender, received);
+        is_worse
     }
 
     /// Decides about a service as the judge of a rank. `boxes` are all others that may send
@@ -254,28 +318,46 @@
         let order = upgrade.order.as_ref();
         let since =
             |at: Option<Instant>| at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let target = upgrade.target();
+        let target = upgrade.target().cloned();
+        let target = target.as_ref();
         let target_servers = target.and_then(|target| servers.by_version.get(target));
         let others = servers.by_version.iter().filter(|(version, _)| Some(*version) != target);
         let mut evidence = upgrade.own_evidence.clone();
         upgrade.reports.values().for_each(|report| evidence.add(&report.evidence));
         let responses = evidence.target_responses();
         let target_servers = target_servers.copied().unwrap_or(0);
+        let stage_age = since(upgrade.stage_since);
+        let fleet_serial = upgrade.reports.values().map(|report| report.serial).max().unwrap_or(0);
+        let is_held = upgrade.is_held();
+        let history = &mut upgrade.history;
+        let finding = match &upgrade.plan {
+            // Another judge's finding holds even if its write was lost and its evidence is not known.
+            Some(_) if upgrade.is_halted => Finding::Defect("a judge found the version bad"),
+            Some(plan) => {
+                let finding =
+                    history.assess(plan, fleet_serial, &evidence, target_servers, stage_age);
+                match finding {
+                    Finding::Sound | Finding::Open if is_held => {
+                        Finding::Slow("a judge found the version slow")
+                    }
+                    finding => finding,
+                }
+            }
+            None => Finding::Sound,
+        };
         let situation = Situation {
             order: order.map(|(order, position, _)| (order, *position)),
             plan: upgrade.plan.as_ref(),
             is_stored: upgrade.stored == upgrade.plan.as_ref().map(|plan| (plan.id, plan.serial)),
             elapsed: upgrade.elapsed(now),
-            stage_age: since(upgrade.stage_since),
+            stage_age,
             target_age: upgrade.target_since.map(|at| since(Some(at))),
             target_servers,
             other_servers: others.clone().map(|(_, count)| count).sum(),
             other_versions: others.map(|(version, _)| version.clone()).collect(),
             responses,
-            // Another judge's finding holds even if its write was lost and its evidence is not known.
-            defect: evidence
-                .defect(target_servers)
-                .or(upgrade.is_halted.then_some("a judge found the version bad")),
+            finding,
+            rollback_limit: self.limits.rollback,
             is_drained: draining == 0 && upgrade.is_drained(boxes, now),
             rank,
         };
@@ -306,6 +388,17 @@
         self.plan.as_ref().filter(|plan| !plan.stage.is_final())
     }
 
+    /// Whether a judge holds the plan at the share of its first stage.
+    fn is_held(&self) -> bool {
+        let is_held = |plan: &Plan| plan.stage != Stage::Canary && self.held >= plan.serial;
+        self.running().is_some_and(is_held)
+    }
+
+    /// Whether a judge stopped the requests to the target version, at least in part.
+    fn is_stopped(&self) -> bool {
+        self.is_halted || self.is_held()
+    }
+
     fn target(&self) -> Option<&ServerVersion> {
         let ordered = self.order.as_ref().map(|(order, ..)| &order.target);
         ordered.or(self.plan.as_ref().map(|plan| &plan.target))
@@ -338,23 +431,22 @@
         if let Some(plan) = &self.plan {
             versions.retired = plan.retired.clone();
             versions.rejected = plan.rejected.clone();
-            let stage = if self.is_halted && !plan.stage.is_final() {
-                Stage::RolledBack
-            } else {
-                plan.stage
+            let stage = match plan.stage {
+                stage if stage.is_final() => stage,
+                _ if self.is_halted => Stage::RolledBack,
+                _ if self.is_held() => Stage::Canary,
+                stage => stage,
             };
+            if stage != plan.stage {
+                versions.retired.clear();
+            }
             match stage {
                 Stage::Canary | Stage::Ramp => {
                     versions.canary = Some(plan.target.clone());
                     versions.canary_share = stage.share(exposure_limit);
                 }
                 Stage::Full | Stage::Succeeded => versions.promoted = Some(plan.target.clone()),
-                Stage::RolledBack => {
-                    if !plan.stage.is_final() {
-                        versions.retired.clear();
-                    }
-                    versions.rejected.push(plan.target.clone());
-                }
+                Stage::RolledBack => versions.rejected.push(plan.target.clone()),
             }
             versions.plan = self.running().map(|plan| (plan.id, plan.target.clone()));
         }
--- a/lib/src/coordination/upgrade/wire.rs
+++ b/lib/src/coordination/upgrade/wire.rs
@@ -21,6 +21,18 @@
     pub tallies: Vec<TallyReport>,
 }
 
+/// Returns the share of a target version to that of the first stage, because the version is slow in
+/// a later one and may be bad. It holds until the plan has a higher serial number.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct UpgradeHold {
+    /// The plan.
+    #[prost(fixed64, tag = "1")]
+    pub plan: u64,
+    /// Serial number of the plan that is held.
+    #[prost(uint32, tag = "2")]
+    pub serial: u32,
+}
+
 /// Responses of one stratum and version.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CellReport {
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -73,6 +73,7 @@
     let mut number = 0;
     let mut announcer = StatusAnnouncer::default();
     let mut upgrade_report_at = next_at;
+    let mut urgent_report_at = next_at;
     loop {
         tokio::select! {
             () = timer::sleep_until(next_at) => {
@@ -91,8 +92,14 @@
                 send_periodic(&shared, &socket, number, &mut announcer);
                 if now >= upgrade_report_at {
                     upgrade_report_at = now + upgrade::send_reports(&shared, &socket, number);
+                    urgent_report_at = now + upgrade::URGENT_REPORT_INTERVAL;
                 }
             }
+            () = shared.upgrade_report.notified(), if clock::now() >= urgent_report_at => {
+                number += 1;
+                urgent_report_at = clock::now() + upgrade::URGENT_REPORT_INTERVAL;
+                upgrade::send_reports(&shared, &socket, number);
+            }
             () = shared.region_update.notified() => {
                 number += 1;
                 send_to_region(&shared, &socket, number);
@@ -488,6 +495,7 @@
     let now = clock::now();
     let version = lock(&shared.freshness).version();
     let snapshot = shared.snapshot.load();
+    let (halted, held) = lock(&shared.upgrades).stopped();
     let mut report = BoxReport {
         leaving: snapshot.routing.is_some().then_some(snapshot.stage != Stage::Serving),
         sender: presence::box_hash(&shared.settings.name),
@@ -503,7 +511,8 @@
         counts: lock(&shared.quotas).box_usage_to_report(now),
         throttle: Some(lock(&shared.throttles).next_report(now)).filter(|rates| !rates.is_empty()),
         leaving_servers: lock(&shared.departures).next_notices(now),
-        halted: lock(&shared.upgrades).halted(),
+        halted,
+        held,
         ..BoxReport::default()
     };
     add_limited_services(shared, &mut report);
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::coordination::retries;
+use crate::coordination::upgrade::table::Limits;
 use crate::protocol::BoxId;
 use crate::protocol::RegionId;
 use crate::protocol::fleet::FailureDomainId;
@@ -64,9 +65,8 @@
     pub propagation_limit: Duration,
     /// Reads a second that the store allows all boxes together.
     pub store_reads: f64,
-    /// Share of a service's requests that may reach servers of a version that turns out bad, while
-    /// the service is upgraded.
-    pub exposure_limit: f64,
+    /// What a version that turns out bad may get while its service is upgraded.
+    pub upgrade_limits: Limits,
     /// Maximum time for which callers cache a response of the directory.
     pub directory_ttl: Duration,
     /// Addresses to connect to instead of those of some servers.
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -171,6 +171,10 @@
     /// Orders and plans of upgrades, and the counted responses. No other lock is taken while it is
     /// held.
     pub upgrades: Mutex<Upgrades>,
+    /// Notified when the judges of an upgrade should get a report at once.
+    pub upgrade_report: Notify,
+    /// Notified when a judge of an upgrade has received further bad responses.
+    pub upgrade_evidence: Notify,
     /// Versions of streams. No other lock is taken while it is held.
     pub streams: Mutex<StreamDirectory>,
     /// Notified when there are reports about streams to send.
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -25,7 +25,6 @@
 use crate::coordination::upgrade::Plan;
 use crate::coordination::upgrade::PlanId;
 use crate::coordination::upgrade::Role;
-use crate::coordination::upgrade::Stage;
 use crate::coordination::upgrade::evidence::Sample;
 use crate::coordination::upgrade::evidence::SampleResult;
 use crate::coordination::upgrade::table::JudgedDecision;
@@ -50,6 +49,14 @@
 /// Minimum interval of the reports to the judges. They are sent after periodic reports to other
 /// boxes, so this is less than the interval of those.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Minimum interval of reports of bad responses. They are not delayed until the next periodic report,
+/// because a bad version may get all requests meanwhile.
+pub const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Minimum interval of a judge's decisions when it receives further bad responses.
+const MIN_JUDGE_INTERVAL: Duration = Duration::from_millis(50);
+/// Boxes for each millisecond of that interval, which grows with a large fleet because the counts of
+/// all boxes are added for each decision.
+const BOXES_PER_MILLISECOND: usize = 5;
 /// Reports that one judge receives in a second, at most, from a large fleet.
 const JUDGE_REPORT_RATE: f64 = 1000.0;
 
@@ -127,7 +134,9 @@
             is_cold: place.cold,
             result,
         };
-        lock(&shared.upgrades).record_sample(self.plan, &sample);
+        if lock(&shared.upgrades).record_sample(self.plan, &sample) {
+            shared.upgrade_report.notify_one();
+        }
     }
 }
 
@@ -164,13 +173,21 @@
 
 /// Applies what another box reports about upgrades.
 pub fn receive<A: Adapter>(shared: &Shared<A>, report: &BoxReport, now: Instant) {
-    if report.upgrade.is_none() && report.halted.is_empty() {
+    if report.upgrade.is_none() && report.halted.is_empty() && report.held.is_empty() {
         return;
     }
     let mut upgrades = lock(&shared.upgrades);
     if let Some(counts) = &report.upgrade {
         let number = (report.incarnation, report.upgrade_number);
-        upgrades.receive(report.sender, number, counts, now);
+        if upgrades.receive(report.sender, number, counts, now) {
+            shared.upgrade_evidence.notify_one();
+        }
+    }
+    for hold in &report.held {
+        if upgrades.hold(*hold) {
+            log::warn!("event=upgrade_held plan={:016x} by=box", hold.plan);
+            shared.peer_ahead.notify_one();
+        }
     }
     for plan in &report.halted {
         if upgrades.halt(*plan) {
@@ -205,13 +222,19 @@
 ) {
     loop {
         let is_idle = lock(&shared.upgrades).is_empty();
-        timer::sleep(if is_idle { IDLE_INTERVAL } else { JUDGE_INTERVAL }).await;
+        let fleet_size = shared.snapshot.load().fleet_size;
+        let minimum = Duration::from_millis((fleet_size / BOXES_PER_MILLISECOND) as u64);
+        let minimum = minimum.clamp(MIN_JUDGE_INTERVAL, JUDGE_INTERVAL);
+        timer::sleep(minimum).await;
+        let interval = if is_idle { IDLE_INTERVAL } else { JUDGE_INTERVAL };
+        tokio::select! {
+            () = timer::sleep(interval.saturating_sub(minimum)) => {}
+            () = shared.upgrade_evidence.notified() => {}
+        }
         let services = lock(&shared.upgrades).services();
         for service in services {
             let Some(judged) = decide(&shared, &own_record, &service) else { continue };
-            if judged.decision.plan.stage == Stage::RolledBack
-                && lock(&shared.upgrades).halt(judged.decision.plan.id)
-            {
+            if lock(&shared.upgrades).stop_before_write(&judged) {
                 shared.global_update.notify_one();
                 shared.peer_ahead.notify_one();
             }
--- /dev/null
+++ b/lib/tests/common/upgrades.rs
@@ -0,0 +1,583 @@
+//! A simulation of upgrades on many boxes with one store, with faults of the fleet.
+
+#![allow(dead_code, missing_docs)]
+
+#[path = "upgrade_faults.rs"]
+mod upgrade_faults;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use copperweir_lib::coordination::upgrade;
+use copperweir_lib::coordination::upgrade::Plan;
+use copperweir_lib::coordination::upgrade::PlanId;
+use copperweir_lib::coordination::upgrade::Role;
+use copperweir_lib::coordination::upgrade::Stage;
+use copperweir_lib::coordination::upgrade::Upgrades;
+use copperweir_lib::coordination::upgrade::evidence::Sample;
+use copperweir_lib::coordination::upgrade::evidence::SampleResult;
+use copperweir_lib::coordination::upgrade::plan::Decision;
+use copperweir_lib::coordination::upgrade::table::JudgedDecision;
+use copperweir_lib::coordination::upgrade::table::Limits;
+use copperweir_lib::coordination::upgrade::table::ServerCounts;
+use copperweir_lib::coordination::upgrade::wire::UpgradeHold;
+use copperweir_lib::protocol::fleet::BoxRecord;
+use copperweir_lib::protocol::platform::Position;
+use copperweir_lib::protocol::upgrade::Order;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub use upgrade_faults::Behavior;
+pub use upgrade_faults::Faults;
+use upgrade_faults::LEASE_SECONDS;
+use upgrade_faults::REGIONS;
+use upgrade_faults::is_in;
+
+const SERVICE: &str = "engine";
+const TICK: Duration = Duration::from_millis(50);
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
+/// Minimum interval of the reports of bad responses of a box.
+const URGENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time from a write to the store until a box follows it.
+const PROPAGATION: Duration = Duration::from_millis(350);
+/// Time until a box that lost the store follows a write.
+const SLOW_PROPAGATION: Duration = Duration::from_millis(1500);
+const ROUTES: u64 = 3;
+pub const LIMITS: Limits = Limits { exposure_share: 0.1, exposure_slack: None, rollback: None };
+
+pub struct Setup {
+    pub boxes: usize,
+    pub servers: usize,
+    pub requests_per_second: f64,
+    pub duration: Duration,
+    pub behavior: Behavior,
+    pub faults: Faults,
+    pub seed: u64,
+}
+
+impl Setup {
+    pub fn new(behavior: Behavior) -> Setup {
+        Setup {
+            boxes: 72,
+            servers: 140,
+            requests_per_second: 850.0,
+            duration: Duration::from_secs(12),
+            behavior,
+            faults: Faults::default(),
+            seed: 1,
+        }
+    }
+
+    /// Requests of boxes that reach the store, during the order.
+    fn expected_requests(&self) -> f64 {
+        let ticks = (self.duration.as_secs_f64() / TICK.as_secs_f64()) as usize;
+        let in_tick = |tick: usize| {
+            let seconds = tick as f64 * TICK.as_secs_f64();
+            let reaches_store = |number: &usize| {
+                !self.faults.is_region_lost(*number, seconds)
+                    && !self.faults.is_partitioned(*number, seconds)
+            };
+            let boxes = (0..self.boxes).filter(reaches_store).count() as f64 / self.boxes as f64;
+            let rate = self.requests_per_second * self.faults.rate_factor(seconds);
+            rate * boxes * TICK.as_secs_f64()
+        };
+        (0..ticks).map(in_tick).sum()
+    }
+
+    pub fn run(&self) -> Outcome {
+        Simulation::new(self).run()
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Final stage, and seconds from the order until it was in the store.
+    pub end: Option<(Stage, f64)>,
+    /// Seconds until the last box followed it.
+    pub last_followed: f64,
+    /// Requests sent to the target version, and the expected number of all requests, until the end
+    /// of the order's time.
+    pub exposed: u64,
+    pub total: u64,
+    /// Requests to the target version later than five seconds after its fiftieth bad response since
+    /// the store was last away, from boxes that reach the store.
+    pub late: u64,
+    /// Stages that were written, with the seconds from the order and the reasons.
+    pub stages: Vec<(Stage, f64, &'static str)>,
+    /// Requests in progress on other versions when the upgrade succeeded.
+    pub lost: usize,
+}
+
+impl Outcome {
+    pub fn stage(&self) -> Option<Stage> {
+        self.end.map(|(stage, _)| stage)
+    }
+
+    /// Whether no more than a tenth of the requests and fifty reached the target version.
+    pub fn is_within_exposure(&self) -> bool {
+        self.exposed as f64 <= 0.1 * self.total as f64 + 50.0
+    }
+}
+
+/// What a judge tells boxes without the store.
+#[derive(Clone, Copy, Debug)]
+enum Notice {
+    Halt(PlanId),
+    Hold(UpgradeHold),
+}
+
+fn notices(table: &Upgrades) -> impl Iterator<Item = Notice> {
+    let halts = table.halted().into_iter().map(Notice::Halt);
+    halts.chain(table.held().into_iter().map(Notice::Hold))
+}
+
+struct Request {
+    sender: usize,
+    ends_at: Instant,
+    sample: Sample,
+}
+
+struct Simulation<'a> {
+    setup: &'a Setup,
+    start: Instant,
+    now: Instant,
+    rng: SmallRng,
+    records: Vec<BoxRecord>,
+    first_judge: usize,
+    tables: Vec<Upgrades>,
+    /// The plan in the store, and all writes of it with their times.
+    stored: Option<Plan>,
+    writes: Vec<(Instant, Plan)>,
+    applied: Vec<usize>,
+    requests: Vec<Request>,
+    reports: u64,
+    /// When each box may report bad responses at once.
+    urgent_at: Vec<Instant>,
+    /// Announcements of judges on their way to a box.
+    notices: Vec<(Instant, usize, Notice)>,
+    bad: u32,
+    fiftieth_bad_at: Option<Instant>,
+    outcome: Outcome,
+}
+
+impl<'a> Simulation<'a> {
+    fn new(setup: &'a Setup) -> Simulation<'a> {
+        let start = Instant::now();
+        let records: Vec<BoxRecord> = (0..setup.boxes).map(record).collect();
+        let order = Order {
+            service: SERVICE.to_owned(),
+            target: "v2".to_owned(),
+            duration: setup.duration,
+        };
+        let mut tables = vec![Upgrades::new(LIMITS); setup.boxes];
+        for table in &mut tables {
+            table.apply_order(order.clone(), Position { era: 1, revision: 7 }, start);
+        }
+        Simulation {
+            setup,
+            start,
+            now: start,
+            rng: SmallRng::seed_from_u64(setup.seed),
+            applied: vec![0; setup.boxes],
+            first_judge: index_of(&records, upgrade::judges(records.iter(), SERVICE)[0]),
+            records,
+            tables,
+            stored: None,
+            writes: Vec::new(),
+            requests: Vec::new(),
+            reports: 0,
+            urgent_at: vec![start; setup.boxes],
+            notices: Vec::new(),
+            bad: 0,
+            fiftieth_bad_at: None,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        let limit = self.setup.duration * 2;
+        let mut next_report = self.start;
+        let mut next_judgement = self.start;
+        while self.elapsed() < limit && !self.is_over() {
+            self.now += TICK;
+            self.follow_writes();
+            self.receive_notices();
+            let is_urgent = self.finish_requests();
+            self.send_requests();
+            if self.now >= next_report {
+                next_report = self.now + REPORT_INTERVAL;
+                self.report();
+            }
+            if self.now >= next_judgement || is_urgent {
+                next_judgement = self.now + JUDGE_INTERVAL;
+                self.judge();
+            }
+        }
+        self.outcome.total = self.setup.expected_requests() as u64;
+        self.outcome
+    }
+
+    /// Whether all boxes follow the last plan.
+    fn is_over(&self) -> bool {
+        let is_final = self.stored.as_ref().is_some_and(|plan| plan.stage.is_final());
+        is_final && self.applied.iter().all(|applied| *applied == self.writes.len())
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.now - self.start
+    }
+
+    fn seconds(&self) -> f64 {
+        self.elapsed().as_secs_f64()
+    }
+
+    fn is_gone(&self, box_index: usize) -> bool {
+        let faults = &self.setup.faults;
+        let is_crashed = faults.first_judge_gone_at.is_some_and(|at| self.seconds() >= at);
+        (is_crashed && box_index == self.first_judge)
+            || faults.is_region_lost(box_index, self.seconds())
+    }
+
+    /// Whether a box is listed in the store.
+    fn is_listed(&self, index: usize) -> bool {
+        let gone_at = self.setup.faults.first_judge_gone_at.unwrap_or(f64::MAX);
+        (index != self.first_judge || self.seconds() < gone_at + LEASE_SECONDS)
+            && !self.setup.faults.is_expired(index, self.seconds())
+    }
+
+    /// The boxes that judge the upgrade. The record of a box that is gone stays until its lease is
+    /// over.
+    fn judges(&self) -> Vec<usize> {
+        let listed = (0..self.setup.boxes).filter(|index| self.is_listed(*index));
+        let judges = upgrade::judges(listed.map(|index| &self.records[index]), SERVICE);
+        judges.iter().map(|judge| index_of(&self.records, judge)).collect()
+    }
+
+    /// Whether a box reaches the store.
+    fn reaches_store(&self, index: usize) -> bool {
+        !self.is_gone(index) && !self.setup.faults.is_partitioned(index, self.seconds())
+    }
+
+    /// Every tenth box has lost the store and learns of writes later.
+    fn follow_writes(&mut self) {
+        let counts = self.servers();
+        let seconds = self.seconds();
+        for (index, table) in self.tables.iter_mut().enumerate() {
+            if self.setup.faults.is_partitioned(index, seconds) {
+                continue;
+            }
+            let delay = if index % 10 == 9 { SLOW_PROPAGATION } else { PROPAGATION };
+            let delay = delay + self.setup.faults.read_delay(seconds);
+            while let Some((at, plan)) = self.writes.get(self.applied[index])
+                && self.now >= *at + delay
+            {
+                table.apply_plan(SERVICE, plan.clone(), self.now);
+                self.applied[index] += 1;
+                if plan.stage.is_final() {
+                    self.outcome.last_followed = (self.now - self.start).as_secs_f64();
+                }
+            }
+            table.record_published(|_| counts.clone(), self.now);
+        }
+    }
+
+    fn servers(&self) -> ServerCounts {
+        let (target, old) = self.setup.faults.server_counts(self.setup.servers, self.seconds());
+        let is_stopped = self.stored.as_ref().is_some_and(|plan| plan.stage == Stage::Succeeded);
+        let old = if is_stopped { 0 } else { old };
+        ServerCounts {
+            by_version: BTreeMap::from([("v1".to_owned(), old), ("v2".to_owned(), target)]),
+        }
+    }
+
+    /// Every box that knows that a plan is halted repeats it to those of its region.
+    fn repeat_notices(&mut self) {
+        for sender in 0..self.setup.boxes {
+            if self.is_gone(sender) {
+                continue;
+            }
+            for notice in notices(&self.tables[sender]) {
+                let near = (0..self.setup.boxes).filter(|to| to % REGIONS == sender % REGIONS);
+                let notices = near.map(|to| (self.now + TICK, to, notice));
+                self.notices.extend(notices);
+            }
+        }
+    }
+
+    fn receive_notices(&mut self) {
+        for (_, receiver, notice) in self.notices.extract_if(.., |(at, ..)| *at <= self.now) {
+            match notice {
+                Notice::Halt(plan) => self.tables[receiver].halt(plan),
+                Notice::Hold(hold) => self.tables[receiver].hold(hold),
+            };
+        }
+    }
+
+    /// A judge tells all boxes that a plan is halted or held.
+    fn announce(&mut self, judge: usize, judged: &JudgedDecision) {
+        if !self.tables[judge].stop_before_write(judged) {
+            return;
+        }
+        for to in 0..self.setup.boxes {
+            let loss = self.setup.faults.datagram_loss(judge, to, self.seconds());
+            if self.rng.random::<f64>() >= loss {
+                let notices = notices(&self.tables[judge]);
+                self.notices.extend(notices.map(|notice| (self.now + TICK, to, notice)));
+            }
+        }
+    }
+
+    fn send_requests(&mut self) {
+        let factor = self.setup.faults.rate_factor(self.seconds());
+        let expected = self.setup.requests_per_second * factor * TICK.as_secs_f64();
+        let count =
+            expected as usize + usize::from(self.rng.random::<f64>() < expected - expected.floor());
+        for _ in 0..count {
+            let sender = self.rng.random_range(0..self.setup.boxes);
+            if self.is_gone(sender) {
+                continue;
+            }
+            let versions = self.tables[sender].versions();
+            let versions = versions.get(SERVICE).cloned().unwrap_or_default();
+            let is_target = match (versions.role("v1"), versions.role("v2")) {
+                (_, Role::Canary) => self.rng.random::<f64>() < versions.canary_share,
+                (Role::Retired, Role::Serving) => {
+                    self.servers().by_version.get("v2").is_some_and(|count| *count > 0)
+                }
+                (Role::Serving, Role::Rejected) => false,
+                roles => panic!("no version serves: {roles:?}"),
+            };
+            let is_counted = is_target && self.reaches_store(sender);
+            if self.elapsed() <= self.setup.duration {
+                self.outcome.exposed += u64::from(is_counted);
+            }
+            let too_late = |at| self.now > at + Duration::from_secs(5);
+            self.outcome.late +=
+                u64::from(is_counted && self.fiftieth_bad_at.is_some_and(too_late));
+            let share = match versions.role("v2") {
+                Role::Canary => versions.canary_share,
+                Role::Serving => 1.0,
+                Role::Retired | Role::Rejected => 0.0,
+            };
+            self.begin(sender, is_target, share);
+        }
+    }
+
+    fn begin(&mut self, sender: usize, is_target: bool, share: f64) {
+        let Faults { faulty_servers, failure_rate, .. } = self.setup.faults;
+        let seconds = self.seconds();
+        let mut route = self.rng.random_range(0..ROUTES);
+        if route == 0 && self.setup.faults.routes_move_at.is_some_and(|at| seconds >= at) {
+            route = ROUTES;
+        }
+        let number = self.rng.random_range(0..self.setup.servers);
+        let is_faulty = (number as f64) < faulty_servers * self.setup.servers as f64;
+        let mut latency = 0.06 * (1.0 + route as f64) * self.rng.random_range(0.6..1.7);
+        let mut is_failure = self.rng.random::<f64>() < failure_rate;
+        is_failure |= is_faulty && self.rng.random::<f64>() < 0.3;
+        let own_share = if is_target { share } else { 1.0 - share };
+        latency *= self.setup.faults.latency_factor(own_share, seconds);
+        let mut is_bad = false;
+        if is_target {
+            let draw = self.rng.random::<f64>();
+            let fails = match self.setup.behavior {
+                Behavior::Good | Behavior::Slow(..) | Behavior::SlowAbove(_) => false,
+                Behavior::Failing(part) => draw < part,
+                Behavior::FailingFrom(at) => self.seconds() >= at && draw < 0.3,
+                Behavior::FailingAbove(limit) => share > limit && draw < 0.3,
+                Behavior::FailingOnRoute(bad_route) => route == bad_route && draw < 0.4,
+            };
+            if let Behavior::Slow(part, factor) = self.setup.behavior
+                && draw < part
+            {
+                latency *= factor;
+                is_bad = true;
+            }
+            if let Behavior::SlowAbove(limit) = self.setup.behavior
+                && share > limit
+                && draw < 0.5
+            {
+                latency *= 5.0;
+                is_bad = true;
+            }
+            is_failure |= fails;
+            is_bad |= fails;
+        }
+        if self.setup.faults.store_away.is_some_and(|window| is_in(window, seconds)) {
+            (self.bad, self.fiftieth_bad_at) = (0, None);
+        }
+        if is_bad && self.reaches_store(sender) {
+            self.bad += 1;
+            if self.bad == 50 {
+                self.fiftieth_bad_at = Some(self.now);
+            }
+        }
+        let latency = Duration::from_secs_f64(latency);
+        let result = if is_failure {
+            SampleResult::Failed
+        } else {
+            SampleResult::Answered { first: Some(latency), rest: None }
+        };
+        let sample = Sample {
+            route,
+            prompt_tokens: 0,
+            server: number as u64,
+            is_target,
+            is_cold: false,
+            result,
+        };
+        self.requests.push(Request { sender, ends_at: self.now + latency, sample });
+    }
+
+    /// Returns whether boxes have reported bad responses at once.
+    fn finish_requests(&mut self) -> bool {
+        let Some(plan) = self.stored.clone() else {
+            self.requests.retain(|request| request.ends_at > self.now);
+            return false;
+        };
+        let mut urgent = BTreeSet::new();
+        for request in self.requests.extract_if(.., |request| request.ends_at <= self.now) {
+            let is_urgent = self.tables[request.sender].record_sample(plan.id, &request.sample);
+            if is_urgent && self.now >= self.urgent_at[request.sender] {
+                self.urgent_at[request.sender] = self.now + URGENT_INTERVAL;
+                urgent.insert(request.sender);
+            }
+        }
+        let judges = self.judges();
+        self.reports += 1;
+        urgent.iter().for_each(|sender| self.report_from(*sender, &judges));
+        !urgent.is_empty()
+    }
+
+    /// Requests of a box in progress on servers of the old version, once it follows a plan that
+    /// retires them.
+    fn draining(&self, box_index: usize) -> u32 {
+        let versions = self.tables[box_index].versions();
+        let is_retired =
+            versions.get(SERVICE).is_some_and(|versions| versions.role("v1") == Role::Retired);
+        let in_progress = self
+            .requests
+            .iter()
+            .filter(|request| request.sender == box_index && !request.sample.is_target)
+            .count();
+        if is_retired { in_progress as u32 } else { 0 }
+    }
+
+    fn report(&mut self) {
+        self.reports += 1;
+        let judges = self.judges();
+        self.repeat_notices();
+        for sender in 0..self.setup.boxes {
+            self.report_from(sender, &judges);
+        }
+    }
+
+    fn report_from(&mut self, sender: usize, judges: &[usize]) {
+        if !self.is_gone(sender) && !(self.setup.faults.silent_box && sender == 3) {
+            let draining = self.draining(sender);
+            let reports = self.tables[sender].reports(|_| draining);
+            for judge in judges {
+                let loss = self.setup.faults.datagram_loss(sender, *judge, self.seconds());
+                if *judge == sender || self.rng.random::<f64>() < loss {
+                    continue;
+                }
+                for (_, report) in &reports {
+                    let number = (1, self.reports);
+                    self.tables[*judge].receive(sender as u64, number, report, self.now);
+                }
+            }
+        }
+    }
+
+    fn judge(&mut self) {
+        let is_on = |window: Option<_>| window.is_some_and(|window| is_in(window, self.seconds()));
+        let is_away = is_on(self.setup.faults.store_away);
+        let is_refused = is_on(self.setup.faults.judges_refused);
+        for (rank, index) in self.judges().into_iter().enumerate() {
+            if self.is_gone(index) {
+                continue;
+            }
+            let others: Vec<u64> = (0..self.setup.boxes)
+                .filter(|other| *other != index && self.is_waited_for(index, *other))
+                .map(|other| other as u64)
+                .collect();
+            let draining = self.draining(index);
+            let context = (self.rng.random(), self.now);
+            let counts = self.servers();
+            let judged = self.tables[index].decide(
+                SERVICE,
+                rank as u32,
+                &others,
+                draining,
+                &counts,
+                context,
+            );
+            let Some(judged) = judged else { continue };
+            self.announce(index, &judged);
+            // The judge writes only if the plan in the store is the one that it knows.
+            let known = self.writes[..self.applied[index]].last().map(|(_, plan)| plan);
+            let is_refused = is_away || (is_refused && rank < 2) || !self.reaches_store(index);
+            if self.stored.as_ref() == known && !is_refused {
+                self.write(judged.decision);
+            }
+        }
+    }
+
+    /// Whether a judge waits for the confirmation of a box: it is listed or the judge hears it.
+    fn is_waited_for(&self, judge: usize, other: usize) -> bool {
+        let is_heard = !self.is_gone(other)
+            && self.setup.faults.datagram_loss(judge, other, self.seconds()) < 1.0;
+        self.is_listed(other) || is_heard
+    }
+
+    fn write(&mut self, Decision { plan, reason }: Decision) {
+        self.outcome.stages.push((plan.stage, self.seconds(), reason));
+        if plan.stage.is_final() && self.outcome.end.is_none() {
+            self.outcome.end = Some((plan.stage, self.seconds()));
+        }
+        if plan.stage == Stage::Succeeded {
+            self.outcome.lost =
+                self.requests.iter().filter(|request| !request.sample.is_target).count();
+        }
+        self.stored = Some(plan.clone());
+        self.writes.push((self.now, plan));
+    }
+}
+
+fn index_of(records: &[BoxRecord], record: &BoxRecord) -> usize {
+    records.iter().position(|other| other.name == record.name).expect("a listed box")
+}
+
+fn record(index: usize) -> BoxRecord {
+    let region = format!("region-{}", index % 3);
+    BoxRecord {
+        name: format!("box-{index}"),
+        incarnation: 1,
+        failure_domain: region.clone(),
+        region,
+        callers: ([127, 0, 0, 1], 1).into(),
+        peers: ([127, 0, 0, 1], 2).into(),
+        leaving: false,
+        weight: 1.0,
+    }
+}
+
+pub fn assert_rolled_back(setup: &Setup) {
+    let outcome = setup.run();
+    assert_eq!(outcome.stage(), Some(Stage::RolledBack), "{:?}: {outcome:?}", setup.behavior);
+    assert!(outcome.is_within_exposure(), "{:?}: {outcome:?}", setup.behavior);
+    assert_eq!(outcome.late, 0, "{:?}: {outcome:?}", setup.behavior);
+}
+
+pub fn assert_succeeds(setup: &Setup) {
+    let outcome = setup.run();
+    let Some((Stage::Succeeded, at)) = outcome.end else {
+        panic!("{:?}: {outcome:?}", setup.faults);
+    };
+    assert!(at <= setup.duration.as_secs_f64(), "{:?}: {outcome:?}", setup.faults);
+    assert_eq!(outcome.lost, 0, "{:?}: {outcome:?}", setup.faults);
+}
--- /dev/null
+++ b/lib/tests/test_upgrade_faults.rs
@@ -0,0 +1,121 @@
+//! Upgrades simulated together with faults of the fleet: each alone, and in combination. Counted
+//! over all boxes that reach the store: the requests that a bad version gets, and those that it gets
+//! too late. A good version must take over in time, and lose no request on the old servers.
+
+#[path = "common/upgrades.rs"]
+mod upgrades;
+
+use copperweir_lib::coordination::upgrade::Stage;
+use upgrades::Behavior;
+use upgrades::Faults;
+use upgrades::Setup;
+use upgrades::assert_rolled_back;
+use upgrades::assert_succeeds;
+
+/// Ways of being bad: at once, on one route, later, and in the last stage.
+const BAD: [Behavior; 7] = [
+    Behavior::Failing(1.0),
+    Behavior::Failing(0.3),
+    Behavior::Slow(0.4, 5.0),
+    Behavior::FailingOnRoute(1),
+    Behavior::FailingFrom(4.0),
+    Behavior::FailingAbove(0.5),
+    Behavior::SlowAbove(0.5),
+];
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=2;
+
+fn assert_bad_are_rolled_back(faults: Faults) {
+    for behavior in BAD {
+        for seed in SEEDS {
+            assert_rolled_back(&Setup { seed, faults, ..Setup::new(behavior) });
+        }
+    }
+}
+
+fn assert_good_succeeds(faults: Faults) {
+    for seed in SEEDS {
+        assert_succeeds(&Setup { seed, faults, ..Setup::new(Behavior::Good) });
+    }
+}
+
+fn assert_holds(faults: Faults) {
+    assert_bad_are_rolled_back(faults);
+    assert_good_succeeds(faults);
+}
+
+#[test]
+fn upgrade_while_a_region_is_partitioned() {
+    assert_holds(Faults { partition: Some((0, (1.5, 6.5))), ..Faults::default() });
+    assert_holds(Faults { partition: Some((1, (6.5, 9.5))), ..Faults::default() });
+    assert_bad_are_rolled_back(Faults { partition: Some((2, (7.3, 14.0))), ..Faults::default() });
+}
+
+#[test]
+fn upgrade_while_a_region_is_lost() {
+    assert_holds(Faults { region_lost: Some((0, 2.0)), ..Faults::default() });
+    assert_holds(Faults { region_lost: Some((1, 7.0)), ..Faults::default() });
+}
+
+/// Guards against judges that each wait for those before them at every stage, though the store
+/// refuses those: a good version was rolled back because its time was over.
+#[test]
+fn upgrade_while_the_store_refuses_the_first_judges() {
+    assert_holds(Faults { judges_refused: Some((0.0, 30.0)), ..Faults::default() });
+}
+
+#[test]
+fn upgrade_while_the_store_is_unavailable() {
+    assert_holds(Faults { store_away: Some((1.5, 4.5)), ..Faults::default() });
+    assert_holds(Faults { store_away: Some((7.5, 9.5)), ..Faults::default() });
+}
+
+#[test]
+fn upgrade_while_target_servers_start_late_crash_or_are_released() {
+    assert_holds(Faults { target_late: Some(5.0), ..Faults::default() });
+    assert_holds(Faults { target_crashed: Some((3.0, 5.0)), ..Faults::default() });
+    assert_holds(Faults { target_crashed: Some((7.5, 8.5)), ..Faults::default() });
+    assert_holds(Faults { target_released_at: Some(6.5), ..Faults::default() });
+}
+
+#[test]
+fn upgrade_during_an_evacuation() {
+    assert_holds(Faults { evacuation: Some((0, (5.0, 9.0))), ..Faults::default() });
+}
+
+#[test]
+fn upgrade_while_a_configuration_moves_routes() {
+    assert_holds(Faults { routes_move_at: Some(5.0), ..Faults::default() });
+    assert_holds(Faults { routes_move_at: Some(7.6), ..Faults::default() });
+}
+
+#[test]
+fn bad_version_is_rolled_back_while_links_between_regions_are_saturated() {
+    assert_bad_are_rolled_back(Faults { slow_links: Some((0.0, 30.0)), ..Faults::default() });
+}
+
+/// Guards against comparing the last stage with all earlier responses: a burst before it hid that
+/// the version is slow at full load.
+#[test]
+fn upgrade_after_a_team_multiplied_its_requests() {
+    assert_holds(Faults { team_burst: Some((2.5, (3.0, 5.0))), ..Faults::default() });
+}
+
+/// Guards against taking a burst in the last stage for a slow version: the good version was rolled
+/// back.
+#[test]
+fn good_version_is_not_rolled_back_because_of_a_burst_in_the_last_stage() {
+    for window in [(7.3, 9.3), (7.8, 9.3)] {
+        assert_good_succeeds(Faults { slowdown: Some(window), ..Faults::default() });
+    }
+}
+
+/// A judge finds a version slow in the last stage, but the store refuses its writes.
+#[test]
+fn version_that_is_slow_under_full_load_is_held_while_the_store_is_unavailable() {
+    for seed in SEEDS {
+        let faults = Faults { store_away: Some((7.6, 11.0)), ..Faults::default() };
+        let outcome = Setup { seed, faults, ..Setup::new(Behavior::SlowAbove(0.5)) }.run();
+        assert!(outcome.is_within_exposure(), "{outcome:?}");
+        assert_eq!(outcome.stage(), Some(Stage::RolledBack));
+    }
+}
--- a/lib/tests/test_upgrade_halt.rs
+++ b/lib/tests/test_upgrade_halt.rs
@@ -7,16 +7,18 @@
 use copperweir_lib::coordination::upgrade::Plan;
 use copperweir_lib::coordination::upgrade::Stage;
 use copperweir_lib::coordination::upgrade::Upgrades;
+use copperweir_lib::coordination::upgrade::table::Limits;
 use copperweir_lib::coordination::upgrade::table::ServerCounts;
 use copperweir_lib::protocol::platform::Position;
 use copperweir_lib::protocol::upgrade::Order;
 
+const LIMITS: Limits = Limits { exposure_share: 0.1, exposure_slack: None, rollback: None };
 const SERVICE: &str = "engine";
 
 /// The finding of the judge that halted the plan could not be written while the store was away.
 #[test]
 fn halted_plan_is_rolled_back_by_judges_that_saw_no_defect() {
-    let (mut upgrades, start) = (Upgrades::new(0.1), Instant::now());
+    let (mut upgrades, start) = (Upgrades::new(LIMITS), Instant::now());
     let order = Order {
         service: SERVICE.to_owned(),
         target: "v2".to_owned(),
