upgrade: the last stage waits for a cut-off region; judges share confirmations

Cause: the last stage ended once the boxes of a partitioned region had expired in the store, while they still sent requests to the old servers there; and each judge had to hear every box, which takes long while most datagrams between regions are lost.

Change: until 0.92 of the order's time, boxes of a region that nothing is known of have to confirm. Judges tell each other which boxes have confirmed, in an optional field of their reports. Tests of several faults at once.

--- a/lib/src/coordination/upgrade/mod.rs
+++ b/lib/src/coordination/upgrade/mod.rs
@@ -16,6 +16,7 @@
 //! An upgrade succeeds once every box has confirmed that it sends nothing to the other versions and
 //! has no request in progress there, because the platform then stops those servers at once.
 
+pub mod confirmations;
 pub mod evidence;
 pub mod history;
 pub mod plan;
@@ -85,6 +86,25 @@
     }
 }
 
+/// Hashes of the boxes whose confirmation a judge waits for: those that are listed in the store or
+/// that it hears. The second list has those of regions of which no box is listed or heard.
+pub fn boxes_to_confirm(
+    listed: &[BoxRecord],
+    expired: &[BoxRecord],
+    own_record: &BoxRecord,
+    is_heard: impl Fn(&BoxRecord) -> bool,
+) -> (Vec<u64>, Vec<u64>) {
+    let heard = expired.iter().filter(|record| is_heard(record));
+    let known: Vec<&BoxRecord> = listed.iter().chain(heard).collect();
+    let is_known = |record: &BoxRecord| {
+        let mut known = known.iter().copied().chain([own_record]);
+        known.any(|other| other.region == record.region)
+    };
+    let cut_off = expired.iter().filter(|record| !record.leaving && !is_known(record));
+    let hash = |record: &BoxRecord| presence::box_hash(&record.name);
+    (known.iter().map(|record| hash(record)).collect(), cut_off.map(hash).collect())
+}
+
 /// The boxes that judge the upgrade of a service, most preferred first: the strongest box of each
 /// region, so that judges remain if a region is lost.
 pub fn judges<'a>(boxes: impl Iterator<Item = &'a BoxRecord>, service: &str) -> Vec<&'a BoxRecord> {
--- a/lib/src/coordination/upgrade/plan.rs
+++ b/lib/src/coordination/upgrade/plan.rs
@@ -32,6 +32,9 @@
 const MIN_RAMP: Duration = Duration::from_secs(1);
 /// Minimum duration of the last stage.
 const MIN_FULL: Duration = Duration::from_millis(800);
+/// Part of the order's time for which the last stage waits for a region that nothing is known of. It
+/// may be partitioned and still send requests to the other versions, or be lost.
+const REGION_FRACTION: f64 = 0.92;
 /// Responses of the target version that the first stage waits for.
 const MIN_RESPONSES: u64 = 40;
 /// Servers of the target version that must be usable before it takes over, as a part of those of
@@ -187,6 +190,8 @@
     pub rollback_limit: Option<Duration>,
     /// Whether all boxes have confirmed that the other versions have no requests in progress.
     pub is_drained: bool,
+    /// Whether boxes of a region that nothing is known of have not confirmed that.
+    pub is_region_unknown: bool,
     /// Rank of this judge; 0 decides first.
     pub rank: u32,
 }
@@ -293,6 +298,7 @@
             Stage::Full => {
                 self.has_enough_servers()
                     && self.is_drained
+                    && (!self.is_region_unknown || self.elapsed >= fraction(REGION_FRACTION))
                     && self.stage_age >= MIN_FULL + self.delay()
             }
             Stage::Succeeded | Stage::RolledBack => false,
--- a/lib/src/coordination/upgrade/table.rs
+++ b/lib/src/coordination/upgrade/table.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use super::Versions;
+use super::confirmations::Confirmations;
 use super::evidence::Evidence;
 use super::evidence::Sample;
 use super::history::Finding;
@@ -24,8 +25,6 @@
 use crate::protocol::routing::ServiceId;
 use crate::protocol::upgrade::Order;
 
-/// Age at which a report no longer confirms that a box has drained.
-const CONFIRMATION_TTL: Duration = Duration::from_secs(3);
 /// Age at which the counts of a box are dropped.
 const REPORT_TTL: Duration = Duration::from_secs(60);
 
@@ -42,7 +41,6 @@
     incarnation: Incarnation,
     number: u64,
     serial: u32,
-    draining: u32,
     evidence: Evidence,
     received_at: Instant,
 }
@@ -68,6 +66,7 @@
     target_since: Option<Instant>,
     own_evidence: Evidence,
     reports: HashMap<u64, BoxEvidence>,
+    confirmations: Confirmations,
     history: History,
 }
 
@@ -150,6 +149,7 @@
         if !is_same_plan {
             upgrade.own_evidence = Evidence::default();
             upgrade.reports.clear();
+            upgrade.confirmations = Confirmations::default();
             upgrade.history = History::default();
             upgrade.is_halted = false;
             upgrade.held = 0;
@@ -261,16 +261,17 @@
 
     /// Reports to the judges, by service. `draining` gives the requests of this box in progress on
     /// retired servers of a service.
-    pub fn reports(&self, draining: impl Fn(&str) -> u32) -> Vec<(ServiceId, UpgradeReport)> {
-        let report = |(name, upgrade): (&ServiceId, &Upgrade)| {
-            let plan = upgrade.running()?;
+    pub fn reports(&mut self, draining: impl Fn(&str) -> u32) -> Vec<(ServiceId, UpgradeReport)> {
+        let report = |(name, upgrade): (&ServiceId, &mut Upgrade)| {
+            let plan = upgrade.running()?.id;
             let (cells, tallies) = upgrade.own_evidence.to_reports();
             let draining = draining(name);
             let serial = upgrade.followed;
-            let report = UpgradeReport { plan: plan.id, serial, draining, cells, tallies };
+            let confirmed = upgrade.confirmations.to_report(serial);
+            let report = UpgradeReport { plan, serial, draining, cells, tallies, confirmed };
             Some((name.clone(), report))
         };
-        self.services.iter().filter_map(report).collect()
+        self.services.iter_mut().filter_map(report).collect()
     }
 
     /// Receives the report of another box. Returns whether it contains further bad responses.
@@ -293,22 +294,23 @@
             incarnation,
             number,
             serial: report.serial,
-            draining: report.draining,
             evidence: Evidence::from_reports(&report.cells, &report.tallies),
             received_at: now,
         };
+        upgrade.confirmations.receive(report, sender, now);
         let is_worse = received.evidence.bad_responses() > known_bad;
         upgrade.reports.insert(sender, received);
         is_worse
     }
 
     /// Decides about a service as the judge of a rank. `boxes` are all others that may send
-    /// requests; `draining` are the own requests in progress on retired servers.
+    /// requests, and `cut_off` those of regions that nothing is known of; `draining` are the own
+    /// requests in progress on retired servers.
     pub fn decide(
         &mut self,
         service: &str,
         rank: u32,
-        boxes: &[u64],
+        (boxes, cut_off): (&[u64], &[u64]),
         draining: u32,
         servers: &ServerCounts,
         (new_id, now): (PlanId, Instant),
@@ -359,6 +361,7 @@
             finding,
             rollback_limit: self.limits.rollback,
             is_drained: draining == 0 && upgrade.is_drained(boxes, now),
+            is_region_unknown: !upgrade.is_drained(cut_off, now),
             rank,
         };
         let decision = situation.decide(new_id)?;
@@ -417,13 +420,8 @@
     /// Whether all boxes follow the plan and have no requests in progress on retired servers.
     fn is_drained(&self, boxes: &[u64], now: Instant) -> bool {
         let Some(plan) = &self.plan else { return false };
-        let is_confirmed = |report: &BoxEvidence| {
-            report.serial == plan.serial
-                && report.draining == 0
-                && now < report.received_at + CONFIRMATION_TTL
-        };
         plan.serial == self.followed
-            && boxes.iter().all(|sender| self.reports.get(sender).is_some_and(is_confirmed))
+            && boxes.iter().all(|sender| self.confirmations.contains(*sender, plan.serial, now))
     }
 
     fn versions(&self, exposure_limit: f64) -> Versions {
--- a/lib/src/coordination/upgrade/wire.rs
+++ b/lib/src/coordination/upgrade/wire.rs
@@ -19,6 +19,10 @@
     /// Servers of the target version with bad responses, worst first.
     #[prost(message, repeated, tag = "5")]
     pub tallies: Vec<TallyReport>,
+    /// Boxes that have confirmed this serial number to the sender, a judge, without requests in
+    /// progress on replaced versions. Other judges may not hear them.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub confirmed: Vec<u64>,
 }
 
 /// Returns the share of a target version to that of the first stage, because the version is slow in
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -255,18 +255,23 @@
     let judges = upgrade::judges(all_boxes, service);
     let rank = judges.iter().position(|judge| judge.name == own_record.name)?;
     let now = clock::now();
-    let boxes: Vec<u64> = {
+    let (waited_for, cut_off) = {
         let presence = lock(&shared.presence);
-        let is_heard = |other: &&BoxRecord| presence.has_recent_datagram(&other.name, now);
-        let expired = snapshot.expired_boxes.iter().filter(is_heard);
-        let others = snapshot.boxes.iter().chain(expired);
-        others.map(|other| presence::box_hash(&other.name)).collect()
+        let is_heard = |other: &BoxRecord| presence.has_recent_datagram(&other.name, now);
+        upgrade::boxes_to_confirm(&snapshot.boxes, &snapshot.expired_boxes, own_record, is_heard)
     };
     let draining = draining_requests(shared).of(service);
     let none = ServerCounts::default();
     let servers = snapshot.upgrading_servers.get(service).unwrap_or(&none);
     let context = (rand::rng().random(), now);
-    lock(&shared.upgrades).decide(service, rank as u32, &boxes, draining, servers, context)
+    lock(&shared.upgrades).decide(
+        service,
+        rank as u32,
+        (&waited_for, &cut_off),
+        draining,
+        servers,
+        context,
+    )
 }
 
 /// Writes a plan and its status, unless another judge has changed the plan meanwhile. If the
--- a/lib/tests/common/upgrades.rs
+++ b/lib/tests/common/upgrades.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use copperweir_lib::coordination::presence::box_hash;
 use copperweir_lib::coordination::upgrade;
 use copperweir_lib::coordination::upgrade::Plan;
 use copperweir_lib::coordination::upgrade::PlanId;
@@ -477,18 +478,24 @@
     }
 
     fn report_from(&mut self, sender: usize, judges: &[usize]) {
-        if !self.is_gone(sender) && !(self.setup.faults.silent_box && sender == 3) {
-            let draining = self.draining(sender);
-            let reports = self.tables[sender].reports(|_| draining);
-            for judge in judges {
-                let loss = self.setup.faults.datagram_loss(sender, *judge, self.seconds());
-                if *judge == sender || self.rng.random::<f64>() < loss {
-                    continue;
-                }
-                for (_, report) in &reports {
-                    let number = (1, self.reports);
-                    self.tables[*judge].receive(sender as u64, number, report, self.now);
-                }
+        if self.is_gone(sender) || (self.setup.faults.silent_box && sender == 3) {
+            return;
+        }
+        let draining = self.draining(sender);
+        let reports = self.tables[sender].reports(|_| draining);
+        for judge in judges {
+            let loss = self.setup.faults.datagram_loss(sender, *judge, self.seconds());
+            if *judge == sender || self.rng.random::<f64>() < loss {
+                continue;
+            }
+            for (_, report) in &reports {
+                let number = (1, self.reports);
+                self.tables[*judge].receive(
+                    box_hash(&self.records[sender].name),
+                    number,
+                    report,
+                    self.now,
+                );
             }
         }
     }
@@ -501,17 +508,14 @@
             if self.is_gone(index) {
                 continue;
             }
-            let others: Vec<u64> = (0..self.setup.boxes)
-                .filter(|other| *other != index && self.is_waited_for(index, *other))
-                .map(|other| other as u64)
-                .collect();
+            let others = self.boxes_to_confirm(index);
             let draining = self.draining(index);
             let context = (self.rng.random(), self.now);
             let counts = self.servers();
             let judged = self.tables[index].decide(
                 SERVICE,
                 rank as u32,
-                &others,
+                (&others.0, &others.1),
                 draining,
                 &counts,
                 context,
@@ -527,11 +531,21 @@
         }
     }
 
-    /// Whether a judge waits for the confirmation of a box: it is listed or the judge hears it.
-    fn is_waited_for(&self, judge: usize, other: usize) -> bool {
-        let is_heard = !self.is_gone(other)
-            && self.setup.faults.datagram_loss(judge, other, self.seconds()) < 1.0;
-        self.is_listed(other) || is_heard
+    /// The boxes that a judge waits for, and those of regions that it knows nothing of.
+    fn boxes_to_confirm(&self, judge: usize) -> (Vec<u64>, Vec<u64>) {
+        let is_other = |index: &usize| *index != judge;
+        let (listed, expired): (Vec<usize>, Vec<usize>) =
+            (0..self.setup.boxes).filter(is_other).partition(|index| self.is_listed(*index));
+        let records = |indices: &[usize]| -> Vec<BoxRecord> {
+            indices.iter().map(|index| self.records[*index].clone()).collect()
+        };
+        let is_heard = |record: &BoxRecord| {
+            let index = index_of(&self.records, record);
+            let loss = self.setup.faults.datagram_loss(judge, index, self.seconds());
+            !self.is_gone(index) && loss < 1.0
+        };
+        let own = &self.records[judge];
+        upgrade::boxes_to_confirm(&records(&listed), &records(&expired), own, is_heard)
     }
 
     fn write(&mut self, Decision { plan, reason }: Decision) {
--- a/lib/tests/test_upgrade_faults.rs
+++ b/lib/tests/test_upgrade_faults.rs
@@ -93,6 +93,42 @@
     assert_bad_are_rolled_back(Faults { slow_links: Some((0.0, 30.0)), ..Faults::default() });
 }
 
+/// Guards against judges that each have to hear all boxes of other regions.
+#[test]
+fn good_version_takes_over_while_links_between_regions_are_saturated() {
+    assert_good_succeeds(Faults { slow_links: Some((0.0, 30.0)), ..Faults::default() });
+}
+
+/// Guards against detecting a version that is bad at full load so late that a burst of requests in
+/// the last stage exceeds its exposure.
+#[test]
+fn upgrade_while_a_team_multiplies_its_requests_in_the_last_stage() {
+    assert_holds(Faults { team_burst: Some((2.5, (7.3, 9.3))), ..Faults::default() });
+}
+
+/// Guards against stopping the old servers of a region that is partitioned: 46 requests in progress
+/// there were lost.
+#[test]
+fn last_stage_waits_for_a_partitioned_region() {
+    assert_good_succeeds(Faults { partition: Some((2, (7.3, 10.8))), ..Faults::default() });
+}
+
+#[test]
+fn upgrade_under_several_faults_at_once() {
+    let none = Faults::default();
+    for faults in [
+        Faults { partition: Some((0, (2.0, 6.0))), target_crashed: Some((3.0, 4.0)), ..none },
+        Faults { evacuation: Some((1, (4.0, 8.0))), routes_move_at: Some(5.0), ..none },
+        Faults { store_away: Some((2.0, 4.0)), first_judge_gone_at: Some(3.0), ..none },
+        Faults { judges_refused: Some((0.0, 30.0)), report_loss: 0.2, ..none },
+        Faults { region_lost: Some((0, 3.0)), faulty_servers: 0.05, ..none },
+        Faults { slow_links: Some((2.0, 6.0)), target_late: Some(4.0), ..none },
+        Faults { partition: Some((1, (1.0, 5.0))), store_away: Some((5.5, 6.5)), ..none },
+    ] {
+        assert_holds(faults);
+    }
+}
+
 /// Guards against comparing the last stage with all earlier responses: a burst before it hid that
 /// the version is slow at full load.
 #[test]
--- a/lib/tests/test_upgrade_halt.rs
+++ b/lib/tests/test_upgrade_halt.rs
@@ -30,7 +30,7 @@
     let decide = |upgrades: &mut Upgrades, ms| {
         let now = start + Duration::from_millis(ms);
         upgrades.record_published(|_| servers.clone(), now);
-        upgrades.decide(SERVICE, 0, &[], 0, &servers, (7, now))
+        upgrades.decide(SERVICE, 0, (&[], &[]), 0, &servers, (7, now))
     };
     let begun: Plan = decide(&mut upgrades, 0).expect("a decision").decision.plan;
     upgrades.apply_plan(SERVICE, begun.clone(), start);
--- a/lib/tests/test_upgrade_report.rs
+++ b/lib/tests/test_upgrade_report.rs
@@ -51,7 +51,10 @@
         evidence.add(&counted);
     }
     let (cells, tallies) = evidence.to_reports();
-    let report = UpgradeReport { plan: u64::MAX, serial: 9, draining: 9, cells, tallies };
+    // As many confirmations as a report may contain.
+    let confirmed = vec![u64::MAX; 48];
+    let report =
+        UpgradeReport { plan: u64::MAX, serial: 9, draining: 9, cells, tallies, confirmed };
     assert!(report.encoded_len() < DATAGRAM - 512, "{} bytes", report.encoded_len());
     assert!(report.cells.len() > 48, "{} cells", report.cells.len());
 }
