--- a/lib/src/coordination/upgrade/wire.rs
+++ b/lib/src/coordination/upgrade/wire.rs
@@ -19,6 +19,22 @@
     /// Servers of the target version with bad responses, worst first.
     #[prost(message, repeated, tag = "5")]
     pub tallies: Vec<TallyReport>,
+    /// Boxes that have confirmed this serial number to the sender, a judge, without requests in
+    /// progress on replaced versions. Other judges may not hear them.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub confirmed: Vec<u64>,
+}
+
+/// Returns the share of a target version to that of the first stage, because the version is slow in
+/// a later one and may be bad. It holds until the plan has a higher serial number.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct UpgradeHold {
+    /// The plan.
+    #[prost(fixed64, tag = "1")]
+    pub plan: u64,
+    /// Serial number of the plan that is held.
+    #[prost(uint32, tag = "2")]
+    pub serial: u32,
 }
 
 /// Responses of one stratum and version.
