--- a/lib/tests/test_external_numbers.rs
+++ b/lib/tests/test_external_numbers.rs
@@ -84,6 +84,7 @@
             draining: small,
             cells: vec![cell],
             tallies: vec![TallyReport { server: 2, bad: small }],
+            confirmed: vec![count],
         }),
         ..BoxReport::default()
     }
