servers, heads: earlier start times, heads of over 8 KB between boxes, raised limits

A server whose machine's clock was set back was ignored after a new start. An entry with an earlier start time now counts if it is newer in the store and not of a start that this box saw replaced. The port for other boxes accepts heads of 64 KB and more, so that large requests can be forwarded. After maxHeaderBytes is raised, an open connection is closed with its next response.

--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -39,6 +40,10 @@
 /// be running and only have lost the store.
 const EXPIRED_BOX_RETENTION: Duration = Duration::from_secs(30);
 
+/// Maximum number of replaced incarnations that are remembered for each server. Late writes are those
+/// of the last one or two.
+const MAX_EARLIER_INCARNATIONS: usize = 4;
+
 /// The versions of the servers of each service, and the regions in which servers of a version may
 /// get requests.
 pub type SoftwareVersions = HashMap<ServiceId, HashMap<VersionHash, HashSet<RegionId>>>;
@@ -75,12 +80,30 @@
     id_hash: u64,
     /// Incarnation of the server that the entry describes.
     incarnation: ServerIncarnation,
+    /// Incarnations that it replaced, oldest first.
+    earlier_incarnations: VecDeque<ServerIncarnation>,
     /// Whether the server announced in a response that it is leaving.
     announced_leaving: bool,
     /// When this box saw the entry change; `None` if it has seen only one version of it.
     changed_at: Option<Instant>,
 }
 
+impl Entry {
+    /// Whether an entry with an earlier start time is that of a new incarnation: the clock of the
+    /// server's machine may have been set back. A late write of an incarnation that this one
+    /// replaced is not.
+    fn is_replaced_by(
+        &self,
+        server: &Server,
+        incarnation: ServerIncarnation,
+        revision: Revision,
+    ) -> bool {
+        server.started_at.is_some()
+            && revision > self.revision
+            && !self.earlier_incarnations.contains(&incarnation)
+    }
+}
+
 /// A failure domain that must get no requests.
 #[derive(Clone, Copy, Debug)]
 struct Evacuation {
@@ -196,8 +219,11 @@
     fn apply_server(&mut self, server: Server, revision: Revision, now: Instant) -> bool {
         let before = self.servers.get_mut(&server.id);
         let previous_incarnation = before.as_ref().map(|entry| entry.incarnation);
+        let incarnation = candidate::incarnation_hash(&server);
+        let is_settling = self.rollback.is_settling(now);
         if let Some(entry) = &before
             && server.started_at < entry.server.started_at
+            && (is_settling || !entry.is_replaced_by(&server, incarnation, revision))
         {
             log::warn!("event=older_life server={} revision={revision}", server.id);
             return false;
@@ -208,11 +234,10 @@
         {
             return entry.missing_since.take().is_some();
         }
-        let incarnation = candidate::incarnation_hash(&server);
         let mut changed_at = (previous_incarnation == Some(incarnation)).then_some(now);
         let mut cold_until = (!server.cold_left.is_zero()).then(|| now + server.cold_left);
         if let Some(before) = self.servers.get(&server.id)
-            && self.rollback.is_settling(now)
+            && is_settling
             && before.incarnation == incarnation
         {
             // The entry comes from the older copy of the store, and is older than the entry that it
@@ -240,12 +265,23 @@
                 server.failure_domain
             );
         }
+        let mut earlier_incarnations = match self.servers.get_mut(&server.id) {
+            Some(before) => std::mem::take(&mut before.earlier_incarnations),
+            None => VecDeque::new(),
+        };
+        if let Some(previous) = previous_incarnation.filter(|previous| *previous != incarnation) {
+            earlier_incarnations.push_back(previous);
+            if earlier_incarnations.len() > MAX_EARLIER_INCARNATIONS {
+                earlier_incarnations.pop_front();
+            }
+        }
         let is_named = self.is_named(&server.service);
         let id = server.id.clone();
         let entry = Entry {
             names: self.domains.get(&server.failure_domain).cloned(),
             id_hash: candidate::server_hash(&id),
             incarnation,
+            earlier_incarnations,
             server: Arc::new(server),
             revision,
             cold_until,
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -114,6 +114,12 @@
 /// Maximum number of connections of the readiness and metrics ports.
 const SMALL_PORT_CONNECTIONS: usize = 64;
 
+/// Minimum for the maximum size in bytes of the heads that other boxes forward. Their connections stay
+/// open while the limit on callers' heads is raised.
+const MIN_PEER_HEAD_BYTES: usize = 64 << 10;
+/// Size in bytes of the headers that boxes add to forwarded requests.
+const FORWARD_HEAD_BYTES: usize = 4 << 10;
+
 /// Creates a channel for events to a gateway.
 pub fn events() -> (mpsc::Sender<Event>, mpsc::Receiver<Event>) {
     mpsc::channel(EVENT_QUEUE_LEN)
@@ -369,6 +375,8 @@
     let handle_metrics = move |request| metrics::handle(Arc::clone(&state), request);
     let state = Arc::clone(&shared);
     let handle_handover = move |request| state_transfer::handle(Arc::clone(&state), request);
+    let state = Arc::clone(&shared);
+    let peer_connection_limits = move || peer_limits(&state);
     let small_port_limits =
         || ConnectionLimits { max_header_bytes: 8 << 10, idle_timeout: Duration::from_secs(60) };
     tokio::join!(
@@ -382,7 +390,7 @@
         http1::serve(
             peers,
             max_connections(PEER_DESCRIPTOR_SHARE),
-            small_port_limits,
+            peer_connection_limits,
             handle_peer,
             stop.clone()
         ),
@@ -415,6 +423,15 @@
     }
 }
 
+/// The limits on connections of other boxes. These have checked the heads of their callers' requests.
+fn peer_limits<A: Adapter>(shared: &Shared<A>) -> ConnectionLimits {
+    let max_header_bytes = caller_limits(shared).max_header_bytes.max(MIN_PEER_HEAD_BYTES);
+    ConnectionLimits {
+        max_header_bytes: max_header_bytes + FORWARD_HEAD_BYTES,
+        idle_timeout: Duration::from_secs(60),
+    }
+}
+
 /// The address on the same host with another port.
 pub fn with_port(address: SocketAddr, port: u16) -> SocketAddr {
     SocketAddr::new(address.ip(), port)
--- a/lib/src/transport/http1.rs
+++ b/lib/src/transport/http1.rs
@@ -10,8 +10,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header;
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -51,7 +53,7 @@
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     max_connections: usize,
-    limits: impl Fn() -> ConnectionLimits,
+    limits: impl Fn() -> ConnectionLimits + Clone + Send + 'static,
     handler: H,
     mut shutdown: watch::Receiver<Shutdown>,
 ) where
@@ -83,11 +85,20 @@
         };
         liveness::CALLER.apply(&stream);
         let ConnectionLimits { max_header_bytes, idle_timeout } = limits();
-        let handler = handler.clone();
+        let (handler, current_limits) = (handler.clone(), limits.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(ClientIp(peer_address.ip()));
             let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            // The limit of an open connection can't be raised, so the caller has to open another.
+            let is_outdated = current_limits().max_header_bytes > max_header_bytes;
+            async move {
+                let mut response = response.await;
+                if is_outdated {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/lib/tests/test_cluster_state.rs
+++ b/lib/tests/test_cluster_state.rs
@@ -239,6 +239,27 @@
     );
 }
 
+/// A server whose machine's clock was set back by 2 s between two starts was ignored from then on,
+/// also when it announced that it leaves.
+#[test]
+fn incarnation_with_an_earlier_start_time_replaces_one_that_it_did_not_precede() {
+    let (mut cluster_state, now, own_record) = (cluster_state(), Instant::now(), record("b1"));
+    let usable = |cluster_state: &ClusterState| {
+        let local_servers = cluster_state.local_servers(&context(&own_record, false));
+        (local_servers["s"][0].usable, local_servers["s"][0].server.started_at)
+    };
+    assert!(cluster_state.apply(Fact::Server(server_born_at(20)), 5, now));
+    assert!(cluster_state.apply(Fact::Server(server_born_at(18)), 6, now));
+    assert_eq!(usable(&cluster_state), (true, server_born_at(18).started_at));
+    let leaving = Server { leaving: true, ..server_born_at(18) };
+    assert!(cluster_state.apply(Fact::Server(leaving), 7, now));
+    assert!(!usable(&cluster_state).0);
+    assert!(cluster_state.apply(Fact::Server(server_born_at(17)), 8, now));
+    let late = Server { leaving: true, ..server_born_at(16) };
+    assert!(!cluster_state.apply(Fact::Server(late), 4, now), "an older write");
+    assert_eq!(usable(&cluster_state), (true, server_born_at(17).started_at));
+}
+
 #[test]
 fn server_is_dropped_if_its_key_holds_another_value() {
     let (mut cluster_state, own_record) = (cluster_state(), record("b1"));
