--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -120,6 +120,12 @@
 /// Maximum number of connections of the readiness and metrics ports.
 const SMALL_PORT_CONNECTIONS: usize = 64;
 
+/// Minimum for the maximum size in bytes of the heads that other boxes forward. Their connections stay
+/// open while the limit on callers' heads is raised.
+const MIN_PEER_HEAD_BYTES: usize = 64 << 10;
+/// Size in bytes of the headers that boxes add to forwarded requests.
+const FORWARD_HEAD_BYTES: usize = 4 << 10;
+
 /// Creates a channel for events to a gateway.
 pub fn events() -> (mpsc::Sender<Event>, mpsc::Receiver<Event>) {
     mpsc::channel(EVENT_QUEUE_LEN)
@@ -387,6 +393,8 @@
         idle_timeout: Duration::from_secs(60),
         ..caller_limits(&state)
     };
+    let state = Arc::clone(&shared);
+    let peer_connection_limits = move || peer_limits(&state);
     // A box that stops waits for the connections that requests may arrive on, and only briefly for
     // those of the platform's checks and of boxes that ask for the state, which ask another box.
     let open = || shared.open.clone();
@@ -404,7 +412,7 @@
             peers,
             max_connections(PEER_DESCRIPTOR_SHARE),
             open(),
-            small_port_limits.clone(),
+            peer_connection_limits,
             handle_peer,
             stop.clone()
         ),
@@ -454,6 +462,16 @@
     }
 }
 
+/// The limits on connections of other boxes. These have checked the heads of their callers' requests.
+fn peer_limits<A: Adapter>(shared: &Shared<A>) -> ConnectionLimits {
+    let limits = caller_limits(shared);
+    ConnectionLimits {
+        max_header_bytes: limits.max_header_bytes.max(MIN_PEER_HEAD_BYTES) + FORWARD_HEAD_BYTES,
+        idle_timeout: Duration::from_secs(60),
+        ..limits
+    }
+}
+
 /// The address on the same host with another port.
 pub fn with_port(address: SocketAddr, port: u16) -> SocketAddr {
     SocketAddr::new(address.ip(), port)
--- a/lib/src/transport/http1.rs
+++ b/lib/src/transport/http1.rs
@@ -71,7 +71,7 @@
     listener: TcpListener,
     max_connections: usize,
     open: OpenConnections,
-    limits: impl Fn() -> ConnectionLimits,
+    limits: impl Fn() -> ConnectionLimits + Clone + Send + 'static,
     handler: H,
     shutdown: watch::Receiver<Shutdown>,
 ) where
@@ -92,8 +92,13 @@
             return;
         };
         liveness::CALLER.apply(&stream);
-        let connection =
-            serve_connection(stream, address.ip(), limits(), handler.clone(), shutdown.clone());
+        let connection = serve_connection(
+            stream,
+            address.ip(),
+            limits.clone(),
+            handler.clone(),
+            shutdown.clone(),
+        );
         let guard = open.track();
         connections.spawn(async move {
             connection.await;
@@ -141,7 +146,7 @@
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
     client: IpAddr,
-    limits: ConnectionLimits,
+    current_limits: impl Fn() -> ConnectionLimits + Send + 'static,
     handler: H,
     mut shutdown: watch::Receiver<Shutdown>,
 ) where
@@ -151,14 +156,17 @@
     B::Error: std::error::Error + Send + Sync,
 {
     let activity = Activity::new(stream);
+    let limits = current_limits();
     let (tracker, stopping) = (activity.clone(), shutdown.clone());
     let service = service_fn(move |mut request: Request<Incoming>| {
         tracker.begin_request(request.body().is_end_stream());
         request.extensions_mut().insert(ClientIp(client));
         let (response, tracker, stopping) = (handler(request), tracker.clone(), stopping.clone());
+        // The limit of an open connection can't be raised, so the caller has to open another.
+        let is_outdated = current_limits().max_header_bytes > limits.max_header_bytes;
         async move {
             let mut response = response.await;
-            if *stopping.borrow() != Shutdown::No {
+            if is_outdated || *stopping.borrow() != Shutdown::No {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
