--- a/cli/tests/test_gateway_stop.rs
+++ b/cli/tests/test_gateway_stop.rs
@@ -24,7 +24,7 @@
 }
 
 impl Gateway {
-    /// Starts a box at an address of its own, and waits until its ports are open.
+    /// Starts a box at a separate address, and waits until its ports are open.
     fn start(ip: &str, stdout: Stdio, stderr: Stdio) -> Gateway {
         let name = format!("copperweir-stop-{}-{ip}.toml", std::process::id());
         let settings = std::env::temp_dir().join(name);
--- a/lib/src/coordination/quarantine/parts.rs
+++ b/lib/src/coordination/quarantine/parts.rs
@@ -14,9 +14,9 @@
 //!
 //! Verdicts on parts are kept, reported and stored as those on contents.
 //!
-//! A crash concerns many parts, most of them harmless. A box therefore reports only what it observed
-//! itself, and to other regions only the parts that may turn out to be the cause. When boxes also
-//! repeated what others had reported, crashes of a fifth of the servers filled links of 10 Mbit/s.
+//! A crash concerns many parts, most of them harmless. A box therefore reports only its own
+//! observations, and to other regions only the parts that may turn out to be the cause. When boxes
+//! also repeated the reports of others, crashes of a fifth of the servers filled links of 10 Mbit/s.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -417,9 +417,8 @@
         likelier.next().is_none()
     }
 
-    /// What a report tells about parts whose crashes or successes this box observed lately, those with
-    /// the most crashes first, in at most `max_bytes`. Which others are left out of a full report
-    /// changes from one to the next. Boxes of other regions get candidates, and parts with several
+    /// Reports of parts whose crashes or successes this box observed recently, in at most `max_bytes`.
+    /// Parts with the most crashes come first; the others take turns if a report is full. Boxes of other regions get candidates, and parts with several
     /// crashes that succeeded here.
     pub fn reports(
         &mut self,
--- a/lib/src/coordination/upgrade/confirmations.rs
+++ b/lib/src/coordination/upgrade/confirmations.rs
@@ -1,7 +1,7 @@
 //! Which boxes have confirmed to a judge that they follow a plan and have no requests in progress on
 //! replaced versions.
 //!
-//! Judges tell each other who has confirmed, because a judge may hear few datagrams of other regions
+//! Judges exchange the confirmations, because a judge may receive few datagrams of other regions
 //! while the links between regions are saturated.
 
 use std::collections::BTreeMap;
@@ -12,7 +12,7 @@
 
 /// Age at which a report no longer confirms that a box has drained.
 const CONFIRMATION_TTL: Duration = Duration::from_secs(3);
-/// Time until a judge has told the others what it heard: a box that has denied something later is
+/// Time until a judge has relayed a confirmation: a box that has denied something later is
 /// not confirmed by that.
 const RELAY_TIME: Duration = Duration::from_secs(1);
 /// Serial number of a box that has requests in progress on replaced versions, or follows no plan.
--- a/lib/src/coordination/upgrade/history.rs
+++ b/lib/src/coordination/upgrade/history.rs
@@ -1,4 +1,4 @@
-//! What a judge compares in each stage.
+//! Comparison of the target version with the others, by stage of the upgrade.
 //!
 //! In the first two stages both versions serve, so their responses are compared as they come. In the
 //! last stage only the target version serves. It is compared with what the other versions did
--- a/lib/src/coordination/upgrade/mod.rs
+++ b/lib/src/coordination/upgrade/mod.rs
@@ -11,7 +11,7 @@
 //! a version that fails from the start. [`Stage::Ramp`] and [`Stage::Full`] are short, so that a
 //! version that fails only under load, or late, has few requests before it is rolled back.
 //!
-//! [`history::History`] tells a version that is slow under its full load from a load burst.
+//! [`history::History`] distinguishes a version that is slow under its full load from a load burst.
 //!
 //! An upgrade succeeds once every box has confirmed that it sends nothing to the other versions and
 //! has no request in progress there, because the platform then stops those servers at once.
--- a/lib/src/coordination/upgrade/plan.rs
+++ b/lib/src/coordination/upgrade/plan.rs
@@ -198,7 +198,7 @@
     pub responses: u64,
     /// What the responses say about the target version.
     pub finding: Finding,
-    /// What a version that turns out bad may get.
+    /// Limits on the requests to a version that turns out bad.
     pub limits: Limits,
     /// Responses of all versions.
     pub all_responses: u64,
--- a/lib/src/coordination/upgrade/table.rs
+++ b/lib/src/coordination/upgrade/table.rs
@@ -37,7 +37,7 @@
     pub by_version: BTreeMap<ServerVersion, usize>,
 }
 
-/// What a version that turns out bad may get.
+/// Limits on the requests to a version that turns out bad.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Limits {
     /// Share of a service's requests.
@@ -68,7 +68,7 @@
     pub share: f64,
     /// Responses of the target version to this box.
     pub responses: u64,
-    /// Those of them that are bad by what this box knows.
+    /// Number of these responses that this box takes for bad.
     pub bad_responses: u32,
     /// Whether a judge stopped the requests to the target version, at least in part.
     pub is_stopped: bool,
@@ -181,7 +181,7 @@
     }
 
     /// Applies a judge's own decision to send fewer requests to a version before it is written.
-    /// Returns whether boxes have to be told.
+    /// Returns whether other boxes must be notified.
     pub fn stop_before_write(&mut self, judged: &JudgedDecision) -> bool {
         let Plan { id, serial, stage, .. } = judged.decision.plan;
         match stage {
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -403,7 +403,7 @@
     add_region_load(shared, report);
 }
 
-/// What a report to `recipients` boxes tells about parts of prompts under which servers crashed.
+/// Reports of parts of prompts under which servers crashed, for a datagram to `recipients` boxes.
 fn part_reports<A: Adapter>(
     shared: &Shared<A>,
     audience: Audience,
--- a/lib/src/gateway/control/start.rs
+++ b/lib/src/gateway/control/start.rs
@@ -1,4 +1,4 @@
-//! What a box needs before it is ready: a configuration, and the share of resends that it may use.
+//! Requirements for the readiness of a box: a configuration, and its share of resends.
 
 use std::time::Duration;
 use std::time::Instant;
--- a/lib/src/gateway/forwarded_versions.rs
+++ b/lib/src/gateway/forwarded_versions.rs
@@ -39,7 +39,7 @@
 /// Version of the configuration that the forwarding box routed the request by. In the response to
 /// another box, the version of the box that responds, and where its state can be queried.
 pub const VERSION_HEADER: HeaderName = HeaderName::from_static("copperweir-version");
-/// Stands for no version of a stream in [`FORWARDED_HEADER`].
+/// Placeholder for the version of a stream in [`FORWARDED_HEADER`].
 const NO_STREAM_VERSION: &str = "-";
 
 /// Waits for newer states and queries for them.
@@ -120,7 +120,7 @@
 
 /// What a box that forwards a request expects of the other one: `1` from boxes of old builds, or
 /// `2 STREAM-VERSION ERA/REVISION BOX PORT`, of which all but the first word may be missing. Boxes of
-/// older builds ignore the words that they don't know.
+/// older builds ignore further fields.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Forward {
     /// Whether the response may have [`super::job::SERVER_VERSION_HEADER`].
--- a/lib/src/gateway/peer_response.rs
+++ b/lib/src/gateway/peer_response.rs
@@ -1,4 +1,4 @@
-//! What the response of another box tells about the request that was forwarded to it.
+//! Interprets the response of another box to a forwarded request.
 
 use http::HeaderMap;
 use http::Response;
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -65,7 +65,7 @@
     pub propagation_limit: Duration,
     /// Reads a second that the store allows all boxes together.
     pub store_reads: f64,
-    /// What a version that turns out bad may get while its service is upgraded.
+    /// Limits on the requests to a version that turns out bad during an upgrade.
     pub upgrade_limits: Limits,
     /// Maximum time for which callers cache a response of the directory.
     pub directory_ttl: Duration,
--- a/lib/src/gateway/unreadable_keys.rs
+++ b/lib/src/gateway/unreadable_keys.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 
-/// Maximum number of keys to remember. Beyond it, the record begins anew.
+/// Maximum number of recorded keys. Beyond it, all are dropped.
 const MAX_KEYS: usize = 65_536;
 
 /// The keys that have been logged, with the hashes of their values.
--- a/lib/src/gateway/upgrade.rs
+++ b/lib/src/gateway/upgrade.rs
@@ -50,7 +50,7 @@
 /// boxes, so this is less than the interval of those.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Minimum interval of reports of bad responses. They are not delayed until the next periodic report,
-/// because a bad version may get all requests meanwhile.
+/// because a bad version may get all requests until then.
 pub const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum interval of a judge's decisions when it receives further bad responses.
 const MIN_JUDGE_INTERVAL: Duration = Duration::from_millis(50);
--- a/lib/src/protocol/bounds.rs
+++ b/lib/src/protocol/bounds.rs
@@ -9,7 +9,7 @@
 /// times the limit on request heads in the configuration of the tests.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of interim (1xx) responses before a response. Boxes don't ask for
-/// any; a server may send some hints of its own.
+/// any; a server may send some hints.
 pub const MAX_INTERIM_RESPONSES: u32 = 8;
 /// Maximum time from the first byte of a head until the head is complete. A head fits into few
 /// segments, and a lost segment is sent again within some 200 ms. A request that is sent to another
@@ -65,7 +65,7 @@
 /// Maximum size in bytes of a keyed response that is kept for replay.
 pub const MAX_KEPT_RESPONSE_BYTES: usize = 256 << 10;
 /// Maximum number of bytes of a keyed response that are read after its caller has gone. The request
-/// runs to its end then, but a response without end must not be read for ever.
+/// runs to its end then, but a response without end must not be read without a bound.
 pub const MAX_UNCLAIMED_RESPONSE_BYTES: usize = 8 << 20;
 
 /// Maximum size in bytes of a response of the store, of another box about its state, or of an
--- a/lib/src/protocol/quantity.rs
+++ b/lib/src/protocol/quantity.rs
@@ -1,4 +1,4 @@
-//! Checked numbers. Whatever another process writes becomes one of these types at the input
+//! Checked numbers. Each number of another process becomes one of these types at the input
 //! boundary, so that later arithmetic with instants, durations and sums can't overflow.
 //!
 //! A raw number is converted with `TryFrom` where a number out of range makes its entry unreadable,
--- a/lib/src/transport/activity.rs
+++ b/lib/src/transport/activity.rs
@@ -1,6 +1,6 @@
-//! What a server connection is doing, as far as it matters for its end.
+//! Activity of a server connection, which decides when it may be closed.
 //!
-//! The HTTP library doesn't tell whether a part of a request head has arrived, or whether a response
+//! The HTTP library doesn't report whether a part of a request head has arrived, or whether a response
 //! is flushed. Both follow from the reads and writes of the connection: the first byte after a
 //! response begins a head, and a flush after the end of a response's body shows that the operating
 //! system has all of it.
@@ -59,7 +59,7 @@
     }
 }
 
-/// What a connection is doing.
+/// Activity of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
     /// Nothing has arrived since the connection was accepted.
@@ -132,12 +132,12 @@
         TrackedStream(self.clone())
     }
 
-    /// What the connection is doing.
+    /// Activity of the connection.
     pub fn phase(&self) -> Phase {
         self.lock().phase
     }
 
-    /// Records a complete request head. `is_whole` tells that it has no body.
+    /// Records a complete request head. `is_whole` is set if the request has no body.
     pub fn begin_request(&self, is_whole: bool) {
         let mut inner = self.lock();
         inner.phase = Phase::Request;
--- a/lib/tests/common/upgrade_setup.rs
+++ b/lib/tests/common/upgrade_setup.rs
@@ -1,4 +1,4 @@
-//! What is simulated, and what came of it.
+//! Settings and results of the simulation.
 
 use std::time::Duration;
 
--- a/lib/tests/common/upgrades.rs
+++ b/lib/tests/common/upgrades.rs
@@ -54,7 +54,7 @@
 const SLOW_PROPAGATION: Duration = Duration::from_millis(1500);
 const ROUTES: u64 = 3;
 
-/// What a judge tells boxes without the store.
+/// Notification of a judge that does not need the store.
 #[derive(Clone, Copy, Debug)]
 enum Notice {
     Halt(PlanId),
--- a/lib/tests/test_quarantine_parts.rs
+++ b/lib/tests/test_quarantine_parts.rs
@@ -21,7 +21,7 @@
 /// Time until a crash is evaluated.
 const EVALUATION: Duration = Duration::from_millis(300);
 
-/// Maximum size of what a report tells about parts.
+/// Maximum size of the reports of parts.
 const MAX_BYTES: usize = 4 << 10;
 
 /// A prompt of these parts, and a last one of its own.
--- a/lib/tests/test_upgrade_faults.rs
+++ b/lib/tests/test_upgrade_faults.rs
@@ -96,7 +96,7 @@
     assert_bad_are_rolled_back(Faults { slow_links: Some((0.0, 30.0)), ..Faults::default() });
 }
 
-/// Guards against judges that each have to hear all boxes of other regions.
+/// Guards against judges that each need the datagrams of all boxes of other regions.
 #[test]
 fn good_version_takes_over_while_links_between_regions_are_saturated() {
     assert_good_succeeds(Faults { slow_links: Some((0.0, 30.0)), ..Faults::default() });
