--- a/lib/src/coordination/quarantine/parts.rs
+++ b/lib/src/coordination/quarantine/parts.rs
@@ -418,8 +418,8 @@
     }
 
     /// Reports of parts whose crashes or successes this box observed recently, in at most `max_bytes`.
-    /// Parts with the most crashes come first; the others take turns if a report is full. Boxes of other regions get candidates, and parts with several
-    /// crashes that succeeded here.
+    /// Parts with the most crashes come first; the others take turns if a report is full. Boxes of
+    /// other regions get candidates, and parts with several crashes that succeeded here.
     pub fn reports(
         &mut self,
         audience: Audience,
