reports: apply only datagrams that come from boxes

What callers saw: one datagram from any process to the port of the boxes' reports took effect. A server that it named as leaving got no more requests, and its service was refused with 503. A box that it named as leaving was no longer named to callers. A store era of 2^64 - 1 made the box take the store's responses for outdated for good: the age of its state rose to 3.9 s instead of 1 s at a healthy store, and it read and wrote the store six times a second for as long as it ran.

Cause: BoxReport::decode was the only check. The sender's hash, its address and the store's list were never compared, and each unknown sender counted as a box of its region.

Fix: a report is applied if it comes from the address at which the store lists its sender, or if the sender has confirmed its name and its address over a connection to the port of its state (coordination::senders decides, gateway::sender_checks asks). A box that lost the store before its record was written is still heard. Boxes of older builds don't know the query and reply with their state, which is accepted; their datagrams are unchanged. Checks and candidates are bounded. Datagrams that are ignored are counted (foreign_datagrams).

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -47,6 +47,7 @@
 pub mod retry_spread;
 pub mod rollout;
 pub mod room_queue;
+pub mod senders;
 pub mod server;
 pub mod shared_prefix;
 pub mod store_rollback;
--- a/lib/src/coordination/unlisted.rs
+++ b/lib/src/coordination/unlisted.rs
@@ -15,7 +15,7 @@
 
 /// How long a box is kept after any box last received a datagram from it: fifty datagrams, some of
 /// which go to randomly chosen boxes of other regions.
-const NEIGHBOR_TTL: Duration = Duration::from_secs(10);
+pub const NEIGHBOR_TTL: Duration = Duration::from_secs(10);
 /// Time after which a box that is still unlisted is named. When a whole fleet starts, the store
 /// lists all of it by then, and none need be named.
 const LISTING_GRACE: Duration = Duration::from_secs(1);
@@ -31,6 +31,8 @@
     pub region: RegionId,
     /// Address for datagrams.
     pub address: SocketAddr,
+    /// Port on the same host at which the box is asked for its state, and for its identity.
+    pub handover_port: u16,
 }
 
 /// A box as named in a datagram.
@@ -48,6 +50,9 @@
     /// Time since any box last received a datagram from it, milliseconds.
     #[prost(uint32, tag = "4")]
     pub heard_ms: u32,
+    /// Port at which it is asked for its state; 0 from boxes of older builds.
+    #[prost(uint32, tag = "5")]
+    pub handover_port: u32,
 }
 
 #[derive(Debug)]
@@ -126,6 +131,7 @@
                 box_hash: neighbor.box_hash,
                 region: neighbor.region.clone(),
                 address: neighbor.address.to_string(),
+                handover_port: u32::from(neighbor.handover_port),
                 heard_ms: now.saturating_duration_since(*last_received_at).as_millis() as u32,
             },
         );
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -17,6 +17,7 @@
 use super::feedback;
 use super::path_checks;
 use super::quarantine;
+use super::sender_checks;
 use super::shared::Shared;
 use super::shared::lock;
 use super::stream_versions;
@@ -33,7 +34,6 @@
 use crate::coordination::quota::ReportId;
 use crate::coordination::regions::Utilization;
 use crate::coordination::rendezvous;
-use crate::coordination::unlisted::Neighbor;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::Position;
@@ -90,6 +90,7 @@
                 lock(&shared.peer_paths).expire(now);
                 lock(&shared.path_checks).expire(now);
                 lock(&shared.unlisted).expire(now);
+                sender_checks::begin_round(&shared, now);
                 lock(&shared.streams).expire(now);
                 lock(&shared.quotas).tick(quota_fleet(&shared), now);
                 tick_throttles(&shared, now);
@@ -129,13 +130,14 @@
     }
 }
 
-/// Applies all datagrams that have arrived.
+/// Applies all datagrams of boxes that have arrived.
 fn receive<A: Adapter>(shared: &Arc<Shared<A>>, socket: &UdpSocket, buffer: &mut [u8]) {
     let now = clock::now();
     while let Ok((length, from)) = socket.try_recv_from(buffer) {
         let mut decoded = BoxReport::decode(&buffer[..length]);
         decoded.iter_mut().for_each(BoxReport::clamp_numbers);
         match decoded {
+            Ok(report) if !sender_checks::admit(shared, &report, from, now) => {}
             Ok(report) if report.number == REPLY_NUMBER => {
                 upgrade::receive(shared, &report, now);
                 stream_versions::receive(shared, socket, &report, from, now);
@@ -152,7 +154,7 @@
                 apply_presence(shared, &report, now);
                 lock(&shared.peer_paths).receive(&report, now);
                 apply_state_version(shared, &report, from, now);
-                apply_unlisted_boxes(shared, &report, from, now);
+                sender_checks::record_neighbors(shared, &report, from, now);
                 apply_quarantine(shared, &report, now);
                 upgrade::receive(shared, &report, now);
                 if report.region == shared.settings.region {
@@ -213,30 +215,6 @@
     }
 }
 
-/// Records a datagram from a box, and the unlisted boxes that have sent datagrams to it.
-/// Without this, two boxes that each assumed to be the only one of their region sent 28 requests in
-/// a second to a cold server where 17 are allowed.
-fn apply_unlisted_boxes<A: Adapter>(
-    shared: &Shared<A>,
-    report: &BoxReport,
-    from: SocketAddr,
-    now: Instant,
-) {
-    let mut unlisted = lock(&shared.unlisted);
-    let region = report.region.clone();
-    unlisted.record(Neighbor { box_hash: report.sender, region, address: from }, now);
-    for neighbor in &report.unlisted {
-        let Ok(address) = neighbor.address.parse() else {
-            log::warn!("event=unreadable_name from={from} address={:?}", neighbor.address);
-            continue;
-        };
-        let age = Duration::from_millis(u64::from(neighbor.heard_ms));
-        let Some(at) = now.checked_sub(age) else { continue };
-        let (box_hash, region) = (neighbor.box_hash, neighbor.region.clone());
-        unlisted.record(Neighbor { box_hash, region, address }, at);
-    }
-}
-
 fn apply_quarantine<A: Adapter>(shared: &Shared<A>, report: &BoxReport, now: Instant) {
     let mut quarantine = lock(&shared.quarantine);
     let is_silent = report.ends.is_empty() && report.verdicts.is_empty() && report.parts.is_empty();
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -12,6 +12,7 @@
 mod store_sync;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -386,8 +387,11 @@
             self.cluster_state.other_expired_boxes(&self.own_record),
         );
         let listed = boxes.iter().chain(&expired_boxes).chain([&self.own_record]);
-        let listed = listed.map(|record| presence::box_hash(&record.name)).collect();
-        lock(&self.shared.unlisted).set_listed(listed);
+        let listed: Vec<(SocketAddr, u64)> =
+            listed.map(|record| (record.peers, presence::box_hash(&record.name))).collect();
+        let hashes = listed.iter().map(|(_, box_hash)| *box_hash).collect();
+        lock(&self.shared.unlisted).set_listed(hashes);
+        lock(&self.shared.senders).set_listed(listed.into_iter());
         let snapshot = Arc::new(Snapshot {
             routing: self.cluster_state.routing.clone(),
             state: lock(&self.shared.freshness).version(),
--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -146,6 +146,7 @@
             box_hash: presence::box_hash(&self.own_record.name),
             region: self.own_record.region.clone(),
             address: self.own_record.peers,
+            handover_port: self.shared.settings.listen.handover.port(),
         }
     }
 
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod relay;
 pub mod replica;
 pub mod room;
+mod sender_checks;
 pub mod settings;
 pub mod shared;
 pub mod state_transfer;
@@ -201,6 +202,7 @@
             peer_paths: Mutex::default(),
             forwards: Mutex::default(),
             path_checks: Mutex::default(),
+            senders: Mutex::default(),
             unlisted: Mutex::default(),
             freshness: Mutex::default(),
             interrupted: Mutex::default(),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -44,6 +44,7 @@
 use crate::coordination::regions::RegionUtilization;
 use crate::coordination::retries::RetryBudgets;
 use crate::coordination::room_queue::RoomQueue;
+use crate::coordination::senders::Senders;
 use crate::coordination::throttle::Throttles;
 use crate::coordination::unlisted::Unlisted;
 use crate::coordination::upgrade::Upgrades;
@@ -172,6 +173,8 @@
     pub forwards: Mutex<Forwards>,
     /// Checks of servers that boxes carry out for each other.
     pub path_checks: Mutex<PathChecks>,
+    /// Which senders of datagrams are boxes. No other lock is taken while it is held.
+    pub senders: Mutex<Senders>,
     /// Boxes that send datagrams though the store doesn't list them.
     pub unlisted: Mutex<Unlisted>,
     /// How recent the state from the store is.
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -3,8 +3,10 @@
 //! no callers, and a box that loses the store would act against what the operator and the servers
 //! have written since.
 
+mod identity;
 mod start;
 
+pub use self::identity::confirm_identity;
 pub use self::start::CompressedState;
 pub use self::start::StartResponse;
 pub use self::start::request_start;
@@ -32,6 +34,7 @@
 
 use self::start::deflate;
 use self::start::inflate;
+use super::sender_checks;
 use super::shared::Shared;
 use super::shared::lock;
 use crate::coordination::freshness::Version;
@@ -54,6 +57,8 @@
 const REQUESTER_REGION: HeaderName = HeaderName::from_static("copperweir-region");
 /// Address at which the requesting box receives datagrams.
 const REQUESTER_ADDRESS: HeaderName = HeaderName::from_static("copperweir-address");
+/// Port at which the requesting box hands its state over. Boxes of older builds don't send it.
+const REQUESTER_HANDOVER: HeaderName = HeaderName::from_static("copperweir-handover");
 /// Path of the query; the port serves nothing else.
 const STATE_PATH: &str = "/state";
 /// Maximum wait for one box: two round trips to the farthest region.
@@ -217,8 +222,11 @@
     shared: Arc<Shared<A>>,
     request: Request<Incoming>,
 ) -> Response<NonRelayBody> {
-    if let Some(requester) = read_requester(request.headers()) {
-        lock(&shared.unlisted).record(requester, clock::now());
+    if let Some(response) = identity::respond(&shared, &request) {
+        return response;
+    }
+    if let Some(requester) = read_requester(&shared, request.headers()) {
+        sender_checks::propose(&shared, requester, clock::now());
     }
     let Some(query) = read_query(request.into_body()).await else {
         let mut refusal = Response::new(ResponseBody::buffered(Bytes::new()));
@@ -297,12 +305,14 @@
 }
 
 /// The requesting box, if it identifies itself.
-fn read_requester(headers: &HeaderMap) -> Option<Neighbor> {
+fn read_requester<A>(shared: &Shared<A>, headers: &HeaderMap) -> Option<Neighbor> {
     let text = |name: &HeaderName| headers.get(name)?.to_str().ok();
+    let handover_port = text(&REQUESTER_HANDOVER).and_then(|port| port.parse().ok());
     Some(Neighbor {
         box_hash: u64::from_str_radix(text(&REQUESTER_HASH)?, 16).ok()?,
         region: text(&REQUESTER_REGION)?.to_owned(),
         address: text(&REQUESTER_ADDRESS)?.parse().ok()?,
+        handover_port: sender_checks::known_port(shared, handover_port.unwrap_or_default()),
     })
 }
 
@@ -375,7 +385,8 @@
         request = request
             .header(REQUESTER_HASH, format!("{:x}", requester.box_hash))
             .header(REQUESTER_REGION, &requester.region)
-            .header(REQUESTER_ADDRESS, requester.address.to_string());
+            .header(REQUESTER_ADDRESS, requester.address.to_string())
+            .header(REQUESTER_HANDOVER, requester.handover_port);
     }
     let body = Bytes::from(query.encode_to_vec());
     let request = request.body(Full::from(body)).map_err(|error| error.to_string())?;
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -64,6 +64,7 @@
     PeerRefused "peer_refused" "Calls from other boxes that failed authentication.";
 ReportBytes "report_bytes" "Bytes of load reports sent to boxes of the same region.";
     RemoteReportBytes "remote_report_bytes" "Bytes of load reports sent to boxes of other regions.";
+    ForeignDatagrams "foreign_datagrams" "Datagrams that were ignored because their senders are not known to be boxes.";
     Probes "probes" "Probes of backend servers.";
     ReportWaits "report_waits" "Requests that waited until a server reported whether it is cold.";
     PathProbes "path_probes" "Probes of lost paths to backend servers.";
--- a/lib/tests/test_unlisted.rs
+++ b/lib/tests/test_unlisted.rs
@@ -8,7 +8,12 @@
 use copperweir_lib::coordination::unlisted::Unlisted;
 
 fn neighbor(box_hash: u64) -> Neighbor {
-    Neighbor { box_hash, region: "r".to_owned(), address: ([10, 0, 0, 1], 80).into() }
+    Neighbor {
+        box_hash,
+        region: "r".to_owned(),
+        address: ([10, 0, 0, 1], 80).into(),
+        handover_port: 81,
+    }
 }
 
 /// Takes in the boxes that another box names in a datagram.
