store: give up a read whose pages repeat

What callers saw: a box that starts isn't ready, and its memory grows, while the store answers each page of a range with the one before it.

Cause: read_full_state went on for as long as a page said that there was more.

The box is ready once the pages go on.

Fix: the last key of each page has to follow that of the page before. Otherwise the read fails like any other one and is tried again after a pause.

--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -113,13 +113,14 @@
     known_era: Era,
     max_keys: usize,
 ) -> Result<Option<FullState>, PlatformError> {
-    let mut after = None;
+    let mut after: Option<String> = None;
     let mut oldest: Option<Position> = None;
     let mut all_items = Vec::new();
     let asked_at = clock::now();
     loop {
         let prefix = ALL_KEYS.to_owned();
-        let page = store.call_with_era(&Operation::Range { prefix, after }).await?;
+        let range = Operation::Range { prefix, after: after.clone() };
+        let page = store.call_with_era(&range).await?;
         let StoreResponse::Page { items, more, revision } = page.response else {
             return Err(PlatformError::Malformed("not a page".to_owned()));
         };
@@ -128,7 +129,12 @@
             return Err(PlatformError::NoResponse("the store went back meanwhile".to_owned()));
         }
         let position = Position { era, revision };
-        after = items.last().map(|item| item.key.clone());
+        let last = items.last().map(|item| item.key.clone());
+        if last.is_some() && last <= after {
+            // Without this, a store that repeats a page would be read without end.
+            return Err(PlatformError::Malformed("a page repeats the one before".to_owned()));
+        }
+        after = last;
         // The pages are no consistent snapshot, so changes are watched for from the oldest page on.
         let position = oldest.map_or(position, |oldest| oldest.min(position));
         oldest = Some(position);
