cluster_state: an entry at the address of a box gets no requests

What callers saw: 502. One entry that named a box as a server had this box send each request to itself, or to another box, again and again: one request of a caller became 25 requests of boxes, until the connections of the service were used up.

Cause: the address of an entry was used as it was. Boxes accept requests on theirs from anybody.

Fix: the addresses of boxes, from their records, are never those of servers. They count until a box is forgotten, 30 s after its record is gone; servers may have its address then.

--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -1,6 +1,7 @@
 //! The servers, boxes, evacuations and configuration that the control thread has learned from the
 //! store.
 
+mod box_addresses;
 mod boxes;
 mod settling;
 mod views;
@@ -15,6 +16,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use self::box_addresses::BoxAddresses;
 use crate::coordination::candidate;
 use crate::coordination::departures;
 use crate::coordination::interrupted::ServerIncarnation;
@@ -124,6 +126,8 @@
     evacuated: BTreeMap<FailureDomainId, Evacuation>,
     boxes: BTreeMap<BoxId, BoxRecord>,
     expired_boxes: BTreeMap<BoxId, (BoxRecord, Instant)>,
+    /// Addresses of boxes, at which no server can be.
+    box_addresses: BoxAddresses,
     /// Boxes of this region that sent datagrams to this one: hash of the name, time of the last
     /// one.
     senders: BTreeMap<u64, Instant>,
@@ -275,6 +279,9 @@
                 earlier_incarnations.pop_front();
             }
         }
+        if self.box_addresses.contains(&server.address) {
+            log::warn!("event=server_at_box server={} address={}", server.id, server.address);
+        }
         let is_named = self.is_named(&server.service);
         let id = server.id.clone();
         let entry = Entry {
@@ -403,7 +410,7 @@
             })
         });
         self.any_missing = any_missing;
-        self.expired_boxes.retain(|_, (_, since)| now < *since + EXPIRED_BOX_RETENTION);
+        self.expire_boxes(now);
         self.senders.retain(|_, at| now < *at + EXPIRED_BOX_RETENTION);
         let dropped = self.servers.len() + self.expired_boxes.len() + self.senders.len() != before;
         self.settle(now) || dropped
--- a/lib/src/gateway/cluster_state/boxes.rs
+++ b/lib/src/gateway/cluster_state/boxes.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use super::ClusterState;
+use super::EXPIRED_BOX_RETENTION;
 use super::LocalContext;
 use crate::protocol::fleet::BoxRecord;
 
@@ -10,6 +11,7 @@
     /// Applies the record of a box.
     pub fn apply_box(&mut self, record: BoxRecord) {
         self.expired_boxes.remove(&record.name);
+        self.box_addresses.add(&record);
         let before = self.boxes.insert(record.name.clone(), record.clone());
         if before.as_ref() != Some(&record) {
             log::info!(
@@ -46,6 +48,21 @@
         }
     }
 
+    /// Sets the addresses of this box, which are in use before the store lists it.
+    pub fn add_own_addresses(&mut self, own_record: &BoxRecord) {
+        self.box_addresses.set_own(own_record);
+    }
+
+    /// Forgets boxes whose records have been gone for long enough. Servers may use their addresses.
+    pub(super) fn expire_boxes(&mut self, now: Instant) {
+        let before = self.expired_boxes.len();
+        self.expired_boxes.retain(|_, (_, since)| now < *since + EXPIRED_BOX_RETENTION);
+        if self.expired_boxes.len() != before {
+            let expired = self.expired_boxes.values().map(|(record, _)| record);
+            self.box_addresses.set_all(self.boxes.values().chain(expired));
+        }
+    }
+
     /// Other boxes whose records have been gone from the store only for seconds, or whose datagrams
     /// still arrive.
     pub fn other_expired_boxes(&self, own_record: &BoxRecord) -> Vec<BoxRecord> {
--- a/lib/src/gateway/cluster_state/views.rs
+++ b/lib/src/gateway/cluster_state/views.rs
@@ -81,6 +81,7 @@
     fn accepts_requests(&self, entry: &Entry) -> bool {
         !entry.server.leaving
             && !entry.announced_leaving
+            && !self.box_addresses.contains(&entry.server.address)
             && self.is_named(&entry.server.service)
             && !self.evacuated.contains_key(&entry.server.failure_domain)
     }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -241,7 +241,8 @@
             own_record.region,
             own_record.callers
         );
-        let cluster_state = ClusterState::new(regions);
+        let mut cluster_state = ClusterState::new(regions);
+        cluster_state.add_own_addresses(&own_record);
         let control =
             Control::new(Arc::clone(&shared), store, cluster_state, own_record.clone(), stop);
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/lib/tests/test_cluster_state.rs
+++ b/lib/tests/test_cluster_state.rs
@@ -339,3 +339,26 @@
         Some(now + cold_left)
     );
 }
+
+/// Guards against a server that gets no requests because a box had its address long ago.
+#[test]
+fn address_of_a_removed_box_may_become_that_of_a_server() {
+    let start = Instant::now();
+    let mut cluster_state = cluster_state();
+    let own_record = BoxRecord { callers: ([10, 0, 0, 9], 80).into(), ..record("b1") };
+    cluster_state.add_own_addresses(&own_record);
+    cluster_state.apply_box(record("b2"));
+    let at_box = Server { address: record("b2").callers, ..server(Duration::ZERO) };
+    cluster_state.apply(Fact::Server(at_box), 1, start);
+    let is_usable = |cluster_state: &ClusterState| {
+        cluster_state.local_servers(&context(&own_record, false))["s"][0].usable
+    };
+    assert!(!is_usable(&cluster_state));
+    cluster_state.remove_box("b2", start);
+    assert!(!is_usable(&cluster_state), "it may only have lost the store");
+    cluster_state.expire(start + Duration::from_secs(40));
+    assert!(is_usable(&cluster_state));
+    let at_own = Server { address: own_record.callers, ..server(Duration::ZERO) };
+    cluster_state.apply(Fact::Server(at_own), 2, start);
+    assert!(!is_usable(&cluster_state));
+}
