join_tree: refer boxes only to hosts that asked, in a bounded number of failure domains

What callers saw: while the store is unavailable, a box that starts took 8.5 s to be ready instead of 2.4. One query for the state, from any process, had named a port that accepts connections and never answers.

Cause: a seed refers boxes that start to the address that an earlier query names, and keeps each failure domain that a query names, of up to 1 MB, for 15 s.

Fix: a box is referred to an address only if the query came from its host. Other boxes get the state from the seed, as before there were referrals. The tree keeps at most 256 failure domains.

--- a/lib/src/coordination/join_tree.rs
+++ b/lib/src/coordination/join_tree.rs
@@ -20,6 +20,11 @@
 /// Maximum number of boxes in the tree of a failure domain.
 const MAX_JOINS: usize = 2048;
 
+/// Maximum number of failure domains, and of bytes of their names. Boxes of any further ones get the
+/// state from the seed.
+const MAX_DOMAINS: usize = 256;
+const MAX_NAME_BYTES: usize = 255;
+
 /// A box that asked for the state.
 #[derive(Clone, Copy, Debug)]
 struct Join {
@@ -44,6 +49,10 @@
             joins.retain(|join| now < join.at + JOIN_TTL);
             !joins.is_empty()
         });
+        let has_room = self.domains.len() < MAX_DOMAINS && domain.len() <= MAX_NAME_BYTES;
+        if !has_room && !self.domains.contains_key(domain) {
+            return Vec::new();
+        }
         let joins = self.domains.entry(domain.to_owned()).or_default();
         let position = joins.iter().position(|join| join.address == address);
         let position = position.unwrap_or_else(|| {
@@ -65,4 +74,9 @@
             _ => Vec::new(),
         }
     }
+
+    /// Number of failure domains.
+    pub fn domain_count(&self) -> usize {
+        self.domains.len()
+    }
 }
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -49,6 +49,7 @@
 use crate::transport::backend;
 use crate::transport::body::NonRelayBody;
 use crate::transport::body::ResponseBody;
+use crate::transport::http1;
 use crate::transport::timer;
 
 /// Hash of the requesting box, as in datagrams, in hex.
@@ -228,13 +229,14 @@
     if let Some(requester) = read_requester(&shared, request.headers()) {
         sender_checks::propose(&shared, requester, clock::now());
     }
+    let client = request.extensions().get::<http1::ClientIp>().map(|client| client.0);
     let Some(query) = read_query(request.into_body()).await else {
         let mut refusal = Response::new(ResponseBody::buffered(Bytes::new()));
         *refusal.status_mut() = StatusCode::BAD_REQUEST;
         return refusal;
     };
     let reply = if query.starts {
-        start::build_reply(&shared, &query)
+        start::build_reply(&shared, &query, client)
     } else {
         build_reply(&shared, query)
     };
--- a/lib/src/gateway/state_transfer/start.rs
+++ b/lib/src/gateway/state_transfer/start.rs
@@ -5,6 +5,7 @@
 use std::collections::HashSet;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -63,10 +64,16 @@
     NoState,
 }
 
-/// Builds the reply to a box that starts: the state, or boxes of its failure domain to ask.
-pub(super) fn build_reply<A: Adapter>(shared: &Shared<A>, query: &StateQuery) -> StateReply {
+/// Builds the reply to a box that starts: the state, or boxes of its failure domain to ask. Others
+/// are referred to it only if it asks from the host that it names.
+pub(super) fn build_reply<A: Adapter>(
+    shared: &Shared<A>,
+    query: &StateQuery,
+    client: Option<IpAddr>,
+) -> StateReply {
     let now = clock::now();
-    if let Ok(handover) = query.handover.parse() {
+    let handover: Option<SocketAddr> = query.handover.parse().ok();
+    if let Some(handover) = handover.filter(|handover| Some(handover.ip()) == client) {
         let referrals = lock(&shared.joins).add(&query.failure_domain, handover, now);
         if !referrals.is_empty() {
             let referrals = referrals.iter().map(SocketAddr::to_string).collect();
--- a/lib/tests/test_join_tree.rs
+++ b/lib/tests/test_join_tree.rs
@@ -81,3 +81,16 @@
     tree.add("hall", address(1), now);
     assert!(tree.add("hall", address(2), now + Duration::from_secs(20)).is_empty());
 }
+
+/// Guards against memory that grows with the names that queries make up.
+#[test]
+fn number_of_failure_domains_is_bounded() {
+    let mut tree = JoinTree::default();
+    let now = Instant::now();
+    for number in 0..1000 {
+        assert!(tree.add(&format!("hall-{number}"), address(number), now).is_empty());
+    }
+    assert_eq!(tree.domain_count(), 256);
+    assert_eq!(tree.add("hall-1", address(1001), now), [address(1)], "known ones go on");
+    assert!(tree.add(&"x".repeat(300), address(1002), now).is_empty());
+}
