store: a record under the key of another box is unreadable

What callers saw: the directory named an address at which no box is. A record under any key below `copperweir/boxes/` replaced that of the box whose name it contains, and stayed when its key was removed.

Cause: records were kept by the name in their value, and removed by the name in their key.

Evidence: record_under_the_key_of_another_box_has_no_effect; before the change the directory names 127.0.0.1:9 from such a record.

Fix: a record whose name isn't that of its key is unreadable. Boxes of all builds write theirs under their own names.

--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -451,8 +451,11 @@
             self.cluster_state.apply_roster_entry(region, name);
             return;
         }
-        if item.key.starts_with(BOXES) {
+        if let Some(name) = item.key.strip_prefix(BOXES) {
             match serde_json::from_slice::<BoxRecord>(&item.value) {
+                Ok(record) if record.name != name => {
+                    self.unreadable_keys.record(&item.key, &item.value, "it names another box");
+                }
                 Ok(mut record) => {
                     record.clamp_weight();
                     self.rewrite_outdated_record(&record);
