serve: numbers of engines and credits of other regions don't overflow

What callers would see: an engine that reports a load of 2^32 and more counts as nearly idle and gets all requests; in a build with overflow checks the probe ends with a panic, so that the engine's last load stays. Not seen at users; found by reading.

Cause: numbers of 32 bits from engines and from other boxes were added without a bound.

Evidence: the two new tests of test_external_numbers; both panic with "attempt to add with overflow" with the sums of before.

Fix: sums stop at the largest number.

--- a/lib/src/coordination/lending.rs
+++ b/lib/src/coordination/lending.rs
@@ -62,7 +62,8 @@
     /// Returns the number of slots of `region` that may be used now.
     pub fn available(&self, region: &RegionId, now: Instant) -> u32 {
         let credits = self.credits.get(region).into_iter().flatten();
-        credits.filter(|(expires_at, _)| now < *expires_at).map(|(_, slots)| slots).sum()
+        let valid = credits.filter(|(expires_at, _)| now < *expires_at).map(|(_, slots)| *slots);
+        valid.fold(0, u32::saturating_add)
     }
 
     /// Uses one slot of the allowed region with the most available slots.
--- a/lib/src/daemon/control/servers.rs
+++ b/lib/src/daemon/control/servers.rs
@@ -157,7 +157,7 @@
             let (reachable, load) = (load.is_some(), load.unwrap_or_default());
             let report = ServerReport {
                 server: name_hash(&server),
-                load: load.running + load.queued,
+                load: load.total(),
                 reachable,
                 leaving: load.leaving,
                 listed: false,
--- a/lib/src/transport/engine.rs
+++ b/lib/src/transport/engine.rs
@@ -32,6 +32,13 @@
     pub leaving: bool,
 }
 
+impl EngineLoad {
+    /// The number of requests on the engine; the maximum if it reports more.
+    pub fn total(&self) -> u32 {
+        self.running.saturating_add(self.queued)
+    }
+}
+
 /// A model and its version.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ModelVersion {
--- a/lib/tests/test_external_numbers.rs
+++ b/lib/tests/test_external_numbers.rs
@@ -1,7 +1,9 @@
 //! Numbers in the datagrams of other boxes, and the record of values that can't be read.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use copperweir_lib::coordination::lending::Borrower;
 use copperweir_lib::coordination::loads::BoxReport;
 use copperweir_lib::coordination::loads::Loads;
 use copperweir_lib::coordination::quota::BoxUsage;
@@ -18,6 +20,7 @@
 use copperweir_lib::coordination::upgrade::wire::TallyReport;
 use copperweir_lib::coordination::upgrade::wire::UpgradeReport;
 use copperweir_lib::gateway::unreadable_keys::UnreadableKeys;
+use copperweir_lib::transport::engine::EngineLoad;
 use proptest::prelude::*;
 
 /// Number of boxes that report.
@@ -133,3 +136,21 @@
             .collect();
     assert_eq!(logged, [true, false, true, true, false, false]);
 }
+
+/// Guards against a full engine that counts as idle because its numbers overflow.
+#[test]
+fn load_of_an_engine_that_is_out_of_range_is_the_maximum() {
+    let load = EngineLoad { running: u32::MAX, queued: 8, leaving: false };
+    assert_eq!(load.total(), u32::MAX);
+}
+
+/// Guards against credits that overflow and count as none.
+#[test]
+fn credits_that_are_out_of_range_are_the_maximum() {
+    let now = Instant::now();
+    let mut borrower = Borrower::default();
+    for slots in [u32::MAX, 8] {
+        borrower.receive("south".to_owned(), slots, Duration::from_secs(1), now);
+    }
+    assert_eq!(borrower.available(&"south".to_owned(), now), u32::MAX);
+}
