forwards: what a request says of its caller counts only from hosts of boxes

Cause: whatever arrived on that port counted as forwarded by a box, which has charged the team and has seen the caller.

Fix: the team's account, the fingerprint and the identity of a caller are taken from a forwarded request only if it comes from the host of a box that the store lists or that has confirmed. Other requests on the port are served as those of callers are. A box that isn't known yet has its callers' requests charged twice until it is.

--- a/lib/src/coordination/senders.rs
+++ b/lib/src/coordination/senders.rs
@@ -1,12 +1,16 @@
-//! Which senders of datagrams are boxes.
+//! Which senders of datagrams and of forwarded requests are boxes.
 //!
 //! Any process on the network can send a datagram, and name any box as its sender. A report is
 //! applied only if it comes from the address at which the store lists the box that it names. A box
 //! that the store doesn't list yet has to confirm over a connection that it is the box that its
 //! datagrams name; until then they have no effect. Boxes depend on each other most while the store
 //! is unavailable, so these can't be ignored altogether.
+//!
+//! What a forwarded request says of its caller counts if it comes from the host of a box.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -54,6 +58,7 @@
 #[derive(Debug, Default)]
 pub struct Senders {
     listed: HashMap<SocketAddr, Vec<BoxHash>>,
+    listed_hosts: HashSet<IpAddr>,
     candidates: HashMap<SocketAddr, Candidate>,
     checks_in_round: usize,
 }
@@ -62,7 +67,9 @@
     /// Sets the boxes that the store lists, or listed until recently, and their addresses.
     pub fn set_listed(&mut self, boxes: impl Iterator<Item = (SocketAddr, BoxHash)>) {
         self.listed.clear();
+        self.listed_hosts.clear();
         for (address, box_hash) in boxes {
+            self.listed_hosts.insert(address.ip());
             self.listed.entry(address).or_default().push(box_hash);
         }
     }
@@ -82,6 +89,13 @@
         is_confirmed
     }
 
+    /// Whether a box is on a host. The ports of connections say nothing about their senders.
+    pub fn is_box_host(&self, host: IpAddr) -> bool {
+        let confirmed = self.candidates.values().filter(|other| other.proof == Proof::Given);
+        self.listed_hosts.contains(&host)
+            || confirmed.into_iter().any(|other| other.neighbor.address.ip() == host)
+    }
+
     /// Has a process checked that claims to be a box, unless this was done already. `own_region` is
     /// that of this box.
     pub fn propose(&mut self, neighbor: Neighbor, own_region: &str, now: Instant) {
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -87,6 +87,9 @@
     pub metadata: RequestMetadata,
     /// The sender.
     pub origin: Origin,
+    /// Whether the sender is known to be a box. Only then it has charged the caller's team, and what
+    /// it says of the caller counts.
+    pub is_from_box: bool,
     /// What the sender expects, if it is another box.
     pub forward: Forward,
     /// The matching route.
@@ -122,6 +125,7 @@
     ) -> Result<Job, Failure> {
         let arrived = clock::now();
         let (head, body) = request.into_parts();
+        let is_from_box = origin == Origin::Peer && is_from_box(shared, &head);
         let forward = match origin {
             Origin::Caller => Forward::default(),
             Origin::Peer => Forward::parse(&head.headers),
@@ -133,13 +137,13 @@
         let snapshot = shared.snapshot.load_full();
         let routing = current_routing(&snapshot)?;
         let route = find_route(&routing, &head.headers, &head.uri)?;
-        let claim = identity_claim(origin, &metadata, &head.headers);
+        let claim = identity_claim(origin, is_from_box, &metadata, &head.headers);
         metadata.key = claim.key;
         let team = identify_team(shared, &claim, &routing, &route)?;
         let time_limit = metadata.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let deadline = arrived + time_limit;
         let body = read_body(body, routing.limits.max_body_bytes, deadline).await?;
-        let fingerprint = fingerprint(origin, &metadata, &head, &body);
+        let fingerprint = fingerprint(is_from_box, &metadata, &head, &body);
         let routing_point = rapidhash::v3::rapidhash_v3(first_attempt(&metadata).as_bytes());
         let service = route
             .pick_service(routing_point)
@@ -148,6 +152,7 @@
         Ok(Job {
             metadata,
             origin,
+            is_from_box,
             forward,
             route,
             service,
@@ -279,10 +284,16 @@
     route.cloned().ok_or_else(no_route)
 }
 
+/// Whether a request comes from the host of a known box.
+fn is_from_box<A>(shared: &Shared<A>, head: &http::request::Parts) -> bool {
+    let client = head.extensions.get::<http1::ClientIp>();
+    client.is_some_and(|client| lock(&shared.senders).is_box_host(client.0))
+}
+
 /// Fingerprint of the request. A box that forwards a request has seen its caller, so its
 /// fingerprint is used.
 fn fingerprint(
-    origin: Origin,
+    is_from_box: bool,
     metadata: &RequestMetadata,
     head: &http::request::Parts,
     body: &Bytes,
@@ -290,7 +301,7 @@
     let text = |name: &HeaderName| head.headers.get(name).and_then(|value| value.to_str().ok());
     let sender_fingerprint =
         text(&FINGERPRINT_HEADER).and_then(|sender_fingerprint| sender_fingerprint.parse().ok());
-    if let (Origin::Peer, Some(sender_fingerprint)) = (origin, sender_fingerprint) {
+    if let Some(sender_fingerprint) = sender_fingerprint.filter(|_| is_from_box) {
         return sender_fingerprint;
     }
     let host = text(&header::HOST).unwrap_or_default();
@@ -314,15 +325,20 @@
     }
 }
 
-/// The identity that a request claims for its caller. Only requests from other boxes may claim more
+/// The identity that a request claims for its caller. Only requests from known boxes may claim more
 /// than a key.
-fn identity_claim(origin: Origin, metadata: &RequestMetadata, headers: &HeaderMap) -> Credentials {
+fn identity_claim(
+    origin: Origin,
+    is_from_box: bool,
+    metadata: &RequestMetadata,
+    headers: &HeaderMap,
+) -> Credentials {
     if origin == Origin::Caller {
         return Credentials { key: metadata.key, forwarded: None };
     }
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
     let key = text(&KEY_HEADER).and_then(|key| key.parse::<KeyDigest>().ok());
-    let version = forwarded_versions::configuration_version(headers);
+    let version = forwarded_versions::configuration_version(headers).filter(|_| is_from_box);
     let team = text(&TEAM_HEADER).map(str::to_owned);
     Credentials { key, forwarded: version.map(|version| ForwardedIdentity { team, version }) }
 }
--- a/lib/src/gateway/quotas.rs
+++ b/lib/src/gateway/quotas.rs
@@ -2,7 +2,6 @@
 //! the caller decides; a box that it is forwarded to relies on that decision.
 
 use super::job::Job;
-use super::job::Origin;
 use super::shared::Shared;
 use super::shared::lock;
 use crate::coordination::quota::TeamHash;
@@ -28,7 +27,7 @@
 /// Charges a request's cost to its team's account, if the team has a limit.
 pub fn admit<A: Adapter>(shared: &Shared<A>, job: &Job) -> Result<Option<Charge>, Failure> {
     let limited = job.team.as_ref().and_then(|team| Some((team, team.limit?)));
-    let Some((team, limit)) = limited.filter(|_| job.origin == Origin::Caller) else {
+    let Some((team, limit)) = limited.filter(|_| !job.is_from_box) else {
         return Ok(None);
     };
     let charge = Charge { team: team_hash(team), cost: limit.cost(job.metadata.tokens) };
--- a/lib/tests/test_senders.rs
+++ b/lib/tests/test_senders.rs
@@ -153,3 +153,18 @@
     check(&mut senders, &second, true, now);
     assert!(senders.is_box(5, second.address, now));
 }
+
+/// Guards against claims about callers from hosts without a box.
+#[test]
+fn hosts_of_listed_and_confirmed_boxes_are_known() {
+    let now = Instant::now();
+    let mut senders = Senders::default();
+    senders.set_listed([(address(1), 1)].into_iter());
+    let (second, third) = (neighbor(2, "north"), neighbor(3, "north"));
+    check(&mut senders, &second, true, now);
+    check(&mut senders, &third, false, now);
+    let is_known = |number| senders.is_box_host(address(number).ip());
+    assert_eq!([1, 2, 3, 4].map(is_known), [true, true, false, false]);
+    senders.set_listed(std::iter::empty());
+    assert!(!senders.is_box_host(address(1).ip()));
+}
