forwards: servers can't speak for boxes

What callers saw: 503 with `copperweir-ran: no` for a request that ran, on two servers, though it may run once only. A server whose responses have the header `copperweir-ran: no` is enough, if the request was forwarded to it by another box. With `copperweir-lost-paths` its boxes get no requests for a while. Beside that, callers got these headers as if a box had set them.

Cause: a box passed on all headers of a server but those of requests between boxes, and the box that forwarded the request took any response with `copperweir-ran` for a failure of the other box.

Fix: headers that only boxes set are dropped from the responses of servers. Boxes of older builds still pass them on, so a response with the seal of a server is never taken for a box's failure. `serve` drops all headers of the gateway already and sends failures in frames of their own.

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -126,10 +126,11 @@
     match send(&shared.peers, job, address, request, false, &mut Always).await {
         Ok(response) => {
             forwarded_versions::note_response(shared, response.headers());
-            if response.headers().contains_key(LOST_PATHS_HEADER) {
+            let failure = box_failure(shared, &response);
+            if failure.is_some() && response.headers().contains_key(LOST_PATHS_HEADER) {
                 record_path_refusal(shared, job, address);
             }
-            peer_outcome(shared, job, response, version).await
+            peer_outcome(shared, job, response, failure, version).await
         }
         Err(no_response) => no_response.into_outcome(&address.to_string()),
     }
@@ -168,13 +169,21 @@
     }
 }
 
+/// The failure in the response of another box. A response with a seal is that of a server, whatever
+/// its other headers are: boxes of older builds pass those on.
+fn box_failure<A: Adapter>(shared: &Shared<A>, response: &Response<PooledBody>) -> Option<Failure> {
+    let metadata = shared.adapter.parse_response(response.status(), response.headers());
+    peer_response::failure(response).filter(|_| !metadata.has_seal)
+}
+
 async fn peer_outcome<A: Adapter>(
     shared: &Arc<Shared<A>>,
     job: &Job,
     response: Response<PooledBody>,
+    failure: Option<Failure>,
     version: Option<VersionHash>,
 ) -> SendOutcome<A> {
-    match peer_response::failure(&response) {
+    match failure {
         Some(failure)
             if failure.executed() == Executed::No && !peer_response::was_sent(&response) =>
         {
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -59,15 +59,18 @@
 const TEAM_HEADER: HeaderName = HeaderName::from_static("copperweir-team");
 /// Fingerprint of the caller's request, for another box.
 const FINGERPRINT_HEADER: HeaderName = HeaderName::from_static("copperweir-fingerprint");
-/// Headers that only boxes send to each other. They are ignored in requests of callers, and are
-/// never sent to backend servers.
-const INTERNAL_HEADERS: [HeaderName; 6] = [
+/// Headers that only boxes set. They are ignored in requests of callers and in responses of backend
+/// servers, and are never sent to backend servers.
+const INTERNAL_HEADERS: [HeaderName; 9] = [
     FORWARDED_HEADER,
     KEY_HEADER,
     TEAM_HEADER,
     VERSION_HEADER,
     FINGERPRINT_HEADER,
     SERVER_VERSION_HEADER,
+    SENDS_HEADER,
+    LOST_PATHS_HEADER,
+    HeaderName::from_static(caller::RAN_HEADER),
 ];
 /// Timeout of a request that specifies none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
