--- a/lib/src/coordination/senders.rs
+++ b/lib/src/coordination/senders.rs
@@ -33,8 +33,8 @@
 /// Maximum number of checks that begin in one interval of the reports. They cost this box and the
 /// checked ones a small call each.
 const MAX_CHECKS_PER_ROUND: usize = 4;
-/// Maximum number of addresses that are kept: somewhat more than the largest fleet has boxes.
-const MAX_CANDIDATES: usize = 1024;
+/// Maximum number of claims that are kept: somewhat more than the largest fleet has boxes.
+const MAX_CLAIMS: usize = 1024;
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Proof {
@@ -46,8 +46,9 @@
     Given,
 }
 
+/// Claim of the process at an address to be a box.
 #[derive(Debug)]
-struct Candidate {
+struct Claim {
     /// The box that the process claims to be.
     neighbor: Neighbor,
     proof: Proof,
@@ -59,7 +60,7 @@
 pub struct Senders {
     listed: HashMap<SocketAddr, Vec<BoxHash>>,
     listed_hosts: HashSet<IpAddr>,
-    candidates: HashMap<SocketAddr, Candidate>,
+    claims: HashMap<SocketAddr, Claim>,
     checks_in_round: usize,
 }
 
@@ -81,74 +82,74 @@
         if self.listed.get(&from).is_some_and(|boxes| boxes.iter().copied().any(matches)) {
             return true;
         }
-        let Some(candidate) = self.candidates.get_mut(&from) else { return false };
-        let is_confirmed = candidate.proof == Proof::Given && matches(candidate.neighbor.box_hash);
+        let Some(claim) = self.claims.get_mut(&from) else { return false };
+        let is_confirmed = claim.proof == Proof::Given && matches(claim.neighbor.box_hash);
         if is_confirmed {
-            candidate.last_received_at = candidate.last_received_at.max(now);
+            claim.last_received_at = claim.last_received_at.max(now);
         }
         is_confirmed
     }
 
     /// Whether a box is on a host. The ports of connections say nothing about their senders.
     pub fn is_box_host(&self, host: IpAddr) -> bool {
-        let confirmed = self.candidates.values().filter(|other| other.proof == Proof::Given);
-        self.listed_hosts.contains(&host)
-            || confirmed.into_iter().any(|other| other.neighbor.address.ip() == host)
+        let is_confirmed =
+            |claim: &Claim| claim.proof == Proof::Given && claim.neighbor.address.ip() == host;
+        self.listed_hosts.contains(&host) || self.claims.values().any(is_confirmed)
     }
 
-    /// Has a process checked that claims to be a box, unless this was done already. `own_region` is
-    /// that of this box.
-    pub fn propose(&mut self, neighbor: Neighbor, own_region: &str, now: Instant) {
+    /// Records the claim of a process to be a box. It is checked, unless this was done already.
+    /// `own_region` is that of this box.
+    pub fn record_claim(&mut self, neighbor: Neighbor, own_region: &str, now: Instant) {
         let address = neighbor.address;
-        if let Some(candidate) = self.candidates.get_mut(&address) {
-            candidate.last_received_at = now;
+        if let Some(claim) = self.claims.get_mut(&address) {
+            claim.last_received_at = now;
             // A box that was replaced by another one at its address has to confirm anew.
-            if candidate.neighbor.box_hash != neighbor.box_hash {
-                candidate.neighbor = neighbor;
-                if candidate.proof == Proof::Given {
-                    candidate.proof = Proof::Missing { failures: 0, check_at: now };
+            if claim.neighbor.box_hash != neighbor.box_hash {
+                claim.neighbor = neighbor;
+                if claim.proof == Proof::Given {
+                    claim.proof = Proof::Missing { failures: 0, check_at: now };
                 }
             }
             return;
         }
-        if self.candidates.len() >= MAX_CANDIDATES && !self.drop_oldest_unconfirmed() {
+        if self.claims.len() >= MAX_CLAIMS && !self.drop_oldest_unconfirmed() {
             return;
         }
         let is_near = neighbor.region == own_region;
         let delay = if is_near { Duration::ZERO } else { REMOTE_CHECK_DELAY };
         let proof = Proof::Missing { failures: 0, check_at: now + delay };
-        self.candidates.insert(address, Candidate { neighbor, proof, last_received_at: now });
+        self.claims.insert(address, Claim { neighbor, proof, last_received_at: now });
     }
 
-    /// Drops a candidate to make room for another one. Returns whether there is room.
+    /// Drops a claim to make room for another one. Returns whether there is room.
     fn drop_oldest_unconfirmed(&mut self) -> bool {
-        let unconfirmed = self.candidates.iter().filter(|(_, other)| other.proof != Proof::Given);
+        let unconfirmed = self.claims.iter().filter(|(_, other)| other.proof != Proof::Given);
         let oldest = unconfirmed.min_by_key(|(_, other)| other.last_received_at);
         let Some(address) = oldest.map(|(address, _)| *address) else { return false };
-        self.candidates.remove(&address).is_some()
+        self.claims.remove(&address).is_some()
     }
 
     /// Begins an interval of the reports: drops senders that have fallen silent, and allows further
     /// checks.
     pub fn begin_round(&mut self, now: Instant) {
         self.checks_in_round = 0;
-        self.candidates.retain(|_, other| now < other.last_received_at + NEIGHBOR_TTL);
+        self.claims.retain(|_, other| now < other.last_received_at + NEIGHBOR_TTL);
     }
 
     /// The processes to check now.
     pub fn take_checks(&mut self, now: Instant) -> Vec<Neighbor> {
         let mut checks = Vec::new();
-        for candidate in self.candidates.values_mut() {
+        for claim in self.claims.values_mut() {
             if self.checks_in_round >= MAX_CHECKS_PER_ROUND {
                 break;
             }
-            let Proof::Missing { failures, check_at } = candidate.proof else { continue };
+            let Proof::Missing { failures, check_at } = claim.proof else { continue };
             if now < check_at {
                 continue;
             }
-            candidate.proof = Proof::Pending { failures };
+            claim.proof = Proof::Pending { failures };
             self.checks_in_round += 1;
-            checks.push(candidate.neighbor.clone());
+            checks.push(claim.neighbor.clone());
         }
         checks
     }
@@ -156,10 +157,10 @@
     /// Records whether a process has confirmed that it is the box that it claims to be. Returns
     /// whether it counts as that box from now on.
     pub fn record_check(&mut self, checked: &Neighbor, has_confirmed: bool, now: Instant) -> bool {
-        let Some(candidate) = self.candidates.get_mut(&checked.address) else { return false };
-        let Proof::Pending { failures } = candidate.proof else { return false };
-        let is_box = has_confirmed && candidate.neighbor.box_hash == checked.box_hash;
-        candidate.proof = if is_box {
+        let Some(claim) = self.claims.get_mut(&checked.address) else { return false };
+        let Proof::Pending { failures } = claim.proof else { return false };
+        let is_box = has_confirmed && claim.neighbor.box_hash == checked.box_hash;
+        claim.proof = if is_box {
             Proof::Given
         } else {
             let delay = RECHECK_DELAY * 2u32.pow(failures.min(MAX_DOUBLINGS));
@@ -168,8 +169,8 @@
         is_box
     }
 
-    /// Number of senders that are kept besides the listed ones.
-    pub fn candidate_count(&self) -> usize {
-        self.candidates.len()
+    /// Number of claims that are kept.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
     }
 }
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -171,7 +171,7 @@
             Err(error) if lock(&shared.senders).is_box_host(from.ip()) => {
                 log::warn!("event=unreadable_report from={from} error=\"{error}\"");
             }
-            // Strangers may send any number of these, so they are only counted.
+            // Any process may send any number of these, so they are only counted.
             Err(_) => shared.counters.increment(Counter::ForeignDatagrams),
         }
     }
--- a/lib/src/gateway/sender_checks.rs
+++ b/lib/src/gateway/sender_checks.rs
@@ -29,14 +29,15 @@
     shared.counters.increment(Counter::ForeignDatagrams);
     if let Ok(handover_port @ 1..) = u16::try_from(report.handover_port) {
         let (box_hash, region) = (report.sender, report.region.clone());
-        propose(shared, Neighbor { box_hash, region, address: from, handover_port }, now);
+        record_claim(shared, Neighbor { box_hash, region, address: from, handover_port }, now);
     }
     false
 }
 
-/// Has a process checked that claims to be a box, or that a box has named.
-pub fn propose<A: Adapter>(shared: &Arc<Shared<A>>, neighbor: Neighbor, now: Instant) {
-    lock(&shared.senders).propose(neighbor, &shared.settings.region, now);
+/// Records the claim of a process to be a box, or that of another box that it is one, and has it
+/// checked.
+pub fn record_claim<A: Adapter>(shared: &Arc<Shared<A>>, neighbor: Neighbor, now: Instant) {
+    lock(&shared.senders).record_claim(neighbor, &shared.settings.region, now);
     start_checks(shared);
 }
 
@@ -66,7 +67,7 @@
         if lock(&shared.senders).is_box(box_hash, address, at) {
             lock(&shared.unlisted).record(neighbor, at);
         } else {
-            propose(shared, neighbor, now);
+            record_claim(shared, neighbor, now);
         }
     }
 }
@@ -90,7 +91,8 @@
     if shared.snapshot.load().routing.is_none() {
         return;
     }
-    for neighbor in lock(&shared.senders).take_checks(clock::now()) {
+    let due = lock(&shared.senders).take_checks(clock::now());
+    for neighbor in due {
         tokio::spawn(check(Arc::clone(shared), neighbor));
     }
 }
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -227,7 +227,7 @@
         return response;
     }
     if let Some(requester) = read_requester(&shared, request.headers()) {
-        sender_checks::propose(&shared, requester, clock::now());
+        sender_checks::record_claim(&shared, requester, clock::now());
     }
     let client = request.extensions().get::<http1::ClientIp>().map(|client| client.0);
     let Some(query) = read_query(request.into_body()).await else {
--- a/lib/tests/test_senders.rs
+++ b/lib/tests/test_senders.rs
@@ -25,9 +25,9 @@
     }
 }
 
-/// Proposes a box and answers its check.
+/// Records the claim of a box and answers its check.
 fn check(senders: &mut Senders, neighbor: &Neighbor, has_confirmed: bool, now: Instant) {
-    senders.propose(neighbor.clone(), "north", now);
+    senders.record_claim(neighbor.clone(), "north", now);
     let checks = senders.take_checks(now);
     assert_eq!(checks, std::slice::from_ref(neighbor));
     senders.record_check(neighbor, has_confirmed, now);
@@ -77,7 +77,7 @@
     for round in 0..150 {
         let now = start + ROUND * round;
         senders.begin_round(now);
-        senders.propose(other.clone(), "north", now);
+        senders.record_claim(other.clone(), "north", now);
         if !senders.take_checks(now).is_empty() {
             checked_at.push((ROUND * round).as_secs());
             senders.record_check(&other, false, now);
@@ -92,7 +92,7 @@
 fn a_box_of_another_region_is_checked_only_if_it_stays_unlisted() {
     let start = Instant::now();
     let mut senders = Senders::default();
-    senders.propose(neighbor(7, "south"), "north", start);
+    senders.record_claim(neighbor(7, "south"), "north", start);
     assert!(senders.take_checks(start + ROUND).is_empty());
     assert_eq!(senders.take_checks(start + Duration::from_secs(1)).len(), 1);
 }
@@ -109,11 +109,11 @@
         let now = start + ROUND * round;
         senders.begin_round(now);
         for number in 1..2000 {
-            senders.propose(neighbor(round * 10_000 + number, "north"), "north", now);
+            senders.record_claim(neighbor(round * 10_000 + number, "north"), "north", now);
             checks += senders.take_checks(now).len();
         }
         assert!(senders.is_box(other.box_hash, other.address, now));
-        assert!(senders.candidate_count() <= 1024);
+        assert!(senders.claim_count() <= 1024);
     }
     assert_eq!(checks, 4 * 10, "four in each round");
 }
@@ -124,9 +124,9 @@
     let now = Instant::now();
     let mut senders = Senders::default();
     for box_hash in 0..100 {
-        senders.propose(Neighbor { box_hash, ..neighbor(7, "north") }, "north", now);
+        senders.record_claim(Neighbor { box_hash, ..neighbor(7, "north") }, "north", now);
     }
-    assert_eq!(senders.candidate_count(), 1);
+    assert_eq!(senders.claim_count(), 1);
 }
 
 /// Guards against the name of one box that is checked, and the name of another one that counts.
@@ -135,9 +135,9 @@
     let now = Instant::now();
     let mut senders = Senders::default();
     let other = neighbor(7, "north");
-    senders.propose(other.clone(), "north", now);
+    senders.record_claim(other.clone(), "north", now);
     senders.take_checks(now);
-    senders.propose(Neighbor { box_hash: 5, ..other.clone() }, "north", now);
+    senders.record_claim(Neighbor { box_hash: 5, ..other.clone() }, "north", now);
     assert!(!senders.record_check(&other, true, now));
     assert!(!senders.is_box(5, other.address, now));
 }
