reports: read a bounded number of datagrams before requests get a turn

What callers saw: no response for 5 s and more. A process that sends datagrams to the port of the reports as fast as it can kept a box from doing anything else; they need not even be readable.

Cause: the box read datagrams until none was left, on the thread that serves requests. More arrived in the meantime.

Evidence: flood_of_datagrams_does_not_stop_a_box.

Fix: 64 datagrams in a turn, then other tasks run. Reports that wait are in the socket's buffer, and a fleet of a thousand boxes sends a box some hundred in a second.

--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -67,6 +67,10 @@
 /// Maximum size of a datagram in bytes: some hundred servers.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
+/// Maximum number of datagrams that are applied before requests get a turn. If more arrive than this
+/// box can read, it would do nothing else.
+const MAX_DATAGRAMS_PER_TURN: usize = 64;
+
 /// Sends and receives reports until shutdown.
 pub async fn exchange_reports<A: Adapter>(
     shared: Arc<Shared<A>>,
@@ -127,13 +131,15 @@
             }
             _ = stop.wait_for(|stop| *stop != Shutdown::No) => return,
         }
+        tokio::task::yield_now().await;
     }
 }
 
-/// Applies all datagrams of boxes that have arrived.
+/// Applies the datagrams of boxes that have arrived, up to [`MAX_DATAGRAMS_PER_TURN`].
 fn receive<A: Adapter>(shared: &Arc<Shared<A>>, socket: &UdpSocket, buffer: &mut [u8]) {
     let now = clock::now();
-    while let Ok((length, from)) = socket.try_recv_from(buffer) {
+    for _ in 0..MAX_DATAGRAMS_PER_TURN {
+        let Ok((length, from)) = socket.try_recv_from(buffer) else { return };
         let mut decoded = BoxReport::decode(&buffer[..length]);
         decoded.iter_mut().for_each(BoxReport::clamp_numbers);
         match decoded {
