stop: serve requests on the last connections that a port accepts

What callers saw: 503 "the box is leaving", not run, to a request on a connection that a stopping box had just accepted.

Cause: since a box refuses what becomes complete from the moment at which it closes its ports. The connection that is accepted last sends its request after that.

Fix: a request that becomes complete within 0.5 s of the closing is served. The connection's caller sends it a round trip after the connection was accepted.

--- a/lib/src/coordination/drain.rs
+++ b/lib/src/coordination/drain.rs
@@ -2,8 +2,8 @@
 //!
 //! A box starts in [`Stage::Serving`]. After a stop request it is [`Stage::Announced`]: it
 //! announces that it is leaving and still accepts requests, because callers learn of the stop with
-//! a delay. In [`Stage::Closing`] it refuses new requests and finishes those in progress, until
-//! [`Stage::Done`].
+//! a delay. In [`Stage::Closing`] it accepts no new connections, soon refuses new requests and
+//! finishes those in progress, until [`Stage::Done`].
 //!
 //! A box is done when no request is in progress and none can become so. The number of requests in
 //! progress doesn't show this: while a request head is being read, or a response is being flushed,
@@ -14,6 +14,15 @@
 
 use statig::prelude::*;
 
+/// How long a closing box still accepts requests. A caller whose connection was accepted last sends
+/// its request a round trip later.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Whether a box that closed its ports at a time refuses a request that becomes complete now.
+pub fn refuses_requests(closing_since: Option<Instant>, now: Instant) -> bool {
+    closing_since.is_some_and(|since| now.saturating_duration_since(since) >= LAST_REQUEST_TIMEOUT)
+}
+
 /// Time limits of a shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -47,7 +56,7 @@
     Serving,
     /// The box is leaving and still accepts requests.
     Announced,
-    /// The box is leaving and refuses new requests.
+    /// The box is leaving, accepts no new connections and soon refuses new requests.
     Closing,
     /// No request is in progress, and none can become so.
     Done,
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -28,6 +28,7 @@
 use super::shared::Shared;
 use super::stream_timing::StreamTiming;
 use super::stream_versions;
+use crate::coordination::drain;
 use crate::coordination::drain::Stage;
 use crate::error::ErrorKind;
 use crate::error::Executed;
@@ -90,7 +91,7 @@
         }
     };
     let job = match job {
-        Ok(job) if is_closing(shared) => {
+        Ok(job) if refuses_requests(shared) => {
             let failure = Failure::new(ErrorKind::Leaving, "the box is leaving")
                 .with_retry_after(LEAVING_RETRY_AFTER);
             return failure_response(shared, &id, Some(&job), &history, &failure);
@@ -165,12 +166,12 @@
 
 /// Whether this box refuses new requests because it is leaving. A request counts as new until its
 /// body is complete.
-fn is_closing<A>(shared: &Shared<A>) -> bool {
-    shared.closing_since.borrow().is_some()
+fn refuses_requests<A>(shared: &Shared<A>) -> bool {
+    drain::refuses_requests(*shared.closing_since.borrow(), clock::now())
 }
 
-/// Waits until a leaving box reads no more of a request: as long after it began to refuse requests
-/// as a request head may take.
+/// Waits until a leaving box reads no more of a request: as long after it closed its ports as a
+/// request head may take.
 async fn read_limit<A>(shared: &Shared<A>) {
     let mut closing = shared.closing_since.subscribe();
     // The sender is in `shared`, so it exists.
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -224,7 +224,7 @@
     pub in_flight: AtomicUsize,
     /// Open connections of callers and of other boxes.
     pub open: OpenConnections,
-    /// Since when this box refuses new requests because it is leaving.
+    /// Since when the ports of this box are closed because it is leaving.
     pub closing_since: watch::Sender<Option<Instant>>,
     /// Event counters.
     pub counters: Arc<Counters>,
