upgrade: ignore a plan whose order is later than the plan

What callers saw: requests go to the old version only, whatever the operator orders. An entry below copperweir/upgrades/ that names an order of a later era or revision than the store has counted as the newest plan for good: boxes wrote plans for the orders that followed, and none applied them.

Cause: of two plans the one for the later order supersedes, and the position of the order was believed.

Fix: a judge reads the order before it writes the plan, so the entry of the plan has a later position than the order. Another entry is unreadable, is logged, and is replaced by the next plan.

--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -480,17 +480,13 @@
             return;
         }
         if let Some(service) = item.key.strip_prefix(UPGRADES) {
-            match serde_json::from_slice::<Plan>(&item.value) {
-                Ok(plan) if plan.serial > MAX_PLAN_SERIAL => {
-                    self.unreadable_keys.record(&item.key, &item.value, "serial: too large");
-                }
+            let position = Position { era: self.applied_era, revision: item.revision };
+            match read_plan(&item.value, position) {
                 Ok(plan) => {
                     self.record_decision(item.revision);
                     lock(&self.shared.upgrades).apply_plan(service, plan, clock::now());
                 }
-                Err(error) => {
-                    self.unreadable_keys.record(&item.key, &item.value, &error.to_string())
-                }
+                Err(problem) => self.unreadable_keys.record(&item.key, &item.value, &problem),
             }
             return;
         }
@@ -546,3 +542,16 @@
         }
     }
 }
+
+/// Reads a plan that was written at a position. Its order was there before it: one that names a later
+/// order would supersede the plans of all orders up to that.
+fn read_plan(value: &[u8], written_at: Position) -> Result<Plan, String> {
+    let plan: Plan = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    if plan.serial > MAX_PLAN_SERIAL {
+        return Err("serial: too large".to_owned());
+    }
+    if plan.order_position() > written_at {
+        return Err("order: later than the plan".to_owned());
+    }
+    Ok(plan)
+}
