decision log: what told the version of a stream, and which versions count

A take-up that goes on looked the same in the log whether its version was known, told by a holder, or taken for the only one there ever was, so the hypotheses of the incident could not be told apart. stream_resumed gets told_by, versions and state_ms behind its keys; no decision changes.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -161,8 +161,13 @@
 
     /// Whether a service has servers of several versions, or recently had.
     pub fn has_several_versions(&self, service: ServiceHash, now: Instant) -> bool {
-        let Some(versions) = self.services.get(&service) else { return false };
-        versions.values().filter(|gone_since| counts(**gone_since, now)).count() > 1
+        self.count_versions(service, now) > 1
+    }
+
+    /// Number of versions of which a service has servers, or recently had.
+    pub fn count_versions(&self, service: ServiceHash, now: Instant) -> usize {
+        let Some(versions) = self.services.get(&service) else { return 0 };
+        versions.values().filter(|gone_since| counts(**gone_since, now)).count()
     }
 
     /// Streams of a service that this box began and that may still run.
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -9,6 +9,8 @@
 use super::history::RequestHistory;
 use super::job::Job;
 use super::stream_timing::StreamTiming;
+use super::stream_versions::FoundVersion;
+use super::stream_versions::Source;
 use crate::coordination::feedback::Observation;
 use crate::coordination::freshness::StateSummary;
 use crate::coordination::interrupted::InterruptedRequest;
@@ -212,17 +214,28 @@
     version.map_or("-".to_owned(), |version| format!("{version:x}"))
 }
 
-/// Logs that a caller resumes a stream, and the hash of the version that began it.
-pub fn stream_resumed(job: &Job, version: Option<VersionHash>) {
+/// Logs that a caller resumes a stream: the hash of the version that began it and what told it, the
+/// number of versions that count for the service, and the age of the state from the store.
+pub fn stream_resumed(
+    job: &Job,
+    found: Option<FoundVersion>,
+    known_versions: usize,
+    state_age_ms: i64,
+) {
+    let told_by = match found.map(|found| found.source) {
+        Some(Source::Own) => "box",
+        Some(Source::Holder) => "holder",
+        None => "-",
+    };
     log::info!(
         target: TARGET,
-        "event=stream_resumed request={} route={} service={} resumes={} last_event={:?} began_at={} age_ms={}",
+        "event=stream_resumed request={} route={} service={} resumes={} last_event={:?} began_at={} told_by={told_by} versions={known_versions} state_ms={state_age_ms} age_ms={}",
         job.metadata.id,
         job.route.name,
         job.service,
         job.metadata.resumes.as_deref().unwrap_or("-"),
         job.metadata.last_event,
-        version_text(version),
+        version_text(found.map(|found| found.version)),
         age_ms(job),
     );
 }
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -46,6 +46,24 @@
 /// Delay after which a caller is asked to retry if no box knows the version of its stream.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// What told the version of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// This box began the stream, or is one of its holders.
+    Own,
+    /// Another box that holds it.
+    Holder,
+}
+
+/// The version of a stream, and what told it.
+#[derive(Clone, Copy, Debug)]
+pub struct FoundVersion {
+    /// The version.
+    pub version: VersionHash,
+    /// What told it.
+    pub source: Source,
+}
+
 /// A stream whose version this box has queried.
 #[derive(Debug, Default)]
 struct Lookup {
@@ -227,11 +245,16 @@
         return Ok(None);
     }
     shared.counters.increment(Counter::StreamsResumed);
-    let version = match &job.metadata.resumes {
+    let found = match &job.metadata.resumes {
         Some(attempt) => find_version(shared, job, stream_key(job, attempt)).await,
         None => None,
     };
-    decision_log::stream_resumed(job, version);
+    let known_versions = {
+        let service = rendezvous::weight(&job.service, "");
+        lock(&shared.streams).versions.count_versions(service, clock::now())
+    };
+    decision_log::stream_resumed(job, found, known_versions, shared.state_age_ms());
+    let version = found.map(|found| found.version);
     if version.is_some() || !has_several_versions(shared, &job.service) {
         return Ok(version);
     }
@@ -251,11 +274,11 @@
     shared: &Arc<Shared<A>>,
     job: &Job,
     key: StreamKey,
-) -> Option<VersionHash> {
+) -> Option<FoundVersion> {
     let has_several = has_several_versions(shared, &job.service);
     let timeout = if has_several { LOOKUP_TIMEOUT } else { NEAR_LOOKUP_TIMEOUT };
     if let Some(version) = lock(&shared.streams).versions.version(key, clock::now()) {
-        return Some(version);
+        return Some(FoundVersion { version, source: Source::Own });
     }
     let response = {
         let snapshot = shared.snapshot.load();
@@ -264,7 +287,9 @@
         lock(&shared.streams).query(&holders, key)
     };
     shared.stream_report.notify_one();
-    timer::timeout(timeout.min(job.time_left(clock::now())), response).await.ok()?.ok()?
+    let version =
+        timer::timeout(timeout.min(job.time_left(clock::now())), response).await.ok()?.ok()?;
+    version.map(|version| FoundVersion { version, source: Source::Holder })
 }
 
 /// Applies a report about streams, and responds to its queries.
