--- a/lib/benches/stream_versions.rs
+++ b/lib/benches/stream_versions.rs
@@ -1,14 +1,18 @@
 //! Cost of a stream that begins while its service has several versions, by number of boxes: the
-//! choice of the holders, the datagrams to them, and what a box keeps.
+//! choice of the holders, the datagrams to them, and what a box keeps. And the cost of keeping these
+//! streams in the store: calls of all boxes, bytes, and the time of one recorder.
 //!
 //! `cargo bench -p copperweir-lib --bench stream_versions`
 
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use bytes::Bytes;
 use copperweir_lib::coordination::loads::BoxReport;
+use copperweir_lib::coordination::stream_batch::StreamBatch;
 use copperweir_lib::coordination::stream_versions::BoxLocation;
 use copperweir_lib::coordination::stream_versions::StreamReport;
+use copperweir_lib::coordination::stream_versions::StreamVersions;
 use copperweir_lib::coordination::stream_versions::holders;
 use prost::Message;
 
@@ -23,7 +27,68 @@
 /// Streams that each box begins in a second.
 const STREAMS_PER_BOX: usize = 10;
 
+/// Writes of a recorder in a second.
+const WRITES_PER_RECORDER: usize = 4;
+
 fn main() {
+    holder_costs();
+    store_costs();
+}
+
+/// What the store is asked to keep while a service has several versions, and what a lookup reads.
+fn store_costs() {
+    println!(
+        "\nboxes  writes/s  streams a batch  batch bytes  us to encode  us to apply  \
+         bytes written/s  streams kept  bytes of a lookup  ms to apply them"
+    );
+    for (boxes, regions) in FLEETS {
+        let streams_per_second = boxes * STREAMS_PER_BOX;
+        let in_batch = streams_per_second.div_ceil(regions * WRITES_PER_RECORDER) as u64;
+        let batch = StreamBatch { streams: (0..in_batch).map(|key| (key, key % 2)).collect() };
+        let value = batch.to_value();
+        let encode = micros(|| batch.to_value().len());
+        let apply = micros(|| apply_batches(&[&value]));
+        let batches = regions * WRITES_PER_RECORDER * RETENTION_S;
+        let values = vec![&value; batches];
+        let started = Instant::now();
+        apply_batches(&values);
+        let apply_all = started.elapsed().as_secs_f64() * 1e3;
+        println!(
+            "{boxes:>5}  {:>8}  {in_batch:>15}  {:>11}  {encode:>12.1}  {apply:>11.1}  {:>15}  {:>12}  {:>17}  {apply_all:>16.1}",
+            regions * WRITES_PER_RECORDER,
+            value.len(),
+            value.len() * regions * WRITES_PER_RECORDER * 4 / 3,
+            streams_per_second * RETENTION_S,
+            value.len() * batches * 4 / 3,
+        );
+    }
+}
+
+/// Decodes batches and records their streams. Returns the number of streams.
+fn apply_batches(values: &[&Bytes]) -> usize {
+    let now = Instant::now();
+    let mut versions = StreamVersions::default();
+    for (number, value) in values.iter().enumerate() {
+        let batch = StreamBatch::try_from(&value[..]).expect("a batch");
+        for (key, version) in batch.streams {
+            // Each batch has other streams.
+            versions.record_announcement(key ^ ((number as u64) << 32), version, now);
+        }
+    }
+    versions.len()
+}
+
+/// Mean duration of a call in microseconds.
+fn micros(call: impl Fn() -> usize) -> f64 {
+    const CALLS: usize = 200;
+    let started = Instant::now();
+    (0..CALLS).for_each(|_| {
+        std::hint::black_box(call());
+    });
+    started.elapsed().as_secs_f64() * 1e6 / CALLS as f64
+}
+
+fn holder_costs() {
     println!("boxes  us a stream (min..max)  holders  datagram bytes  bytes sent/s  kept KB");
     for (boxes, regions) in FLEETS {
         let names: Vec<[String; 3]> = (0..boxes)
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -82,6 +82,16 @@
     /// The version at which the request continues a stream. Its servers qualify in either of the
     /// roles that get requests.
     pub version: Option<VersionHash>,
+    /// Versions whose servers don't qualify for a request that begins a stream.
+    pub unrecorded: &'a [VersionHash],
+}
+
+impl PlacementRequest<'_> {
+    /// Whether a server may get the request.
+    fn admits(&self, candidate: &Candidate) -> bool {
+        candidate.may_run(self.role, self.version)
+            && (self.version.is_some() || !self.unrecorded.contains(&candidate.version))
+    }
 }
 
 /// Servers that may be chosen.
@@ -319,7 +329,7 @@
         let mut candidates = 0;
         let mut best: Option<(f64, Choice)> = None;
         for (id, candidate) in &mut self.servers {
-            let usable = candidate.may_run(request.role, request.version)
+            let usable = request.admits(candidate)
                 && !candidate.path.is_lost()
                 && !request.tried.contains(id);
             if !usable || !is_compared(candidate.hash) {
@@ -452,7 +462,7 @@
         rng: &mut impl Rng,
     ) -> Option<Vec<u64>> {
         let accepts_requests = |candidate: &&Candidate| {
-            candidate.may_run(request.role, request.version)
+            request.admits(candidate)
                 && !candidate.path.is_lost()
                 && self.rest_periods.until(candidate.incarnation, selection.now).is_none()
         };
@@ -472,10 +482,7 @@
     /// Hash of the home server in this region for a prompt's shared prefix.
     fn home(&self, request: PlacementRequest<'_>) -> Option<u64> {
         let prefix = SharedPrefix::of(request.parts)?;
-        let usable = self
-            .servers
-            .values()
-            .filter(|candidate| candidate.may_run(request.role, request.version));
+        let usable = self.servers.values().filter(|candidate| request.admits(candidate));
         usable.map(|candidate| candidate.hash).max_by_key(|hash| prefix.weight(*hash))
     }
 }
--- a/lib/src/coordination/placement/blocked.rs
+++ b/lib/src/coordination/placement/blocked.rs
@@ -43,7 +43,7 @@
             let is_tried = request.tried.contains(&candidate.state.server.id);
             let is_resting =
                 self.rest_periods.until(candidate.incarnation, selection.now).is_some();
-            if !candidate.may_run(request.role, request.version) || is_tried || is_resting {
+            if !request.admits(candidate) || is_tried || is_resting {
                 continue;
             }
             if candidate.path.is_lost() {
@@ -74,7 +74,7 @@
 
     /// Determines why the servers accept no request at all.
     fn unusable(&self, request: PlacementRequest<'_>, now: Instant) -> Blocked {
-        let may_run = |candidate: &&Candidate| candidate.may_run(request.role, request.version);
+        let may_run = |candidate: &&Candidate| request.admits(candidate);
         let servers = self.servers.values();
         let mut usable = servers.filter(may_run).peekable();
         if usable.peek().is_none() {
--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -5,10 +5,16 @@
 //! any box, also after the box that began it is gone, and names only the attempt that brought the
 //! first event. A box that begins a stream keeps its version under a key made from that attempt.
 //! While the service has several versions, it also announces the version to the holders of the key,
-//! a few boxes that any box finds by rendezvous hashing. Nothing is sent while there is a single
-//! version; a box that sees a second one appear then announces the streams that it began before.
+//! a few boxes that any box finds by rendezvous hashing, and to the recorder of its region, which
+//! writes it to the store. Nothing is sent while there is a single version; a box that sees a second
+//! one appear then announces the streams that it began before.
+//!
+//! The store also lists the versions of each service (see
+//! [`version_record`](super::version_record)). A version counts while it has servers, while it is
+//! listed, and until no stream of it can run any more.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -16,20 +22,22 @@
 use std::time::Instant;
 
 use super::rendezvous;
+use super::version_record::VersionRecord;
+use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::VersionHash;
+use crate::protocol::platform::Era;
 
 /// Identifies a stream: the caller's attempt that began it, with its service and team.
 pub type StreamKey = u64;
 /// Hash of a service's name.
-type ServiceHash = u64;
+pub type ServiceHash = u64;
 
-/// How long the version of a stream is kept, and how long a version counts after its last server
-/// is gone. A stream may run for tens of seconds before its caller takes it up.
-const RETENTION: Duration = Duration::from_secs(60);
-/// Age up to which streams are announced when a second version appears. Older ones have ended.
-const MAX_STREAM_AGE: Duration = Duration::from_secs(30);
+/// Minimum duration of the longest stream that any route allows.
+const MIN_LONGEST_STREAM: Duration = Duration::from_secs(30);
+/// Maximum time from the end of a stream until its caller takes it up.
+const MAX_CALLER_PAUSE: Duration = Duration::from_secs(30);
 /// Maximum number of streams kept; the oldest are dropped first.
-const MAX_STREAMS: usize = 50_000;
+const MAX_STREAMS: usize = 200_000;
 /// Minimum number of holders of a stream, if there are so many boxes.
 const MIN_HOLDERS: usize = 3;
 /// Maximum number of holders of a stream.
@@ -54,6 +62,17 @@
     pub address: SocketAddr,
 }
 
+impl<'a> From<&'a BoxRecord> for BoxLocation<'a> {
+    fn from(record: &'a BoxRecord) -> BoxLocation<'a> {
+        BoxLocation {
+            name: &record.name,
+            region: &record.region,
+            failure_domain: &record.failure_domain,
+            address: record.peers,
+        }
+    }
+}
+
 /// The boxes that hold the version of a stream: one in each region, so that one of them is near, and
 /// others if there are few regions, in different failure domains if possible.
 pub fn holders<'a>(
@@ -87,22 +106,59 @@
     noted_at: Instant,
 }
 
-/// Whether a version without servers since `gone_since` still counts.
-fn counts(gone_since: Option<Instant>, now: Instant) -> bool {
-    gone_since.is_none_or(|since| now < since + RETENTION)
+/// The versions of a service.
+#[derive(Debug, Default)]
+struct ServiceVersions {
+    /// The versions that count, and since when no server of them is known.
+    counted: HashMap<VersionHash, Option<Instant>>,
+    /// The versions that the store lists, if it does.
+    recorded: Option<VersionRecord>,
+    /// Whether several versions counted at the last update.
+    had_several: bool,
 }
 
 /// The streams whose version a box knows, and the versions of each service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StreamVersions {
     entries: HashMap<StreamKey, Entry>,
     /// Keys by the time at which they were noted; a key may occur several times.
     noted: VecDeque<(Instant, StreamKey)>,
-    /// Versions of each service, and since when no server of them is known.
-    services: HashMap<ServiceHash, HashMap<VersionHash, Option<Instant>>>,
+    services: HashMap<ServiceHash, ServiceVersions>,
+    /// Duration of the longest stream that a route allows.
+    longest_stream: Duration,
+    /// When this box read its first state from the store, and the era of that.
+    first_state: Option<(Instant, Era)>,
+}
+
+impl Default for StreamVersions {
+    fn default() -> StreamVersions {
+        StreamVersions {
+            entries: HashMap::new(),
+            noted: VecDeque::new(),
+            services: HashMap::new(),
+            longest_stream: MIN_LONGEST_STREAM,
+            first_state: None,
+        }
+    }
 }
 
 impl StreamVersions {
+    /// How long the version of a stream is kept, and how long a version counts after its last server
+    /// is gone.
+    pub fn retention(&self) -> Duration {
+        self.longest_stream + MAX_CALLER_PAUSE
+    }
+
+    /// Sets the longest timeout of a route on which streams may be resumed.
+    pub fn set_longest_stream(&mut self, timeout: Duration) {
+        self.longest_stream = timeout.max(MIN_LONGEST_STREAM);
+    }
+
+    /// Whether a version without servers since `gone_since` still counts.
+    fn counts(&self, gone_since: Option<Instant>, now: Instant) -> bool {
+        gone_since.is_none_or(|since| now < since + self.retention())
+    }
+
     /// Records that this box begins or continues a stream.
     pub fn record_begin(
         &mut self,
@@ -114,7 +170,8 @@
         self.insert(key, Entry { version, began_for: Some(service), noted_at: now });
     }
 
-    /// Records the version that another box announces. A version that is known already stays.
+    /// Records the version that another box or the store tells. A version that is known already
+    /// stays.
     pub fn record_announcement(&mut self, key: StreamKey, version: VersionHash, now: Instant) {
         if self.version(key, now).is_none() {
             self.insert(key, Entry { version, began_for: None, noted_at: now });
@@ -139,35 +196,103 @@
     /// The version at which a stream began, if this box knows it.
     pub fn version(&self, key: StreamKey, now: Instant) -> Option<VersionHash> {
         let entry = self.entries.get(&key)?;
-        (now < entry.noted_at + RETENTION).then_some(entry.version)
+        (now < entry.noted_at + self.retention()).then_some(entry.version)
     }
 
-    /// Records the versions of the known servers of a service. Returns whether there are now
-    /// several, and there was only one before.
+    /// Records the versions of the known servers of a service. Returns whether several versions count
+    /// now, and only one did at the last call.
     pub fn record_versions(
         &mut self,
         service: ServiceHash,
         versions: impl Iterator<Item = VersionHash>,
         now: Instant,
     ) -> bool {
-        let had_several = self.has_several_versions(service, now);
         let known = self.services.entry(service).or_default();
-        for gone_since in known.values_mut() {
+        for gone_since in known.counted.values_mut() {
             gone_since.get_or_insert(now);
         }
-        known.extend(versions.map(|version| (version, None)));
-        !had_several && self.has_several_versions(service, now)
+        known.counted.extend(versions.map(|version| (version, None)));
+        let has_several = self.has_several_versions(service, now);
+        let known = self.services.entry(service).or_default();
+        !std::mem::replace(&mut known.had_several, has_several) && has_several
+    }
+
+    /// Records that this box has read a state of an era from the store.
+    pub fn record_state(&mut self, era: Era, now: Instant) {
+        self.first_state.get_or_insert((now, era));
+    }
+
+    /// Records the versions that the store lists for a service.
+    pub fn apply_record(
+        &mut self,
+        service: ServiceHash,
+        record: Option<VersionRecord>,
+        now: Instant,
+    ) {
+        let known = self.services.entry(service).or_default();
+        for version in record.iter().flat_map(|record| &record.versions) {
+            known.counted.entry(*version).or_insert(Some(now));
+        }
+        known.recorded = record;
+    }
+
+    /// The record that the store should have for a service, if it has another one.
+    pub fn record_to_write(
+        &self,
+        service: ServiceHash,
+        era: Era,
+        now: Instant,
+    ) -> Option<VersionRecord> {
+        let known = self.services.get(&service)?;
+        let counted = known.counted.iter().filter(|(_, gone_since)| self.counts(**gone_since, now));
+        let versions: BTreeSet<VersionHash> = counted.map(|(version, _)| *version).collect();
+        if versions.is_empty() {
+            return None;
+        }
+        let Some(recorded) = &known.recorded else { return Some(VersionRecord { era, versions }) };
+        // After the store was restored from an older copy, only boxes that have run since before, or
+        // for long enough, know that no version is missing.
+        let era = if self.has_seen_before(era, now) { era } else { recorded.era };
+        let record = VersionRecord { era, versions };
+        (record != *recorded).then_some(record)
+    }
+
+    fn has_seen_before(&self, era: Era, now: Instant) -> bool {
+        self.first_state.is_some_and(|(_, first_era)| first_era < era)
+            || self.has_run_for_retention(now)
+    }
+
+    fn has_run_for_retention(&self, now: Instant) -> bool {
+        self.first_state.is_some_and(|(at, _)| now >= at + self.retention())
     }
 
-    /// Whether a service has servers of several versions, or recently had.
+    /// Those of a service's versions at which no resumable stream may begin, because the store lists
+    /// only others.
+    pub fn unrecorded(
+        &self,
+        service: ServiceHash,
+        versions: impl Iterator<Item = VersionHash>,
+    ) -> Vec<VersionHash> {
+        let recorded = self.services.get(&service).and_then(|known| known.recorded.as_ref());
+        let Some(recorded) = recorded else { return Vec::new() };
+        versions.filter(|version| !recorded.versions.contains(version)).collect()
+    }
+
+    /// The versions that the store lists for a service.
+    pub fn recorded_versions(&self, service: ServiceHash) -> Vec<VersionHash> {
+        let recorded = self.services.get(&service).and_then(|known| known.recorded.as_ref());
+        recorded.map_or_else(Vec::new, |record| record.versions.iter().copied().collect())
+    }
+
+    /// Whether several versions of a service count.
     pub fn has_several_versions(&self, service: ServiceHash, now: Instant) -> bool {
         self.count_versions(service, now) > 1
     }
 
-    /// Number of versions of which a service has servers, or recently had.
+    /// Number of versions of a service that count.
     pub fn count_versions(&self, service: ServiceHash, now: Instant) -> usize {
-        let Some(versions) = self.services.get(&service) else { return 0 };
-        versions.values().filter(|gone_since| counts(**gone_since, now)).count()
+        let Some(known) = self.services.get(&service) else { return 0 };
+        known.counted.values().filter(|gone_since| self.counts(**gone_since, now)).count()
     }
 
     /// Streams of a service that this box began and that may still run.
@@ -176,20 +301,31 @@
         service: ServiceHash,
         now: Instant,
     ) -> impl Iterator<Item = (StreamKey, VersionHash)> {
-        let may_run = move |entry: &Entry| {
-            entry.began_for == Some(service) && now < entry.noted_at + MAX_STREAM_AGE
-        };
+        let of_service = self.running_streams(now).filter(move |(of, ..)| *of == service);
+        of_service.map(|(_, key, version)| (key, version))
+    }
+
+    /// Streams that this box began and that may still run, with their services.
+    pub fn running_streams(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (ServiceHash, StreamKey, VersionHash)> {
+        let longest_stream = self.longest_stream;
+        let may_run = move |entry: &Entry| now < entry.noted_at + longest_stream;
         let entries = self.entries.iter().filter(move |(_, entry)| may_run(entry));
-        entries.map(|(key, entry)| (*key, entry.version))
+        entries.filter_map(|(key, entry)| Some((entry.began_for?, *key, entry.version)))
     }
 
     /// Drops what is no longer kept.
     pub fn expire(&mut self, now: Instant) {
-        while self.noted.front().is_some_and(|(noted_at, _)| now >= *noted_at + RETENTION) {
+        let retention = self.retention();
+        while self.noted.front().is_some_and(|(noted_at, _)| now >= *noted_at + retention) {
             self.drop_oldest();
         }
-        for versions in self.services.values_mut() {
-            versions.retain(|_, gone_since| counts(*gone_since, now));
+        for known in self.services.values_mut() {
+            known
+                .counted
+                .retain(|_, gone_since| gone_since.is_none_or(|since| now < since + retention));
         }
     }
 
@@ -219,4 +355,17 @@
     /// Queried streams that the sender doesn't know.
     #[prost(fixed64, repeated, tag = "4")]
     pub unknown: Vec<StreamKey>,
+    /// Services of the queried streams, in their order, if the receiver is to look them up in the
+    /// store.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub queried_services: Vec<ServiceHash>,
+    /// Streams that the receiver is to write to the store.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub begun: Vec<StreamKey>,
+    /// Versions of these streams, in their order.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub begun_versions: Vec<VersionHash>,
+    /// Queried streams that the sender could not look up in the store.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub not_looked_up: Vec<StreamKey>,
 }
--- /dev/null
+++ b/lib/src/coordination/version_record.rs
@@ -0,0 +1,55 @@
+//! The software versions of a service's servers, as the store lists them.
+//!
+//! A box starts a resumable stream only at a version that is listed. A stream of which nothing else
+//! is known therefore began at one of the listed versions, also if every box that knew it is gone.
+//! If a single version is listed, that is the one.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::protocol::fleet::VersionHash;
+use crate::protocol::platform::Era;
+
+/// Maximum number of versions in a record.
+const MAX_VERSIONS: usize = 256;
+
+/// The versions that the store lists for a service.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VersionRecord {
+    /// Era of the store for which the list is complete. A store that was restored from an older copy
+    /// may have lost versions.
+    pub era: Era,
+    /// The versions.
+    pub versions: BTreeSet<VersionHash>,
+}
+
+impl VersionRecord {
+    /// The version at which every stream of the service began that is not known otherwise.
+    pub fn sole_version(&self, era: Era) -> Option<VersionHash> {
+        let sole = self.versions.first().copied().filter(|_| self.versions.len() == 1);
+        sole.filter(|_| self.era == era)
+    }
+
+    /// The value to store.
+    pub fn to_value(&self) -> Bytes {
+        // Serializing numbers can't fail.
+        Bytes::from(serde_json::to_vec(self).unwrap_or_default())
+    }
+}
+
+impl TryFrom<&[u8]> for VersionRecord {
+    type Error = String;
+
+    fn try_from(value: &[u8]) -> Result<VersionRecord, String> {
+        let record: VersionRecord =
+            serde_json::from_slice(value).map_err(|error| error.to_string())?;
+        match record.versions.len() {
+            1..=MAX_VERSIONS => Ok(record),
+            0 => Err("versions: none".to_owned()),
+            _ => Err("versions: too many".to_owned()),
+        }
+    }
+}
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -95,7 +95,7 @@
                 lock(&shared.path_checks).expire(now);
                 lock(&shared.unlisted).expire(now);
                 sender_checks::begin_round(&shared, now);
-                lock(&shared.streams).expire(now);
+                stream_versions::tick(&shared, now);
                 lock(&shared.quotas).tick(quota_fleet(&shared), now);
                 tick_throttles(&shared, now);
                 quarantine::tick(&shared, now);
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -30,6 +30,7 @@
 use super::shared::Shared;
 use super::shared::Snapshot;
 use super::shared::lock;
+use super::stream_records;
 use super::stream_versions;
 use super::throttle;
 use super::unreadable_keys::UnreadableKeys;
@@ -162,6 +163,10 @@
         let lease_task = tokio::spawn(lease_task);
         tokio::spawn(quarantine::write_verdicts(Arc::clone(&self.shared), self.store.clone()));
         tokio::spawn(throttle::write_rates(Arc::clone(&self.shared), self.store.clone()));
+        let records = (Arc::clone(&self.shared), self.store.clone());
+        tokio::spawn(stream_records::write_version_records(records.0.clone(), records.1.clone()));
+        tokio::spawn(stream_records::write_streams(records.0.clone(), records.1.clone()));
+        tokio::spawn(stream_records::answer_lookups(records.0, records.1));
         tokio::spawn(upgrade::judge_upgrades(
             Arc::clone(&self.shared),
             self.store.clone(),
--- a/lib/src/gateway/control/stop.rs
+++ b/lib/src/gateway/control/stop.rs
@@ -12,6 +12,7 @@
 use crate::coordination::drain;
 use crate::coordination::drain::Stage;
 use crate::daemon::StopOutcome;
+use crate::gateway::stream_records;
 use crate::protocol::adapter::Adapter;
 use crate::state::clock;
 use crate::transport::listen::Shutdown;
@@ -68,6 +69,10 @@
         }
         // The send fails if the traffic thread has already ended.
         let _ = self.stop.send(Shutdown::Immediate);
+        let rest = stream_records::write_rest(&self.shared, &self.store);
+        if timer::timeout(FLUSH_TIMEOUT, rest).await.is_err() {
+            log::info!("event=streams_not_written error=\"no answer in time\"");
+        }
         drop(self.record_sender);
         if timer::timeout(FLUSH_TIMEOUT, lease_task).await.is_err() {
             log::info!("event=lease_not_ended error=\"no answer in time\"");
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -11,16 +11,20 @@
 use super::Control;
 use super::Event;
 use crate::coordination::freshness::CHECK_INTERVAL;
+use crate::coordination::stream_batch::StreamBatch;
 use crate::coordination::upgrade::Plan;
+use crate::coordination::version_record::VersionRecord;
 use crate::coordination::watchers;
 use crate::gateway::quarantine;
 use crate::gateway::replica;
 use crate::gateway::shared::lock;
+use crate::gateway::store_keys;
 use crate::gateway::store_keys::BOXES;
 use crate::gateway::store_keys::QUARANTINE;
 use crate::gateway::store_keys::RATES;
 use crate::gateway::store_keys::ROSTER;
 use crate::gateway::store_keys::UPGRADES;
+use crate::gateway::stream_versions;
 use crate::gateway::throttle;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Change;
@@ -77,6 +81,8 @@
 enum ResponseEffect {
     /// No change was applied.
     Unchanged,
+    /// Only keys have changed that are not part of the state.
+    Ignored,
     /// Changes or the complete contents were applied.
     Changed,
     /// The store can't list the changes since the known position. A full read is needed.
@@ -250,7 +256,9 @@
                 last_change_at = (effect != ResponseEffect::Unchanged).then(clock::now);
                 pending = match effect {
                     ResponseEffect::Superseded => self.start_full_read(),
-                    ResponseEffect::Unchanged | ResponseEffect::Changed => PendingCall::Idle,
+                    ResponseEffect::Unchanged
+                    | ResponseEffect::Ignored
+                    | ResponseEffect::Changed => PendingCall::Idle,
                 };
             }
             if self.tick() {
@@ -314,16 +322,19 @@
                 self.record_store_success();
                 self.applied_era = known_position.era;
                 self.applied_position = Position { revision, ..known_position };
-                let has_changes = !changes.is_empty();
+                let effect = match &changes[..] {
+                    [] => ResponseEffect::Unchanged,
+                    changes if changes.iter().all(is_batch_change) => ResponseEffect::Ignored,
+                    _ => ResponseEffect::Changed,
+                };
                 changes.into_iter().for_each(|change| self.apply_change(change));
                 lock(&self.shared.replica).advance_to(Position { revision, ..known_position });
                 self.mark_current(asked_at);
-                if !has_changes {
-                    return ResponseEffect::Unchanged;
+                if effect == ResponseEffect::Changed {
+                    self.publish_changes();
+                    self.shared.region_update.notify_one();
                 }
-                self.publish_changes();
-                self.shared.region_update.notify_one();
-                ResponseEffect::Changed
+                effect
             }
             Ok(SyncResponse::Incremental(_)) | Err(PlatformError::HistoryCompacted) => {
                 log::warn!("event=history_gone after={known_position}");
@@ -385,6 +396,14 @@
                 self.remove_from_replica(&key);
                 throttle::remove_stored_rate(&self.shared, &key);
             }
+            Change::Removed(key) if store_keys::is_batch(&key) => {}
+            Change::Removed(key) if store_keys::recorded_service(&key).is_some() => {
+                self.remove_from_replica(&key);
+                if let Some(service) = store_keys::recorded_service(&key) {
+                    let service = stream_versions::service_hash(service);
+                    lock(&self.shared.streams).versions.apply_record(service, None, now);
+                }
+            }
             Change::Removed(key) if key.starts_with(QUARANTINE) => {
                 self.remove_from_replica(&key);
                 if self.cluster_state.is_settling(now) {
@@ -444,6 +463,13 @@
 
     /// Applies a key that was written.
     fn apply_item(&mut self, item: KeyValue) {
+        if store_keys::is_batch(&item.key) {
+            match StreamBatch::try_from(&item.value[..]) {
+                Ok(batch) => stream_versions::apply_batch(&self.shared, batch),
+                Err(error) => self.unreadable_keys.record(&item.key, &item.value, &error),
+            }
+            return;
+        }
         lock(&self.shared.replica).insert(&item);
         if let Some((region, name)) =
             item.key.strip_prefix(ROSTER).and_then(|entry| entry.split_once('/'))
@@ -467,6 +493,14 @@
             }
             return;
         }
+        if let Some(service) = store_keys::recorded_service(&item.key) {
+            let record = VersionRecord::try_from(&item.value[..]).inspect_err(|error| {
+                self.unreadable_keys.record(&item.key, &item.value, error);
+            });
+            let service = stream_versions::service_hash(service);
+            lock(&self.shared.streams).versions.apply_record(service, record.ok(), clock::now());
+            return;
+        }
         if item.key.starts_with(QUARANTINE) {
             if let Err(error) = quarantine::apply_stored_verdict(&self.shared, &item.value) {
                 self.unreadable_keys.record(&item.key, &item.value, &error.to_string());
@@ -543,6 +577,14 @@
     }
 }
 
+/// Whether a change is of a batch of streams.
+fn is_batch_change(change: &Change) -> bool {
+    match change {
+        Change::Written(item) => store_keys::is_batch(&item.key),
+        Change::Removed(key) => store_keys::is_batch(key),
+    }
+}
+
 /// Reads a plan that was written at a position. Its order was there before it: one that names a later
 /// order would supersede the plans of all orders up to that.
 fn read_plan(value: &[u8], written_at: Position) -> Result<Plan, String> {
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -224,7 +224,7 @@
 ) {
     let told_by = match found.map(|found| found.source) {
         Some(Source::Own) => "box",
-        Some(Source::Holder) => "holder",
+        Some(Source::Other) => "other",
         None => "-",
     };
     log::info!(
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -268,6 +268,10 @@
     }
     let now = clock::now();
     let role = upgrade::draw_role(shared, job, history.tried.is_empty());
+    let unrecorded = match history.version {
+        None => stream_versions::unrecorded_versions(shared, job),
+        Some(_) => Vec::new(),
+    };
     let choose_with_role = |role: Role, tried: &[ServerId]| {
         let chosen = shared.with_service(&job.service, |service| {
             let loads = &lock(&shared.loads);
@@ -281,6 +285,7 @@
                 eligible,
                 role,
                 version: history.version,
+                unrecorded: &unrecorded,
             };
             let place = service.placement.choose(demand, now, &mut rand::rng())?;
             throttles.record_sent(place.incarnation, now);
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod state_transfer;
 pub mod store_keys;
 pub mod stream;
+pub mod stream_records;
 pub mod stream_timing;
 pub mod stream_versions;
 pub mod throttle;
@@ -214,6 +215,9 @@
             upgrade_evidence: Notify::new(),
             streams: Mutex::default(),
             stream_report: Notify::new(),
+            streams_begun: Notify::new(),
+            store_lookups: Notify::new(),
+            version_records: Notify::new(),
             region_update: Notify::new(),
             server_report: Notify::new(),
             global_update: Notify::new(),
@@ -339,6 +343,7 @@
         peers: settings.listen.peers,
         leaving: false,
         weight: settings.weight,
+        records_streams: true,
     }
 }
 
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -19,6 +19,7 @@
 use super::stream_versions;
 use crate::coordination::attempt::AttemptEvent;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::fleet::VersionHash;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::state::latency::Timing;
@@ -121,10 +122,15 @@
         }
     }
 
-    /// Whether the version that began the stream is known, or there is only one.
-    fn knows_version(&self) -> bool {
-        self.stream.version().is_some()
-            || !stream_versions::has_several_versions(&self.shared, &self.job.service)
+    /// The version that began the stream, if it is known. A box of an older build doesn't report it.
+    async fn find_version(&self) -> Option<VersionHash> {
+        match self.stream.version() {
+            Some(version) => Some(version),
+            None => {
+                let found = stream_versions::find_version(&self.shared, &self.job).await?;
+                Some(found.version)
+            }
+        }
     }
 
     /// Resumes the stream on another server.
@@ -144,7 +150,8 @@
             last_event_id,
             &cut,
         );
-        if !self.knows_version() {
+        self.history.version = self.find_version().await;
+        if self.history.version.is_none() {
             return Err(cut);
         }
         match dispatch::resume_stream(&self.shared, &self.job, &mut self.history, last_event_id)
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -194,6 +194,12 @@
     pub streams: Mutex<StreamDirectory>,
     /// Notified when there are reports about streams to send.
     pub stream_report: Notify,
+    /// Notified when streams have begun that the store is to keep.
+    pub streams_begun: Notify,
+    /// Notified when streams are to be looked up in the store.
+    pub store_lookups: Notify,
+    /// Notified when the versions of services may have changed.
+    pub version_records: Notify,
     /// When the store responded to this box again after an outage.
     pub store_recovered_at: Mutex<Option<Instant>>,
     /// Newest era of the store that was reported to this box.
--- a/lib/src/gateway/store_keys.rs
+++ b/lib/src/gateway/store_keys.rs
@@ -17,6 +17,33 @@
 /// Prefix of the plans of upgrades, one for each service.
 pub const UPGRADES: &str = "copperweir/upgrades/";
 
+/// Prefix of what is kept so that streams go on at their versions.
+pub const STREAMS: &str = "copperweir/streams/";
+/// Prefix of the versions of services.
+const VERSIONS: &str = "copperweir/streams/versions/";
+/// Prefix of batches of streams. Boxes don't keep these entries in their copies of the store.
+const BATCHES: &str = "copperweir/streams/batches/";
+
+/// The key of the versions of a service.
+pub fn versions_key(service: &str) -> String {
+    format!("{VERSIONS}{service}")
+}
+
+/// The service whose versions a key holds.
+pub fn recorded_service(key: &str) -> Option<&str> {
+    key.strip_prefix(VERSIONS)
+}
+
+/// One of the keys under which a box writes batches of streams.
+pub fn batch_key(box_name: &str, number: u64) -> String {
+    format!("{BATCHES}{box_name}/{number}")
+}
+
+/// Whether a key holds a batch of streams.
+pub fn is_batch(key: &str) -> bool {
+    key.starts_with(BATCHES)
+}
+
 /// The roster key of a box.
 pub fn roster_key(record: &BoxRecord) -> String {
     format!("{ROSTER}{}/{}", record.region, record.name)
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -1,8 +1,10 @@
 //! Keeps streams at the software version that began them when callers resume them: announces the
 //! versions of streams to other boxes, and queries them for the version of a stream that this box
-//! did not begin.
+//! did not begin. One box of each region, its recorder, also writes the streams to the store and
+//! looks them up there, see [`stream_records`](super::stream_records).
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,36 +25,43 @@
 use crate::coordination::loads::BoxReport;
 use crate::coordination::presence;
 use crate::coordination::rendezvous;
+use crate::coordination::stream_batch::StreamBatch;
 use crate::coordination::stream_versions;
 use crate::coordination::stream_versions::BoxLocation;
+use crate::coordination::stream_versions::ServiceHash;
 use crate::coordination::stream_versions::StreamKey;
 use crate::coordination::stream_versions::StreamReport;
 use crate::coordination::stream_versions::StreamVersions;
 use crate::error::ErrorKind;
 use crate::error::Failure;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::VersionHash;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::timer;
 
-/// Maximum number of streams in a datagram, at 16 bytes each.
-const MAX_STREAMS_PER_REPORT: usize = 300;
-/// Maximum wait for the version of a stream: a round trip between distant regions.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum wait for the holder in this region, which is the only one to be queried while this box
-/// knows a single version. Another box may know of a second one already.
-const NEAR_LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum number of streams of each kind in a datagram, at 64 bytes for one of each.
+const MAX_STREAMS_PER_REPORT: usize = 100;
+/// Maximum wait for other boxes: a round trip between distant regions, or a read of the store by the
+/// recorder. After that, this box reads the store itself.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum wait for the store then.
+const STORE_LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after which a caller is asked to retry if no box knows the version of its stream.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Ranks the boxes of a region to find its recorder.
+const RECORDER_KEY: &str = "streams";
+/// Maximum number of streams that wait to be written to the store; the oldest are dropped first.
+const MAX_UNWRITTEN: usize = 20_000;
 
 /// What told the version of a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
     /// This box began the stream, or is one of its holders.
     Own,
-    /// Another box that holds it.
-    Holder,
+    /// Another box, or the store.
+    Other,
 }
 
 /// The version of a stream, and what told it.
@@ -69,6 +78,7 @@
 struct Lookup {
     /// Hashes of the names of the boxes that have not responded.
     pending: Vec<u64>,
+    service: ServiceHash,
     requests: Vec<oneshot::Sender<Option<VersionHash>>>,
 }
 
@@ -81,12 +91,33 @@
     }
 }
 
+/// A stream to look up in the store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreLookup {
+    /// The stream.
+    pub key: StreamKey,
+    /// Its service.
+    pub service: ServiceHash,
+    /// The box that asked; `None` if it is this one.
+    pub asked_by: Option<SocketAddr>,
+    /// Number of reads of the store that found no list of the service's versions.
+    pub failed_reads: u32,
+}
+
 /// The versions of streams, the pending lookups, and the reports to be sent.
 #[derive(Debug, Default)]
 pub struct StreamDirectory {
-    versions: StreamVersions,
+    /// The versions of streams and services.
+    pub versions: StreamVersions,
     lookups: HashMap<StreamKey, Lookup>,
     outbox: HashMap<SocketAddr, StreamReport>,
+    /// Streams that began here and that the recorder has not been sent.
+    begun: Vec<(StreamKey, VersionHash)>,
+    /// Streams that this box is to write to the store, as the recorder of its region.
+    unwritten: VecDeque<(StreamKey, VersionHash)>,
+    store_lookups: Vec<StoreLookup>,
+    /// Whether the state from the store was too old to rely on when this was last checked.
+    was_aging: bool,
 }
 
 impl StreamDirectory {
@@ -104,53 +135,170 @@
         }
     }
 
-    /// Queries the holders of a stream for its version.
+    /// Takes the streams that began here since the last call.
+    pub fn take_begun(&mut self) -> Vec<(StreamKey, VersionHash)> {
+        std::mem::take(&mut self.begun)
+    }
+
+    /// Sends streams to the recorder at an address.
+    pub fn send_begun(&mut self, recorder: SocketAddr, streams: &[(StreamKey, VersionHash)]) {
+        let report = self.outbox.entry(recorder).or_default();
+        report.begun.extend(streams.iter().map(|(key, _)| *key));
+        report.begun_versions.extend(streams.iter().map(|(_, version)| *version));
+    }
+
+    /// Adds streams that this box is to write to the store.
+    pub fn add_unwritten(&mut self, streams: impl IntoIterator<Item = (StreamKey, VersionHash)>) {
+        self.unwritten.extend(streams);
+        let excess = self.unwritten.len().saturating_sub(MAX_UNWRITTEN);
+        self.unwritten.drain(..excess);
+    }
+
+    /// Takes the streams to write next, in the order in which they began.
+    pub fn take_unwritten(&mut self, count: usize) -> Vec<(StreamKey, VersionHash)> {
+        let count = self.unwritten.len().min(count);
+        self.unwritten.drain(..count).collect()
+    }
+
+    /// Takes the lookups that wait for a read of the store.
+    pub fn take_store_lookups(&mut self) -> Vec<StoreLookup> {
+        std::mem::take(&mut self.store_lookups)
+    }
+
+    /// Adds a lookup that waits for a read of the store.
+    pub fn add_store_lookup(&mut self, lookup: StoreLookup) {
+        self.store_lookups.push(lookup);
+    }
+
+    /// Records that the store could not be read for a lookup. Another box reads it itself.
+    pub fn fail_store_lookup(&mut self, lookup: StoreLookup, own_hash: u64) {
+        match lookup.asked_by {
+            Some(asked_by) => {
+                self.outbox.entry(asked_by).or_default().not_looked_up.push(lookup.key);
+            }
+            None => self.record_unknown(lookup.key, own_hash),
+        }
+    }
+
+    /// Records the result of a read of the store for a box that asked, or for this one.
+    pub fn finish_store_lookup(
+        &mut self,
+        lookup: StoreLookup,
+        version: Option<VersionHash>,
+        own_hash: u64,
+    ) {
+        match lookup.asked_by {
+            Some(asked_by) => self.respond(asked_by, lookup.key, version),
+            None => match version {
+                Some(_) => self.finish_lookup(lookup.key, version),
+                None => self.record_unknown(lookup.key, own_hash),
+            },
+        }
+    }
+
+    fn respond(&mut self, to: SocketAddr, key: StreamKey, version: Option<VersionHash>) {
+        let response = self.outbox.entry(to).or_default();
+        match version {
+            Some(version) => {
+                response.announced.push(key);
+                response.versions.push(version);
+            }
+            None => response.unknown.push(key),
+        }
+    }
+
+    fn finish_lookup(&mut self, key: StreamKey, version: Option<VersionHash>) {
+        if let Some(lookup) = self.lookups.remove(&key) {
+            lookup.finish(version);
+        }
+    }
+
+    /// Records that a box doesn't know a stream. The lookup ends when none of them does.
+    fn record_unknown(&mut self, key: StreamKey, by: u64) {
+        let Some(lookup) = self.lookups.get_mut(&key) else { return };
+        lookup.pending.retain(|holder| *holder != by);
+        if lookup.pending.is_empty() {
+            self.finish_lookup(key, None);
+        }
+    }
+
+    /// Queries the holders of a stream for its version, and the recorder, which is this box if there
+    /// is no other one.
     fn query(
         &mut self,
         holders: &[BoxLocation<'_>],
-        key: StreamKey,
+        recorder: Option<&BoxLocation<'_>>,
+        (key, service): (StreamKey, ServiceHash),
+        own_hash: u64,
     ) -> oneshot::Receiver<Option<VersionHash>> {
         let (sender, receiver) = oneshot::channel();
         let lookup = self.lookups.entry(key).or_default();
+        lookup.service = service;
         lookup.requests.push(sender);
-        for holder in holders {
+        let others =
+            holders.iter().filter(|holder| Some(holder.name) != recorder.map(|box_| box_.name));
+        for holder in others.chain(recorder) {
             lookup.pending.push(presence::box_hash(holder.name));
-            self.outbox.entry(holder.address).or_default().queried.push(key);
+            let report = self.outbox.entry(holder.address).or_default();
+            // The services are those of the first streams.
+            match recorder.is_some_and(|recorder| recorder.name == holder.name) {
+                true => {
+                    report.queried.insert(0, key);
+                    report.queried_services.insert(0, service);
+                }
+                false => report.queried.push(key),
+            }
         }
-        if holders.is_empty()
-            && let Some(lookup) = self.lookups.remove(&key)
-        {
-            lookup.finish(None);
+        if recorder.is_none() {
+            self.query_store(key, own_hash);
         }
         receiver
     }
 
-    fn receive(&mut self, sender: u64, report: &StreamReport, from: SocketAddr, now: Instant) {
+    /// Looks a stream up in the store for a request of this box.
+    fn query_store(&mut self, key: StreamKey, own_hash: u64) {
+        let Some(lookup) = self.lookups.get_mut(&key) else { return };
+        if !lookup.pending.contains(&own_hash) {
+            lookup.pending.push(own_hash);
+            let service = lookup.service;
+            self.store_lookups.push(StoreLookup { key, service, asked_by: None, failed_reads: 0 });
+        }
+    }
+
+    fn receive(
+        &mut self,
+        sender: u64,
+        report: &StreamReport,
+        from: SocketAddr,
+        own_hash: u64,
+        now: Instant,
+    ) {
         for (key, version) in report.announced.iter().zip(&report.versions) {
             self.versions.record_announcement(*key, *version, now);
-            if let Some(lookup) = self.lookups.remove(key) {
-                lookup.finish(Some(*version));
-            }
+            self.finish_lookup(*key, Some(*version));
+        }
+        let begun = report.begun.iter().copied().zip(report.begun_versions.iter().copied());
+        for (key, version) in begun.clone() {
+            self.versions.record_announcement(key, version, now);
         }
-        for key in &report.queried {
+        self.add_unwritten(begun);
+        for (number, key) in report.queried.iter().enumerate() {
             let version = self.versions.version(*key, now);
-            let response = self.outbox.entry(from).or_default();
-            match version {
-                Some(version) => {
-                    response.announced.push(*key);
-                    response.versions.push(version);
-                }
-                None => response.unknown.push(*key),
+            match report.queried_services.get(number) {
+                Some(service) if version.is_none() => self.store_lookups.push(StoreLookup {
+                    key: *key,
+                    service: *service,
+                    asked_by: Some(from),
+                    failed_reads: 0,
+                }),
+                _ => self.respond(from, *key, version),
             }
         }
-        for key in &report.unknown {
-            let Some(lookup) = self.lookups.get_mut(key) else { continue };
-            lookup.pending.retain(|holder| *holder != sender);
-            if lookup.pending.is_empty()
-                && let Some(lookup) = self.lookups.remove(key)
-            {
-                lookup.finish(None);
-            }
+        for key in &report.not_looked_up {
+            self.query_store(*key, own_hash);
+        }
+        for key in report.unknown.iter().chain(&report.not_looked_up) {
+            self.record_unknown(*key, sender);
         }
     }
 }
@@ -168,24 +316,50 @@
         failure_domain: &settings.failure_domain,
         address: settings.listen.peers,
     };
-    let others = snapshot.boxes.iter().map(|other| BoxLocation {
-        name: &other.name,
-        region: &other.region,
-        failure_domain: &other.failure_domain,
-        address: other.peers,
-    });
+    let others = snapshot.boxes.iter().map(BoxLocation::from);
     let mut holders = stream_versions::holders(key, others.chain([own]));
     holders.retain(|holder| holder.name != own.name);
     holders
 }
 
+/// The box that writes the streams of this region to the store; `None` if it is this one. Before any
+/// box was heard, as just after a start, every listed box counts as running.
+pub fn other_recorder<'a, A>(
+    shared: &'a Shared<A>,
+    snapshot: &'a Snapshot,
+    now: Instant,
+) -> Option<BoxLocation<'a>> {
+    let presence = lock(&shared.presence);
+    let is_heard = |other: &&BoxRecord| presence.has_recent_datagram(&other.name, now);
+    let candidates = || {
+        snapshot.boxes.iter().filter(|other| {
+            other.region == shared.settings.region && other.records_streams && !other.leaving
+        })
+    };
+    let any_heard = candidates().any(|other| is_heard(&other));
+    let running = candidates().filter(|other| !any_heard || is_heard(other));
+    let first = running.max_by_key(|other| recorder_rank(&other.name))?;
+    (recorder_rank(&first.name) > recorder_rank(&shared.settings.name))
+        .then(|| BoxLocation::from(first))
+}
+
+/// Rank of a box among those of its region that may be its recorder; the highest one is.
+pub fn recorder_rank(name: &str) -> u64 {
+    rendezvous::weight(name, RECORDER_KEY)
+}
+
 fn stream_key(job: &Job, attempt: &str) -> StreamKey {
     let team = job.team.as_ref().map_or("", |team| team.name.as_str());
     stream_versions::stream_key(attempt, &job.service, team)
 }
 
+/// Hash of a service's name.
+pub fn service_hash(service: &str) -> ServiceHash {
+    rendezvous::weight(service, "")
+}
+
 /// Records the version of a stream whose first event is about to be forwarded to its caller, and
-/// announces it while the service has several versions.
+/// announces it while the service has several versions, or may have without this box knowing.
 pub fn record_begin<A: Adapter>(shared: &Shared<A>, job: &Job, version: Option<VersionHash>) {
     let Some(version) = version.filter(|_| job.origin == Origin::Caller && job.route.resumable)
     else {
@@ -193,14 +367,34 @@
     };
     let now = clock::now();
     let key = stream_key(job, job.first_attempt());
-    let service = rendezvous::weight(&job.service, "");
+    let service = service_hash(&job.service);
+    let is_aging = lock(&shared.freshness).is_aging(now);
     let has_several = {
         let mut directory = lock(&shared.streams);
         directory.versions.record_begin(key, service, version, now);
         directory.versions.has_several_versions(service, now)
     };
+    let streams = [(key, version)];
     if has_several {
-        announce(shared, &shared.snapshot.load(), &[(key, version)]);
+        record_in_store(shared, &streams);
+    }
+    if has_several || is_aging {
+        announce(shared, &shared.snapshot.load(), &streams);
+    }
+}
+
+/// Has the recorder of this region write streams to the store.
+fn record_in_store<A>(shared: &Shared<A>, streams: &[(StreamKey, VersionHash)]) {
+    lock(&shared.streams).begun.extend(streams);
+    shared.streams_begun.notify_one();
+}
+
+/// Records streams that the store keeps.
+pub fn apply_batch<A>(shared: &Shared<A>, batch: StreamBatch) {
+    let now = clock::now();
+    let versions = &mut lock(&shared.streams).versions;
+    for (key, version) in batch.streams {
+        versions.record_announcement(key, version, now);
     }
 }
 
@@ -220,20 +414,53 @@
     let mut streams: Vec<(StreamKey, VersionHash)> = Vec::new();
     {
         let known = &mut lock(&shared.streams).versions;
+        if let Some(routing) = &snapshot.routing {
+            known.set_longest_stream(routing.longest_stream());
+            known.record_state(snapshot.state.position.era, now);
+        }
         for (service, versions) in &snapshot.software {
-            let service = rendezvous::weight(service, "");
+            let service = service_hash(service);
             if known.record_versions(service, versions.keys().copied(), now) {
                 streams.extend(known.own_streams(service, now));
             }
         }
     }
+    shared.version_records.notify_one();
     if !streams.is_empty() {
+        record_in_store(shared, &streams);
         announce(shared, snapshot, &streams);
     }
 }
 
-/// The version at which a request must run because it continues a stream; `None` if any version may
-/// run it. A stream of unknown version may continue only while there is a single one.
+/// Announces the running streams of this box when its state from the store gets too old to tell
+/// whether there is a second version.
+pub fn tick<A: Adapter>(shared: &Shared<A>, now: Instant) {
+    let is_aging = lock(&shared.freshness).is_aging(now);
+    let streams: Vec<(StreamKey, VersionHash)> = {
+        let mut directory = lock(&shared.streams);
+        directory.expire(now);
+        let was_aging = std::mem::replace(&mut directory.was_aging, is_aging);
+        let running = directory.versions.running_streams(now);
+        running.filter(|_| is_aging && !was_aging).map(|(_, key, version)| (key, version)).collect()
+    };
+    if !streams.is_empty() {
+        announce(shared, &shared.snapshot.load(), &streams);
+    }
+}
+
+/// Versions of the service of a request at which it must not begin a stream, because a box that
+/// starts later could not tell that they had streams.
+pub fn unrecorded_versions<A>(shared: &Shared<A>, job: &Job) -> Vec<VersionHash> {
+    let snapshot = shared.snapshot.load();
+    let Some(versions) = snapshot.software.get(&job.service).filter(|_| job.route.resumable) else {
+        return Vec::new();
+    };
+    let service = service_hash(&job.service);
+    lock(&shared.streams).versions.unrecorded(service, versions.keys().copied())
+}
+
+/// The version at which a request must run because it continues a stream; `None` if it continues
+/// none. A stream of unknown version is refused.
 pub async fn version_to_continue<A: Adapter>(
     shared: &Arc<Shared<A>>,
     job: &Job,
@@ -245,51 +472,47 @@
         return Ok(None);
     }
     shared.counters.increment(Counter::StreamsResumed);
-    let found = match &job.metadata.resumes {
-        Some(attempt) => find_version(shared, job, stream_key(job, attempt)).await,
-        None => None,
-    };
+    let found = find_version(shared, job).await;
     let known_versions = {
-        let service = rendezvous::weight(&job.service, "");
+        let service = service_hash(&job.service);
         lock(&shared.streams).versions.count_versions(service, clock::now())
     };
     decision_log::stream_resumed(job, found, known_versions, shared.state_age_ms());
-    let version = found.map(|found| found.version);
-    if version.is_some() || !has_several_versions(shared, &job.service) {
-        return Ok(version);
+    if let Some(FoundVersion { version, .. }) = found {
+        return Ok(Some(version));
     }
     shared.counters.increment(Counter::StreamsOfUnknownVersion);
     let message = "the software version that began the stream is unknown";
     Err(Failure::new(ErrorKind::NoServer, message).with_retry_after(UNKNOWN_RETRY_AFTER))
 }
 
-/// Whether a service has servers of several versions, or recently had.
-pub fn has_several_versions<A>(shared: &Shared<A>, service: &str) -> bool {
-    let service = rendezvous::weight(service, "");
-    lock(&shared.streams).versions.has_several_versions(service, clock::now())
-}
-
-/// Looks the version of a stream up here, and then at its holders.
-async fn find_version<A: Adapter>(
-    shared: &Arc<Shared<A>>,
-    job: &Job,
-    key: StreamKey,
-) -> Option<FoundVersion> {
-    let has_several = has_several_versions(shared, &job.service);
-    let timeout = if has_several { LOOKUP_TIMEOUT } else { NEAR_LOOKUP_TIMEOUT };
-    if let Some(version) = lock(&shared.streams).versions.version(key, clock::now()) {
+/// Looks the version of a request's stream up here, then at the holders and the recorder, and last in
+/// the store.
+pub async fn find_version<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job) -> Option<FoundVersion> {
+    let (key, service) = (stream_key(job, job.first_attempt()), service_hash(&job.service));
+    let own_hash = presence::box_hash(&shared.settings.name);
+    let now = clock::now();
+    if let Some(version) = lock(&shared.streams).versions.version(key, now) {
         return Some(FoundVersion { version, source: Source::Own });
     }
-    let response = {
+    let mut response = {
         let snapshot = shared.snapshot.load();
-        let mut holders = other_holders(shared, &snapshot, key);
-        holders.retain(|holder| has_several || holder.region == shared.settings.region);
-        lock(&shared.streams).query(&holders, key)
+        let holders = other_holders(shared, &snapshot, key);
+        let recorder = other_recorder(shared, &snapshot, now);
+        lock(&shared.streams).query(&holders, recorder.as_ref(), (key, service), own_hash)
     };
     shared.stream_report.notify_one();
-    let version =
-        timer::timeout(timeout.min(job.time_left(clock::now())), response).await.ok()?.ok()?;
-    version.map(|version| FoundVersion { version, source: Source::Holder })
+    shared.store_lookups.notify_one();
+    let time_left = job.time_left(now);
+    let version = match timer::timeout(QUERY_TIMEOUT.min(time_left), &mut response).await {
+        Ok(version) => version.ok()?,
+        Err(_) => {
+            lock(&shared.streams).query_store(key, own_hash);
+            shared.store_lookups.notify_one();
+            timer::timeout(STORE_LOOKUP_TIMEOUT.min(time_left), response).await.ok()?.ok()?
+        }
+    };
+    version.map(|version| FoundVersion { version, source: Source::Other })
 }
 
 /// Applies a report about streams, and responds to its queries.
@@ -301,7 +524,10 @@
     now: Instant,
 ) {
     let Some(streams) = &report.streams else { return };
-    lock(&shared.streams).receive(report.sender, streams, from, now);
+    let own_hash = presence::box_hash(&shared.settings.name);
+    lock(&shared.streams).receive(report.sender, streams, from, own_hash, now);
+    shared.streams_begun.notify_one();
+    shared.store_lookups.notify_one();
     send_reports(shared, socket);
 }
 
@@ -336,6 +562,10 @@
             versions: take(&mut report.versions),
             queried: take(&mut report.queried),
             unknown: take(&mut report.unknown),
+            queried_services: take(&mut report.queried_services),
+            begun: take(&mut report.begun),
+            begun_versions: take(&mut report.begun_versions),
+            not_looked_up: take(&mut report.not_looked_up),
         });
     }
     parts
--- a/lib/src/protocol/fleet.rs
+++ b/lib/src/protocol/fleet.rs
@@ -64,6 +64,10 @@
     pub leaving: bool,
     /// The relative capacity of the box: its share of the processor.
     pub weight: f64,
+    /// Whether the box can write the streams of its region to the store. Boxes of older builds can't,
+    /// and would hand such entries on to all boxes.
+    #[serde(default)]
+    pub records_streams: bool,
 }
 
 impl BoxRecord {
--- a/lib/src/protocol/routing.rs
+++ b/lib/src/protocol/routing.rs
@@ -2,6 +2,7 @@
 //! executes them. A [`Routing`] is one immutable version of the whole table.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -157,6 +158,23 @@
         Routing { version, services, limits, teams: None, routes_by_host }
     }
 
+    /// The longest timeout of a route on which streams may be resumed.
+    pub fn longest_stream(&self) -> Duration {
+        self.resumable_routes().map(|route| route.timeout).max().unwrap_or_default()
+    }
+
+    /// The services of routes on which streams may be resumed.
+    pub fn streaming_services(&self) -> BTreeSet<&ServiceId> {
+        self.resumable_routes()
+            .flat_map(|route| &route.services)
+            .map(|(service, _)| service)
+            .collect()
+    }
+
+    fn resumable_routes(&self) -> impl Iterator<Item = &std::sync::Arc<Route>> {
+        self.routes_by_host.values().flatten().filter(|route| route.resumable)
+    }
+
     /// Sets the teams whose keys are required.
     pub fn with_teams(self, teams: Option<Teams>) -> Routing {
         Routing { teams, ..self }
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -51,6 +51,7 @@
     Retries "retries" "Attempts after the first.";
     RetriesDenied "retries_denied" "Retries that the retry budget did not allow.";
     StreamsResumed "streams_resumed" "Streams that callers resumed with another request.";
+    StreamBatches "stream_batches" "Batches of streams that were written to the store, so that they can go on after all boxes have started anew.";
     StreamsOfUnknownVersion "streams_of_unknown_version" "Streams that were not continued because the software version that began them is unknown.";
     Queued "queued" "Requests that waited for a slot.";
     ForwardedOut "forwarded_out" "Requests sent to another box.";
--- a/lib/tests/common/propagation.rs
+++ b/lib/tests/common/propagation.rs
@@ -126,6 +126,7 @@
                     peers: address(number),
                     leaving: false,
                     weight: 1.0,
+                    records_streams: true,
                 },
                 same_region: (0..setting.boxes)
                     .filter(|other| *other != number && other % REGIONS == number % REGIONS)
--- a/lib/tests/common/upgrades.rs
+++ b/lib/tests/common/upgrades.rs
@@ -385,5 +385,6 @@
         peers: ([127, 0, 0, 1], 2).into(),
         leaving: false,
         weight: 1.0,
+        records_streams: true,
     }
 }
--- a/lib/tests/test_cluster_state.rs
+++ b/lib/tests/test_cluster_state.rs
@@ -57,6 +57,7 @@
         peers: ([10, 0, 0, 2], 81).into(),
         leaving: false,
         weight: 1.0,
+        records_streams: true,
     }
 }
 
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -33,6 +33,7 @@
         peers: ([10, 0, 0, number], 81).into(),
         leaving,
         weight: 1.0,
+        records_streams: true,
     }
 }
 
--- a/lib/tests/test_learning.rs
+++ b/lib/tests/test_learning.rs
@@ -107,6 +107,7 @@
             eligible: Eligible::Healthy,
             role: Role::Serving,
             version: None,
+            unrecorded: &[],
         };
         self.placement.choose(demand, self.now, &mut self.rng)
     }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -133,6 +133,7 @@
             eligible,
             role: Role::Serving,
             version,
+            unrecorded: &[],
         };
         self.placement.choose(demand, self.now, &mut self.rng)
     }
