streams: lists of versions prove only what they can

- The first list of a fleet that had run before was proof at once, so that a stream of a version that had just left would have been joined after a release of this build, or after the list was lost.
A list now says whether it is complete: at once in a new fleet, else after a retention.
- Boxes that started at different times added a version that had left and took it from the list in turn, without end, so that streams were written for good.
Versions without servers are no longer added, and what is listed isn't counted anew.
The listed versions are an allow-list now.
- A shorter route timeout took effect for streams that had begun before.
- A version that an asker or holder knew was forgotten after a retention, while its caller repeated the request that had been refused.
- A removal that is done late, or by a box with an old state, could take a version from the list that serves again.
Only a box whose state is current removes, and versions that a box saw listed count for it for a retention.
- A box vouched for the list of a new era if it had seen any earlier one.
- Keys of batches were reused after a restart, and did not last as long as streams on routes with long timeouts; a lease was granted for each batch there.
- Requests waited for the lock while all stored streams were applied.
- A refused write of one list held up the others; streams that wait for a list are counted.

--- a/lib/src/coordination/mod.rs
+++ b/lib/src/coordination/mod.rs
@@ -59,6 +59,6 @@
 pub mod unlisted;
 pub mod upgrade;
 pub mod urgency;
-pub mod version_record;
+pub mod version_list;
 pub mod warmup;
 pub mod watchers;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -82,15 +82,16 @@
     /// The version at which the request continues a stream. Its servers qualify in either of the
     /// roles that get requests.
     pub version: Option<VersionHash>,
-    /// Versions whose servers don't qualify for a request that begins a stream.
-    pub unrecorded: &'a [VersionHash],
+    /// Versions at which a request that begins a stream may run; `None` if any may.
+    pub listed: Option<&'a [VersionHash]>,
 }
 
 impl PlacementRequest<'_> {
     /// Whether a server may get the request.
     fn admits(&self, candidate: &Candidate) -> bool {
         candidate.may_run(self.role, self.version)
-            && (self.version.is_some() || !self.unrecorded.contains(&candidate.version))
+            && (self.version.is_some()
+                || self.listed.is_none_or(|listed| listed.contains(&candidate.version)))
     }
 }
 
--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -9,9 +9,9 @@
 //! writes it to the store. Nothing is sent while there is a single version; a box that sees a second
 //! one appear then announces the streams that it began before.
 //!
-//! The store also lists the versions of each service (see
-//! [`version_record`](super::version_record)). A version counts while it has servers, while it is
-//! listed, and until no stream of it can run any more.
+//! The store also lists the versions of each service (see [`version_list`](super::version_list)). A
+//! version counts while it has servers and until no stream of it can run any more; a version that a
+//! box finds in a list counts as if its servers had just left.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -22,7 +22,7 @@
 use std::time::Instant;
 
 use super::rendezvous;
-use super::version_record::VersionRecord;
+use super::version_list::VersionList;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::VersionHash;
 use crate::protocol::platform::Era;
@@ -106,13 +106,22 @@
     noted_at: Instant,
 }
 
+/// A version of a service that counts.
+#[derive(Clone, Copy, Debug, Default)]
+struct CountedVersion {
+    /// Since when no server of it is known.
+    gone_since: Option<Instant>,
+    /// Whether the store has listed it, so that streams may have begun at it.
+    was_listed: bool,
+}
+
 /// The versions of a service.
 #[derive(Debug, Default)]
 struct ServiceVersions {
-    /// The versions that count, and since when no server of them is known.
-    counted: HashMap<VersionHash, Option<Instant>>,
+    /// The versions that count.
+    counted: HashMap<VersionHash, CountedVersion>,
     /// The versions that the store lists, if it does.
-    recorded: Option<VersionRecord>,
+    list: Option<VersionList>,
     /// Whether several versions counted at the last update.
     had_several: bool,
 }
@@ -124,10 +133,15 @@
     /// Keys by the time at which they were noted; a key may occur several times.
     noted: VecDeque<(Instant, StreamKey)>,
     services: HashMap<ServiceHash, ServiceVersions>,
-    /// Duration of the longest stream that a route allows.
+    /// Duration of the longest stream that a route allows, or allowed lately.
     longest_stream: Duration,
-    /// When this box read its first state from the store, and the era of that.
-    first_state: Option<(Instant, Era)>,
+    /// Since when no route allows streams as long as that.
+    shortened_at: Option<Instant>,
+    /// Era of the store in which this box's state was read, and since when it knows that era.
+    era: Option<(Era, Instant)>,
+    /// Whether this box is the first of its name, so that the fleet has not begun streams before; `None`
+    /// if that is not known yet.
+    is_first_start: Option<bool>,
 }
 
 impl Default for StreamVersions {
@@ -137,7 +151,9 @@
             noted: VecDeque::new(),
             services: HashMap::new(),
             longest_stream: MIN_LONGEST_STREAM,
-            first_state: None,
+            shortened_at: None,
+            era: None,
+            is_first_start: None,
         }
     }
 }
@@ -149,9 +165,17 @@
         self.longest_stream + MAX_CALLER_PAUSE
     }
 
-    /// Sets the longest timeout of a route on which streams may be resumed.
-    pub fn set_longest_stream(&mut self, timeout: Duration) {
-        self.longest_stream = timeout.max(MIN_LONGEST_STREAM);
+    /// Sets the longest timeout of a route on which streams may be resumed. Streams that began under
+    /// a longer one may still run.
+    pub fn set_longest_stream(&mut self, timeout: Duration, now: Instant) {
+        let timeout = timeout.max(MIN_LONGEST_STREAM);
+        if timeout < self.longest_stream
+            && now < *self.shortened_at.get_or_insert(now) + self.retention()
+        {
+            return;
+        }
+        self.longest_stream = timeout;
+        self.shortened_at = None;
     }
 
     /// Whether a version without servers since `gone_since` still counts.
@@ -199,6 +223,15 @@
         (now < entry.noted_at + self.retention()).then_some(entry.version)
     }
 
+    /// The version at which a stream began, for a caller that resumes it. The version is kept longer,
+    /// because the caller may repeat its request.
+    pub fn look_up(&mut self, key: StreamKey, now: Instant) -> Option<VersionHash> {
+        let version = self.version(key, now)?;
+        let entry = *self.entries.get(&key)?;
+        self.insert(key, Entry { noted_at: now, ..entry });
+        Some(version)
+    }
+
     /// Records the versions of the known servers of a service. Returns whether several versions count
     /// now, and only one did at the last call.
     pub fn record_versions(
@@ -208,80 +241,100 @@
         now: Instant,
     ) -> bool {
         let known = self.services.entry(service).or_default();
-        for gone_since in known.counted.values_mut() {
-            gone_since.get_or_insert(now);
+        for version in known.counted.values_mut() {
+            version.gone_since.get_or_insert(now);
+        }
+        for version in versions {
+            known.counted.entry(version).or_default().gone_since = None;
         }
-        known.counted.extend(versions.map(|version| (version, None)));
         let has_several = self.has_several_versions(service, now);
         let known = self.services.entry(service).or_default();
         !std::mem::replace(&mut known.had_several, has_several) && has_several
     }
 
-    /// Records that this box has read a state of an era from the store.
+    /// Records the era of the state that this box has read from the store.
     pub fn record_state(&mut self, era: Era, now: Instant) {
-        self.first_state.get_or_insert((now, era));
+        if self.era.is_none_or(|(known, _)| known != era) {
+            self.era = Some((era, now));
+        }
+    }
+
+    /// Records whether no box has run under this box's name before.
+    pub fn record_start(&mut self, is_first: bool) {
+        self.is_first_start.get_or_insert(is_first);
     }
 
     /// Records the versions that the store lists for a service.
-    pub fn apply_record(
-        &mut self,
-        service: ServiceHash,
-        record: Option<VersionRecord>,
-        now: Instant,
-    ) {
+    pub fn apply_list(&mut self, service: ServiceHash, list: Option<VersionList>, now: Instant) {
         let known = self.services.entry(service).or_default();
-        for version in record.iter().flat_map(|record| &record.versions) {
-            known.counted.entry(*version).or_insert(Some(now));
+        for version in list.iter().flat_map(|list| &list.versions) {
+            let gone = CountedVersion { gone_since: Some(now), was_listed: true };
+            known.counted.entry(*version).or_insert(gone).was_listed = true;
         }
-        known.recorded = record;
+        known.list = list;
     }
 
-    /// The record that the store should have for a service, if it has another one.
-    pub fn record_to_write(
+    /// The list that the store should have for a service, if it has another one. Only a box whose
+    /// state is current may take versions from the list.
+    pub fn list_to_write(
         &self,
         service: ServiceHash,
-        era: Era,
+        is_current: bool,
         now: Instant,
-    ) -> Option<VersionRecord> {
+    ) -> Option<VersionList> {
         let known = self.services.get(&service)?;
-        let counted = known.counted.iter().filter(|(_, gone_since)| self.counts(**gone_since, now));
-        let versions: BTreeSet<VersionHash> = counted.map(|(version, _)| *version).collect();
+        let (era, _) = self.era?;
+        let is_listed = |version: &VersionHash| {
+            known.list.as_ref().is_some_and(|list| list.versions.contains(version))
+        };
+        // A version without servers is never added: boxes that count it for different times would
+        // add and remove it in turn.
+        let counted = self.counted(known, now);
+        let kept =
+            counted.filter(|(version, counted)| counted.gone_since.is_none() || is_listed(version));
+        let mut versions: BTreeSet<VersionHash> = kept.map(|(version, _)| version).collect();
+        if let Some(list) = known.list.as_ref().filter(|_| !is_current) {
+            versions.extend(&list.versions);
+        }
         if versions.is_empty() {
             return None;
         }
-        let Some(recorded) = &known.recorded else { return Some(VersionRecord { era, versions }) };
-        // After the store was restored from an older copy, only boxes that have run since before, or
-        // for long enough, know that no version is missing.
-        let era = if self.has_seen_before(era, now) { era } else { recorded.era };
-        let record = VersionRecord { era, versions };
-        (record != *recorded).then_some(record)
+        let Some(list) = &known.list else {
+            let complete = self.is_first_start? || self.has_known_era(now);
+            return Some(VersionList { era, versions, complete });
+        };
+        // A list from before the store was restored may have lost versions that still have streams.
+        let (era, complete) = match self.has_known_era(now) {
+            true => (era, true),
+            false => {
+                (list.era, list.complete || (self.is_first_start == Some(true) && list.era == era))
+            }
+        };
+        let new = VersionList { era, versions, complete };
+        (new != *list).then_some(new)
     }
 
-    fn has_seen_before(&self, era: Era, now: Instant) -> bool {
-        self.first_state.is_some_and(|(_, first_era)| first_era < era)
-            || self.has_run_for_retention(now)
+    /// Whether this box has known the store's era for as long as streams may run.
+    fn has_known_era(&self, now: Instant) -> bool {
+        self.era.is_some_and(|(_, since)| now >= since + self.retention())
     }
 
-    fn has_run_for_retention(&self, now: Instant) -> bool {
-        self.first_state.is_some_and(|(at, _)| now >= at + self.retention())
+    /// Since when this box has a state.
+    pub fn known_since(&self) -> Option<Instant> {
+        self.era.map(|(_, since)| since)
     }
 
-    /// Those of a service's versions at which no resumable stream may begin, because the store lists
-    /// only others.
-    pub fn unrecorded(
-        &self,
-        service: ServiceHash,
-        versions: impl Iterator<Item = VersionHash>,
-    ) -> Vec<VersionHash> {
-        let recorded = self.services.get(&service).and_then(|known| known.recorded.as_ref());
-        let Some(recorded) = recorded else { return Vec::new() };
-        versions.filter(|version| !recorded.versions.contains(version)).collect()
+    /// The versions at which resumable streams of a service may begin; `None` if the store lists none.
+    pub fn listed_versions(&self, service: ServiceHash) -> Option<Vec<VersionHash>> {
+        let list = self.services.get(&service)?.list.as_ref()?;
+        Some(list.versions.iter().copied().collect())
     }
 
-    /// The versions that the store lists for a service.
-    pub fn recorded_versions(&self, service: ServiceHash) -> Vec<VersionHash> {
-        let recorded = self.services.get(&service).and_then(|known| known.recorded.as_ref());
-        recorded.map_or_else(Vec::new, |record| record.versions.iter().copied().collect())
+    /// Whether the list of a service tells the version of streams that nobody knows.
+    pub fn has_proof(&self, service: ServiceHash) -> bool {
+        let list = self.services.get(&service).and_then(|known| known.list.as_ref());
+        let Some((era, _)) = self.era else { return false };
+        list.is_some_and(|list| list.sole_version(era).is_some())
     }
 
     /// Whether several versions of a service count.
@@ -292,7 +345,36 @@
     /// Number of versions of a service that count.
     pub fn count_versions(&self, service: ServiceHash, now: Instant) -> usize {
         let Some(known) = self.services.get(&service) else { return 0 };
-        known.counted.values().filter(|gone_since| self.counts(**gone_since, now)).count()
+        self.counted(known, now).count()
+    }
+
+    fn counted<'a>(
+        &'a self,
+        known: &'a ServiceVersions,
+        now: Instant,
+    ) -> impl Iterator<Item = (VersionHash, CountedVersion)> + 'a {
+        let counted = known.counted.iter().map(|(version, counted)| (*version, *counted));
+        counted.filter(move |(_, counted)| self.counts(counted.gone_since, now))
+    }
+
+    /// The version at which a stream of a service began that is not known otherwise, by the list that
+    /// the store has now. A version that left the list lately counts as well, because a write may have
+    /// been late. Unless `all_wait_for_list`, so do versions that were never listed.
+    pub fn sole_version(
+        &self,
+        service: ServiceHash,
+        stored: (&VersionList, Era),
+        all_wait_for_list: bool,
+        now: Instant,
+    ) -> Option<VersionHash> {
+        let (list, era) = stored;
+        let sole = list.sole_version(era)?;
+        let is_other = |(version, counted): (VersionHash, CountedVersion)| {
+            version != sole && (counted.was_listed || !all_wait_for_list)
+        };
+        let known = self.services.get(&service);
+        let has_other = known.is_some_and(|known| self.counted(known, now).any(is_other));
+        (!has_other).then_some(sole)
     }
 
     /// Streams of a service that this box began and that may still run.
@@ -322,10 +404,12 @@
         while self.noted.front().is_some_and(|(noted_at, _)| now >= *noted_at + retention) {
             self.drop_oldest();
         }
-        for known in self.services.values_mut() {
-            known
-                .counted
-                .retain(|_, gone_since| gone_since.is_none_or(|since| now < since + retention));
+        for ServiceVersions { counted, list, .. } in self.services.values_mut() {
+            // What is still listed would be counted anew with the next state.
+            counted.retain(|version, CountedVersion { gone_since, .. }| {
+                gone_since.is_none_or(|since| now < since + retention)
+                    || list.as_ref().is_some_and(|list| list.versions.contains(version))
+            });
         }
     }
 
--- a/lib/src/coordination/version_record.rs
+++ b/lib/src/coordination/version_list.rs
@@ -2,7 +2,7 @@
 //!
 //! A box starts a resumable stream only at a version that is listed. A stream of which nothing else
 //! is known therefore began at one of the listed versions, also if every box that knew it is gone.
-//! If a single version is listed, that is the one.
+//! If a single version is listed, and the list was complete all the time, that is the one.
 
 use std::collections::BTreeSet;
 
@@ -13,24 +13,31 @@
 use crate::protocol::fleet::VersionHash;
 use crate::protocol::platform::Era;
 
-/// Maximum number of versions in a record.
+/// Maximum number of versions in a list.
 const MAX_VERSIONS: usize = 256;
 
 /// The versions that the store lists for a service.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct VersionRecord {
+pub struct VersionList {
     /// Era of the store for which the list is complete. A store that was restored from an older copy
     /// may have lost versions.
     pub era: Era,
     /// The versions.
     pub versions: BTreeSet<VersionHash>,
+    /// Whether no stream can run that began at another version, before there was a list.
+    pub complete: bool,
 }
 
-impl VersionRecord {
+impl VersionList {
     /// The version at which every stream of the service began that is not known otherwise.
     pub fn sole_version(&self, era: Era) -> Option<VersionHash> {
         let sole = self.versions.first().copied().filter(|_| self.versions.len() == 1);
-        sole.filter(|_| self.era == era)
+        sole.filter(|_| self.is_complete(era))
+    }
+
+    /// Whether the list is complete in an era of the store.
+    pub fn is_complete(&self, era: Era) -> bool {
+        self.complete && self.era == era
     }
 
     /// The value to store.
@@ -40,14 +47,13 @@
     }
 }
 
-impl TryFrom<&[u8]> for VersionRecord {
+impl TryFrom<&[u8]> for VersionList {
     type Error = String;
 
-    fn try_from(value: &[u8]) -> Result<VersionRecord, String> {
-        let record: VersionRecord =
-            serde_json::from_slice(value).map_err(|error| error.to_string())?;
-        match record.versions.len() {
-            1..=MAX_VERSIONS => Ok(record),
+    fn try_from(value: &[u8]) -> Result<VersionList, String> {
+        let list: VersionList = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+        match list.versions.len() {
+            1..=MAX_VERSIONS => Ok(list),
             0 => Err("versions: none".to_owned()),
             _ => Err("versions: too many".to_owned()),
         }
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -163,10 +163,7 @@
         let lease_task = tokio::spawn(lease_task);
         tokio::spawn(quarantine::write_verdicts(Arc::clone(&self.shared), self.store.clone()));
         tokio::spawn(throttle::write_rates(Arc::clone(&self.shared), self.store.clone()));
-        let records = (Arc::clone(&self.shared), self.store.clone());
-        tokio::spawn(stream_records::write_version_records(records.0.clone(), records.1.clone()));
-        tokio::spawn(stream_records::write_streams(records.0.clone(), records.1.clone()));
-        tokio::spawn(stream_records::answer_lookups(records.0, records.1));
+        stream_records::spawn(&self.shared, &self.store);
         tokio::spawn(upgrade::judge_upgrades(
             Arc::clone(&self.shared),
             self.store.clone(),
@@ -255,6 +252,7 @@
             Event::Reload => log::info!("event=reload settings=\"count from the next start\""),
             Event::FirstStart => {
                 lock(&self.shared.retries).assume_no_predecessor();
+                lock(&self.shared.streams).versions.record_start(true);
                 self.record_history_known();
             }
             Event::Restart => self.record_history_known(),
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -13,7 +13,7 @@
 use crate::coordination::freshness::CHECK_INTERVAL;
 use crate::coordination::stream_batch::StreamBatch;
 use crate::coordination::upgrade::Plan;
-use crate::coordination::version_record::VersionRecord;
+use crate::coordination::version_list::VersionList;
 use crate::coordination::watchers;
 use crate::gateway::quarantine;
 use crate::gateway::replica;
@@ -24,6 +24,7 @@
 use crate::gateway::store_keys::RATES;
 use crate::gateway::store_keys::ROSTER;
 use crate::gateway::store_keys::UPGRADES;
+use crate::gateway::store_keys::VERSIONS;
 use crate::gateway::stream_versions;
 use crate::gateway::throttle;
 use crate::protocol::adapter::Adapter;
@@ -397,11 +398,11 @@
                 throttle::remove_stored_rate(&self.shared, &key);
             }
             Change::Removed(key) if store_keys::is_batch(&key) => {}
-            Change::Removed(key) if store_keys::recorded_service(&key).is_some() => {
+            Change::Removed(key) if key.starts_with(VERSIONS) => {
                 self.remove_from_replica(&key);
-                if let Some(service) = store_keys::recorded_service(&key) {
+                if let Some(service) = store_keys::listed_service(&key) {
                     let service = stream_versions::service_hash(service);
-                    lock(&self.shared.streams).versions.apply_record(service, None, now);
+                    lock(&self.shared.streams).versions.apply_list(service, None, now);
                 }
             }
             Change::Removed(key) if key.starts_with(QUARANTINE) => {
@@ -465,7 +466,7 @@
     fn apply_item(&mut self, item: KeyValue) {
         if store_keys::is_batch(&item.key) {
             match StreamBatch::try_from(&item.value[..]) {
-                Ok(batch) => stream_versions::apply_batch(&self.shared, batch),
+                Ok(batch) => stream_versions::apply_batch(&self.shared, &batch),
                 Err(error) => self.unreadable_keys.record(&item.key, &item.value, &error),
             }
             return;
@@ -493,12 +494,12 @@
             }
             return;
         }
-        if let Some(service) = store_keys::recorded_service(&item.key) {
-            let record = VersionRecord::try_from(&item.value[..]).inspect_err(|error| {
+        if let Some(service) = store_keys::listed_service(&item.key) {
+            let list = VersionList::try_from(&item.value[..]).inspect_err(|error| {
                 self.unreadable_keys.record(&item.key, &item.value, error);
             });
             let service = stream_versions::service_hash(service);
-            lock(&self.shared.streams).versions.apply_record(service, record.ok(), clock::now());
+            lock(&self.shared.streams).versions.apply_list(service, list.ok(), clock::now());
             return;
         }
         if item.key.starts_with(QUARANTINE) {
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -268,10 +268,7 @@
     }
     let now = clock::now();
     let role = upgrade::draw_role(shared, job, history.tried.is_empty());
-    let unrecorded = match history.version {
-        None => stream_versions::unrecorded_versions(shared, job),
-        Some(_) => Vec::new(),
-    };
+    let listed = stream_versions::listed_versions(shared, job);
     let choose_with_role = |role: Role, tried: &[ServerId]| {
         let chosen = shared.with_service(&job.service, |service| {
             let loads = &lock(&shared.loads);
@@ -285,7 +282,7 @@
                 eligible,
                 role,
                 version: history.version,
-                unrecorded: &unrecorded,
+                listed: listed.as_deref(),
             };
             let place = service.placement.choose(demand, now, &mut rand::rng())?;
             throttles.record_sent(place.incarnation, now);
@@ -328,6 +325,11 @@
             let message = "no backend server of the version that began the stream may run it now";
             return Failure::new(ErrorKind::NoServer, message).with_retry_after(REPLACEMENT_DELAY);
         }
+        Blocked::NoServer if stream_versions::awaits_list(shared, job) => {
+            shared.counters.increment(Counter::StreamsAwaitingList);
+            let message = "the store does not list the version of the backend servers yet";
+            return Failure::new(ErrorKind::NoServer, message).with_retry_after(REPLACEMENT_DELAY);
+        }
         Blocked::NoServer => {
             Failure::new(ErrorKind::NoServer, "no backend server may run the request now")
         }
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -217,7 +217,7 @@
             stream_report: Notify::new(),
             streams_begun: Notify::new(),
             store_lookups: Notify::new(),
-            version_records: Notify::new(),
+            version_lists: Notify::new(),
             region_update: Notify::new(),
             server_report: Notify::new(),
             global_update: Notify::new(),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -199,7 +199,7 @@
     /// Notified when streams are to be looked up in the store.
     pub store_lookups: Notify,
     /// Notified when the versions of services may have changed.
-    pub version_records: Notify,
+    pub version_lists: Notify,
     /// When the store responded to this box again after an outage.
     pub store_recovered_at: Mutex<Option<Instant>>,
     /// Newest era of the store that was reported to this box.
--- a/lib/src/gateway/store_keys.rs
+++ b/lib/src/gateway/store_keys.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use crate::protocol::Incarnation;
 use crate::protocol::fleet::BoxRecord;
 
 /// Prefix of the records of running boxes.
@@ -20,7 +21,7 @@
 /// Prefix of what is kept so that streams go on at their versions.
 pub const STREAMS: &str = "copperweir/streams/";
 /// Prefix of the versions of services.
-const VERSIONS: &str = "copperweir/streams/versions/";
+pub const VERSIONS: &str = "copperweir/streams/versions/";
 /// Prefix of batches of streams. Boxes don't keep these entries in their copies of the store.
 const BATCHES: &str = "copperweir/streams/batches/";
 
@@ -29,14 +30,14 @@
     format!("{VERSIONS}{service}")
 }
 
-/// The service whose versions a key holds.
-pub fn recorded_service(key: &str) -> Option<&str> {
+/// The service whose versions a key lists.
+pub fn listed_service(key: &str) -> Option<&str> {
     key.strip_prefix(VERSIONS)
 }
 
-/// One of the keys under which a box writes batches of streams.
-pub fn batch_key(box_name: &str, number: u64) -> String {
-    format!("{BATCHES}{box_name}/{number}")
+/// One of the keys under which an incarnation of a box writes batches of streams.
+pub fn batch_key(box_name: &str, incarnation: Incarnation, number: u64) -> String {
+    format!("{BATCHES}{box_name}/{incarnation:x}/{number}")
 }
 
 /// Whether a key holds a batch of streams.
--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -21,8 +21,7 @@
 use crate::coordination::stream_batch::MAX_BATCH_STREAMS;
 use crate::coordination::stream_batch::StreamBatch;
 use crate::coordination::stream_versions::ServiceHash;
-use crate::coordination::stream_versions::StreamKey;
-use crate::coordination::version_record::VersionRecord;
+use crate::coordination::version_list::VersionList;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::KeyWrite;
 use crate::protocol::adapter::NO_LEASE;
@@ -43,37 +42,43 @@
 const COLLECTION_TIME: Duration = Duration::from_millis(50);
 /// Minimum time from one write of a recorder to the next.
 const MIN_WRITE_GAP: Duration = Duration::from_millis(250);
-/// Number of keys that a recorder uses in turn. At one write in each gap they hold the streams of
-/// the last minute.
-const BATCH_KEYS: u64 = 240;
 /// Maximum time to live of a lease, by the rules of the store.
 const MAX_LEASE_TTL: Duration = Duration::from_secs(600);
 /// Interval of the checks for versions to write while there are any.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which the next box of the region writes a record that is still missing.
+/// Time after which the next box of the region writes a list that is still not as it should be.
 const NEXT_WRITER_DELAY: Duration = Duration::from_millis(400);
-/// Maximum number of records in one write.
-const MAX_RECORDS_PER_CALL: usize = 16;
+/// Time after a write until a list is written again if it is still not as it should be.
+const WRITE_PAUSE: Duration = Duration::from_millis(400);
+/// Maximum number of lists in one write.
+const MAX_LISTS_PER_CALL: usize = 16;
 /// How long a box that has just started leaves the list of versions as it was before, if servers of
 /// the listed versions serve. As long as a single version is listed, all streams that began before
 /// the start can go on at that one.
 const TAKE_UP_TIME: Duration = Duration::from_secs(2);
-/// Pause before a service is looked up again of which the store lists no versions yet.
-const RECORD_PAUSE: Duration = Duration::from_millis(60);
-/// Maximum number of reads for a lookup while the store lists no versions of the service.
-const MAX_FAILED_READS: u32 = 5;
+/// Minimum time from the end of one read for lookups to the next.
+const READ_PAUSE: Duration = Duration::from_millis(50);
+/// Maximum number of reads for a lookup while the store has no list of the service's versions.
+const MAX_READS_WITHOUT_LIST: u32 = 5;
 /// How long lookups fail without a call after the store did not respond to one.
 const STORE_PAUSE: Duration = Duration::from_secs(1);
 
 /// What the store has about streams.
 #[derive(Debug, Default)]
 struct StoredStreams {
-    versions: HashMap<ServiceHash, VersionRecord>,
-    streams: Vec<(StreamKey, VersionHash)>,
+    lists: HashMap<ServiceHash, VersionList>,
+    batches: Vec<StreamBatch>,
     era: Era,
 }
 
-/// Reads all entries about streams.
+/// Starts the tasks that write to the store and read from it, for as long as the box runs.
+pub fn spawn<A: Adapter>(shared: &Arc<Shared<A>>, store: &store::Client<A>) {
+    tokio::spawn(write_version_lists(Arc::clone(shared), store.clone()));
+    tokio::spawn(write_streams(Arc::clone(shared), store.clone()));
+    tokio::spawn(answer_lookups(Arc::clone(shared), store.clone()));
+}
+
+/// Reads all entries about streams. The lists come after the batches, so they are not older.
 async fn read_streams<A: Adapter>(
     store: &store::Client<A>,
 ) -> Result<StoredStreams, PlatformError> {
@@ -92,12 +97,12 @@
         }
         after = last;
         for item in items {
-            if let Some(service) = store_keys::recorded_service(&item.key) {
-                if let Ok(record) = VersionRecord::try_from(&item.value[..]) {
-                    stored.versions.insert(stream_versions::service_hash(service), record);
+            if let Some(service) = store_keys::listed_service(&item.key) {
+                if let Ok(list) = VersionList::try_from(&item.value[..]) {
+                    stored.lists.insert(stream_versions::service_hash(service), list);
                 }
             } else if let Ok(batch) = StreamBatch::try_from(&item.value[..]) {
-                stored.streams.extend(batch.streams);
+                stored.batches.push(batch);
             }
         }
         if !more || after.is_none() {
@@ -108,7 +113,7 @@
 
 /// Looks streams up in the store for as long as the box runs. Lookups that arrive during a read share
 /// the next one.
-pub async fn answer_lookups<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
+async fn answer_lookups<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
     let own_hash = presence::box_hash(&shared.settings.name);
     let mut failed_at: Option<Instant> = None;
     loop {
@@ -123,16 +128,14 @@
                 true => Err(PlatformError::NoResponse("the store did not respond".to_owned())),
                 false => read_streams(&store).await,
             };
-            let is_retried = match stored {
+            match stored {
                 Ok(stored) => {
                     failed_at = None;
-                    finish_lookups(&shared, &stored, lookups, own_hash)
+                    finish_lookups(&shared, &stored, lookups, own_hash);
                 }
                 Err(error) => {
-                    log::info!(
-                        "event=streams_not_read lookups={} error=\"{error}\"",
-                        lookups.len()
-                    );
+                    let count = lookups.len();
+                    log::info!("event=streams_not_read lookups={count} error=\"{error}\"");
                     if !is_paused {
                         failed_at = Some(clock::now());
                     }
@@ -140,59 +143,58 @@
                     for lookup in lookups {
                         directory.fail_store_lookup(lookup, own_hash);
                     }
-                    false
                 }
-            };
-            shared.stream_report.notify_one();
-            if is_retried {
-                timer::sleep(RECORD_PAUSE).await;
             }
+            shared.stream_report.notify_one();
+            timer::sleep(READ_PAUSE).await;
         }
     }
 }
 
-/// Finishes lookups with what the store has. Returns whether some wait for the list of versions to be
+/// Finishes lookups with what the store has. Those of services without a list wait for it to be
 /// written.
 fn finish_lookups<A: Adapter>(
     shared: &Shared<A>,
     stored: &StoredStreams,
     lookups: Vec<StoreLookup>,
     own_hash: u64,
-) -> bool {
+) {
     let now = clock::now();
-    let mut is_retried = false;
-    let mut directory = lock(&shared.streams);
-    for (key, version) in &stored.streams {
-        directory.versions.record_announcement(*key, *version, now);
+    // Requests need the lock, too.
+    for batch in &stored.batches {
+        stream_versions::apply_batch(shared, batch);
     }
-    let mut found = 0;
-    let count = lookups.len();
+    let all_wait_for_list = all_record_streams(&shared.snapshot.load());
+    let (count, mut found) = (lookups.len(), 0);
+    let mut directory = lock(&shared.streams);
     for lookup in lookups {
-        let record = stored.versions.get(&lookup.service);
-        let version = directory.versions.version(lookup.key, now);
-        let version = version.or_else(|| record.and_then(|record| record.sole_version(stored.era)));
-        let is_recorded = record.is_some_and(|record| record.era == stored.era);
-        if version.is_none() && !is_recorded && lookup.failed_reads < MAX_FAILED_READS {
-            is_retried = true;
-            let failed_reads = lookup.failed_reads + 1;
-            directory.add_store_lookup(StoreLookup { failed_reads, ..lookup });
+        let list = stored.lists.get(&lookup.service);
+        let version = directory.versions.look_up(lookup.key, now).or_else(|| {
+            let stored = (list?, stored.era);
+            directory.versions.sole_version(lookup.service, stored, all_wait_for_list, now)
+        });
+        if list.is_none() && version.is_none() && lookup.reads_without_list < MAX_READS_WITHOUT_LIST
+        {
+            let reads_without_list = lookup.reads_without_list + 1;
+            directory.add_store_lookup(StoreLookup { reads_without_list, ..lookup });
             continue;
         }
         found += usize::from(version.is_some());
         directory.finish_store_lookup(lookup, version, own_hash);
     }
-    drop(directory);
-    log::info!("event=streams_read streams={} lookups={count} found={found}", stored.streams.len());
-    if is_retried {
-        shared.version_records.notify_one();
-    }
-    is_retried
+    let batches = stored.batches.len();
+    log::info!("event=streams_read batches={batches} lookups={count} found={found}");
+}
+
+/// Whether all boxes write streams to the store, and wait for the lists of versions.
+fn all_record_streams(snapshot: &Snapshot) -> bool {
+    snapshot.boxes.iter().all(|other| other.records_streams)
 }
 
 /// Sends the streams that begin here to the recorder of the region, and writes them to the store while
 /// this box is the recorder.
-pub async fn write_streams<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
-    let mut writer = Writer { lease: None, number: 0 };
+async fn write_streams<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
+    let mut writer = Writer::default();
     let mut pause = store::RETRY_DELAY;
     loop {
         shared.streams_begun.notified().await;
@@ -227,7 +229,7 @@
 fn forward_begun<A: Adapter>(shared: &Shared<A>) {
     let snapshot = shared.snapshot.load();
     let begun = lock(&shared.streams).take_begun();
-    if begun.is_empty() || !snapshot.boxes.iter().all(|other| other.records_streams) {
+    if begun.is_empty() || !all_record_streams(&snapshot) {
         return;
     }
     match stream_versions::other_recorder(shared, &snapshot, clock::now()) {
@@ -247,22 +249,32 @@
         directory.add_unwritten(begun);
         directory.take_unwritten(MAX_BATCH_STREAMS)
     };
-    let is_alone = shared.snapshot.load().boxes.iter().all(|other| other.records_streams);
-    if rest.is_empty() || !is_alone {
+    if rest.is_empty() || !all_record_streams(&shared.snapshot.load()) {
         return;
     }
-    let mut writer = Writer { lease: None, number: BATCH_KEYS };
+    let mut writer = Writer { is_last: true, ..Writer::default() };
     if let Err(error) = writer.write(shared, store, &StreamBatch { streams: rest }).await {
         log::info!("event=streams_not_written error=\"{error}\"");
     }
 }
 
-/// Writes batches under the keys of this box.
+/// A lease under which batches are written.
+#[derive(Clone, Copy, Debug)]
+struct BatchLease {
+    id: LeaseId,
+    era: Era,
+    /// When another one is granted. The batches must last for as long as their streams may go on.
+    renew_at: Instant,
+}
+
+/// Writes batches under the keys of this incarnation of the box, in turn.
+#[derive(Debug, Default)]
 struct Writer {
-    /// The lease of the keys, its era, and when it was granted.
-    lease: Option<(LeaseId, Era, Instant)>,
+    lease: Option<BatchLease>,
     /// Number of batches so far.
-    number: u64,
+    count: u64,
+    /// Whether the box stops, beside another writer that may be within a call.
+    is_last: bool,
 }
 
 impl Writer {
@@ -272,13 +284,15 @@
         store: &store::Client<A>,
         batch: &StreamBatch,
     ) -> Result<(), PlatformError> {
-        let lease = self.lease(shared, store).await?;
-        let key = store_keys::batch_key(&shared.settings.name, self.number % (BATCH_KEYS + 1));
+        let retention = lock(&shared.streams).versions.retention();
+        let lease = self.lease(store, retention).await?;
+        let key_count = retention.div_duration_f64(MIN_WRITE_GAP).ceil() as u64;
+        let number = if self.is_last { key_count } else { self.count % key_count };
+        let key = store_keys::batch_key(&shared.settings.name, shared.incarnation, number);
         let write = KeyWrite { key, value: batch.to_value(), lease };
-        let result = store.call(&Operation::Put(vec![write])).await;
-        match result {
+        match store.call(&Operation::Put(vec![write])).await {
             Ok(_) => {
-                self.number += 1;
+                self.count += 1;
                 Ok(())
             }
             Err(error) => {
@@ -290,106 +304,99 @@
         }
     }
 
-    /// A lease under which a batch lasts for as long as its streams may go on.
     async fn lease<A: Adapter>(
         &mut self,
-        shared: &Shared<A>,
         store: &store::Client<A>,
+        retention: Duration,
     ) -> Result<LeaseId, PlatformError> {
-        let retention = lock(&shared.streams).versions.retention();
-        let ttl = (retention * 2).min(MAX_LEASE_TTL);
         let now = clock::now();
-        if let Some((lease, era, granted_at)) = self.lease
-            && era == store.newest_era()
-            && now + retention < granted_at + ttl
+        if let Some(lease) = self.lease
+            && lease.era == store.newest_era()
+            && now < lease.renew_at
         {
-            return Ok(lease);
+            return Ok(lease.id);
         }
+        let ttl = (retention * 2).min(MAX_LEASE_TTL);
         let granted = store.call_with_era(&Operation::Grant { ttl }).await?;
-        let StoreResponse::Lease(lease) = granted.response else {
+        let StoreResponse::Lease(id) = granted.response else {
             return Err(PlatformError::Malformed("not a lease".to_owned()));
         };
         let era = granted.era.unwrap_or_else(|| store.newest_era());
-        self.lease = Some((lease, era, now));
-        Ok(lease)
+        self.lease = Some(BatchLease { id, era, renew_at: now + ttl / 2 });
+        Ok(id)
     }
 }
 
-/// Keeps the lists of the services' versions in the store complete, for as long as the box runs.
-pub async fn write_version_records<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
-    let started_at = clock::now();
-    let mut due_since: HashMap<ServiceId, Instant> = HashMap::new();
+/// Keeps the lists of the services' versions in the store as they should be.
+async fn write_version_lists<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
+    // Services whose lists are to be written, with the time from which the first box may.
+    let mut due_from: HashMap<ServiceId, Instant> = HashMap::new();
     loop {
-        match due_since.is_empty() {
-            true => shared.version_records.notified().await,
+        match due_from.is_empty() {
+            true => shared.version_lists.notified().await,
             false => timer::sleep(CHECK_INTERVAL).await,
         }
         let snapshot = shared.snapshot.load_full();
         let now = clock::now();
-        let is_start = now < started_at + TAKE_UP_TIME;
-        let changes = record_changes(&shared, &snapshot, is_start, now);
-        due_since.retain(|service, _| changes.iter().any(|change| change.service == *service));
+        let changes = list_changes(&shared, &snapshot, now);
+        due_from.retain(|service, _| changes.iter().any(|change| change.service == *service));
+        for change in &changes {
+            due_from.entry(change.service.clone()).or_insert(now);
+        }
         let delay = NEXT_WRITER_DELAY * rank(&shared, &snapshot) as u32;
-        let due: Vec<RecordChange> = changes
-            .into_iter()
-            .filter(|change| {
-                let since = *due_since.entry(change.service.clone()).or_insert(now);
-                now >= since + delay && !change.is_held
-            })
-            .take(MAX_RECORDS_PER_CALL)
-            .collect();
+        let is_due =
+            |change: &ListChange| !change.is_held && now >= due_from[&change.service] + delay;
+        let due: Vec<ListChange> =
+            changes.into_iter().filter(is_due).take(MAX_LISTS_PER_CALL).collect();
         if due.is_empty() {
             continue;
         }
-        match write_records(&store, &due).await {
-            Ok(()) => due.iter().for_each(|change| {
-                log::info!(
-                    "event=versions_recorded service={} versions={} era={}",
-                    change.service,
-                    change.record.versions.len(),
-                    change.record.era
-                )
-            }),
-            Err(error) => {
-                log::info!("event=versions_not_recorded services={} error=\"{error}\"", due.len())
+        if let Err(PlatformError::Conflict(_)) = write_lists(&store, &due).await {
+            // One of several lists has changed meanwhile.
+            for change in due.chunks(1).filter(|_| due.len() > 1) {
+                let _ = write_lists(&store, change).await;
             }
         }
         // The watch returns what has been written, here or by another box.
-        due.iter().for_each(|change| {
-            due_since.insert(change.service.clone(), clock::now() + NEXT_WRITER_DELAY);
-        });
+        for change in due {
+            due_from.insert(change.service, clock::now() + WRITE_PAUSE);
+        }
     }
 }
 
 /// A list of versions to write.
-struct RecordChange {
+struct ListChange {
     service: ServiceId,
-    record: VersionRecord,
+    list: VersionList,
     /// Revision that the key has; 0 if there is none.
     revision: Revision,
     /// Whether the change has to wait.
     is_held: bool,
 }
 
-fn record_changes<A: Adapter>(
+fn list_changes<A: Adapter>(
     shared: &Shared<A>,
     snapshot: &Snapshot,
-    is_start: bool,
     now: Instant,
-) -> Vec<RecordChange> {
+) -> Vec<ListChange> {
     let Some(routing) = &snapshot.routing else { return Vec::new() };
-    let era = snapshot.state.position.era;
+    let is_current = !lock(&shared.freshness).is_aging(now);
     let mut changes = Vec::new();
     for service in routing.streaming_services() {
         let hash = stream_versions::service_hash(service);
-        let directory = lock(&shared.streams);
-        let Some(record) = directory.versions.record_to_write(hash, era, now) else { continue };
-        let recorded = directory.versions.recorded_versions(hash);
-        let is_held = is_start && is_served(snapshot, service, &recorded);
-        drop(directory);
+        let (list, listed, is_start) = {
+            let versions = &lock(&shared.streams).versions;
+            let Some(list) = versions.list_to_write(hash, is_current, now) else { continue };
+            let is_start = versions.known_since().is_some_and(|since| now < since + TAKE_UP_TIME);
+            (list, versions.listed_versions(hash), is_start)
+        };
+        let is_held = is_start
+            && listed.is_some_and(|listed| {
+                !list.versions.iter().eq(&listed) && is_served(snapshot, service, &listed)
+            });
         let key = store_keys::versions_key(service);
         let revision = lock(&shared.replica).revision(&key).unwrap_or(0);
-        changes.push(RecordChange { service: service.clone(), record, revision, is_held });
+        changes.push(ListChange { service: service.clone(), list, revision, is_held });
     }
     changes
 }
@@ -405,7 +412,7 @@
     software.values().flatten().all(serves)
 }
 
-/// Number of boxes of this region that write records before this one.
+/// Number of boxes of this region that write lists before this one.
 fn rank<A: Adapter>(shared: &Shared<A>, snapshot: &Snapshot) -> usize {
     let settings = &shared.settings;
     let own_rank = stream_versions::recorder_rank(&settings.name);
@@ -416,21 +423,29 @@
     others.filter(|other| stream_versions::recorder_rank(&other.name) > own_rank).count()
 }
 
-async fn write_records<A: Adapter>(
+async fn write_lists<A: Adapter>(
     store: &store::Client<A>,
-    changes: &[RecordChange],
+    changes: &[ListChange],
 ) -> Result<(), PlatformError> {
-    let expected = changes
-        .iter()
-        .map(|change| (store_keys::versions_key(&change.service), change.revision))
-        .collect();
-    let writes = changes
-        .iter()
-        .map(|change| KeyWrite {
-            key: store_keys::versions_key(&change.service),
-            value: change.record.to_value(),
-            lease: NO_LEASE,
-        })
-        .collect();
-    store.call(&Operation::PutIf { expected, writes }).await.map(|_| ())
+    let key = |change: &ListChange| store_keys::versions_key(&change.service);
+    let expected = changes.iter().map(|change| (key(change), change.revision)).collect();
+    let to_write = |change: &ListChange| KeyWrite {
+        key: key(change),
+        value: change.list.to_value(),
+        lease: NO_LEASE,
+    };
+    let writes = changes.iter().map(to_write).collect();
+    let result = store.call(&Operation::PutIf { expected, writes }).await;
+    for ListChange { service, list, .. } in changes {
+        let (versions, complete) = (list.versions.len(), list.complete);
+        match &result {
+            Ok(_) => log::info!(
+                "event=versions_listed service={service} versions={versions} complete={complete}"
+            ),
+            Err(error) => {
+                log::info!("event=versions_not_listed service={service} error=\"{error}\"")
+            }
+        }
+    }
+    result.map(|_| ())
 }
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -101,7 +101,7 @@
     /// The box that asked; `None` if it is this one.
     pub asked_by: Option<SocketAddr>,
     /// Number of reads of the store that found no list of the service's versions.
-    pub failed_reads: u32,
+    pub reads_without_list: u32,
 }
 
 /// The versions of streams, the pending lookups, and the reports to be sent.
@@ -261,7 +261,12 @@
         if !lookup.pending.contains(&own_hash) {
             lookup.pending.push(own_hash);
             let service = lookup.service;
-            self.store_lookups.push(StoreLookup { key, service, asked_by: None, failed_reads: 0 });
+            self.store_lookups.push(StoreLookup {
+                key,
+                service,
+                asked_by: None,
+                reads_without_list: 0,
+            });
         }
     }
 
@@ -283,13 +288,13 @@
         }
         self.add_unwritten(begun);
         for (number, key) in report.queried.iter().enumerate() {
-            let version = self.versions.version(*key, now);
+            let version = self.versions.look_up(*key, now);
             match report.queried_services.get(number) {
                 Some(service) if version.is_none() => self.store_lookups.push(StoreLookup {
                     key: *key,
                     service: *service,
                     asked_by: Some(from),
-                    failed_reads: 0,
+                    reads_without_list: 0,
                 }),
                 _ => self.respond(from, *key, version),
             }
@@ -359,7 +364,7 @@
 }
 
 /// Records the version of a stream whose first event is about to be forwarded to its caller, and
-/// announces it while the service has several versions, or may have without this box knowing.
+/// announces it while the service has several versions, or may have had without this box knowing.
 pub fn record_begin<A: Adapter>(shared: &Shared<A>, job: &Job, version: Option<VersionHash>) {
     let Some(version) = version.filter(|_| job.origin == Origin::Caller && job.route.resumable)
     else {
@@ -369,16 +374,16 @@
     let key = stream_key(job, job.first_attempt());
     let service = service_hash(&job.service);
     let is_aging = lock(&shared.freshness).is_aging(now);
-    let has_several = {
-        let mut directory = lock(&shared.streams);
-        directory.versions.record_begin(key, service, version, now);
-        directory.versions.has_several_versions(service, now)
+    let (has_several, has_proof) = {
+        let versions = &mut lock(&shared.streams).versions;
+        versions.record_begin(key, service, version, now);
+        (versions.has_several_versions(service, now), versions.has_proof(service))
     };
     let streams = [(key, version)];
     if has_several {
         record_in_store(shared, &streams);
     }
-    if has_several || is_aging {
+    if has_several || is_aging || !has_proof {
         announce(shared, &shared.snapshot.load(), &streams);
     }
 }
@@ -390,11 +395,11 @@
 }
 
 /// Records streams that the store keeps.
-pub fn apply_batch<A>(shared: &Shared<A>, batch: StreamBatch) {
+pub fn apply_batch<A>(shared: &Shared<A>, batch: &StreamBatch) {
     let now = clock::now();
     let versions = &mut lock(&shared.streams).versions;
-    for (key, version) in batch.streams {
-        versions.record_announcement(key, version, now);
+    for (key, version) in &batch.streams {
+        versions.record_announcement(*key, *version, now);
     }
 }
 
@@ -415,7 +420,7 @@
     {
         let known = &mut lock(&shared.streams).versions;
         if let Some(routing) = &snapshot.routing {
-            known.set_longest_stream(routing.longest_stream());
+            known.set_longest_stream(routing.longest_stream(), now);
             known.record_state(snapshot.state.position.era, now);
         }
         for (service, versions) in &snapshot.software {
@@ -425,7 +430,7 @@
             }
         }
     }
-    shared.version_records.notify_one();
+    shared.version_lists.notify_one();
     if !streams.is_empty() {
         record_in_store(shared, &streams);
         announce(shared, snapshot, &streams);
@@ -448,15 +453,21 @@
     }
 }
 
-/// Versions of the service of a request at which it must not begin a stream, because a box that
-/// starts later could not tell that they had streams.
-pub fn unrecorded_versions<A>(shared: &Shared<A>, job: &Job) -> Vec<VersionHash> {
+/// The versions at which a request may begin a resumable stream; `None` if any may run it. A box that
+/// starts later could not tell that other versions had streams.
+pub fn listed_versions<A>(shared: &Shared<A>, job: &Job) -> Option<Vec<VersionHash>> {
+    if !job.route.resumable {
+        return None;
+    }
+    lock(&shared.streams).versions.listed_versions(service_hash(&job.service))
+}
+
+/// Whether servers get no streams of a request's service only because their versions are not listed.
+pub fn awaits_list<A>(shared: &Shared<A>, job: &Job) -> bool {
+    let Some(listed) = listed_versions(shared, job) else { return false };
     let snapshot = shared.snapshot.load();
-    let Some(versions) = snapshot.software.get(&job.service).filter(|_| job.route.resumable) else {
-        return Vec::new();
-    };
-    let service = service_hash(&job.service);
-    lock(&shared.streams).versions.unrecorded(service, versions.keys().copied())
+    let versions = snapshot.software.get(&job.service);
+    versions.is_some_and(|versions| versions.keys().any(|version| !listed.contains(version)))
 }
 
 /// The version at which a request must run because it continues a stream; `None` if it continues
@@ -492,7 +503,7 @@
     let (key, service) = (stream_key(job, job.first_attempt()), service_hash(&job.service));
     let own_hash = presence::box_hash(&shared.settings.name);
     let now = clock::now();
-    if let Some(version) = lock(&shared.streams).versions.version(key, now) {
+    if let Some(version) = lock(&shared.streams).versions.look_up(key, now) {
         return Some(FoundVersion { version, source: Source::Own });
     }
     let mut response = {
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -51,6 +51,7 @@
     Retries "retries" "Attempts after the first.";
     RetriesDenied "retries_denied" "Retries that the retry budget did not allow.";
     StreamsResumed "streams_resumed" "Streams that callers resumed with another request.";
+    StreamsAwaitingList "streams_awaiting_list" "Streams that did not begin because the store did not list the software version of the servers yet.";
     StreamBatches "stream_batches" "Batches of streams that were written to the store, so that they can go on after all boxes have started anew.";
     StreamsOfUnknownVersion "streams_of_unknown_version" "Streams that were not continued because the software version that began them is unknown.";
     Queued "queued" "Requests that waited for a slot.";
--- a/lib/tests/common/cold_servers.rs
+++ b/lib/tests/common/cold_servers.rs
@@ -309,7 +309,7 @@
             eligible: Eligible::Healthy,
             role: Role::Serving,
             version: None,
-            unrecorded: &[],
+            listed: None,
         };
         self.boxes[at_box].choose(request, self.now, &mut self.rng).ok()
     }
--- a/lib/tests/test_learning.rs
+++ b/lib/tests/test_learning.rs
@@ -107,7 +107,7 @@
             eligible: Eligible::Healthy,
             role: Role::Serving,
             version: None,
-            unrecorded: &[],
+            listed: None,
         };
         self.placement.choose(demand, self.now, &mut self.rng)
     }
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -133,7 +133,7 @@
             eligible,
             role: Role::Serving,
             version,
-            unrecorded: &[],
+            listed: None,
         };
         self.placement.choose(demand, self.now, &mut self.rng)
     }
