--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod state_transfer;
 pub mod store_keys;
 pub mod stream;
+pub mod stream_directory;
 pub mod stream_records;
 pub mod stream_timing;
 pub mod stream_versions;
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -21,7 +21,7 @@
 use super::replica::Replica;
 use super::settings::Settings;
 use super::state_transfer::CompressedState;
-use super::stream_versions::StreamDirectory;
+use super::stream_directory::StreamDirectory;
 use super::upgrade::TrackedSend;
 use crate::coordination::candidate::Outcome;
 use crate::coordination::departures::Departures;
--- /dev/null
+++ b/lib/src/gateway/stream_directory.rs
@@ -0,0 +1,260 @@
+//! What a box knows of the versions of streams, the lookups that it waits for, and what it has to tell
+//! other boxes and the store.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use tokio::sync::oneshot;
+
+use crate::coordination::presence;
+use crate::coordination::stream_versions::BoxLocation;
+use crate::coordination::stream_versions::ServiceHash;
+use crate::coordination::stream_versions::StreamKey;
+use crate::coordination::stream_versions::StreamReport;
+use crate::coordination::stream_versions::StreamVersions;
+use crate::protocol::fleet::VersionHash;
+
+/// Maximum number of streams that wait to be written to the store; the oldest are dropped first.
+const MAX_UNWRITTEN: usize = 20_000;
+
+/// A stream whose version this box has queried.
+#[derive(Debug, Default)]
+struct Lookup {
+    /// Hashes of the names of the boxes that have not responded.
+    pending: Vec<u64>,
+    service: ServiceHash,
+    requests: Vec<oneshot::Sender<Option<VersionHash>>>,
+}
+
+impl Lookup {
+    fn finish(self, version: Option<VersionHash>) {
+        for request in self.requests {
+            // The request may be over.
+            let _ = request.send(version);
+        }
+    }
+}
+
+/// A stream to look up in the store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreLookup {
+    /// The stream.
+    pub key: StreamKey,
+    /// Its service.
+    pub service: ServiceHash,
+    /// The box that asked; `None` if it is this one.
+    pub asked_by: Option<SocketAddr>,
+    /// Number of reads of the store that found no list of the service's versions.
+    pub reads_without_list: u32,
+}
+
+/// The versions of streams, the pending lookups, and the reports to be sent.
+#[derive(Debug, Default)]
+pub struct StreamDirectory {
+    /// The versions of streams and services.
+    pub versions: StreamVersions,
+    lookups: HashMap<StreamKey, Lookup>,
+    pub(super) outbox: HashMap<SocketAddr, StreamReport>,
+    /// Streams that began here and that the recorder has not been sent.
+    pub(super) begun: Vec<(StreamKey, VersionHash)>,
+    /// Streams that this box is to write to the store, as the recorder of its region.
+    unwritten: VecDeque<(StreamKey, VersionHash)>,
+    store_lookups: Vec<StoreLookup>,
+    /// Whether the state from the store was too old to rely on when this was last checked.
+    pub(super) was_aging: bool,
+}
+
+impl StreamDirectory {
+    /// Drops expired versions, and lookups whose requests are over.
+    pub fn expire(&mut self, now: Instant) {
+        self.versions.expire(now);
+        self.lookups.retain(|_, lookup| lookup.requests.iter().any(|request| !request.is_closed()));
+    }
+
+    pub(super) fn announce(
+        &mut self,
+        holders: &[BoxLocation<'_>],
+        key: StreamKey,
+        version: VersionHash,
+    ) {
+        for holder in holders {
+            let report = self.outbox.entry(holder.address).or_default();
+            report.announced.push(key);
+            report.versions.push(version);
+        }
+    }
+
+    /// Takes the streams that began here since the last call.
+    pub fn take_begun(&mut self) -> Vec<(StreamKey, VersionHash)> {
+        std::mem::take(&mut self.begun)
+    }
+
+    /// Sends streams to the recorder at an address.
+    pub fn send_begun(&mut self, recorder: SocketAddr, streams: &[(StreamKey, VersionHash)]) {
+        let report = self.outbox.entry(recorder).or_default();
+        report.begun.extend(streams.iter().map(|(key, _)| *key));
+        report.begun_versions.extend(streams.iter().map(|(_, version)| *version));
+    }
+
+    /// Adds streams that this box is to write to the store.
+    pub fn add_unwritten(&mut self, streams: impl IntoIterator<Item = (StreamKey, VersionHash)>) {
+        self.unwritten.extend(streams);
+        let excess = self.unwritten.len().saturating_sub(MAX_UNWRITTEN);
+        self.unwritten.drain(..excess);
+    }
+
+    /// Takes the streams to write next, in the order in which they began.
+    pub fn take_unwritten(&mut self, count: usize) -> Vec<(StreamKey, VersionHash)> {
+        let count = self.unwritten.len().min(count);
+        self.unwritten.drain(..count).collect()
+    }
+
+    /// Takes the lookups that wait for a read of the store.
+    pub fn take_store_lookups(&mut self) -> Vec<StoreLookup> {
+        std::mem::take(&mut self.store_lookups)
+    }
+
+    /// Adds a lookup that waits for a read of the store.
+    pub fn add_store_lookup(&mut self, lookup: StoreLookup) {
+        self.store_lookups.push(lookup);
+    }
+
+    /// Records that the store could not be read for a lookup. Another box reads it itself.
+    pub fn fail_store_lookup(&mut self, lookup: StoreLookup, own_hash: u64) {
+        match lookup.asked_by {
+            Some(asked_by) => {
+                self.outbox.entry(asked_by).or_default().not_looked_up.push(lookup.key);
+            }
+            None => self.record_unknown(lookup.key, own_hash),
+        }
+    }
+
+    /// Records the result of a read of the store for a box that asked, or for this one.
+    pub fn finish_store_lookup(
+        &mut self,
+        lookup: StoreLookup,
+        version: Option<VersionHash>,
+        own_hash: u64,
+    ) {
+        match lookup.asked_by {
+            Some(asked_by) => self.respond(asked_by, lookup.key, version),
+            None => match version {
+                Some(_) => self.finish_lookup(lookup.key, version),
+                None => self.record_unknown(lookup.key, own_hash),
+            },
+        }
+    }
+
+    fn respond(&mut self, to: SocketAddr, key: StreamKey, version: Option<VersionHash>) {
+        let response = self.outbox.entry(to).or_default();
+        match version {
+            Some(version) => {
+                response.announced.push(key);
+                response.versions.push(version);
+            }
+            None => response.unknown.push(key),
+        }
+    }
+
+    fn finish_lookup(&mut self, key: StreamKey, version: Option<VersionHash>) {
+        if let Some(lookup) = self.lookups.remove(&key) {
+            lookup.finish(version);
+        }
+    }
+
+    /// Records that a box doesn't know a stream. The lookup ends when none of them does.
+    fn record_unknown(&mut self, key: StreamKey, by: u64) {
+        let Some(lookup) = self.lookups.get_mut(&key) else { return };
+        lookup.pending.retain(|holder| *holder != by);
+        if lookup.pending.is_empty() {
+            self.finish_lookup(key, None);
+        }
+    }
+
+    /// Queries the holders of a stream for its version, and the recorder, which is this box if there
+    /// is no other one.
+    pub(super) fn query(
+        &mut self,
+        holders: &[BoxLocation<'_>],
+        recorder: Option<&BoxLocation<'_>>,
+        (key, service): (StreamKey, ServiceHash),
+        own_hash: u64,
+    ) -> oneshot::Receiver<Option<VersionHash>> {
+        let (sender, receiver) = oneshot::channel();
+        let lookup = self.lookups.entry(key).or_default();
+        lookup.service = service;
+        lookup.requests.push(sender);
+        let others =
+            holders.iter().filter(|holder| Some(holder.name) != recorder.map(|box_| box_.name));
+        for holder in others.chain(recorder) {
+            lookup.pending.push(presence::box_hash(holder.name));
+            let report = self.outbox.entry(holder.address).or_default();
+            // The services are those of the first streams.
+            match recorder.is_some_and(|recorder| recorder.name == holder.name) {
+                true => {
+                    report.queried.insert(0, key);
+                    report.queried_services.insert(0, service);
+                }
+                false => report.queried.push(key),
+            }
+        }
+        if recorder.is_none() {
+            self.query_store(key, own_hash);
+        }
+        receiver
+    }
+
+    /// Looks a stream up in the store for a request of this box.
+    pub(super) fn query_store(&mut self, key: StreamKey, own_hash: u64) {
+        let Some(lookup) = self.lookups.get_mut(&key) else { return };
+        if !lookup.pending.contains(&own_hash) {
+            lookup.pending.push(own_hash);
+            let service = lookup.service;
+            self.store_lookups.push(StoreLookup {
+                key,
+                service,
+                asked_by: None,
+                reads_without_list: 0,
+            });
+        }
+    }
+
+    pub(super) fn receive(
+        &mut self,
+        sender: u64,
+        report: &StreamReport,
+        from: SocketAddr,
+        own_hash: u64,
+        now: Instant,
+    ) {
+        for (key, version) in report.announced.iter().zip(&report.versions) {
+            self.versions.record_announcement(*key, *version, now);
+            self.finish_lookup(*key, Some(*version));
+        }
+        let begun = report.begun.iter().copied().zip(report.begun_versions.iter().copied());
+        for (key, version) in begun.clone() {
+            self.versions.record_announcement(key, version, now);
+        }
+        self.add_unwritten(begun);
+        for (number, key) in report.queried.iter().enumerate() {
+            let version = self.versions.look_up(*key, now);
+            match report.queried_services.get(number) {
+                Some(service) if version.is_none() => self.store_lookups.push(StoreLookup {
+                    key: *key,
+                    service: *service,
+                    asked_by: Some(from),
+                    reads_without_list: 0,
+                }),
+                _ => self.respond(from, *key, version),
+            }
+        }
+        for key in &report.not_looked_up {
+            self.query_store(*key, own_hash);
+        }
+        for key in report.unknown.iter().chain(&report.not_looked_up) {
+            self.record_unknown(*key, sender);
+        }
+    }
+}
--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -15,8 +15,8 @@
 use super::shared::lock;
 use super::store_keys;
 use super::store_keys::STREAMS;
+use super::stream_directory::StoreLookup;
 use super::stream_versions;
-use super::stream_versions::StoreLookup;
 use crate::coordination::presence;
 use crate::coordination::stream_batch::MAX_BATCH_STREAMS;
 use crate::coordination::stream_batch::StreamBatch;
@@ -38,8 +38,10 @@
 use crate::transport::store;
 use crate::transport::timer;
 
-/// Time in which streams that begin are collected before they are sent or written.
-const COLLECTION_TIME: Duration = Duration::from_millis(50);
+/// Minimum time in which streams that begin are collected before they are sent or written.
+const MIN_COLLECTION_TIME: Duration = Duration::from_millis(50);
+/// The same for each box of the fleet, so that the datagrams to a recorder don't grow with it.
+const COLLECTION_TIME_PER_BOX: Duration = Duration::from_micros(200);
 /// Minimum time from one write of a recorder to the next.
 const MIN_WRITE_GAP: Duration = Duration::from_millis(250);
 /// Maximum time to live of a lease, by the rules of the store.
@@ -199,7 +201,8 @@
     loop {
         shared.streams_begun.notified().await;
         loop {
-            timer::sleep(COLLECTION_TIME).await;
+            let fleet_size = shared.snapshot.load().fleet_size as u32;
+            timer::sleep(MIN_COLLECTION_TIME.max(COLLECTION_TIME_PER_BOX * fleet_size)).await;
             forward_begun(&shared);
             let streams = lock(&shared.streams).take_unwritten(MAX_BATCH_STREAMS);
             if streams.is_empty() {
@@ -210,7 +213,7 @@
                 Ok(()) => {
                     shared.counters.increment(Counter::StreamBatches);
                     pause = store::RETRY_DELAY;
-                    timer::sleep(MIN_WRITE_GAP - COLLECTION_TIME).await;
+                    timer::sleep(MIN_WRITE_GAP - MIN_COLLECTION_TIME).await;
                 }
                 Err(error) => {
                     let count = batch.streams.len();
