streams: a second version is listed after the streams that run

While servers of the listed versions serve, a new version waits 0.5 s, and up to ten seconds while boxes of the region are silent or have just started. Until then unknown streams go on at the listed one.

A key of the store takes up to 512 streams instead of one batch: 240 keys a recorder would have been more than a box of a small fleet reads at its start before it relies on others. The read of all keys with a prefix stands once.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -319,11 +319,6 @@
         self.era.is_some_and(|(_, since)| now >= since + self.retention())
     }
 
-    /// Since when this box has a state.
-    pub fn known_since(&self) -> Option<Instant> {
-        self.era.map(|(_, since)| since)
-    }
-
     /// The versions at which resumable streams of a service may begin; `None` if the store lists none.
     pub fn listed_versions(&self, service: ServiceHash) -> Option<Vec<VersionHash>> {
         let list = self.services.get(&service)?.list.as_ref()?;
--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -12,7 +12,6 @@
 use super::Event;
 use super::TICK_INTERVAL;
 use super::join;
-use super::store_sync::read_full_state;
 use crate::coordination::presence;
 use crate::coordination::rendezvous;
 use crate::coordination::unlisted::Neighbor;
@@ -21,6 +20,7 @@
 use crate::gateway::state_transfer::FetchedState;
 use crate::gateway::state_transfer::RemovedKeys;
 use crate::gateway::state_transfer::StateScope;
+use crate::gateway::store_contents;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Change;
 use crate::state::clock;
@@ -66,7 +66,7 @@
             let store = store.clone();
             async move {
                 timer::sleep(delay).await;
-                read_full_state(store, era, max_keys).await
+                store_contents::read(&store, store_contents::ALL_KEYS, era, max_keys).await
             }
         };
         let read = start_read(Duration::ZERO);
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -18,6 +18,9 @@
 use crate::gateway::quarantine;
 use crate::gateway::replica;
 use crate::gateway::shared::lock;
+use crate::gateway::store_contents;
+use crate::gateway::store_contents::ALL_KEYS;
+use crate::gateway::store_contents::Contents;
 use crate::gateway::store_keys;
 use crate::gateway::store_keys::BOXES;
 use crate::gateway::store_keys::QUARANTINE;
@@ -35,19 +38,15 @@
 use crate::protocol::adapter::StoreResponse;
 use crate::protocol::adapter::Subject;
 use crate::protocol::fleet::BoxRecord;
-use crate::protocol::platform::Era;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Position;
 use crate::protocol::platform::Revision;
 use crate::protocol::quantity::MAX_PLAN_SERIAL;
 use crate::protocol::quantity::Notes;
 use crate::state::clock;
-use crate::transport::store;
 use crate::transport::store::ResponseWithEra;
 use crate::transport::timer;
 
-/// Prefix of all keys. One watch covers them all, so that each change wakes a box once.
-const ALL_KEYS: &str = "";
 /// Maximum wait of a watch call; each return costs another call. A watch whose connection died
 /// unnoticed is abandoned earlier: when another box has a newer state, or when no box has recent
 /// information from the store.
@@ -67,14 +66,14 @@
 type ChangesCall = Pin<Box<dyn Future<Output = Result<ResponseWithEra, PlatformError>>>>;
 
 /// A series of calls that reads the complete contents of the store.
-type FullReadCall = Pin<Box<dyn Future<Output = Result<FullState, PlatformError>>>>;
+type FullReadCall = Pin<Box<dyn Future<Output = Result<Contents, PlatformError>>>>;
 
 /// A response from the store.
 enum SyncResponse {
     /// The changes since the known position.
     Incremental(ResponseWithEra),
     /// The complete contents.
-    Full(FullState),
+    Full(Contents),
 }
 
 /// The effect of a response on the known state.
@@ -102,71 +101,27 @@
     FullRead(FullReadCall),
 }
 
-/// The complete contents of the store.
-pub(super) struct FullState {
-    items: Vec<KeyValue>,
-    /// Position in the history from which on to watch for changes.
-    position: Position,
-    /// When the first call of the read was sent.
-    asked_at: Instant,
-}
-
-/// Reads the complete contents of the store, in the newest known era. It never uses stale reads,
-/// though they cost a tenth: while the store compacts its history they lag by seconds, and a box
-/// that starts would send to a failure domain for longer after its evacuation than is allowed.
-/// Returns `None` if there are more than `max_keys` keys.
-pub(super) async fn read_full_state<A: Adapter>(
-    store: store::Client<A>,
-    known_era: Era,
-    max_keys: usize,
-) -> Result<Option<FullState>, PlatformError> {
-    let mut after: Option<String> = None;
-    let mut oldest: Option<Position> = None;
-    let mut all_items = Vec::new();
-    let asked_at = clock::now();
-    loop {
-        let prefix = ALL_KEYS.to_owned();
-        let range = Operation::Range { prefix, after: after.clone() };
-        let page = store.call_with_era(&range).await?;
-        let StoreResponse::Page { items, more, revision } = page.response else {
-            return Err(PlatformError::Malformed("not a page".to_owned()));
-        };
-        let era = page.era.unwrap_or(known_era);
-        if era < store.newest_era() || oldest.is_some_and(|oldest| oldest.era != era) {
-            return Err(PlatformError::NoResponse("the store went back meanwhile".to_owned()));
-        }
-        let position = Position { era, revision };
-        let last = items.last().map(|item| item.key.clone());
-        if last.is_some() && last <= after {
-            // Without this, a store that repeats a page would be read without end.
-            return Err(PlatformError::Malformed("a page repeats the one before".to_owned()));
-        }
-        after = last;
-        // The pages are no consistent snapshot, so changes are watched for from the oldest page on.
-        let position = oldest.map_or(position, |oldest| oldest.min(position));
-        oldest = Some(position);
-        all_items.extend(items);
-        if !more || after.is_none() {
-            return Ok(Some(FullState { items: all_items, position, asked_at }));
-        }
-        if all_items.len() >= max_keys {
-            return Ok(None);
-        }
-    }
-}
-
 impl<A: Adapter> Control<A> {
     /// Reads the complete contents of the store and applies them.
     pub(super) async fn load_full_state(&mut self) -> Result<(), PlatformError> {
-        let read = read_full_state(self.store.clone(), self.position().era, usize::MAX);
+        let read = self.read_all_keys(usize::MAX);
         if let Some(full_state) = read.await? {
             self.apply_full_state(full_state);
         }
         Ok(())
     }
 
-    pub(super) fn apply_full_state(&mut self, state: FullState) {
-        let FullState { items, position, asked_at } = state;
+    /// Reads the complete contents of the store; `None` if there are more than `max_keys` keys.
+    pub(super) fn read_all_keys(
+        &self,
+        max_keys: usize,
+    ) -> impl Future<Output = Result<Option<Contents>, PlatformError>> + use<A> {
+        let (store, era) = (self.store.clone(), self.position().era);
+        async move { store_contents::read(&store, ALL_KEYS, era, max_keys).await }
+    }
+
+    pub(super) fn apply_full_state(&mut self, state: Contents) {
+        let Contents { items, position, asked_at } = state;
         self.record_store_success();
         self.replace_state(items, position);
         self.mark_current(asked_at);
@@ -296,7 +251,7 @@
 
     /// Starts a read of the complete contents, in one call or several.
     fn start_full_read(&self) -> PendingCall {
-        let read = read_full_state(self.store.clone(), self.position().era, usize::MAX);
+        let read = self.read_all_keys(usize::MAX);
         // Without a limit, a read returns a state or an error.
         let unlimited = async { read.await?.ok_or(PlatformError::Malformed("no end".to_owned())) };
         PendingCall::FullRead(Box::pin(unlimited))
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 pub mod settings;
 pub mod shared;
 pub mod state_transfer;
+pub mod store_contents;
 pub mod store_keys;
 pub mod stream;
 pub mod stream_directory;
--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -13,6 +13,7 @@
 use super::shared::Shared;
 use super::shared::Snapshot;
 use super::shared::lock;
+use super::store_contents;
 use super::store_keys;
 use super::store_keys::STREAMS;
 use super::stream_directory::StoreLookup;
@@ -21,7 +22,10 @@
 use crate::coordination::stream_batch::MAX_BATCH_STREAMS;
 use crate::coordination::stream_batch::StreamBatch;
 use crate::coordination::stream_versions::ServiceHash;
+use crate::coordination::stream_versions::StreamKey;
 use crate::coordination::version_list::VersionList;
+use crate::protocol::BoxId;
+use crate::protocol::Incarnation;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::KeyWrite;
 use crate::protocol::adapter::NO_LEASE;
@@ -44,6 +48,8 @@
 const COLLECTION_TIME_PER_BOX: Duration = Duration::from_micros(200);
 /// Minimum time from one write of a recorder to the next.
 const MIN_WRITE_GAP: Duration = Duration::from_millis(250);
+/// Number of streams from which on a key takes no more, at 8 bytes each.
+const MAX_KEY_STREAMS: usize = 512;
 /// Maximum time to live of a lease, by the rules of the store.
 const MAX_LEASE_TTL: Duration = Duration::from_secs(600);
 /// Interval of the checks for versions to write while there are any.
@@ -54,10 +60,15 @@
 const WRITE_PAUSE: Duration = Duration::from_millis(400);
 /// Maximum number of lists in one write.
 const MAX_LISTS_PER_CALL: usize = 16;
-/// How long a box that has just started leaves the list of versions as it was before, if servers of
-/// the listed versions serve. As long as a single version is listed, all streams that began before
-/// the start can go on at that one.
+/// Delay after which a second version is listed if servers of the listed ones serve: by then the
+/// streams that run are in batches.
+const LISTING_DELAY: Duration = Duration::from_millis(500);
+/// How long the list stays as it was after boxes have started, if servers of the listed versions
+/// serve. As long as a single version is listed, the streams that these boxes began before can go on
+/// at that one.
 const TAKE_UP_TIME: Duration = Duration::from_secs(2);
+/// Maximum delay of a second version because boxes start or don't respond.
+const MAX_LISTING_DELAY: Duration = Duration::from_secs(10);
 /// Minimum time from the end of one read for lookups to the next.
 const READ_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum number of reads for a lookup while the store has no list of the service's versions.
@@ -84,33 +95,21 @@
 async fn read_streams<A: Adapter>(
     store: &store::Client<A>,
 ) -> Result<StoredStreams, PlatformError> {
-    let mut stored = StoredStreams::default();
-    let mut after: Option<String> = None;
-    loop {
-        let range = Operation::Range { prefix: STREAMS.to_owned(), after: after.clone() };
-        let page = store.call_with_era(&range).await?;
-        let StoreResponse::Page { items, more, .. } = page.response else {
-            return Err(PlatformError::Malformed("not a page".to_owned()));
-        };
-        stored.era = page.era.unwrap_or_else(|| store.newest_era());
-        let last = items.last().map(|item| item.key.clone());
-        if last.is_some() && last <= after {
-            return Err(PlatformError::Malformed("a page repeats the one before".to_owned()));
-        }
-        after = last;
-        for item in items {
-            if let Some(service) = store_keys::listed_service(&item.key) {
-                if let Ok(list) = VersionList::try_from(&item.value[..]) {
-                    stored.lists.insert(stream_versions::service_hash(service), list);
-                }
-            } else if let Ok(batch) = StreamBatch::try_from(&item.value[..]) {
-                stored.batches.push(batch);
+    let contents = store_contents::read(store, STREAMS, store.newest_era(), usize::MAX).await?;
+    // Without a limit, a read returns the contents or an error.
+    let contents = contents.ok_or_else(|| PlatformError::Malformed("no end".to_owned()))?;
+    let era = contents.position.era;
+    let mut stored = StoredStreams { era, ..StoredStreams::default() };
+    for item in contents.items {
+        if let Some(service) = store_keys::listed_service(&item.key) {
+            if let Ok(list) = VersionList::try_from(&item.value[..]) {
+                stored.lists.insert(stream_versions::service_hash(service), list);
             }
-        }
-        if !more || after.is_none() {
-            return Ok(stored);
+        } else if let Ok(batch) = StreamBatch::try_from(&item.value[..]) {
+            stored.batches.push(batch);
         }
     }
+    Ok(stored)
 }
 
 /// Looks streams up in the store for as long as the box runs. Lookups that arrive during a read share
@@ -270,12 +269,15 @@
     renew_at: Instant,
 }
 
-/// Writes batches under the keys of this incarnation of the box, in turn.
+/// Writes batches under the keys of this incarnation of the box, in turn. A key takes several batches
+/// until it has [`MAX_KEY_STREAMS`], so that a small fleet has few keys.
 #[derive(Debug, Default)]
 struct Writer {
     lease: Option<BatchLease>,
-    /// Number of batches so far.
-    count: u64,
+    /// Number of keys that are full.
+    full_keys: u64,
+    /// Streams under the current key.
+    written: Vec<(StreamKey, VersionHash)>,
     /// Whether the box stops, beside another writer that may be within a call.
     is_last: bool,
 }
@@ -289,13 +291,19 @@
     ) -> Result<(), PlatformError> {
         let retention = lock(&shared.streams).versions.retention();
         let lease = self.lease(store, retention).await?;
+        let is_full = self.written.len() + batch.streams.len() > MAX_KEY_STREAMS;
+        if is_full {
+            self.full_keys += 1;
+            self.written.clear();
+        }
+        let streams = [&self.written[..], &batch.streams[..]].concat();
         let key_count = retention.div_duration_f64(MIN_WRITE_GAP).ceil() as u64;
-        let number = if self.is_last { key_count } else { self.count % key_count };
+        let number = if self.is_last { key_count } else { self.full_keys % key_count };
         let key = store_keys::batch_key(&shared.settings.name, shared.incarnation, number);
-        let write = KeyWrite { key, value: batch.to_value(), lease };
-        match store.call(&Operation::Put(vec![write])).await {
+        let value = StreamBatch { streams: streams.clone() }.to_value();
+        match store.call(&Operation::Put(vec![KeyWrite { key, value, lease }])).await {
             Ok(_) => {
-                self.count += 1;
+                self.written = streams;
                 Ok(())
             }
             Err(error) => {
@@ -334,6 +342,7 @@
 async fn write_version_lists<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
     // Services whose lists are to be written, with the time from which the first box may.
     let mut due_from: HashMap<ServiceId, Instant> = HashMap::new();
+    let mut starts = BoxStarts::default();
     loop {
         match due_from.is_empty() {
             true => shared.version_lists.notified().await,
@@ -341,14 +350,22 @@
         }
         let snapshot = shared.snapshot.load_full();
         let now = clock::now();
+        starts.update(&snapshot, now);
+        let is_settled = starts.are_over(now) && all_are_heard(&shared, &snapshot, now);
         let changes = list_changes(&shared, &snapshot, now);
         due_from.retain(|service, _| changes.iter().any(|change| change.service == *service));
         for change in &changes {
             due_from.entry(change.service.clone()).or_insert(now);
         }
-        let delay = NEXT_WRITER_DELAY * rank(&shared, &snapshot) as u32;
-        let is_due =
-            |change: &ListChange| !change.is_held && now >= due_from[&change.service] + delay;
+        let rank_delay = NEXT_WRITER_DELAY * rank(&shared, &snapshot) as u32;
+        let is_due = |change: &ListChange| {
+            let delay = match (change.can_wait, is_settled) {
+                (false, _) => Duration::ZERO,
+                (true, true) => LISTING_DELAY,
+                (true, false) => MAX_LISTING_DELAY,
+            };
+            now >= due_from[&change.service] + rank_delay + delay
+        };
         let due: Vec<ListChange> =
             changes.into_iter().filter(is_due).take(MAX_LISTS_PER_CALL).collect();
         if due.is_empty() {
@@ -367,14 +384,47 @@
     }
 }
 
+/// When the boxes of the fleet, and this one, were started last.
+#[derive(Debug, Default)]
+struct BoxStarts {
+    incarnations: HashMap<BoxId, Incarnation>,
+    last_start_at: Option<Instant>,
+}
+
+impl BoxStarts {
+    fn update(&mut self, snapshot: &Snapshot, now: Instant) {
+        let mut has_started = self.last_start_at.is_none() && snapshot.routing.is_some();
+        for other in &snapshot.boxes {
+            let known = self.incarnations.insert(other.name.clone(), other.incarnation);
+            has_started |= known != Some(other.incarnation);
+        }
+        if has_started {
+            self.last_start_at = Some(now);
+        }
+    }
+
+    fn are_over(&self, now: Instant) -> bool {
+        self.last_start_at.is_some_and(|at| now >= at + TAKE_UP_TIME)
+    }
+}
+
+/// Whether all listed boxes of this region send reports. One that doesn't may have ended, and its
+/// streams may not be known to any other box.
+fn all_are_heard<A: Adapter>(shared: &Shared<A>, snapshot: &Snapshot, now: Instant) -> bool {
+    let presence = lock(&shared.presence);
+    let mut neighbors =
+        snapshot.boxes.iter().filter(|other| other.region == shared.settings.region);
+    neighbors.all(|other| presence.has_recent_datagram(&other.name, now))
+}
+
 /// A list of versions to write.
 struct ListChange {
     service: ServiceId,
     list: VersionList,
     /// Revision that the key has; 0 if there is none.
     revision: Revision,
-    /// Whether the change has to wait.
-    is_held: bool,
+    /// Whether servers of the listed versions serve, so that a new version can wait.
+    can_wait: bool,
 }
 
 fn list_changes<A: Adapter>(
@@ -387,19 +437,18 @@
     let mut changes = Vec::new();
     for service in routing.streaming_services() {
         let hash = stream_versions::service_hash(service);
-        let (list, listed, is_start) = {
+        let (list, listed) = {
             let versions = &lock(&shared.streams).versions;
             let Some(list) = versions.list_to_write(hash, is_current, now) else { continue };
-            let is_start = versions.known_since().is_some_and(|since| now < since + TAKE_UP_TIME);
-            (list, versions.listed_versions(hash), is_start)
+            (list, versions.listed_versions(hash))
         };
-        let is_held = is_start
-            && listed.is_some_and(|listed| {
-                !list.versions.iter().eq(&listed) && is_served(snapshot, service, &listed)
-            });
+        let can_wait = listed.is_some_and(|listed| {
+            list.versions.iter().any(|version| !listed.contains(version))
+                && is_served(snapshot, service, &listed)
+        });
         let key = store_keys::versions_key(service);
         let revision = lock(&shared.replica).revision(&key).unwrap_or(0);
-        changes.push(ListChange { service: service.clone(), list, revision, is_held });
+        changes.push(ListChange { service: service.clone(), list, revision, can_wait });
     }
     changes
 }
