--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -319,10 +319,17 @@
         self.era.is_some_and(|(_, since)| now >= since + self.retention())
     }
 
-    /// The versions at which resumable streams of a service may begin; `None` if the store lists none.
+    /// The versions at which resumable streams of a service may begin; `None` if the store has no list.
+    /// A version that this box saw listed while it has servers is one of them, whatever another writer
+    /// has made of the list since.
     pub fn listed_versions(&self, service: ServiceHash) -> Option<Vec<VersionHash>> {
-        let list = self.services.get(&service)?.list.as_ref()?;
-        Some(list.versions.iter().copied().collect())
+        let known = self.services.get(&service)?;
+        let list = known.list.as_ref()?;
+        let were_listed = known.counted.iter().filter(|(version, counted)| {
+            counted.was_listed && counted.gone_since.is_none() && !list.versions.contains(version)
+        });
+        let were_listed = were_listed.map(|(version, _)| *version);
+        Some(list.versions.iter().copied().chain(were_listed).collect())
     }
 
     /// Whether the list of a service tells the version of streams that nobody knows.
