serve: files with more than 64 levels of nesting are rejected

What was seen: a stored configuration or a settings file of copperweir serve with 1,000 or more levels ended the process ("has overflowed its stack"). A stored one would end each box that reads it, and again at each start. Cause: the parser of JSON with comments calls itself for each level, and has no bound of its own. Change: the tokens are counted before the file is parsed. Brackets in texts and comments don't count.

--- a/lib/src/protocol/jsonc.rs
+++ b/lib/src/protocol/jsonc.rs
@@ -7,8 +7,13 @@
 
 use jsonc_parser::CollectOptions;
 use jsonc_parser::ParseOptions;
+use jsonc_parser::Scanner;
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged;
+use jsonc_parser::tokens::Token;
+
+/// Maximum depth of a file. The configuration has six levels.
+const MAX_DEPTH: usize = 64;
 
 /// One problem in a file.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -62,13 +67,16 @@
             allow_loose_object_property_names: false,
             allow_trailing_commas: true,
         };
-        let parsed = jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options);
-        let (offset, message) = match parsed {
-            Ok(result) => match result.value {
-                Some(root) => return Ok(Document { file, text, root }),
-                None => (0, "the file is empty; expected an object".to_owned()),
-            },
-            Err(error) => (error.range().start, error.kind().to_string()),
+        let (offset, message) = if let Some(offset) = find_deep_nesting(text) {
+            (offset, format!("more than {MAX_DEPTH} levels of nesting"))
+        } else {
+            match jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options) {
+                Ok(result) => match result.value {
+                    Some(root) => return Ok(Document { file, text, root }),
+                    None => (0, "the file is empty; expected an object".to_owned()),
+                },
+                Err(error) => (error.range().start, error.kind().to_string()),
+            }
         };
         let (line, column) = position(text, offset);
         Err(Problem {
@@ -129,6 +137,25 @@
     }
 }
 
+/// The offset of the first value below the maximum depth. The parser calls itself for each level, so
+/// it would overflow the stack of its thread.
+fn find_deep_nesting(text: &str) -> Option<usize> {
+    let mut scanner = Scanner::new(text);
+    let mut depth = 0_usize;
+    // The parser reports text that has no tokens.
+    while let Ok(Some(token)) = scanner.scan() {
+        match token {
+            Token::OpenBrace | Token::OpenBracket => depth += 1,
+            Token::CloseBrace | Token::CloseBracket => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > MAX_DEPTH {
+            return Some(scanner.token_start());
+        }
+    }
+    None
+}
+
 fn child<'a, 'b>(value: &'b ast::Value<'a>, segment: &str) -> Option<&'b ast::Value<'a>> {
     match value {
         ast::Value::Object(object) => object.get(segment).map(|property| &property.value),
--- a/lib/tests/common/mod.rs
+++ b/lib/tests/common/mod.rs
@@ -70,7 +70,7 @@
         SocketAddr::from(([127, self.test_id, third, fourth], port))
     }
 
-    fn platform_address(&self) -> SocketAddr {
+    pub fn platform_address(&self) -> SocketAddr {
         self.address(0, 1, 7000)
     }
 
