start: the configuration in force is handed to boxes that start

What callers would see: a box that starts isn't ready, and answers 503, while the value of op/config can't be read or is gone, though all other boxes serve by the last readable one. A rolling restart ends the service box by box. Cause: boxes hand on the store's entries, and the last readable configuration is none of them. Change: a reply with the state has the configuration in force if the store has another value or none. A box without a configuration applies it, and asks seeds for it once a second. Left: if all boxes start anew meanwhile, none has a configuration.

--- a/lib/src/gateway/control/peer_sync.rs
+++ b/lib/src/gateway/control/peer_sync.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::seq::SliceRandom;
 use tokio::sync::mpsc;
 
 use super::Control;
@@ -23,6 +24,8 @@
 use crate::gateway::state_transfer::StateScope;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::Change;
+use crate::protocol::adapter::Fact;
+use crate::protocol::adapter::KeyValue;
 use crate::state::clock;
 use crate::transport::store;
 use crate::transport::timer;
@@ -53,6 +56,8 @@
 /// Interval at which a box that knows no other one queries the seeds. A queried box sends to boxes
 /// of other regions only once it has known them for a second without finding them in the store.
 const SEED_QUERY_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of seeds that are queried in turn for a configuration.
+const MAX_CONFIGURATION_QUERIES: usize = 3;
 
 impl<A: Adapter> Control<A> {
     /// Gets the state at the start, from the store or from a box that a seed names, whichever is
@@ -178,6 +183,46 @@
         }
     }
 
+    /// Queries the seeds for the configuration in force, if the store has none that can be read.
+    pub(super) async fn discover_configuration(&mut self, now: Instant) {
+        let queried_recently =
+            self.last_seed_query_at.is_some_and(|at| now < at + SEED_QUERY_INTERVAL);
+        if self.cluster_state.routing.is_some() || queried_recently {
+            return;
+        }
+        self.last_seed_query_at = Some(now);
+        let mut seeds = self.shared.settings.seeds.clone();
+        seeds.retain(|seed| *seed != self.shared.settings.listen.handover);
+        seeds.shuffle(&mut rand::rng());
+        let scope = StateScope::After(self.position());
+        for seed in seeds.into_iter().take(MAX_CONFIGURATION_QUERIES) {
+            if let Some(state) =
+                state_transfer::fetch_from(&self.shared.peers, seed, &scope, None).await
+            {
+                self.apply_fetched_state(state);
+            }
+            if self.cluster_state.routing.is_some() {
+                return;
+            }
+        }
+    }
+
+    /// Applies the configuration that another box has in force and the store no longer has.
+    fn apply_lost_configuration(&mut self, item: &KeyValue) {
+        if self.cluster_state.routing.is_some() {
+            return;
+        }
+        let subject = self.shared.adapter.subject(&item.key);
+        let decoded = self.shared.adapter.decode_fact(&subject, &item.value);
+        if let Ok(Some(fact @ Fact::Routing(_))) = decoded
+            && self.cluster_state.apply(fact, item.revision, clock::now())
+        {
+            log::warn!("event=configuration_taken reason=\"the store has none that can be read\"");
+            *lock(&self.shared.configuration) = Some(item.clone());
+            self.publish();
+        }
+    }
+
     /// Fetches the state of a box that has a newer one, because this box can't reach the store or
     /// its watch has died unnoticed. Without this, boxes that lost the store sent to a failure
     /// domain that had been evacuated 6 s before, and sent 22 requests in a second instead of 17 to
@@ -233,10 +278,14 @@
             written,
             removed_keys,
             verdicts,
+            configuration,
         } = state;
         let mut quarantine = lock(&self.shared.quarantine);
         verdicts.iter().for_each(|verdict| quarantine.receive_verdict(verdict, clock::now()));
         drop(quarantine);
+        if let Some(configuration) = configuration {
+            self.apply_lost_configuration(&configuration);
+        }
         let position = version.position;
         let before = self.position();
         if position < before {
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -219,6 +219,7 @@
                 self.fetch_state_from(address).await;
             }
             self.discover_peers(now).await;
+            self.discover_configuration(now).await;
             let mut poll_now = self.take_due_check(now);
             if now >= next_draw_at {
                 poll_now |= self.draw_poll();
@@ -551,7 +552,10 @@
                 if matches!(fact, Fact::Routing(_) | Fact::Evacuated(_)) {
                     self.record_decision(item.revision);
                 }
-                self.cluster_state.apply(fact, item.revision, clock::now());
+                let is_routing = matches!(fact, Fact::Routing(_));
+                if self.cluster_state.apply(fact, item.revision, clock::now()) && is_routing {
+                    *lock(&self.shared.configuration) = Some(item);
+                }
             }
             Ok(None) => {}
             Err(error) => {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -191,6 +191,7 @@
             }),
             replica: Mutex::default(),
             compressed_state: Mutex::default(),
+            configuration: Mutex::default(),
             joins: Mutex::default(),
             services: Mutex::default(),
             loads: Mutex::default(),
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -53,6 +53,7 @@
 pub use crate::daemon::shared::lock;
 use crate::protocol::Incarnation;
 use crate::protocol::RegionId;
+use crate::protocol::adapter::KeyValue;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::Position;
 use crate::protocol::routing::Routing;
@@ -147,6 +148,8 @@
     pub replica: Mutex<Replica>,
     /// The state as last compressed for boxes that start.
     pub compressed_state: Mutex<Option<CompressedState>>,
+    /// The entry of the configuration in force.
+    pub configuration: Mutex<Option<KeyValue>>,
     /// Boxes that start and asked this one for the state.
     pub joins: Mutex<JoinTree>,
     /// The servers of this region by service.
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -135,6 +135,18 @@
     /// Addresses of boxes to ask instead.
     #[prost(string, repeated, tag = "12")]
     referrals: Vec<String>,
+    /// The configuration in force, if the store no longer has it.
+    #[prost(message, optional, tag = "13")]
+    configuration: Option<KeyedEntry>,
+}
+
+/// An entry with its key.
+#[derive(Clone, PartialEq, prost::Message)]
+struct KeyedEntry {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(message, required, tag = "2")]
+    entry: Entry,
 }
 
 /// Entries of a state.
@@ -177,6 +189,8 @@
     /// Requests that are refused because servers crash when they run them, if the requesting box
     /// had no state yet.
     pub verdicts: Vec<wire::VerdictReport>,
+    /// The configuration in force at the queried box, if the store no longer has it.
+    pub configuration: Option<KeyValue>,
 }
 
 /// The part of another box's state to request.
@@ -253,6 +267,7 @@
 fn build_reply<A: Adapter>(shared: &Shared<A>, query: StateQuery) -> StateReply {
     let requester_is_empty = query == StateQuery::default();
     let age_ms = u64::try_from(shared.state_age_ms()).ok();
+    let configuration = lost_configuration(shared);
     let replica = lock(&shared.replica);
     let to_entry =
         |item: KeyValue| (item.key, Entry { value: item.value, revision: item.revision });
@@ -302,10 +317,18 @@
         removed,
         verdicts,
         deflated,
+        configuration,
         ..StateReply::default()
     }
 }
 
+/// The configuration in force, if the store has another value or none under its key.
+fn lost_configuration<A: Adapter>(shared: &Shared<A>) -> Option<KeyedEntry> {
+    let KeyValue { key, value, revision } = lock(&shared.configuration).clone()?;
+    let is_stored = lock(&shared.replica).get(&key) == Some(&value);
+    (!is_stored).then(|| KeyedEntry { key, entry: Entry { value, revision } })
+}
+
 /// The requesting box, if it identifies itself.
 fn read_requester<A>(shared: &Shared<A>, headers: &HeaderMap) -> Option<Neighbor> {
     let text = |name: &HeaderName| headers.get(name)?.to_str().ok();
@@ -424,5 +447,6 @@
         written,
         removed_keys,
         verdicts: reply.verdicts,
+        configuration: reply.configuration.map(|item| to_item((item.key, item.entry))),
     }))
 }
--- a/lib/src/gateway/state_transfer/start.rs
+++ b/lib/src/gateway/state_transfer/start.rs
@@ -23,6 +23,7 @@
 use super::StateQuery;
 use super::StateReply;
 use super::fetched_state;
+use super::lost_configuration;
 use super::query_state;
 use super::to_item;
 use crate::coordination::freshness::Version;
@@ -91,6 +92,7 @@
         returned_ms: recovered_ago.map(|ago| ago.as_millis() as u64),
         verdicts: lock(&shared.quarantine).active_verdicts(now),
         deflated: state.deflated,
+        configuration: lost_configuration(shared),
         ..StateReply::default()
     }
 }
