boxes: a record that another writer replaces is written again

What callers would see: the directory of boxes that start leaves a box out, or leads them to an address at which no box is, until that box restarts. Cause: a box wrote its record again only when the key was removed, or while the store settled. Change: it does so too when the value can't be read, names another box, or differs from its own and isn't that of a later start under its name. Result: record_that_another_writer_replaces_is_written_again (seven values) fails on the code before, and passes.

--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -420,8 +420,7 @@
             }
             Change::Removed(key) => match self.remove_from_replica(&key).strip_prefix(BOXES) {
                 Some(name) if name == self.own_record.name => {
-                    log::warn!("event=record_lost reason=\"the store has removed it\"");
-                    self.record_sender.send_replace(self.own_record.clone());
+                    self.rewrite_record("the store has removed it");
                 }
                 Some(name) => self.cluster_state.remove_box(name, now),
                 None => self.remove_fact(&self.shared.adapter.subject(&key), now),
@@ -444,15 +443,29 @@
         key
     }
 
-    /// Writes this box's record again if a store that was restored from an older copy has an
-    /// outdated one.
+    /// Writes this box's record again if the store has another one under its key that is not that of
+    /// a later start: an outdated one, or that of another writer.
     fn rewrite_outdated_record(&mut self, record: &BoxRecord) {
         if record.name == self.own_record.name
             && *record != self.own_record
-            && self.cluster_state.is_settling(clock::now())
+            && (record.incarnation <= self.own_record.incarnation
+                || self.cluster_state.is_settling(clock::now()))
         {
-            log::warn!("event=record_lost reason=\"the store shows an older one\"");
-            self.record_sender.send_replace(self.own_record.clone());
+            self.rewrite_record("the store shows another one");
+        }
+    }
+
+    fn rewrite_record(&self, reason: &str) {
+        log::warn!("event=record_lost reason={reason:?}");
+        self.record_sender.send_replace(self.own_record.clone());
+    }
+
+    /// Logs a record that can't be read, and writes this box's record again if it was replaced by
+    /// one.
+    fn reject_record(&mut self, name: &str, item: &KeyValue, error: &str) {
+        self.unreadable_keys.record(&item.key, &item.value, error);
+        if name == self.own_record.name {
+            self.rewrite_record("the store shows an unreadable one");
         }
     }
 
@@ -481,16 +494,14 @@
         if let Some(name) = item.key.strip_prefix(BOXES) {
             match serde_json::from_slice::<BoxRecord>(&item.value) {
                 Ok(record) if record.name != name => {
-                    self.unreadable_keys.record(&item.key, &item.value, "it names another box");
+                    self.reject_record(name, &item, "it names another box");
                 }
                 Ok(mut record) => {
                     record.clamp_weight();
                     self.rewrite_outdated_record(&record);
                     self.cluster_state.apply_box(record);
                 }
-                Err(error) => {
-                    self.unreadable_keys.record(&item.key, &item.value, &error.to_string())
-                }
+                Err(error) => self.reject_record(name, &item, &error.to_string()),
             }
             return;
         }
