servers: a start time in the future orders no entries

What callers would see: 503, or one server less, for as long as a box runs: another writer's entry under the name of a server had a later start time, and the entry that the server wrote again was held for a late one. Cause: an entry of an incarnation that was replaced is never applied again. Change: if the start time of the known entry is more than an hour ahead of the clock, the next one replaces it. Clocks of machines differ by less. Left: a start time that is later, but not in the future.

--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -42,6 +42,9 @@
 /// be running and only have lost the store.
 const EXPIRED_BOX_RETENTION: Duration = Duration::from_secs(30);
 
+/// Maximum time by which the clock of a server's machine is ahead of this one's.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(3600);
+
 /// Maximum number of replaced incarnations that are remembered for each server. Late writes are those
 /// of the last one or two.
 const MAX_EARLIER_INCARNATIONS: usize = 4;
@@ -106,6 +109,12 @@
     }
 }
 
+/// Whether a start time can't be that of a running server, so that it doesn't order entries.
+fn is_in_the_future(started_at: Option<SystemTime>) -> bool {
+    let latest = SystemTime::now().checked_add(MAX_CLOCK_LEAD);
+    latest.is_some_and(|latest| started_at > Some(latest))
+}
+
 /// A failure domain that must get no requests.
 #[derive(Clone, Copy, Debug)]
 struct Evacuation {
@@ -227,6 +236,7 @@
         let is_settling = self.rollback.is_settling(now);
         if let Some(entry) = &before
             && server.started_at < entry.server.started_at
+            && !is_in_the_future(entry.server.started_at)
             && (is_settling || !entry.is_replaced_by(&server, incarnation, revision))
         {
             log::warn!("event=older_life server={} revision={revision}", server.id);
