servers: what happened at an earlier address doesn't count

What callers would see: 503, or one server less, for as long as a box runs: while another writer's entry gave a server the address of another one, that one answered 421, and the server counted as replaced for good. Cause: the address is no part of what identifies an incarnation, so the state of the server was kept when its entry named its own address again. Change: an entry with another address resets that the server was replaced, its path and its ejection. Outcomes of requests that were sent to the earlier address don't count. Result: server_whose_entry_had_the_address_of_another_gets_requests_again fails on the code before, and passes.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -221,6 +221,12 @@
 
     /// Replaces the state, in the update with this number.
     pub fn update(&mut self, state: ServerState, update: u64) {
+        if state.server.address != self.state.server.address {
+            // What happened at the other address says nothing about the server.
+            self.replaced = false;
+            self.ejection = Ejection::default();
+            self.path = Path::default();
+        }
         self.version = version_hash(&state.server.version);
         self.state = state;
         self.updated_in = update;
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -439,6 +439,8 @@
             candidate.reduce_prefill(place.prefill_tokens);
         }
         candidate.in_flight = candidate.in_flight.saturating_sub(1);
+        let is_at_address = candidate.state.server.address == place.address;
+        let outcome = if is_at_address { outcome } else { Outcome::Abandoned };
         candidate.record_outcome(outcome, now);
         if matches!(outcome, Outcome::Answered | Outcome::Failed) {
             let duration = now.saturating_duration_since(place.reserved_at);
--- a/lib/src/coordination/placement/status.rs
+++ b/lib/src/coordination/placement/status.rs
@@ -1,5 +1,6 @@
 //! State that servers report about themselves: leaving, resting, or replaced by another instance.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -53,9 +54,11 @@
         }
     }
 
-    /// Records that another instance has a server's address.
-    pub fn mark_replaced(&mut self, server: &str) {
-        if let Some(candidate) = self.servers.get_mut(server) {
+    /// Records that another instance has a server's address, unless the server has moved since.
+    pub fn mark_replaced(&mut self, server: &str, address: SocketAddr) {
+        if let Some(candidate) = self.servers.get_mut(server)
+            && candidate.state.server.address == address
+        {
             candidate.mark_replaced();
         }
     }
--- a/lib/src/gateway/probe.rs
+++ b/lib/src/gateway/probe.rs
@@ -66,7 +66,8 @@
         let Query { service, server, incarnation, sent_at, .. } = &self;
         if metadata.instance.as_deref().is_some_and(|instance| instance != server) {
             log::info!("event=server_replaced server={server} instance={:?}", metadata.instance);
-            shared.with_service(service, |state| state.placement.mark_replaced(server));
+            let address = self.target.address;
+            shared.with_service(service, |state| state.placement.mark_replaced(server, address));
         } else {
             let server_ref = ServerRef {
                 server,
