streams: log and count events out of sequence

Users reported streams of events out of order without logs. Nothing in a box showed whether the events that it forwards follow one another.

The relay now follows the ids of the events that it forwards, across the responses that it joins and from the caller's Last-Event-Id on. An id that isn't the one after its predecessor is logged (event=stream_out_of_sequence with the request, the server, the last and the next id) and counted (streams_out_of_sequence). Events are forwarded as before.

--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -20,6 +20,7 @@
 use crate::coordination::quarantine::Suspicion;
 use crate::coordination::shared_prefix::SharedPrefix;
 use crate::error::Failure;
+use crate::protocol::events::OutOfSequence;
 use crate::protocol::fleet::VersionHash;
 use crate::protocol::server_status::ServerStatus;
 use crate::state::clock;
@@ -209,6 +210,27 @@
     );
 }
 
+/// Logs that the next event of a stream doesn't follow the last one that was forwarded.
+pub fn stream_out_of_sequence(
+    job: &Job,
+    history: &RequestHistory,
+    server: Option<&str>,
+    gap: &OutOfSequence,
+) {
+    log::warn!(
+        target: TARGET,
+        "event=stream_out_of_sequence request={} route={} server={} last={} first={} sends={} content={} age_ms={}",
+        job.metadata.id,
+        job.route.name,
+        server.unwrap_or("-"),
+        gap.last_id,
+        gap.id,
+        history.arrivals(),
+        job.fingerprint,
+        age_ms(job),
+    );
+}
+
 /// Hash of the version that began a stream for the log.
 fn version_text(version: Option<VersionHash>) -> String {
     version.map_or("-".to_owned(), |version| format!("{version:x}"))
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -195,8 +195,13 @@
 
     /// Whether the request continues a stream whose first events the caller has.
     pub fn continues_stream(&self) -> bool {
-        let has_events = self.metadata.last_event.is_some_and(|id| id > 0);
-        self.route.resumable && (has_events || self.metadata.resumes.is_some())
+        let resumes = self.route.resumable && self.metadata.resumes.is_some();
+        resumes || self.continued_event().is_some()
+    }
+
+    /// The last event that the caller has of the stream that the request continues.
+    pub fn continued_event(&self) -> Option<u64> {
+        self.metadata.last_event.filter(|id| self.route.resumable && *id > 0)
     }
 
     /// The caller's attempt that brought the first event of the stream.
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -19,6 +19,8 @@
 use super::stream_versions;
 use crate::coordination::attempt::AttemptEvent;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::events::OutOfSequence;
+use crate::protocol::events::Sequence;
 use crate::protocol::fleet::VersionHash;
 use crate::state::clock;
 use crate::state::counters::Counter;
@@ -91,10 +93,15 @@
         caller_sender: &mpsc::Sender<Option<Chunk>>,
     ) -> Result<(), BodyError> {
         let mut last_event_id = self.job.metadata.last_event;
+        let mut sequence = Sequence::after(self.job.continued_event());
         loop {
             match self.stream.next().await {
                 Ok(Some(events)) => {
                     last_event_id = self.stream.last_id().or(last_event_id);
+                    if let (_, Some(gap)) = sequence.advance(&events) {
+                        self.record_gap(&gap);
+                        sequence.skip(&events);
+                    }
                     self.stream_timing.record_event(clock::now());
                     if caller_sender.send(Some(Ok(events))).await.is_err() {
                         return Err(BodyError::TaskGone);
@@ -122,6 +129,11 @@
         }
     }
 
+    fn record_gap(&mut self, gap: &OutOfSequence) {
+        self.shared.counters.increment(Counter::StreamsOutOfSequence);
+        decision_log::stream_out_of_sequence(&self.job, &self.history, self.stream.server(), gap);
+    }
+
     /// The version that began the stream, if it is known. A box of an older build doesn't report it.
     async fn find_version(&self) -> Option<VersionHash> {
         match self.stream.version() {
--- a/lib/src/protocol/events.rs
+++ b/lib/src/protocol/events.rs
@@ -1,7 +1,8 @@
 //! Splits a byte stream of server-sent events into complete events.
 //!
 //! The response of a backend server may break off in the middle of an event. Only complete events
-//! are passed on, so a caller has received exactly the events up to the ID of the last one.
+//! are passed on, so a caller has received exactly the events up to the ID of the last one. IDs
+//! increase by one from event to event, which [`Sequence`] checks across the responses that continue a stream.
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -75,16 +76,79 @@
     }
 
     fn update_last_id(&mut self, events: &[u8]) {
-        let mut lines = events.rsplit(|byte| *byte == b'\n');
-        let last = lines.find_map(|line| line.strip_prefix(b"id:"));
-        let last = last.and_then(|id| std::str::from_utf8(id).ok());
-        if let Some(id) = last.and_then(|id| id.trim().parse().ok()) {
-            self.last_id = Some(id);
-        }
+        self.last_id = last_event_id(events).or(self.last_id);
     }
 }
 
+/// Returns the last ID in complete events.
+fn last_event_id(events: &[u8]) -> Option<u64> {
+    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    parse_id(lines.find_map(|line| line.strip_prefix(b"id:"))?)
+}
+
+fn parse_id(text: &[u8]) -> Option<u64> {
+    std::str::from_utf8(text).ok()?.trim().parse().ok()
+}
+
+/// Returns where the first end of an event starts.
+fn find_first_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(END.len()).position(|pair| pair == END)
+}
+
 /// Returns where the last end of an event starts.
 fn find_last_end(bytes: &[u8]) -> Option<usize> {
     bytes.windows(END.len()).rposition(|pair| pair == END)
 }
+
+/// The ID of an event that does not follow the one before it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("event {id} does not follow event {last_id}")]
+pub struct OutOfSequence {
+    /// The ID of the event before it.
+    pub last_id: u64,
+    /// The ID of the event.
+    pub id: u64,
+}
+
+/// The position in a stream of events.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sequence {
+    last_id: Option<u64>,
+}
+
+impl Sequence {
+    /// Creates a position after the event `last_id`. Without it, the stream may begin with any ID.
+    pub fn after(last_id: Option<u64>) -> Sequence {
+        Sequence { last_id }
+    }
+
+    /// Returns the ID of the last event.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Advances over complete events up to the first one that does not follow its predecessor.
+    /// Returns the number of bytes before that one, and the IDs if there is one.
+    pub fn advance(&mut self, events: &[u8]) -> (usize, Option<OutOfSequence>) {
+        let mut position = 0;
+        while position < events.len() {
+            let event = &events[position..];
+            let len = find_first_end(event).map_or(event.len(), |start| start + END.len());
+            if let Some(id) = last_event_id(&event[..len]) {
+                if let Some(last_id) = self.last_id
+                    && last_id.checked_add(1) != Some(id)
+                {
+                    return (position, Some(OutOfSequence { last_id, id }));
+                }
+                self.last_id = Some(id);
+            }
+            position += len;
+        }
+        (position, None)
+    }
+
+    /// Continues after the last event of these, whatever their order is.
+    pub fn skip(&mut self, events: &[u8]) {
+        self.last_id = last_event_id(events).or(self.last_id);
+    }
+}
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -53,6 +53,7 @@
     StreamsResumed "streams_resumed" "Streams that callers resumed with another request.";
     StreamBatches "stream_batches" "Batches of streams that were written to the store, so that they can go on after all boxes have started anew.";
     StreamsOfUnknownVersion "streams_of_unknown_version" "Streams that were not continued because the software version that began them is unknown.";
+    StreamsOutOfSequence "streams_out_of_sequence" "Streams with an event whose id doesn't follow the one before it.";
     Queued "queued" "Requests that waited for a slot.";
     ForwardedOut "forwarded_out" "Requests sent to another box.";
     ForwardedIn "forwarded_in" "Requests received from another box.";
--- a/lib/tests/test_events.rs
+++ b/lib/tests/test_events.rs
@@ -6,6 +6,8 @@
 use bytes::Bytes;
 use copperweir_lib::protocol::bounds::MAX_EVENT_BYTES;
 use copperweir_lib::protocol::events::EventTooLong;
+use copperweir_lib::protocol::events::OutOfSequence;
+use copperweir_lib::protocol::events::Sequence;
 use copperweir_lib::protocol::events::Splitter;
 use proptest::prelude::*;
 
@@ -97,3 +99,35 @@
         }
     }
 }
+
+fn numbered(ids: &[u64]) -> String {
+    ids.iter().map(|id| format!("id: {id}\ndata: x\n\n")).collect()
+}
+
+#[test]
+fn sequence_ends_before_an_event_that_does_not_follow() {
+    for (last_id, ids, valid_events, gap) in [
+        (None, [3, 4, 5], 3, None),
+        (Some(2), [3, 4, 5], 3, None),
+        (Some(2), [3, 5, 6], 1, Some((3, 5))),
+        (Some(2), [3, 3, 4], 1, Some((3, 3))),
+        (Some(2), [2, 3, 4], 0, Some((2, 2))),
+        (Some(u64::MAX), [0, 1, 2], 0, Some((u64::MAX, 0))),
+    ] {
+        let mut sequence = Sequence::after(last_id);
+        let gap = gap.map(|(last_id, id)| OutOfSequence { last_id, id });
+        let valid_len = numbered(&ids[..valid_events]).len();
+        assert_eq!(sequence.advance(numbered(&ids).as_bytes()), (valid_len, gap));
+        let last_id = ids[..valid_events].last().copied().or(last_id);
+        assert_eq!(sequence.last_id(), last_id);
+    }
+}
+
+#[test]
+fn sequence_continues_over_events_without_ids() {
+    let mut sequence = Sequence::after(Some(1));
+    let events =
+        [": alive\n\n".to_owned(), numbered(&[2]), "data: x\n\n".to_owned(), numbered(&[3])];
+    assert_eq!(sequence.advance(events.concat().as_bytes()), (events.concat().len(), None));
+    assert_eq!(sequence.last_id(), Some(3));
+}
