streams: break off before an event out of sequence

Callers got events twice, or lacked one, and were told that the stream was whole: a server that was to go on after event 2 began at 1, 2 or 4, or left out an event of its own stream. The same for callers that took a stream up.

Cause: the relay joined whatever a server sent to what it had forwarded.

Now it forwards the events that follow, records the response as invalid and goes on after the last one at another server, by the usual rules. If none sends the event that follows, or the route isn't resumable, the response breaks off without its end. The first event of a stream that is taken up on a resumable route must follow Last-Event-Id. A box that forwards for another one checks as well.

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -365,9 +365,10 @@
 /// Classifies the end of a response that isn't complete.
 pub fn cut_event(cut: &BodyError) -> AttemptEvent {
     match cut {
-        BodyError::TooLong(_) | BodyError::Malformed(_) | BodyError::IdleTimeout => {
-            AttemptEvent::Invalid
-        }
+        BodyError::TooLong(_)
+        | BodyError::Malformed(_)
+        | BodyError::OutOfSequence(_)
+        | BodyError::IdleTimeout => AttemptEvent::Invalid,
         _ => AttemptEvent::Interrupted,
     }
 }
--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -92,19 +92,21 @@
         &mut self,
         caller_sender: &mpsc::Sender<Option<Chunk>>,
     ) -> Result<(), BodyError> {
-        let mut last_event_id = self.job.metadata.last_event;
         let mut sequence = Sequence::after(self.job.continued_event());
         loop {
             match self.stream.next().await {
-                Ok(Some(events)) => {
-                    last_event_id = self.stream.last_id().or(last_event_id);
-                    if let (_, Some(gap)) = sequence.advance(&events) {
-                        self.record_gap(&gap);
-                        sequence.skip(&events);
+                Ok(Some(mut events)) => {
+                    let (valid_len, gap) = sequence.advance(&events);
+                    events.truncate(valid_len);
+                    if !events.is_empty() {
+                        self.stream_timing.record_event(clock::now());
+                        if caller_sender.send(Some(Ok(events))).await.is_err() {
+                            return Err(BodyError::TaskGone);
+                        }
                     }
-                    self.stream_timing.record_event(clock::now());
-                    if caller_sender.send(Some(Ok(events))).await.is_err() {
-                        return Err(BodyError::TaskGone);
+                    if let Some(gap) = gap {
+                        self.record_gap(&gap);
+                        self.replace_stream(&sequence, BodyError::OutOfSequence(gap)).await?;
                     }
                 }
                 Ok(None) => {
@@ -116,19 +118,23 @@
                     );
                     return Ok(());
                 }
-                Err(cut) => {
-                    feedback::record_end(
-                        &self.shared,
-                        &self.job,
-                        self.stream.reservation(),
-                        attempt::cut_event(&cut),
-                    );
-                    self.stream = self.resume(last_event_id, cut).await?;
-                }
+                Err(cut) => self.replace_stream(&sequence, cut).await?,
             }
         }
     }
 
+    /// Gives up a broken stream and continues with that of another server.
+    async fn replace_stream(
+        &mut self,
+        sequence: &Sequence,
+        cut: BodyError,
+    ) -> Result<(), BodyError> {
+        let event = attempt::cut_event(&cut);
+        feedback::record_end(&self.shared, &self.job, self.stream.reservation(), event);
+        self.stream = self.resume(sequence.last_id(), cut).await?;
+        Ok(())
+    }
+
     fn record_gap(&mut self, gap: &OutOfSequence) {
         self.shared.counters.increment(Counter::StreamsOutOfSequence);
         decision_log::stream_out_of_sequence(&self.job, &self.history, self.stream.server(), gap);
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -61,11 +61,6 @@
         }
     }
 
-    /// Id of the last event that was read.
-    pub fn last_id(&self) -> Option<u64> {
-        self.splitter.last_id()
-    }
-
     /// The slot on a backend server of this region, for recording the outcome. `None` for a stream
     /// from another box.
     pub fn reservation(&mut self) -> &mut Option<Reservation<A>> {
--- a/lib/src/protocol/events.rs
+++ b/lib/src/protocol/events.rs
@@ -146,9 +146,4 @@
         }
         (position, None)
     }
-
-    /// Continues after the last event of these, whatever their order is.
-    pub fn skip(&mut self, events: &[u8]) {
-        self.last_id = last_event_id(events).or(self.last_id);
-    }
 }
--- a/lib/src/transport/body.rs
+++ b/lib/src/transport/body.rs
@@ -10,6 +10,8 @@
 use http_body::SizeHint;
 use tokio::sync::mpsc;
 
+use crate::protocol::events::OutOfSequence;
+
 /// The reason for which a response broke off.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum BodyError {
@@ -22,6 +24,9 @@
     /// The stream ended without its end marker.
     #[error("the backend server's stream has no end mark")]
     MissingEnd,
+    /// An event doesn't follow the one before it.
+    #[error("the backend server's events are out of sequence: {0}")]
+    OutOfSequence(OutOfSequence),
     /// The response exceeds a bound.
     #[error("the backend server's answer is too long: {0}")]
     TooLong(String),
