streams: no resume after an event without an id

Callers got events twice, as whole: a server whose events have no ids broke off, and the next one sent all of them again (one event became three in the test).

Cause: without an id the request goes to the next server without Last-Event-Id, or with that of an earlier event, which asks for events that the caller has.

The relay now knows whether the last id covers all forwarded events. If not, the response breaks off for its caller. Comments carry no data and are no events, and a later id covers the events before it.

events_without_ids_are_not_doubled_by_a_resume failed before and holds now.

--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -131,6 +131,9 @@
     ) -> Result<(), BodyError> {
         let event = attempt::cut_event(&cut);
         feedback::record_end(&self.shared, &self.job, self.stream.reservation(), event);
+        if !sequence.is_known() {
+            return Err(cut);
+        }
         self.stream = self.resume(sequence.last_id(), cut).await?;
         Ok(())
     }
--- a/lib/src/protocol/events.rs
+++ b/lib/src/protocol/events.rs
@@ -86,6 +86,11 @@
     parse_id(lines.find_map(|line| line.strip_prefix(b"id:"))?)
 }
 
+/// Whether an event is more than a comment.
+fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
+
 fn parse_id(text: &[u8]) -> Option<u64> {
     std::str::from_utf8(text).ok()?.trim().parse().ok()
 }
@@ -114,12 +119,13 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Sequence {
     last_id: Option<u64>,
+    has_unnumbered: bool,
 }
 
 impl Sequence {
     /// Creates a position after the event `last_id`. Without it, the stream may begin with any ID.
     pub fn after(last_id: Option<u64>) -> Sequence {
-        Sequence { last_id }
+        Sequence { last_id, has_unnumbered: false }
     }
 
     /// Returns the ID of the last event.
@@ -127,6 +133,12 @@
         self.last_id
     }
 
+    /// Returns whether the ID of the last event says which events there were. An event without an ID
+    /// after it would be sent again by a server that continues after that ID.
+    pub fn is_known(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Advances over complete events up to the first one that does not follow its predecessor.
     /// Returns the number of bytes before that one, and the IDs if there is one.
     pub fn advance(&mut self, events: &[u8]) -> (usize, Option<OutOfSequence>) {
@@ -141,6 +153,9 @@
                     return (position, Some(OutOfSequence { last_id, id }));
                 }
                 self.last_id = Some(id);
+                self.has_unnumbered = false;
+            } else if has_data(&event[..len]) {
+                self.has_unnumbered = true;
             }
             position += len;
         }
