streams: a stream without events isn't whole

Callers got 200 and a whole response without a single event when a server ended the response right after the head, in order. A resume that a server answered with 204 ended the caller's stream as whole, too.

Cause: the wait for the first event counted the end of the body as success, and a 204 with the type of a stream as a stream.

Now such a response counts as broken, so another server runs the request where the route allows it, and the caller gets 502 otherwise. A stream that goes on after an event may have none left, as a server may break off between the last event and the end. A 204 is no stream.

stream_without_any_event_does_not_end_as_complete and resume_that_is_answered_with_no_stream_does_not_end_as_complete failed before and hold now. That the 204 was the failing case of the latter is by reading the code.

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -104,7 +104,7 @@
         send(&shared.servers, job, address, request, new_connection, &mut reservation).await;
     let mut reservation = Some(reservation);
     match response {
-        Ok(response) => receive(shared, job, response, reservation).await,
+        Ok(response) => receive(shared, job, response, reservation, last_event).await,
         Err(no_response) => {
             feedback::record_end(shared, job, &mut reservation, no_response.event);
             no_response.into_outcome(&server)
@@ -130,7 +130,7 @@
             if failure.is_some() && response.headers().contains_key(LOST_PATHS_HEADER) {
                 record_path_refusal(shared, job, address);
             }
-            peer_outcome(shared, job, response, failure, version).await
+            peer_outcome(shared, job, response, failure, last_event, version).await
         }
         Err(no_response) => no_response.into_outcome(&address.to_string()),
     }
@@ -181,6 +181,7 @@
     job: &Job,
     response: Response<PooledBody>,
     failure: Option<Failure>,
+    last_event: Option<u64>,
     version: Option<VersionHash>,
 ) -> SendOutcome<A> {
     match failure {
@@ -197,7 +198,7 @@
                 Failure::new(ErrorKind::BackendFailed, message).with_executed(Executed::Unknown),
             )
         }
-        None => receive(shared, job, response, None).await,
+        None => receive(shared, job, response, None, last_event).await,
     }
 }
 
@@ -264,6 +265,7 @@
     job: &Job,
     response: Response<PooledBody>,
     mut reservation: Option<Reservation<A>>,
+    last_event: Option<u64>,
 ) -> SendOutcome<A> {
     let (head, mut exchange) = response.into_parts();
     let metadata = shared.adapter.parse_response(head.status, &head.headers);
@@ -324,13 +326,14 @@
     }
     let idle = idle_time(metadata.keep_alive);
     let headers = forwarded_headers(&head.headers);
-    if head.status.is_success() && is_event_stream(&head.headers) {
+    let has_body = head.status != StatusCode::NO_CONTENT;
+    if head.status.is_success() && has_body && is_event_stream(&head.headers) {
         let version = match &reservation {
             Some(reservation) => Some(reservation.place.version),
             None => peer_response::version(&head.headers),
         };
         let stream = Stream::new(exchange, reservation, idle, version);
-        return await_first_event(shared, job, head.status, headers, stream).await;
+        return await_first_event(shared, job, head.status, headers, stream, last_event).await;
     }
     let body = held_body::read(&mut exchange, &shared.response_memory);
     match timer::timeout_at(job.deadline, body).await {
@@ -405,8 +408,9 @@
     status: StatusCode,
     headers: HeaderMap,
     mut stream: Stream<A>,
+    last_event: Option<u64>,
 ) -> SendOutcome<A> {
-    match timer::timeout_at(job.deadline, stream.read_first_event()).await {
+    match timer::timeout_at(job.deadline, stream.read_first_event(last_event)).await {
         Ok(Ok(())) => {
             let payload = Payload::Stream(Box::new(stream));
             SendOutcome::Answered(Reply { status, headers, payload })
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -44,9 +44,12 @@
         }
     }
 
-    /// Reads the first event.
-    pub async fn read_first_event(&mut self) -> Result<(), BodyError> {
+    /// Reads the first event. Only a stream that continues after an event may have none.
+    pub async fn read_first_event(&mut self, after_event: Option<u64>) -> Result<(), BodyError> {
         self.buffered_events = self.read().await?;
+        if self.buffered_events.is_none() && after_event.is_none_or(|id| id == 0) {
+            return Err(BodyError::MissingEnd);
+        }
         if let Some(reservation) = &mut self.reservation {
             reservation.first_byte();
         }
