--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -44,9 +44,12 @@
         }
     }
 
-    /// Reads the first event.
-    pub async fn read_first_event(&mut self) -> Result<(), BodyError> {
+    /// Reads the first event. Only a stream that continues after an event may have none.
+    pub async fn read_first_event(&mut self, after_event: Option<u64>) -> Result<(), BodyError> {
         self.buffered_events = self.read().await?;
+        if self.buffered_events.is_none() && after_event.is_none_or(|id| id == 0) {
+            return Err(BodyError::MissingEnd);
+        }
         if let Some(reservation) = &mut self.reservation {
             reservation.first_byte();
         }
@@ -61,11 +64,6 @@
         }
     }
 
-    /// Id of the last event that was read.
-    pub fn last_id(&self) -> Option<u64> {
-        self.splitter.last_id()
-    }
-
     /// The slot on a backend server of this region, for recording the outcome. `None` for a stream
     /// from another box.
     pub fn reservation(&mut self) -> &mut Option<Reservation<A>> {
--- a/lib/src/state/counters.rs
+++ b/lib/src/state/counters.rs
@@ -54,6 +54,7 @@
     StreamsAwaitingList "streams_awaiting_list" "Streams that did not begin because the store did not list the software version of the servers yet.";
     StreamBatches "stream_batches" "Batches of streams that were written to the store, so that they can go on after all boxes have started anew.";
     StreamsOfUnknownVersion "streams_of_unknown_version" "Streams that were not continued because the software version that began them is unknown.";
+    StreamsOutOfSequence "streams_out_of_sequence" "Streams with an event whose id doesn't follow the one before it.";
     Queued "queued" "Requests that waited for a slot.";
     ForwardedOut "forwarded_out" "Requests sent to another box.";
     ForwardedIn "forwarded_in" "Requests received from another box.";
