--- a/lib/src/protocol/events.rs
+++ b/lib/src/protocol/events.rs
@@ -2,7 +2,8 @@
 //!
 //! The response of a backend server may break off in the middle of an event. Only complete events
 //! are passed on, so a caller has received exactly the events up to the ID of the last one. IDs
-//! increase by one from event to event, which [`Sequence`] checks across the responses that continue a stream.
+//! increase from event to event, which [`Sequence`] checks across the responses that continue a
+//! stream. An ID that is left out says nothing: a server may number its events otherwise.
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -148,7 +149,7 @@
             let len = find_first_end(event).map_or(event.len(), |start| start + END.len());
             if let Some(id) = last_event_id(&event[..len]) {
                 if let Some(last_id) = self.last_id
-                    && last_id.checked_add(1) != Some(id)
+                    && id <= last_id
                 {
                     return (position, Some(OutOfSequence { last_id, id }));
                 }
