streams: one that ends before its first event without framing is broken

A server that stopped right after the head of an event stream with neither a length nor chunks, and closed in order, gave its caller a 200 with an empty body, framed as whole by the box. The close of such a stream was taken for its regular end, since no incomplete event was buffered.

A stream without framing now needs an event, unless it goes on after one (a stream that is taken up may have no more events). Otherwise the request goes on at another server, or fails with 502.

The tests cut the responses of 40 servers at each byte, by close, reset and silence, in one box, at a server of another region, and between boxes.

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -104,7 +104,7 @@
         send(&shared.servers, job, address, request, new_connection, &mut reservation).await;
     let mut reservation = Some(reservation);
     match response {
-        Ok(response) => receive(shared, job, response, reservation).await,
+        Ok(response) => receive(shared, job, response, reservation, last_event).await,
         Err(no_response) => {
             feedback::record_end(shared, job, &mut reservation, no_response.event);
             no_response.into_outcome(&server)
@@ -130,7 +130,8 @@
             if failure.is_some() && response.headers().contains_key(LOST_PATHS_HEADER) {
                 record_path_refusal(shared, job, address);
             }
-            peer_outcome(shared, job, response, failure, version).await
+            let outcome = peer_outcome(shared, job, response, failure, version, last_event);
+            outcome.await
         }
         Err(no_response) => no_response.into_outcome(&address.to_string()),
     }
@@ -182,6 +183,7 @@
     response: Response<PooledBody>,
     failure: Option<Failure>,
     version: Option<VersionHash>,
+    last_event: Option<u64>,
 ) -> SendOutcome<A> {
     match failure {
         Some(failure)
@@ -197,7 +199,7 @@
                 Failure::new(ErrorKind::BackendFailed, message).with_executed(Executed::Unknown),
             )
         }
-        None => receive(shared, job, response, None).await,
+        None => receive(shared, job, response, None, last_event).await,
     }
 }
 
@@ -264,6 +266,7 @@
     job: &Job,
     response: Response<PooledBody>,
     mut reservation: Option<Reservation<A>>,
+    last_event: Option<u64>,
 ) -> SendOutcome<A> {
     let (head, mut exchange) = response.into_parts();
     let metadata = shared.adapter.parse_response(head.status, &head.headers);
@@ -330,7 +333,10 @@
             None => peer_response::version(&head.headers),
         };
         let stream = Stream::new(exchange, reservation, idle, version);
-        return await_first_event(shared, job, head.status, headers, stream).await;
+        // Without framing, a server that stopped before the first event looks like the end of an
+        // empty stream. Only a stream that goes on may have no more events.
+        let may_be_empty = last_event.is_some() || is_framed(&head.headers);
+        return await_first_event(shared, job, head.status, headers, stream, may_be_empty).await;
     }
     let body = held_body::read(&mut exchange, &shared.response_memory);
     match timer::timeout_at(job.deadline, body).await {
@@ -404,8 +410,9 @@
     status: StatusCode,
     headers: HeaderMap,
     mut stream: Stream<A>,
+    may_be_empty: bool,
 ) -> SendOutcome<A> {
-    match timer::timeout_at(job.deadline, stream.read_first_event()).await {
+    match timer::timeout_at(job.deadline, stream.read_first_event(may_be_empty)).await {
         Ok(Ok(())) => {
             let payload = Payload::Stream(Box::new(stream));
             SendOutcome::Answered(Reply { status, headers, payload })
@@ -431,6 +438,11 @@
     keep_alive.map_or(Duration::MAX, |announced| announced.saturating_sub(KEEP_ALIVE_MARGIN))
 }
 
+/// Whether the end of the body is told by the response, not by its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let value = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
     value.is_some_and(|value| value.starts_with("text/event-stream"))
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -44,9 +44,12 @@
         }
     }
 
-    /// Reads the first event.
-    pub async fn read_first_event(&mut self) -> Result<(), BodyError> {
+    /// Reads the first event. Unless the stream may be empty, it is broken if it has none.
+    pub async fn read_first_event(&mut self, may_be_empty: bool) -> Result<(), BodyError> {
         self.buffered_events = self.read().await?;
+        if self.buffered_events.is_none() && !may_be_empty {
+            return Err(BodyError::MissingEnd);
+        }
         if let Some(reservation) = &mut self.reservation {
             reservation.first_byte();
         }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,8 @@
 //! `/control`, lets a test inject faults. The stand-ins are neither fast nor
 //! complete, and the daemon's code does not depend on them.
 
+pub mod cut;
+pub mod cut_play;
 pub mod engine;
 pub mod http1;
 pub mod link;
