responses: one that breaks off resets the connection of an HTTP/1.0 caller

HTTP/1.0 callers get no chunks: a body without a known length ends with its connection. When such a body broke off, the HTTP library dropped the connection, which closed it in order, so callers took a part of a stream, or nothing, for a whole response with status 200. The same holds for bodies without a length that `copperweir serve` relays.

The body of a response to a request below HTTP/1.1 is watched if its length is unknown; after an error its connection is reset when it is dropped. Responses of HTTP/1.1 and HTTP/2 show by their framing that they broke off and are left as they were.

--- a/lib/src/transport/activity.rs
+++ b/lib/src/transport/activity.rs
@@ -29,6 +29,7 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use super::truncation::Reset;
 use crate::state::clock;
 
 /// Counts ports that accept connections, and open connections. While there are none, no request is
@@ -172,6 +173,12 @@
 #[derive(Debug)]
 pub struct TrackedStream(Activity);
 
+impl Reset for TrackedStream {
+    fn reset_on_close(&self) {
+        self.0.lock().stream.reset_on_close();
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/lib/src/transport/http1.rs
+++ b/lib/src/transport/http1.rs
@@ -36,6 +36,8 @@
 use super::activity::Phase;
 use super::listen::Shutdown;
 use super::liveness;
+use super::truncation::ResettableStream;
+use super::truncation::Truncation;
 use crate::state::clock;
 use crate::transport::timer;
 
@@ -155,13 +157,16 @@
     B: Body<Data = Bytes> + Unpin + Send + 'static,
     B::Error: std::error::Error + Send + Sync,
 {
-    let activity = Activity::new(stream);
+    let (activity, truncation) = (Activity::new(stream), Truncation::default());
+    let stream = ResettableStream::new(activity.stream(), truncation.clone());
     let limits = current_limits();
     let (tracker, stopping) = (activity.clone(), shutdown.clone());
     let service = service_fn(move |mut request: Request<Incoming>| {
         tracker.begin_request(request.body().is_end_stream());
         request.extensions_mut().insert(ClientIp(client));
+        let version = request.version();
         let (response, tracker, stopping) = (handler(request), tracker.clone(), stopping.clone());
+        let truncation = truncation.clone();
         // The limit of an open connection can't be raised, so the caller has to open another.
         let is_outdated = current_limits().max_header_bytes > limits.max_header_bytes;
         async move {
@@ -170,14 +175,16 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response.map(|body| tracker.track_body(body)))
+            Ok::<_, Infallible>(
+                response.map(|body| tracker.track_body(truncation.watch(body, version))),
+            )
         }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(activity.stream()), service);
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     // The connection ends with an error whenever a caller disconnects; the handler accounts for
     // this.
--- a/lib/src/transport/listen.rs
+++ b/lib/src/transport/listen.rs
@@ -27,6 +27,8 @@
 
 use crate::transport::liveness;
 use crate::transport::timer;
+use crate::transport::truncation::ResettableStream;
+use crate::transport::truncation::Truncation;
 
 /// The longest wait for the headers of a request, and the interval of HTTP/2 keep-alive pings.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -101,7 +103,7 @@
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Unpin + Send + 'static,
     B::Error: std::error::Error + Send + Sync,
 {
     let graceful = GracefulShutdown::new();
@@ -117,9 +119,14 @@
         let Ok(stream) = TcpStream::from_std(stream) else { continue };
         liveness::CALLER.apply(&stream);
         let handler = handler.clone();
-        let service = service_fn(move |request| {
+        let truncation = Truncation::default();
+        let stream = ResettableStream::new(stream, truncation.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (version, truncation) = (request.version(), truncation.clone());
             let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            async move {
+                Ok::<_, Infallible>(response.await.map(|body| truncation.watch(body, version)))
+            }
         });
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
--- a/lib/src/transport/mod.rs
+++ b/lib/src/transport/mod.rs
@@ -16,3 +16,4 @@
 pub mod store;
 pub mod timer;
 pub mod traffic_thread;
+pub mod truncation;
--- /dev/null
+++ b/lib/tests/test_cut_heads.rs
@@ -0,0 +1,115 @@
+//! Engines and services of `copperweir serve` that stop in the middle of a response, at each of its
+//! bytes.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::Fleet;
+use common::Plan;
+use common::REGIONS;
+use copperweir_standin::cut::CutServers;
+use copperweir_standin::cut::End;
+use copperweir_standin::cut::Shape;
+use copperweir_standin::cut_play::Play;
+use copperweir_standin::cut_play::Tally;
+use copperweir_standin::cut_play::cuts;
+use copperweir_standin::cut_play::is_plain;
+use copperweir_standin::cut_play::sample;
+use serde_json::json;
+
+/// Number of servers, so that few are ejected for their cuts.
+const SERVERS: u16 = 400;
+const ENDS: [End; 2] = [End::Close, End::Reset];
+const ONCE: &str = "/services/cuts/once";
+const SAFE: &str = "/services/cuts/safe";
+const COMPLETION: &str = "/v1/chat/completions";
+const COMPLETION_BODY: &str =
+    r#"{"model":"cut","stream":true,"messages":[{"role":"user","content":"a"}]}"#;
+
+struct Fixture {
+    fleet: Fleet,
+    servers: CutServers,
+}
+
+impl Fixture {
+    /// Boxes in `regions` regions. The servers are in the last one.
+    fn start(test_id: u8, regions: usize, cuts_once: bool) -> Fixture {
+        let plan = Plan { regions, ..Plan::new(test_id) };
+        let fleet = Fleet::start(plan);
+        let addresses: Vec<SocketAddr> = (0..SERVERS)
+            .map(|number| {
+                let mut address = plan.service_address(regions - 1);
+                address.set_port(9100 + number);
+                address
+            })
+            .collect();
+        let servers = fleet.runtime.block_on(CutServers::start(&addresses, cuts_once));
+        let mut configuration = plan.configuration();
+        let (mut services, mut engines) = (serde_json::Map::new(), serde_json::Map::new());
+        for (number, address) in addresses.iter().enumerate() {
+            let entry = json!({
+                "region": REGIONS[regions - 1], "failure_domain": "a",
+                "address": address.to_string(), "slots": 32,
+            });
+            let entries = if number % 2 == 0 { &mut services } else { &mut engines };
+            entries.insert(format!("cut-{number}"), entry);
+        }
+        configuration["pools"]["cut"] = json!({"servers": engines});
+        configuration["models"]["cut"] = json!({"pool": "cut", "version": "1"});
+        let not_repeatable = json!([{"method": "POST", "path": "/once"}]);
+        configuration["services"]["cuts"] =
+            json!({"servers": services, "not_repeatable": not_repeatable});
+        fleet.apply("main", &configuration).expect("more services");
+        fleet.wait_for_version(2);
+        Fixture { fleet, servers: servers.expect("the servers start") }
+    }
+
+    fn callers(&self, name: &'static str, path: &'static str) -> Play {
+        Play {
+            address: self.fleet.plan.callers_address(0, 0),
+            servers: self.servers.clone(),
+            name,
+            path,
+            protocol: "HTTP/1.1",
+            timeout_header: "copperweir-timeout-ms",
+            body: if path == COMPLETION { COMPLETION_BODY } else { "" },
+            key_header: None,
+            is_repeatable: path != ONCE,
+            relays_bodies: true,
+            has_late_surplus: false,
+            tally: Default::default(),
+        }
+    }
+
+    fn run(&self, callers: Play, shapes: fn(Shape) -> bool, ends: &[End], step: usize) -> Tally {
+        let scripts = sample(cuts(shapes, ends), step);
+        let tally = self.fleet.runtime.block_on(callers.run(scripts));
+        let faults = &tally.faults[..tally.faults.len().min(12)];
+        assert!(faults.is_empty(), "{} of {}: {faults:#?}", tally.faults.len(), tally.tried);
+        assert!(tally.executed * 10 >= tally.tried * 9, "{} of {}", tally.executed, tally.tried);
+        tally
+    }
+}
+
+#[test]
+fn response_cut_at_any_byte_is_never_told_as_whole() {
+    let fixture = Fixture::start(90, 1, false);
+    fixture.run(fixture.callers("one", ONCE), is_plain, &ENDS, 11);
+    fixture.run(fixture.callers("one", SAFE), is_plain, &ENDS, 23);
+}
+
+#[test]
+fn response_cut_in_another_region_is_never_told_as_whole() {
+    let fixture = Fixture::start(91, 2, false);
+    fixture.run(fixture.callers("far", ONCE), is_plain, &ENDS, 11);
+}
+
+/// Guards against a response that breaks off and ends like a whole one, because a caller of this
+/// version gets the end of a body of unknown length as the end of its connection.
+#[test]
+fn body_that_breaks_off_has_no_orderly_end_for_callers_without_chunks() {
+    let fixture = Fixture::start(92, 1, false);
+    let callers = Play { protocol: "HTTP/1.0", ..fixture.callers("old", ONCE) };
+    fixture.run(callers, is_plain, &ENDS, 7);
+}
