--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -333,7 +333,10 @@
             None => peer_response::version(&head.headers),
         };
         let stream = Stream::new(exchange, reservation, idle, version);
-        return await_first_event(shared, job, head.status, headers, stream, last_event).await;
+        // Only a stream that continues after an event may have no more of them. Without framing, a
+        // server that stopped before the first event looks like the end of an empty stream.
+        let may_be_empty = last_event.is_some_and(|id| id > 0) && is_framed(&head.headers);
+        return await_first_event(shared, job, head.status, headers, stream, may_be_empty).await;
     }
     let body = held_body::read(&mut exchange, &shared.response_memory);
     match timer::timeout_at(job.deadline, body).await {
@@ -408,9 +411,9 @@
     status: StatusCode,
     headers: HeaderMap,
     mut stream: Stream<A>,
-    last_event: Option<u64>,
+    may_be_empty: bool,
 ) -> SendOutcome<A> {
-    match timer::timeout_at(job.deadline, stream.read_first_event(last_event)).await {
+    match timer::timeout_at(job.deadline, stream.read_first_event(may_be_empty)).await {
         Ok(Ok(())) => {
             let payload = Payload::Stream(Box::new(stream));
             SendOutcome::Answered(Reply { status, headers, payload })
@@ -436,6 +439,11 @@
     keep_alive.map_or(Duration::MAX, |announced| announced.saturating_sub(KEEP_ALIVE_MARGIN))
 }
 
+/// Whether the end of the body is told by the response, not by its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let value = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
     value.is_some_and(|value| value.starts_with("text/event-stream"))
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -44,10 +44,10 @@
         }
     }
 
-    /// Reads the first event. Only a stream that continues after an event may have none.
-    pub async fn read_first_event(&mut self, after_event: Option<u64>) -> Result<(), BodyError> {
+    /// Reads the first event. Unless the stream may be empty, it is broken if it has none.
+    pub async fn read_first_event(&mut self, may_be_empty: bool) -> Result<(), BodyError> {
         self.buffered_events = self.read().await?;
-        if self.buffered_events.is_none() && after_event.is_none_or(|id| id == 0) {
+        if self.buffered_events.is_none() && !may_be_empty {
             return Err(BodyError::MissingEnd);
         }
         if let Some(reservation) = &mut self.reservation {
