serve: a broken stream with a length is not filled up by its error event

Callers of copperweir serve took a stream for whole that broke off: a stream of events with a content-length that stops is followed by an error event of ours, and both together may have as many bytes as the whole stream. The length of a stream of events is dropped, at the box that reads it from the engine and at the one that gets it from another box.

--- a/lib/src/daemon/dispatch.rs
+++ b/lib/src/daemon/dispatch.rs
@@ -374,9 +374,14 @@
         execution,
         ..request_accounting(shared, request, Some(slot), in_flight_guard, sent_at)
     };
+    let mut headers = forwarded_headers(&parts.headers);
+    if is_event_stream {
+        // With the error event, a broken stream may have as many bytes as a whole one.
+        headers.remove(header::CONTENT_LENGTH);
+    }
     RelayedResponse {
         status: parts.status,
-        headers: forwarded_headers(&parts.headers),
+        headers,
         region: shared.settings.region.clone(),
         relay: Relay::new(ResponseSource::Backend(Box::new(exchange)), accounting, is_event_stream),
     }
--- a/lib/src/daemon/forward.rs
+++ b/lib/src/daemon/forward.rs
@@ -220,6 +220,10 @@
                 && headers
                     .get(header::CONTENT_TYPE)
                     .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+            if is_event_stream {
+                // Boxes of older builds pass the length on.
+                headers.remove(header::CONTENT_LENGTH);
+            }
             let executing_region = headers.remove(caller::REGION_HEADER);
             let executing_region =
                 executing_region.and_then(|value| value.to_str().map(str::to_owned).ok());
--- a/lib/tests/test_cut_heads.rs
+++ b/lib/tests/test_cut_heads.rs
@@ -97,6 +97,8 @@
     let fixture = Fixture::start(90, 1, false);
     fixture.run(fixture.callers("one", ONCE), is_plain, &ENDS, 11);
     fixture.run(fixture.callers("one", SAFE), is_plain, &ENDS, 23);
+    let is_unsized_stream = |shape: Shape| shape.is_stream() && shape != Shape::EventLength;
+    fixture.run(fixture.callers("one", COMPLETION), is_unsized_stream, &ENDS, 5);
 }
 
 #[test]
@@ -105,6 +107,16 @@
     fixture.run(fixture.callers("far", ONCE), is_plain, &ENDS, 11);
 }
 
+/// Guards against an error event that fills a broken stream up to the length that its server stated.
+#[test]
+fn broken_stream_with_a_length_is_never_told_as_whole() {
+    let is_sized = |shape| shape == Shape::EventLength;
+    let fixture = Fixture::start(93, 1, false);
+    fixture.run(fixture.callers("sized", COMPLETION), is_sized, &ENDS, 3);
+    let fixture = Fixture::start(94, 2, false);
+    fixture.run(fixture.callers("sized-far", COMPLETION), is_sized, &[End::Close], 23);
+}
+
 /// Guards against a response that breaks off and ends like a whole one, because a caller of this
 /// version gets the end of a body of unknown length as the end of its connection.
 #[test]
