streams: versions leave the list also while nothing changes

The task that writes the lists waited for the next change of the state, so in a calm fleet a version that had left stayed listed, and streams were written for as long. It looks each five seconds now. Found by reading.

--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -54,6 +54,8 @@
 const MAX_LEASE_TTL: Duration = Duration::from_secs(600);
 /// Interval of the checks for versions to write while there are any.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval of the checks while there are none.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which the next box of the region writes a list that is still not as it should be.
 const NEXT_WRITER_DELAY: Duration = Duration::from_millis(400);
 /// Time after a write until a list is written again if it is still not as it should be.
@@ -345,7 +347,10 @@
     let mut starts = BoxStarts::default();
     loop {
         match due_from.is_empty() {
-            true => shared.version_lists.notified().await,
+            // Versions leave the list with time, also while nothing changes.
+            true => {
+                let _ = timer::timeout(IDLE_CHECK_INTERVAL, shared.version_lists.notified()).await;
+            }
             false => timer::sleep(CHECK_INTERVAL).await,
         }
         let snapshot = shared.snapshot.load_full();
@@ -372,7 +377,7 @@
             continue;
         }
         if let Err(PlatformError::Conflict(_)) = write_lists(&store, &due).await {
-            // One of several lists has changed meanwhile.
+            // One of several lists has changed meanwhile. Those that fail again are due again.
             for change in due.chunks(1).filter(|_| due.len() > 1) {
                 let _ = write_lists(&store, change).await;
             }
