--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -399,15 +399,14 @@
         key
     }
 
-    /// Writes this box's record again if the store has another one under its key that is not that of
-    /// a later start: an outdated one, or that of another writer.
+    /// Writes this box's record again if a store that was restored from an older copy has an
+    /// outdated one.
     fn rewrite_outdated_record(&mut self, record: &BoxRecord) {
         if record.name == self.own_record.name
             && *record != self.own_record
-            && (record.incarnation <= self.own_record.incarnation
-                || self.cluster_state.is_settling(clock::now()))
+            && self.cluster_state.is_settling(clock::now())
         {
-            self.rewrite_record("the store shows another one");
+            self.rewrite_record("the store shows an older one");
         }
     }
 
