--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -12,6 +12,10 @@
 //! The store also lists the versions of each service (see [`version_list`](super::version_list)). A
 //! version counts while it has servers and until no stream of it can run any more; a version that a
 //! box finds in a list counts as if its servers had just left.
+//!
+//! A stream also stays with its service. A route that has several, or another one than before, may
+//! lead the caller elsewhere. The splits of each route are kept, counted and listed like the versions
+//! of a service: what a version is to a service, a split is to a route.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -31,6 +35,23 @@
 pub type StreamKey = u64;
 /// Hash of a service's name.
 pub type ServiceHash = u64;
+/// Hash of a route's host and path prefix.
+pub type RouteHash = u64;
+/// Hash of the services of a route and their weights.
+pub type SplitHash = u64;
+/// Hash of what a list in the store is about: a service with its versions, or a route with its splits.
+pub type SubjectHash = u64;
+
+/// Where the requests of a stream's callers go.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Destination {
+    /// The service.
+    pub service: ServiceHash,
+    /// The route that led there.
+    pub route: RouteHash,
+    /// The split by which the route led there.
+    pub split: SplitHash,
+}
 
 /// Minimum duration of the longest stream that any route allows.
 const MIN_LONGEST_STREAM: Duration = Duration::from_secs(30);
@@ -73,6 +94,14 @@
     }
 }
 
+impl Destination {
+    /// Whether lists can tell the version of a stream that runs there. They can't for a service that
+    /// the split would not choose.
+    pub fn may_be_listed(&self) -> bool {
+        self.route != 0
+    }
+}
+
 /// The boxes that hold the version of a stream: one in each region, so that one of them is near, and
 /// others if there are few regions, in different failure domains if possible.
 pub fn holders<'a>(
@@ -101,8 +130,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     version: VersionHash,
-    /// The service, if this box began the stream.
-    began_for: Option<ServiceHash>,
+    /// Where it runs, if this box began the stream.
+    began_for: Option<Destination>,
     noted_at: Instant,
 }
 
@@ -115,9 +144,9 @@
     was_listed: bool,
 }
 
-/// The versions of a service.
+/// The versions of a service, or the splits of a route.
 #[derive(Debug, Default)]
-struct ServiceVersions {
+struct Subject {
     /// The versions that count.
     counted: HashMap<VersionHash, CountedVersion>,
     /// The versions that the store lists, if it does.
@@ -132,7 +161,7 @@
     entries: HashMap<StreamKey, Entry>,
     /// Keys by the time at which they were noted; a key may occur several times.
     noted: VecDeque<(Instant, StreamKey)>,
-    services: HashMap<ServiceHash, ServiceVersions>,
+    subjects: HashMap<SubjectHash, Subject>,
     /// Duration of the longest stream that a route allows, or allowed lately.
     longest_stream: Duration,
     /// Since when no route allows streams as long as that.
@@ -149,7 +178,7 @@
         StreamVersions {
             entries: HashMap::new(),
             noted: VecDeque::new(),
-            services: HashMap::new(),
+            subjects: HashMap::new(),
             longest_stream: MIN_LONGEST_STREAM,
             shortened_at: None,
             era: None,
@@ -187,11 +216,11 @@
     pub fn record_begin(
         &mut self,
         key: StreamKey,
-        service: ServiceHash,
+        destination: Destination,
         version: VersionHash,
         now: Instant,
     ) {
-        self.insert(key, Entry { version, began_for: Some(service), noted_at: now });
+        self.insert(key, Entry { version, began_for: Some(destination), noted_at: now });
     }
 
     /// Records the version that another box or the store tells. A version that is known already
@@ -240,7 +269,7 @@
         versions: impl Iterator<Item = VersionHash>,
         now: Instant,
     ) -> bool {
-        let known = self.services.entry(service).or_default();
+        let known = self.subjects.entry(service).or_default();
         for version in known.counted.values_mut() {
             version.gone_since.get_or_insert(now);
         }
@@ -248,7 +277,7 @@
             known.counted.entry(version).or_default().gone_since = None;
         }
         let has_several = self.has_several_versions(service, now);
-        let known = self.services.entry(service).or_default();
+        let known = self.subjects.entry(service).or_default();
         !std::mem::replace(&mut known.had_several, has_several) && has_several
     }
 
@@ -259,6 +288,11 @@
         }
     }
 
+    /// Whether this box has read a state from the store.
+    pub fn knows_era(&self) -> bool {
+        self.era.is_some()
+    }
+
     /// Records whether no box has run under this box's name before.
     pub fn record_start(&mut self, is_first: bool) {
         self.is_first_start.get_or_insert(is_first);
@@ -266,7 +300,7 @@
 
     /// Records the versions that the store lists for a service.
     pub fn apply_list(&mut self, service: ServiceHash, list: Option<VersionList>, now: Instant) {
-        let known = self.services.entry(service).or_default();
+        let known = self.subjects.entry(service).or_default();
         for version in list.iter().flat_map(|list| &list.versions) {
             let gone = CountedVersion { gone_since: Some(now), was_listed: true };
             known.counted.entry(*version).or_insert(gone).was_listed = true;
@@ -282,7 +316,19 @@
         is_current: bool,
         now: Instant,
     ) -> Option<VersionList> {
-        let known = self.services.get(&service)?;
+        let needed = self.needed_list(service, is_current, now)?;
+        (self.list(service) != Some(&needed)).then_some(needed)
+    }
+
+    /// The list that the store should have for a service or route; `None` if nothing of it counts, or
+    /// this box can't tell yet.
+    pub fn needed_list(
+        &self,
+        subject: SubjectHash,
+        is_current: bool,
+        now: Instant,
+    ) -> Option<VersionList> {
+        let known = self.subjects.get(&subject)?;
         let (era, _) = self.era?;
         let is_listed = |version: &VersionHash| {
             known.list.as_ref().is_some_and(|list| list.versions.contains(version))
@@ -310,8 +356,7 @@
                 (list.era, list.complete || (self.is_first_start == Some(true) && list.era == era))
             }
         };
-        let new = VersionList { era, versions, complete };
-        (new != *list).then_some(new)
+        Some(VersionList { era, versions, complete })
     }
 
     /// Whether this box has known the store's era for as long as streams may run.
@@ -323,7 +368,7 @@
     /// A version that this box saw listed while it has servers is one of them, whatever another writer
     /// has made of the list since.
     pub fn listed_versions(&self, service: ServiceHash) -> Option<Vec<VersionHash>> {
-        let known = self.services.get(&service)?;
+        let known = self.subjects.get(&service)?;
         let list = known.list.as_ref()?;
         let were_listed = known.counted.iter().filter(|(version, counted)| {
             counted.was_listed && counted.gone_since.is_none() && !list.versions.contains(version)
@@ -332,11 +377,35 @@
         Some(list.versions.iter().copied().chain(were_listed).collect())
     }
 
-    /// Whether the list of a service tells the version of streams that nobody knows.
-    pub fn has_proof(&self, service: ServiceHash) -> bool {
-        let list = self.services.get(&service).and_then(|known| known.list.as_ref());
+    /// Whether the lists tell the version of streams that nobody knows.
+    pub fn has_proof(&self, destination: Destination) -> bool {
         let Some((era, _)) = self.era else { return false };
-        list.is_some_and(|list| list.sole_version(era).is_some())
+        let sole = |subject| self.list(subject).and_then(|list| list.sole_version(era));
+        sole(destination.service).is_some() && sole(destination.route) == Some(destination.split)
+    }
+
+    /// The list that the store has for a service or route.
+    pub fn list(&self, subject: SubjectHash) -> Option<&VersionList> {
+        self.subjects.get(&subject)?.list.as_ref()
+    }
+
+    /// Whether several versions of the service, or splits of the route, count.
+    pub fn has_alternatives(&self, destination: Destination, now: Instant) -> bool {
+        let Destination { service, route, .. } = destination;
+        self.has_several_versions(service, now) || self.has_several_versions(route, now)
+    }
+
+    /// Whether every stream of a route that is not known otherwise began by this split, by the list that
+    /// the store has now.
+    pub fn is_sole_split(
+        &self,
+        destination: Destination,
+        stored: (&VersionList, Era),
+        now: Instant,
+    ) -> bool {
+        // Requests don't wait for a new split to be listed.
+        let sole = self.sole_version(destination.route, stored, false, now);
+        sole == Some(destination.split)
     }
 
     /// Whether several versions of a service count.
@@ -346,13 +415,13 @@
 
     /// Number of versions of a service that count.
     pub fn count_versions(&self, service: ServiceHash, now: Instant) -> usize {
-        let Some(known) = self.services.get(&service) else { return 0 };
+        let Some(known) = self.subjects.get(&service) else { return 0 };
         self.counted(known, now).count()
     }
 
     fn counted<'a>(
         &'a self,
-        known: &'a ServiceVersions,
+        known: &'a Subject,
         now: Instant,
     ) -> impl Iterator<Item = (VersionHash, CountedVersion)> + 'a {
         let counted = known.counted.iter().map(|(version, counted)| (*version, *counted));
@@ -374,26 +443,28 @@
         let is_other = |(version, counted): (VersionHash, CountedVersion)| {
             version != sole && (counted.was_listed || !all_wait_for_list)
         };
-        let known = self.services.get(&service);
+        let known = self.subjects.get(&service);
         let has_other = known.is_some_and(|known| self.counted(known, now).any(is_other));
         (!has_other).then_some(sole)
     }
 
-    /// Streams of a service that this box began and that may still run.
+    /// Streams of a service or route that this box began and that may still run.
     pub fn own_streams(
         &self,
-        service: ServiceHash,
+        subject: SubjectHash,
         now: Instant,
     ) -> impl Iterator<Item = (StreamKey, VersionHash)> {
-        let of_service = self.running_streams(now).filter(move |(of, ..)| *of == service);
-        of_service.map(|(_, key, version)| (key, version))
+        let of_subject = self
+            .running_streams(now)
+            .filter(move |(of, ..)| of.service == subject || of.route == subject);
+        of_subject.map(|(_, key, version)| (key, version))
     }
 
-    /// Streams that this box began and that may still run, with their services.
+    /// Streams that this box began and that may still run, with their destinations.
     pub fn running_streams(
         &self,
         now: Instant,
-    ) -> impl Iterator<Item = (ServiceHash, StreamKey, VersionHash)> {
+    ) -> impl Iterator<Item = (Destination, StreamKey, VersionHash)> {
         let longest_stream = self.longest_stream;
         let may_run = move |entry: &Entry| now < entry.noted_at + longest_stream;
         let entries = self.entries.iter().filter(move |(_, entry)| may_run(entry));
@@ -406,13 +477,14 @@
         while self.noted.front().is_some_and(|(noted_at, _)| now >= *noted_at + retention) {
             self.drop_oldest();
         }
-        for ServiceVersions { counted, list, .. } in self.services.values_mut() {
+        for Subject { counted, list, .. } in self.subjects.values_mut() {
             // What is still listed would be counted anew with the next state.
             counted.retain(|version, CountedVersion { gone_since, .. }| {
                 gone_since.is_none_or(|since| now < since + retention)
                     || list.as_ref().is_some_and(|list| list.versions.contains(version))
             });
         }
+        self.subjects.retain(|_, known| !known.counted.is_empty() || known.list.is_some());
     }
 
     /// Number of streams that are kept.
@@ -454,4 +526,10 @@
     /// Queried streams that the sender could not look up in the store.
     #[prost(fixed64, repeated, tag = "8")]
     pub not_looked_up: Vec<StreamKey>,
+    /// Routes of the queried streams, in the order of the services.
+    #[prost(fixed64, repeated, tag = "9")]
+    pub queried_routes: Vec<RouteHash>,
+    /// Splits of these routes, in their order.
+    #[prost(fixed64, repeated, tag = "10")]
+    pub queried_splits: Vec<SplitHash>,
 }
--- a/lib/src/coordination/version_list.rs
+++ b/lib/src/coordination/version_list.rs
@@ -3,7 +3,11 @@
 //! A box starts a resumable stream only at a version that is listed. A stream of which nothing else
 //! is known therefore began at one of the listed versions, also if every box that knew it is gone.
 //! If a single version is listed, and the list was complete all the time, that is the one.
+//!
+//! The splits of routes are listed in the same form. Streams don't wait for these lists, because a
+//! box that lacks the newest split in a list finds no proof in it.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
@@ -15,6 +19,8 @@
 
 /// Maximum number of versions in a list.
 const MAX_VERSIONS: usize = 256;
+/// Maximum number of routes with lists.
+const MAX_ROUTES: usize = 4096;
 
 /// The versions that the store lists for a service.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -40,6 +46,14 @@
         self.complete && self.era == era
     }
 
+    fn check(&self) -> Result<(), String> {
+        match self.versions.len() {
+            1..=MAX_VERSIONS => Ok(()),
+            0 => Err("versions: none".to_owned()),
+            _ => Err("versions: too many".to_owned()),
+        }
+    }
+
     /// The value to store.
     pub fn to_value(&self) -> Bytes {
         // Serializing numbers can't fail.
@@ -52,10 +66,35 @@
 
     fn try_from(value: &[u8]) -> Result<VersionList, String> {
         let list: VersionList = serde_json::from_slice(value).map_err(|error| error.to_string())?;
-        match list.versions.len() {
-            1..=MAX_VERSIONS => Ok(list),
-            0 => Err("versions: none".to_owned()),
-            _ => Err("versions: too many".to_owned()),
+        list.check()?;
+        Ok(list)
+    }
+}
+
+/// The splits of all routes on which streams may be resumed, by host and path prefix.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RouteLists {
+    /// A list for each route, with splits in place of versions.
+    pub routes: BTreeMap<String, VersionList>,
+}
+
+impl RouteLists {
+    /// The value to store.
+    pub fn to_value(&self) -> Bytes {
+        Bytes::from(serde_json::to_vec(&self.routes).unwrap_or_default())
+    }
+}
+
+impl TryFrom<&[u8]> for RouteLists {
+    type Error = String;
+
+    fn try_from(value: &[u8]) -> Result<RouteLists, String> {
+        let routes: BTreeMap<String, VersionList> =
+            serde_json::from_slice(value).map_err(|error| error.to_string())?;
+        if routes.len() > MAX_ROUTES {
+            return Err("routes: too many".to_owned());
         }
+        routes.values().try_for_each(VersionList::check)?;
+        Ok(RouteLists { routes })
     }
 }
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -13,6 +13,7 @@
 use crate::coordination::freshness::CHECK_INTERVAL;
 use crate::coordination::stream_batch::StreamBatch;
 use crate::coordination::upgrade::Plan;
+use crate::coordination::version_list::RouteLists;
 use crate::coordination::version_list::VersionList;
 use crate::coordination::watchers;
 use crate::gateway::quarantine;
@@ -26,8 +27,10 @@
 use crate::gateway::store_keys::QUARANTINE;
 use crate::gateway::store_keys::RATES;
 use crate::gateway::store_keys::ROSTER;
+use crate::gateway::store_keys::ROUTES;
 use crate::gateway::store_keys::UPGRADES;
 use crate::gateway::store_keys::VERSIONS;
+use crate::gateway::stream_routes;
 use crate::gateway::stream_versions;
 use crate::gateway::throttle;
 use crate::protocol::adapter::Adapter;
@@ -354,6 +357,10 @@
                 throttle::remove_stored_rate(&self.shared, &key);
             }
             Change::Removed(key) if store_keys::is_batch(&key) => {}
+            Change::Removed(key) if key == ROUTES => {
+                self.remove_from_replica(&key);
+                stream_routes::apply_lists(&self.shared, RouteLists::default(), now);
+            }
             Change::Removed(key) if key.starts_with(VERSIONS) => {
                 self.remove_from_replica(&key);
                 if let Some(service) = store_keys::listed_service(&key) {
@@ -460,6 +467,13 @@
             }
             return;
         }
+        if item.key == ROUTES {
+            let lists = RouteLists::try_from(&item.value[..]).inspect_err(|error| {
+                self.unreadable_keys.record(&item.key, &item.value, error);
+            });
+            stream_routes::apply_lists(&self.shared, lists.unwrap_or_default(), clock::now());
+            return;
+        }
         if let Some(service) = store_keys::listed_service(&item.key) {
             let list = VersionList::try_from(&item.value[..]).inspect_err(|error| {
                 self.unreadable_keys.record(&item.key, &item.value, error);
--- a/lib/src/gateway/decision_log.rs
+++ b/lib/src/gateway/decision_log.rs
@@ -240,7 +240,7 @@
 /// number of versions that count for the service, and the age of the state from the store.
 pub fn stream_resumed(
     job: &Job,
-    found: Option<FoundVersion>,
+    found: Option<&FoundVersion>,
     known_versions: usize,
     state_age_ms: i64,
 ) {
@@ -254,7 +254,7 @@
         "event=stream_resumed request={} route={} service={} resumes={} last_event={:?} began_at={} told_by={told_by} versions={known_versions} state_ms={state_age_ms} age_ms={}",
         job.metadata.id,
         job.route.name,
-        job.service,
+        found.map_or(&job.service, |found| &found.service),
         job.metadata.resumes.as_deref().unwrap_or("-"),
         job.metadata.last_event,
         version_text(found.map(|found| found.version)),
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -60,12 +60,16 @@
 /// Dispatches a request until there is a response or a failure.
 pub async fn dispatch<A: Adapter>(
     shared: &Arc<Shared<A>>,
-    job: &Job,
+    job: &mut Job,
     history: &mut RequestHistory,
 ) -> Result<Reply<A>, Failure> {
     let after_event = job.metadata.last_event;
     count_first_send(shared, job);
-    history.version = stream_versions::version_to_continue(shared, job).await?;
+    if let Some((service, version)) = stream_versions::version_to_continue(shared, job).await? {
+        job.service = service;
+        history.version = Some(version);
+    }
+    let job = &*job;
     // A server error, kept while another server is tried.
     let mut failed_reply: Option<Reply<A>> = None;
     loop {
--- a/lib/src/gateway/forwarded_versions.rs
+++ b/lib/src/gateway/forwarded_versions.rs
@@ -24,6 +24,7 @@
 use crate::coordination::forwarded_version::KnownState;
 use crate::coordination::forwarded_version::StateWaits;
 use crate::coordination::presence;
+use crate::coordination::stream_versions::ServiceHash;
 use crate::error::ErrorKind;
 use crate::error::Failure;
 use crate::protocol::Version;
@@ -119,8 +120,8 @@
 }
 
 /// What a box that forwards a request expects of the other one: `1` from boxes of old builds, or
-/// `2 STREAM-VERSION ERA/REVISION BOX PORT`, of which all but the first word may be missing. Boxes of
-/// older builds ignore further fields.
+/// `2 STREAM-VERSION ERA/REVISION BOX PORT SERVICE`, of which all but the first word may be missing.
+/// Boxes of older builds ignore further fields.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Forward {
     /// Whether the response may have [`super::job::SERVER_VERSION_HEADER`].
@@ -131,6 +132,8 @@
     position: Position,
     /// The forwarding box.
     source: Option<Source>,
+    /// The service that the forwarding box chose.
+    pub service: Option<ServiceHash>,
 }
 
 impl Forward {
@@ -141,16 +144,21 @@
             understands_versions: words.next() == Some("2"),
             version: words.next().and_then(|hash| VersionHash::from_str_radix(hash, 16).ok()),
             position: words.next().and_then(parse_position).unwrap_or_default(),
-            source: Source::parse(words),
+            source: Source::parse(&mut words),
+            service: words.next().and_then(|hash| ServiceHash::from_str_radix(hash, 16).ok()),
         }
     }
 
     /// The header for a request that this box forwards.
-    pub fn value<A>(shared: &Shared<A>, version: Option<VersionHash>) -> HeaderValue {
+    pub fn value<A>(
+        shared: &Shared<A>,
+        version: Option<VersionHash>,
+        service: ServiceHash,
+    ) -> HeaderValue {
         let version = version.map_or(NO_STREAM_VERSION.to_owned(), |hash| format!("{hash:x}"));
         let position = shared.snapshot.load().decided_at;
         let Source { box_hash, port } = Source::own(shared);
-        HeaderValue::try_from(format!("2 {version} {position} {box_hash:x} {port}"))
+        HeaderValue::try_from(format!("2 {version} {position} {box_hash:x} {port} {service:x}"))
             .expect("digits, letters and spaces")
     }
 }
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -90,7 +90,7 @@
             Err(Failure::new(ErrorKind::BodyTimeout, "the box is leaving; the body came too late"))
         }
     };
-    let job = match job {
+    let mut job = match job {
         Ok(job) if refuses_requests(shared) => {
             let failure = Failure::new(ErrorKind::Leaving, "the box is leaving")
                 .with_retry_after(LEAVING_RETRY_AFTER);
@@ -106,7 +106,7 @@
         Ok(charge) => charge,
         Err(failure) => return failure_response(shared, &id, Some(&job), &history, &failure),
     };
-    match dispatch::dispatch(shared, &job, &mut history).await {
+    match dispatch::dispatch(shared, &mut job, &mut history).await {
         Ok(reply) => reply_response(shared, job, history, reply, in_flight_guard),
         Err(failure) => {
             if history.sends == 0 && failure.executed() == Executed::No {
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -25,6 +25,7 @@
 use super::shared::Shared;
 use super::shared::Snapshot;
 use super::shared::lock;
+use super::stream_versions;
 use crate::coordination::fingerprint;
 use crate::coordination::fingerprint::Fingerprint;
 use crate::coordination::identity;
@@ -147,11 +148,7 @@
         let deadline = arrived + time_limit;
         let body = read_body(body, routing.limits.max_body_bytes, deadline).await?;
         let fingerprint = fingerprint(is_from_box, &metadata, &head, &body);
-        let routing_point = rapidhash::v3::rapidhash_v3(first_attempt(&metadata).as_bytes());
-        let service = route
-            .pick_service(routing_point)
-            .cloned()
-            .ok_or_else(|| Failure::new(ErrorKind::NoServer, "the route has no service"))?;
+        let service = pick_service(&route, &forward, first_attempt(&metadata))?;
         Ok(Job {
             metadata,
             origin,
@@ -248,7 +245,8 @@
         let mut request = self.request();
         let headers = request.headers_mut();
         shared.adapter.set_forward_headers(headers, self.time_left(clock::now()));
-        headers.insert(FORWARDED_HEADER, Forward::value(shared, version));
+        let service = stream_versions::service_hash(&self.service);
+        headers.insert(FORWARDED_HEADER, Forward::value(shared, version, service));
         headers.insert(VERSION_HEADER, self.version.into());
         if let Ok(fingerprint) = HeaderValue::try_from(self.fingerprint.to_string()) {
             headers.insert(FINGERPRINT_HEADER, fingerprint);
@@ -279,6 +277,18 @@
     metadata.resumes.as_deref().unwrap_or(&metadata.id)
 }
 
+/// The service for a request. That of a resumable stream is the choice of the box that received the
+/// request from the caller, if the route still has it.
+fn pick_service(route: &Route, forward: &Forward, attempt: &str) -> Result<ServiceId, Failure> {
+    let is_chosen = |service: &&ServiceId| {
+        forward.service == Some(stream_versions::service_hash(service)) && route.resumable
+    };
+    let chosen = route.services().find(is_chosen);
+    let routing_point = rapidhash::v3::rapidhash_v3(attempt.as_bytes());
+    let picked = chosen.or_else(|| route.pick_service(routing_point));
+    picked.cloned().ok_or_else(|| Failure::new(ErrorKind::NoServer, "the route has no service"))
+}
+
 fn current_routing(snapshot: &Snapshot) -> Result<Arc<Routing>, Failure> {
     let not_ready = || Failure::new(ErrorKind::NotReady, "the box has no configuration yet");
     snapshot.routing.clone().ok_or_else(not_ready)
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 pub mod stream;
 pub mod stream_directory;
 pub mod stream_records;
+pub mod stream_routes;
 pub mod stream_timing;
 pub mod stream_versions;
 pub mod throttle;
--- a/lib/src/gateway/store_keys.rs
+++ b/lib/src/gateway/store_keys.rs
@@ -22,6 +22,8 @@
 pub const STREAMS: &str = "copperweir/streams/";
 /// Prefix of the versions of services.
 pub const VERSIONS: &str = "copperweir/streams/versions/";
+/// Key of the splits of all routes on which streams may be resumed.
+pub const ROUTES: &str = "copperweir/streams/routes";
 /// Prefix of batches of streams. Boxes don't keep these entries in their copies of the store.
 const BATCHES: &str = "copperweir/streams/batches/";
 
--- a/lib/src/gateway/stream_directory.rs
+++ b/lib/src/gateway/stream_directory.rs
@@ -1,6 +1,7 @@
 //! What a box knows of the versions of streams, the lookups that it waits for, and what it has to tell
 //! other boxes and the store.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -10,7 +11,7 @@
 
 use crate::coordination::presence;
 use crate::coordination::stream_versions::BoxLocation;
-use crate::coordination::stream_versions::ServiceHash;
+use crate::coordination::stream_versions::Destination;
 use crate::coordination::stream_versions::StreamKey;
 use crate::coordination::stream_versions::StreamReport;
 use crate::coordination::stream_versions::StreamVersions;
@@ -24,7 +25,7 @@
 struct Lookup {
     /// Hashes of the names of the boxes that have not responded.
     pending: Vec<u64>,
-    service: ServiceHash,
+    destination: Destination,
     requests: Vec<oneshot::Sender<Option<VersionHash>>>,
 }
 
@@ -42,8 +43,8 @@
 pub struct StoreLookup {
     /// The stream.
     pub key: StreamKey,
-    /// Its service.
-    pub service: ServiceHash,
+    /// Where the request of its caller goes.
+    pub destination: Destination,
     /// The box that asked; `None` if it is this one.
     pub asked_by: Option<SocketAddr>,
     /// Number of reads of the store that found no list of the service's versions.
@@ -55,6 +56,8 @@
 pub struct StreamDirectory {
     /// The versions of streams and services.
     pub versions: StreamVersions,
+    /// Names of the routes whose splits the store lists.
+    pub listed_routes: BTreeSet<String>,
     lookups: HashMap<StreamKey, Lookup>,
     pub(super) outbox: HashMap<SocketAddr, StreamReport>,
     /// Streams that began here and that the recorder has not been sent.
@@ -179,23 +182,25 @@
         &mut self,
         holders: &[BoxLocation<'_>],
         recorder: Option<&BoxLocation<'_>>,
-        (key, service): (StreamKey, ServiceHash),
+        (key, destination): (StreamKey, Destination),
         own_hash: u64,
     ) -> oneshot::Receiver<Option<VersionHash>> {
         let (sender, receiver) = oneshot::channel();
         let lookup = self.lookups.entry(key).or_default();
-        lookup.service = service;
+        lookup.destination = destination;
         lookup.requests.push(sender);
         let others =
             holders.iter().filter(|holder| Some(holder.name) != recorder.map(|box_| box_.name));
         for holder in others.chain(recorder) {
             lookup.pending.push(presence::box_hash(holder.name));
             let report = self.outbox.entry(holder.address).or_default();
-            // The services are those of the first streams.
+            // The destinations are those of the first streams.
             match recorder.is_some_and(|recorder| recorder.name == holder.name) {
                 true => {
                     report.queried.insert(0, key);
-                    report.queried_services.insert(0, service);
+                    report.queried_services.insert(0, destination.service);
+                    report.queried_routes.insert(0, destination.route);
+                    report.queried_splits.insert(0, destination.split);
                 }
                 false => report.queried.push(key),
             }
@@ -211,10 +216,10 @@
         let Some(lookup) = self.lookups.get_mut(&key) else { return };
         if !lookup.pending.contains(&own_hash) {
             lookup.pending.push(own_hash);
-            let service = lookup.service;
+            let destination = lookup.destination;
             self.store_lookups.push(StoreLookup {
                 key,
-                service,
+                destination,
                 asked_by: None,
                 reads_without_list: 0,
             });
@@ -240,10 +245,10 @@
         self.add_unwritten(begun);
         for (number, key) in report.queried.iter().enumerate() {
             let version = self.versions.look_up(*key, now);
-            match report.queried_services.get(number) {
-                Some(service) if version.is_none() => self.store_lookups.push(StoreLookup {
+            match queried_destination(report, number) {
+                Some(destination) if version.is_none() => self.store_lookups.push(StoreLookup {
                     key: *key,
-                    service: *service,
+                    destination,
                     asked_by: Some(from),
                     reads_without_list: 0,
                 }),
@@ -258,3 +263,12 @@
         }
     }
 }
+
+/// The destination of a queried stream, if the receiver is to look it up in the store.
+fn queried_destination(report: &StreamReport, number: usize) -> Option<Destination> {
+    Some(Destination {
+        service: *report.queried_services.get(number)?,
+        route: *report.queried_routes.get(number)?,
+        split: *report.queried_splits.get(number)?,
+    })
+}
--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -10,19 +10,24 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
+
 use super::shared::Shared;
 use super::shared::Snapshot;
 use super::shared::lock;
 use super::store_contents;
 use super::store_keys;
+use super::store_keys::ROUTES;
 use super::store_keys::STREAMS;
 use super::stream_directory::StoreLookup;
+use super::stream_routes;
 use super::stream_versions;
 use crate::coordination::presence;
 use crate::coordination::stream_batch::MAX_BATCH_STREAMS;
 use crate::coordination::stream_batch::StreamBatch;
-use crate::coordination::stream_versions::ServiceHash;
 use crate::coordination::stream_versions::StreamKey;
+use crate::coordination::stream_versions::SubjectHash;
+use crate::coordination::version_list::RouteLists;
 use crate::coordination::version_list::VersionList;
 use crate::protocol::BoxId;
 use crate::protocol::Incarnation;
@@ -36,7 +41,6 @@
 use crate::protocol::platform::LeaseId;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Revision;
-use crate::protocol::routing::ServiceId;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::store;
@@ -81,7 +85,8 @@
 /// What the store has about streams.
 #[derive(Debug, Default)]
 struct StoredStreams {
-    lists: HashMap<ServiceHash, VersionList>,
+    /// Lists of services and of routes.
+    lists: HashMap<SubjectHash, VersionList>,
     batches: Vec<StreamBatch>,
     era: Era,
 }
@@ -103,7 +108,11 @@
     let era = contents.position.era;
     let mut stored = StoredStreams { era, ..StoredStreams::default() };
     for item in contents.items {
-        if let Some(service) = store_keys::listed_service(&item.key) {
+        if item.key == ROUTES {
+            let lists = RouteLists::try_from(&item.value[..]).unwrap_or_default();
+            let lists = lists.routes.into_iter();
+            stored.lists.extend(lists.map(|(name, list)| (stream_routes::route_hash(&name), list)));
+        } else if let Some(service) = store_keys::listed_service(&item.key) {
             if let Ok(list) = VersionList::try_from(&item.value[..]) {
                 stored.lists.insert(stream_versions::service_hash(service), list);
             }
@@ -154,8 +163,8 @@
     }
 }
 
-/// Finishes lookups with what the store has. Those of services without a list wait for it to be
-/// written.
+/// Finishes lookups with what the store has. Those of services or routes without a list wait for it
+/// to be written.
 fn finish_lookups<A: Adapter>(
     shared: &Shared<A>,
     stored: &StoredStreams,
@@ -171,13 +180,16 @@
     let (count, mut found) = (lookups.len(), 0);
     let mut directory = lock(&shared.streams);
     for lookup in lookups {
-        let list = stored.lists.get(&lookup.service);
+        let destination = lookup.destination;
+        let list = |subject| stored.lists.get(&subject).map(|list| (list, stored.era));
+        let (versions, splits) = (list(destination.service), list(destination.route));
         let version = directory.versions.look_up(lookup.key, now).or_else(|| {
-            let stored = (list?, stored.era);
-            directory.versions.sole_version(lookup.service, stored, all_wait_for_list, now)
+            let known = &directory.versions;
+            known.is_sole_split(destination, splits?, now).then_some(())?;
+            known.sole_version(destination.service, versions?, all_wait_for_list, now)
         });
-        if list.is_none() && version.is_none() && lookup.reads_without_list < MAX_READS_WITHOUT_LIST
-        {
+        let is_listed = versions.is_some() && splits.is_some() || !destination.may_be_listed();
+        if !is_listed && version.is_none() && lookup.reads_without_list < MAX_READS_WITHOUT_LIST {
             let reads_without_list = lookup.reads_without_list + 1;
             directory.add_store_lookup(StoreLookup { reads_without_list, ..lookup });
             continue;
@@ -342,8 +354,8 @@
 
 /// Keeps the lists of the services' versions in the store as they should be.
 async fn write_version_lists<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
-    // Services whose lists are to be written, with the time from which the first box may.
-    let mut due_from: HashMap<ServiceId, Instant> = HashMap::new();
+    // Keys of the lists that are to be written, with the time from which the first box may.
+    let mut due_from: HashMap<String, Instant> = HashMap::new();
     let mut starts = BoxStarts::default();
     loop {
         match due_from.is_empty() {
@@ -358,9 +370,9 @@
         starts.update(&snapshot, now);
         let is_settled = starts.are_over(now) && all_are_heard(&shared, &snapshot, now);
         let changes = list_changes(&shared, &snapshot, now);
-        due_from.retain(|service, _| changes.iter().any(|change| change.service == *service));
+        due_from.retain(|key, _| changes.iter().any(|change| change.key == *key));
         for change in &changes {
-            due_from.entry(change.service.clone()).or_insert(now);
+            due_from.entry(change.key.clone()).or_insert(now);
         }
         let rank_delay = NEXT_WRITER_DELAY * rank(&shared, &snapshot) as u32;
         let is_due = |change: &ListChange| {
@@ -369,7 +381,7 @@
                 (true, true) => LISTING_DELAY,
                 (true, false) => MAX_LISTING_DELAY,
             };
-            now >= due_from[&change.service] + rank_delay + delay
+            now >= due_from[&change.key] + rank_delay + delay
         };
         let due: Vec<ListChange> =
             changes.into_iter().filter(is_due).take(MAX_LISTS_PER_CALL).collect();
@@ -384,7 +396,7 @@
         }
         // The watch returns what has been written, here or by another box.
         for change in due {
-            due_from.insert(change.service, clock::now() + WRITE_PAUSE);
+            due_from.insert(change.key, clock::now() + WRITE_PAUSE);
         }
     }
 }
@@ -422,10 +434,12 @@
     neighbors.all(|other| presence.has_recent_datagram(&other.name, now))
 }
 
-/// A list of versions to write.
+/// A list to write, of the versions of a service or of the splits of routes.
 struct ListChange {
-    service: ServiceId,
-    list: VersionList,
+    key: String,
+    value: Bytes,
+    /// What the list has, for the log.
+    summary: String,
     /// Revision that the key has; 0 if there is none.
     revision: Revision,
     /// Whether servers of the listed versions serve, so that a new version can wait.
@@ -439,7 +453,20 @@
 ) -> Vec<ListChange> {
     let Some(routing) = &snapshot.routing else { return Vec::new() };
     let is_current = !lock(&shared.freshness).is_aging(now);
-    let mut changes = Vec::new();
+    let revision = |key: &str| lock(&shared.replica).revision(key).unwrap_or(0);
+    let mut changes: Vec<ListChange> = Vec::new();
+    let lists = {
+        let directory = lock(&shared.streams);
+        let listed = &directory.listed_routes;
+        stream_routes::lists_to_write(&directory.versions, routing, listed, is_current, now)
+    };
+    changes.extend(lists.map(|lists| ListChange {
+        key: ROUTES.to_owned(),
+        value: lists.to_value(),
+        summary: format!("routes={}", lists.routes.len()),
+        revision: revision(ROUTES),
+        can_wait: false,
+    }));
     for service in routing.streaming_services() {
         let hash = stream_versions::service_hash(service);
         let (list, listed) = {
@@ -452,8 +479,13 @@
                 && is_served(snapshot, service, &listed)
         });
         let key = store_keys::versions_key(service);
-        let revision = lock(&shared.replica).revision(&key).unwrap_or(0);
-        changes.push(ListChange { service: service.clone(), list, revision, can_wait });
+        changes.push(ListChange {
+            value: list.to_value(),
+            summary: format!("versions={} complete={}", list.versions.len(), list.complete),
+            revision: revision(&key),
+            can_wait,
+            key,
+        });
     }
     changes
 }
@@ -484,24 +516,18 @@
     store: &store::Client<A>,
     changes: &[ListChange],
 ) -> Result<(), PlatformError> {
-    let key = |change: &ListChange| store_keys::versions_key(&change.service);
-    let expected = changes.iter().map(|change| (key(change), change.revision)).collect();
+    let expected = changes.iter().map(|change| (change.key.clone(), change.revision)).collect();
     let to_write = |change: &ListChange| KeyWrite {
-        key: key(change),
-        value: change.list.to_value(),
+        key: change.key.clone(),
+        value: change.value.clone(),
         lease: NO_LEASE,
     };
     let writes = changes.iter().map(to_write).collect();
     let result = store.call(&Operation::PutIf { expected, writes }).await;
-    for ListChange { service, list, .. } in changes {
-        let (versions, complete) = (list.versions.len(), list.complete);
+    for ListChange { key, summary, .. } in changes {
         match &result {
-            Ok(_) => log::info!(
-                "event=versions_listed service={service} versions={versions} complete={complete}"
-            ),
-            Err(error) => {
-                log::info!("event=versions_not_listed service={service} error=\"{error}\"")
-            }
+            Ok(_) => log::info!("event=versions_listed key={key} {summary}"),
+            Err(error) => log::info!("event=versions_not_listed key={key} error=\"{error}\""),
         }
     }
     result.map(|_| ())
--- /dev/null
+++ b/lib/src/gateway/stream_routes.rs
@@ -0,0 +1,118 @@
+//! Where the streams of a route go: hashes of routes and of their splits, and the lists of splits that
+//! the store has.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use super::job::Job;
+use super::shared::Shared;
+use super::shared::lock;
+use super::stream_versions;
+use crate::coordination::rendezvous;
+use crate::coordination::stream_versions::Destination;
+use crate::coordination::stream_versions::RouteHash;
+use crate::coordination::stream_versions::SplitHash;
+use crate::coordination::stream_versions::StreamVersions;
+use crate::coordination::version_list::RouteLists;
+use crate::coordination::version_list::VersionList;
+use crate::protocol::routing::Route;
+use crate::protocol::routing::Routing;
+use crate::protocol::routing::ServiceId;
+
+/// Host and path prefix of a route, as its list is named in the store.
+pub fn route_name(route: &Route) -> String {
+    format!("{}{}", route.host, route.prefix)
+}
+
+/// Hash of the name of a route.
+pub fn route_hash(name: &str) -> RouteHash {
+    // A service may have the same name as a route.
+    rendezvous::weight(name, "route")
+}
+
+/// Hash of the services of a route that get requests, and of their weights if there are several.
+pub fn split_hash(route: &Route) -> SplitHash {
+    let mut services = route.services.iter().filter(|(_, weight)| *weight > 0).peekable();
+    let first = services.next().or(route.services.first());
+    let Some((first, weight)) = first else { return 0 };
+    if services.peek().is_none() {
+        return stream_versions::service_hash(first);
+    }
+    let add = |hash, (service, weight): (&ServiceId, u32)| {
+        rendezvous::mix(hash, rendezvous::weight(service, &weight.to_string()))
+    };
+    let others = services.map(|(service, weight)| (service, *weight));
+    others.fold(add(0, (first, *weight)), add)
+}
+
+/// Where a request goes.
+pub fn destination(job: &Job) -> Destination {
+    Destination {
+        service: stream_versions::service_hash(&job.service),
+        route: route_hash(&route_name(&job.route)),
+        split: split_hash(&job.route),
+    }
+}
+
+/// Records the splits of all routes, and that routes which only `listed` names have none. Returns the
+/// routes that have several now and had one before.
+pub fn record_splits(
+    versions: &mut StreamVersions,
+    routing: &Routing,
+    listed: &BTreeSet<String>,
+    now: Instant,
+) -> Vec<RouteHash> {
+    let splits: BTreeMap<String, SplitHash> =
+        routing.resumable_routes().map(|route| (route_name(route), split_hash(route))).collect();
+    let mut changed = Vec::new();
+    for name in splits.keys().chain(listed.iter().filter(|name| !splits.contains_key(*name))) {
+        let route = route_hash(name);
+        if versions.record_versions(route, splits.get(name).copied().into_iter(), now) {
+            changed.push(route);
+        }
+    }
+    changed
+}
+
+/// Records the lists that the store has.
+pub fn apply_lists<A>(shared: &Shared<A>, lists: RouteLists, now: Instant) {
+    let directory = &mut *lock(&shared.streams);
+    for name in directory.listed_routes.iter().filter(|name| !lists.routes.contains_key(*name)) {
+        directory.versions.apply_list(route_hash(name), None, now);
+    }
+    directory.listed_routes = lists.routes.keys().cloned().collect();
+    for (name, list) in lists.routes {
+        directory.versions.apply_list(route_hash(&name), Some(list), now);
+    }
+}
+
+/// The lists that the store should have, if it has others.
+pub fn lists_to_write(
+    versions: &StreamVersions,
+    routing: &Routing,
+    listed: &BTreeSet<String>,
+    is_current: bool,
+    now: Instant,
+) -> Option<RouteLists> {
+    if !versions.knows_era() {
+        return None;
+    }
+    let names: BTreeSet<String> =
+        routing.resumable_routes().map(|route| route_name(route)).collect();
+    let stored = |name: &String| versions.list(route_hash(name));
+    // A route that complete lists don't name is new, so it has no earlier streams.
+    let complete_lists: Vec<&VersionList> =
+        listed.iter().filter_map(stored).filter(|list| list.complete).collect();
+    let needed = |name: &String| {
+        let mut list = versions.needed_list(route_hash(name), is_current, now)?;
+        if stored(name).is_none() {
+            list.complete |= complete_lists.iter().any(|complete| complete.era == list.era);
+        }
+        Some((name.clone(), list))
+    };
+    let routes: BTreeMap<String, VersionList> = names.union(listed).filter_map(needed).collect();
+    let is_written = routes.len() == listed.len()
+        && routes.iter().all(|(name, list)| stored(name) == Some(list));
+    (!is_written).then_some(RouteLists { routes })
+}
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -10,6 +10,7 @@
 
 use prost::Message;
 use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
 
 use super::box_reports;
 use super::box_reports::REPLY_NUMBER;
@@ -19,12 +20,14 @@
 use super::shared::Shared;
 use super::shared::Snapshot;
 use super::shared::lock;
+use super::stream_routes;
 use crate::coordination::loads::BoxReport;
 use crate::coordination::presence;
 use crate::coordination::rendezvous;
 use crate::coordination::stream_batch::StreamBatch;
 use crate::coordination::stream_versions;
 use crate::coordination::stream_versions::BoxLocation;
+use crate::coordination::stream_versions::Destination;
 use crate::coordination::stream_versions::ServiceHash;
 use crate::coordination::stream_versions::StreamKey;
 use crate::coordination::stream_versions::StreamReport;
@@ -33,12 +36,13 @@
 use crate::protocol::adapter::Adapter;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::VersionHash;
+use crate::protocol::routing::ServiceId;
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::transport::timer;
 
-/// Maximum number of streams of each kind in a datagram, at 64 bytes for one of each.
-const MAX_STREAMS_PER_REPORT: usize = 100;
+/// Maximum number of streams of each kind in a datagram, at 80 bytes for one of each.
+const MAX_STREAMS_PER_REPORT: usize = 80;
 /// Maximum wait for other boxes: a round trip between distant regions, or a read of the store by the
 /// recorder. After that, this box reads the store itself.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
@@ -58,8 +62,10 @@
 }
 
 /// The version of a stream, and what told it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct FoundVersion {
+    /// The service that runs the stream.
+    pub service: ServiceId,
     /// The version.
     pub version: VersionHash,
     /// What told it.
@@ -111,9 +117,10 @@
     rendezvous::weight(name, RECORDER_KEY)
 }
 
-fn stream_key(job: &Job, attempt: &str) -> StreamKey {
+/// Key of the stream of a request's caller, if that service runs it.
+fn stream_key(job: &Job, service: &str) -> StreamKey {
     let team = job.team.as_ref().map_or("", |team| team.name.as_str());
-    stream_versions::stream_key(attempt, &job.service, team)
+    stream_versions::stream_key(job.first_attempt(), service, team)
 }
 
 /// Hash of a service's name.
@@ -122,26 +129,27 @@
 }
 
 /// Records the version of a stream whose first event is about to be forwarded to its caller, and
-/// announces it while the service has several versions, or may have had without this box knowing.
+/// announces it while the service has several versions or the route several splits, or may have had
+/// without this box knowing.
 pub fn record_begin<A: Adapter>(shared: &Shared<A>, job: &Job, version: Option<VersionHash>) {
     let Some(version) = version.filter(|_| job.origin == Origin::Caller && job.route.resumable)
     else {
         return;
     };
     let now = clock::now();
-    let key = stream_key(job, job.first_attempt());
-    let service = service_hash(&job.service);
+    let key = stream_key(job, &job.service);
+    let destination = stream_routes::destination(job);
     let is_aging = lock(&shared.freshness).is_aging(now);
-    let (has_several, has_proof) = {
+    let (has_alternatives, has_proof) = {
         let versions = &mut lock(&shared.streams).versions;
-        versions.record_begin(key, service, version, now);
-        (versions.has_several_versions(service, now), versions.has_proof(service))
+        versions.record_begin(key, destination, version, now);
+        (versions.has_alternatives(destination, now), versions.has_proof(destination))
     };
     let streams = [(key, version)];
-    if has_several {
+    if has_alternatives {
         record_in_store(shared, &streams);
     }
-    if has_several || is_aging || !has_proof {
+    if has_alternatives || is_aging || !has_proof {
         announce(shared, &shared.snapshot.load(), &streams);
     }
 }
@@ -171,15 +179,20 @@
     shared.stream_report.notify_one();
 }
 
-/// Records the versions of the servers of each service. Where a second one has appeared, the streams
-/// that this box began are announced.
+/// Records the versions of the servers of each service, and the splits of the routes. Where a second
+/// one has appeared, the streams that this box began are announced.
 pub fn record_versions<A: Adapter>(shared: &Shared<A>, snapshot: &Snapshot, now: Instant) {
     let mut streams: Vec<(StreamKey, VersionHash)> = Vec::new();
     {
-        let known = &mut lock(&shared.streams).versions;
+        let directory = &mut *lock(&shared.streams);
+        let known = &mut directory.versions;
         if let Some(routing) = &snapshot.routing {
             known.set_longest_stream(routing.longest_stream(), now);
             known.record_state(snapshot.state.position.era, now);
+            let listed = &directory.listed_routes;
+            for route in stream_routes::record_splits(known, routing, listed, now) {
+                streams.extend(known.own_streams(route, now));
+            }
         }
         for (service, versions) in &snapshot.software {
             let service = service_hash(service);
@@ -228,27 +241,36 @@
     versions.is_some_and(|versions| versions.keys().any(|version| !listed.contains(version)))
 }
 
-/// The version at which a request must run because it continues a stream; `None` if it continues
-/// none. A stream of unknown version is refused.
+/// The service and the version at which a request must run because it continues a stream; `None` if
+/// it continues none. A stream of unknown version is refused.
 pub async fn version_to_continue<A: Adapter>(
     shared: &Arc<Shared<A>>,
     job: &Job,
-) -> Result<Option<VersionHash>, Failure> {
+) -> Result<Option<(ServiceId, VersionHash)>, Failure> {
     if job.origin == Origin::Peer {
-        return Ok(job.forward.version);
+        let Some(version) = job.forward.version else { return Ok(None) };
+        let service = service_hash(&job.service);
+        if job.forward.service.is_some_and(|expected| expected != service) {
+            let message = "the route no longer has the service that began the stream";
+            return Err(Failure::new(ErrorKind::NoServer, message));
+        }
+        return Ok(Some((job.service.clone(), version)));
     }
     if !job.continues_stream() {
         return Ok(None);
     }
     shared.counters.increment(Counter::StreamsResumed);
-    let found = find_version(shared, job).await;
+    // The weights of the route may have changed since the stream began.
+    let others = job.route.services().filter(|service| **service != job.service);
+    let services: Vec<&ServiceId> = [&job.service].into_iter().chain(others).collect();
+    let found = find_version_among(shared, job, &services).await;
     let known_versions = {
         let service = service_hash(&job.service);
         lock(&shared.streams).versions.count_versions(service, clock::now())
     };
-    decision_log::stream_resumed(job, found, known_versions, shared.state_age_ms());
-    if let Some(FoundVersion { version, .. }) = found {
-        return Ok(Some(version));
+    decision_log::stream_resumed(job, found.as_ref(), known_versions, shared.state_age_ms());
+    if let Some(FoundVersion { service, version, .. }) = found {
+        return Ok(Some((service, version)));
     }
     shared.counters.increment(Counter::StreamsOfUnknownVersion);
     let message = "the software version that began the stream is unknown";
@@ -258,30 +280,83 @@
 /// Looks the version of a request's stream up here, then at the holders and the recorder, and last in
 /// the store.
 pub async fn find_version<A: Adapter>(shared: &Arc<Shared<A>>, job: &Job) -> Option<FoundVersion> {
-    let (key, service) = (stream_key(job, job.first_attempt()), service_hash(&job.service));
+    find_version_among(shared, job, &[&job.service]).await
+}
+
+/// Looks a request's stream up, if one of these services runs it. Only that of the first one may be
+/// found by the lists in the store.
+async fn find_version_among<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    services: &[&ServiceId],
+) -> Option<FoundVersion> {
     let own_hash = presence::box_hash(&shared.settings.name);
     let now = clock::now();
-    if let Some(version) = lock(&shared.streams).versions.look_up(key, now) {
-        return Some(FoundVersion { version, source: Source::Own });
+    for service in services {
+        let key = stream_key(job, service);
+        if let Some(version) = lock(&shared.streams).versions.look_up(key, now) {
+            let service = ServiceId::clone(service);
+            return Some(FoundVersion { service, version, source: Source::Own });
+        }
+    }
+    let mut queries = query_others(shared, job, services, now);
+    let until = now + QUERY_TIMEOUT;
+    for wait_until in [until, until + STORE_LOOKUP_TIMEOUT] {
+        let mut unanswered = Vec::new();
+        for mut query in queries {
+            match timer::timeout_at(wait_until.min(job.deadline), &mut query.response).await {
+                Ok(Ok(Some(version))) => {
+                    return Some(FoundVersion {
+                        service: query.service,
+                        version,
+                        source: Source::Other,
+                    });
+                }
+                Ok(_) => {}
+                Err(_) => unanswered.push(query),
+            }
+        }
+        queries = unanswered;
+        for query in &queries {
+            lock(&shared.streams).query_store(query.key, own_hash);
+        }
+        shared.store_lookups.notify_one();
     }
-    let mut response = {
-        let snapshot = shared.snapshot.load();
+    None
+}
+
+/// A query for the version of a stream, if a service runs it.
+struct Query {
+    service: ServiceId,
+    key: StreamKey,
+    response: oneshot::Receiver<Option<VersionHash>>,
+}
+
+fn query_others<A: Adapter>(
+    shared: &Arc<Shared<A>>,
+    job: &Job,
+    services: &[&ServiceId],
+    now: Instant,
+) -> Vec<Query> {
+    let own_hash = presence::box_hash(&shared.settings.name);
+    let snapshot = shared.snapshot.load();
+    let recorder = other_recorder(shared, &snapshot, now);
+    let chosen = stream_routes::destination(job);
+    let query = |service: &&ServiceId| {
+        let key = stream_key(job, service);
+        let destination = match **service == job.service {
+            true => chosen,
+            false => Destination { service: service_hash(service), ..Destination::default() },
+        };
         let holders = other_holders(shared, &snapshot, key);
-        let recorder = other_recorder(shared, &snapshot, now);
-        lock(&shared.streams).query(&holders, recorder.as_ref(), (key, service), own_hash)
+        let response =
+            lock(&shared.streams).query(&holders, recorder.as_ref(), (key, destination), own_hash);
+        Query { service: ServiceId::clone(service), key, response }
     };
+    let queries = services.iter().map(query).collect();
     shared.stream_report.notify_one();
     shared.store_lookups.notify_one();
-    let time_left = job.time_left(now);
-    let version = match timer::timeout(QUERY_TIMEOUT.min(time_left), &mut response).await {
-        Ok(version) => version.ok()?,
-        Err(_) => {
-            lock(&shared.streams).query_store(key, own_hash);
-            shared.store_lookups.notify_one();
-            timer::timeout(STORE_LOOKUP_TIMEOUT.min(time_left), response).await.ok()?.ok()?
-        }
-    };
-    version.map(|version| FoundVersion { version, source: Source::Other })
+    queries
 }
 
 /// Applies a report about streams, and responds to its queries.
@@ -335,6 +410,8 @@
             begun: take(&mut report.begun),
             begun_versions: take(&mut report.begun_versions),
             not_looked_up: take(&mut report.not_looked_up),
+            queried_routes: take(&mut report.queried_routes),
+            queried_splits: take(&mut report.queried_splits),
         });
     }
     parts
--- a/lib/src/protocol/routing.rs
+++ b/lib/src/protocol/routing.rs
@@ -68,6 +68,12 @@
         self.home_regions.is_empty() || self.home_regions.iter().any(|home| home == region)
     }
 
+    /// The services that get requests.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let weighted = self.services.iter().filter(|(_, weight)| *weight > 0);
+        weighted.map(|(service, _)| service)
+    }
+
     /// Returns the service for a request. Each service gets a share of the values of `point` in
     /// proportion to its weight.
     pub fn pick_service(&self, point: u64) -> Option<&ServiceId> {
@@ -171,7 +177,8 @@
             .collect()
     }
 
-    fn resumable_routes(&self) -> impl Iterator<Item = &std::sync::Arc<Route>> {
+    /// The routes on which streams may be resumed.
+    pub fn resumable_routes(&self) -> impl Iterator<Item = &std::sync::Arc<Route>> {
         self.routes_by_host.values().flatten().filter(|route| route.resumable)
     }
 
--- a/lib/tests/test_stream_records.rs
+++ b/lib/tests/test_stream_records.rs
@@ -5,13 +5,20 @@
 
 use copperweir_lib::coordination::stream_batch::MAX_BATCH_STREAMS;
 use copperweir_lib::coordination::stream_batch::StreamBatch;
+use copperweir_lib::coordination::stream_versions::Destination;
 use copperweir_lib::coordination::stream_versions::StreamVersions;
 use copperweir_lib::coordination::version_list::VersionList;
 use proptest::prelude::*;
 
 const SERVICE: u64 = 7;
+const ROUTE: u64 = 8;
+const SPLIT: u64 = 9;
 const SECOND: Duration = Duration::from_secs(1);
 
+fn destination() -> Destination {
+    Destination { service: SERVICE, route: ROUTE, split: SPLIT }
+}
+
 fn list(era: u64, versions: &[u64]) -> VersionList {
     VersionList { era, versions: versions.iter().copied().collect(), complete: true }
 }
@@ -100,7 +107,7 @@
     let now = Instant::now();
     let mut versions = started_in(1, now);
     versions.set_longest_stream(120 * SECOND, now);
-    versions.record_begin(1, SERVICE, 10, now);
+    versions.record_begin(1, destination(), 10, now);
     versions.record_versions(SERVICE, [10, 20].into_iter(), now);
     versions.record_versions(SERVICE, [20].into_iter(), now);
     versions.set_longest_stream(5 * SECOND, now + 20 * SECOND);
@@ -137,7 +144,12 @@
         versions.record_state(2, now + SECOND);
         versions.apply_list(SERVICE, Some(list(1, &[10])), now + SECOND);
         versions.record_versions(SERVICE, [10].into_iter(), now + SECOND);
-        assert!(!versions.has_proof(SERVICE));
+        // The route's list is of the new era, so only that of the service can be the reason.
+        versions.apply_list(ROUTE, Some(list(2, &[SPLIT])), now + SECOND);
+        assert!(!versions.has_proof(destination()));
+        versions.apply_list(SERVICE, Some(list(2, &[10])), now + SECOND);
+        assert!(versions.has_proof(destination()));
+        versions.apply_list(SERVICE, Some(list(1, &[10])), now + SECOND);
         assert_eq!(versions.list_to_write(SERVICE, true, now + 59 * SECOND), None);
         let later = now + 62 * SECOND;
         assert_eq!(versions.list_to_write(SERVICE, true, later), Some(list(2, &[10])));
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use copperweir_lib::coordination::stream_versions::BoxLocation;
+use copperweir_lib::coordination::stream_versions::Destination;
 use copperweir_lib::coordination::stream_versions::StreamVersions;
 use copperweir_lib::coordination::stream_versions::holders;
 use copperweir_lib::coordination::stream_versions::stream_key;
@@ -14,6 +15,10 @@
 const SERVICE: u64 = 7;
 const SECOND: Duration = Duration::from_secs(1);
 
+fn destination() -> Destination {
+    Destination { service: SERVICE, ..Destination::default() }
+}
+
 /// Names, regions and failure domains of boxes.
 fn fleet(boxes: usize, regions: usize, domains_per_region: usize) -> Vec<[String; 3]> {
     let names = |number: usize| {
@@ -74,7 +79,7 @@
 fn version_that_began_a_stream_is_not_replaced_by_what_others_tell() {
     let now = Instant::now();
     let mut versions = StreamVersions::default();
-    versions.record_begin(1, SERVICE, 10, now);
+    versions.record_begin(1, destination(), 10, now);
     versions.record_announcement(1, 20, now);
     assert_eq!(versions.version(1, now), Some(10));
     assert_eq!(versions.version(2, now), None);
@@ -84,9 +89,9 @@
 fn stream_taken_up_again_is_kept_longer() {
     let now = Instant::now();
     let mut versions = StreamVersions::default();
-    versions.record_begin(1, SERVICE, 10, now);
-    versions.record_begin(2, SERVICE, 10, now);
-    versions.record_begin(1, SERVICE, 10, now + 40 * SECOND);
+    versions.record_begin(1, destination(), 10, now);
+    versions.record_begin(2, destination(), 10, now);
+    versions.record_begin(1, destination(), 10, now + 40 * SECOND);
     let later = now + 70 * SECOND;
     versions.expire(later);
     assert_eq!((versions.version(1, later), versions.version(2, later)), (Some(10), None));
@@ -98,7 +103,7 @@
     let now = Instant::now();
     let mut versions = StreamVersions::default();
     assert!(!versions.record_versions(SERVICE, [10].into_iter(), now));
-    versions.record_begin(1, SERVICE, 10, now);
+    versions.record_begin(1, destination(), 10, now);
     assert!(versions.record_versions(SERVICE, [10, 20].into_iter(), now + SECOND));
     assert!(!versions.record_versions(SERVICE, [10, 20].into_iter(), now + 2 * SECOND));
     assert_eq!(versions.own_streams(SERVICE, now + SECOND).collect::<Vec<_>>(), [(1, 10)]);
