streams: a route with a longer prefix, and a removed one, hand their splits on

Cause: the list of a new route is complete at once, since no stream can have begun under it. Its paths may have belonged to a route with a shorter prefix before, though, and those of a removed route belong to that one afterwards, so a stream of the earlier service could have gone on at the later one. Change: the split of the route that had the paths before counts for the route that has them now, for as long as its streams may run. Both faults were found by reading; the tests were not run without the change.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -142,6 +142,8 @@
     gone_since: Option<Instant>,
     /// Whether the store has listed it, so that streams may have begun at it.
     was_listed: bool,
+    /// Whether streams may have begun at it before it was listed.
+    is_inherited: bool,
 }
 
 /// The versions of a service, or the splits of a route.
@@ -302,12 +304,30 @@
     pub fn apply_list(&mut self, service: ServiceHash, list: Option<VersionList>, now: Instant) {
         let known = self.subjects.entry(service).or_default();
         for version in list.iter().flat_map(|list| &list.versions) {
-            let gone = CountedVersion { gone_since: Some(now), was_listed: true };
-            known.counted.entry(*version).or_insert(gone).was_listed = true;
+            let gone = CountedVersion { gone_since: Some(now), ..CountedVersion::default() };
+            let counted = known.counted.entry(*version).or_insert(gone);
+            counted.was_listed = true;
+            counted.is_inherited = false;
         }
         known.list = list;
     }
 
+    /// Counts the splits of a route for another one too, to which its paths belong now. Streams that
+    /// began under the first are resumed under the second.
+    pub fn inherit_splits(&mut self, from: RouteHash, to: RouteHash, now: Instant) {
+        let Some(earlier) = self.subjects.get(&from) else { return };
+        let splits: Vec<SplitHash> = self.counted(earlier, now).map(|(split, _)| split).collect();
+        let gone = CountedVersion {
+            gone_since: Some(now),
+            is_inherited: true,
+            ..CountedVersion::default()
+        };
+        let later = self.subjects.entry(to).or_default();
+        for split in splits {
+            later.counted.entry(split).or_insert(gone);
+        }
+    }
+
     /// The list that the store should have for a service, if it has another one. Only a box whose
     /// state is current may take versions from the list.
     pub fn list_to_write(
@@ -336,8 +356,9 @@
         // A version without servers is never added: boxes that count it for different times would
         // add and remove it in turn.
         let counted = self.counted(known, now);
-        let kept =
-            counted.filter(|(version, counted)| counted.gone_since.is_none() || is_listed(version));
+        let kept = counted.filter(|(version, counted)| {
+            counted.gone_since.is_none() || counted.is_inherited || is_listed(version)
+        });
         let mut versions: BTreeSet<VersionHash> = kept.map(|(version, _)| version).collect();
         if let Some(list) = known.list.as_ref().filter(|_| !is_current) {
             versions.extend(&list.versions);
--- a/lib/src/gateway/stream_routes.rs
+++ b/lib/src/gateway/stream_routes.rs
@@ -65,6 +65,9 @@
 ) -> Vec<RouteHash> {
     let splits: BTreeMap<String, SplitHash> =
         routing.resumable_routes().map(|route| (route_name(route), split_hash(route))).collect();
+    for (from, to) in moved_paths(&splits, listed) {
+        versions.inherit_splits(route_hash(from), route_hash(to), now);
+    }
     let mut changed = Vec::new();
     for name in splits.keys().chain(listed.iter().filter(|name| !splits.contains_key(*name))) {
         let route = route_hash(name);
@@ -75,6 +78,24 @@
     changed
 }
 
+/// Pairs of a listed route and a current one to which paths of the first belong now: because the
+/// second one is new and has a longer prefix, or because the first one was removed.
+fn moved_paths<'a>(
+    current: &'a BTreeMap<String, SplitHash>,
+    listed: &'a BTreeSet<String>,
+) -> Vec<(&'a String, &'a String)> {
+    let new = current.keys().filter(|name| !listed.contains(*name));
+    let removed = listed.iter().filter(|name| !current.contains_key(*name));
+    let from_listed = new.filter_map(|name| Some((longest_prefix(listed.iter(), name)?, name)));
+    let to_current = removed.filter_map(|name| Some((name, longest_prefix(current.keys(), name)?)));
+    from_listed.chain(to_current).collect()
+}
+
+/// The longest name that begins another one.
+fn longest_prefix<'a>(names: impl Iterator<Item = &'a String>, longer: &str) -> Option<&'a String> {
+    names.filter(|name| longer.starts_with(name.as_str())).max_by_key(|name| name.len())
+}
+
 /// Records the lists that the store has.
 pub fn apply_lists<A>(shared: &Shared<A>, lists: RouteLists, now: Instant) {
     let directory = &mut *lock(&shared.streams);
--- a/lib/tests/test_stream_routes.rs
+++ b/lib/tests/test_stream_routes.rs
@@ -127,6 +127,42 @@
     assert!(fixture.has_proof(&kept));
 }
 
+#[test]
+fn route_with_a_longer_prefix_has_no_proof_until_earlier_streams_have_ended() {
+    let mut fixture = Fixture::start(true);
+    let (wide, narrow) = (route("/a/", &[("a", 1)]), route("/a/b/", &[("b", 1)]));
+    fixture.follow(std::slice::from_ref(&wide));
+    fixture.now += 5 * SECOND;
+    let lists = fixture.follow(&[wide.clone(), narrow.clone()]).expect("the new route is listed");
+    assert_eq!(lists.routes["h.example/a/b/"].versions.len(), 2);
+    assert!(fixture.has_proof(&wide) && !fixture.has_proof(&narrow));
+    fixture.now += 61 * SECOND;
+    fixture.follow(&[wide.clone(), narrow.clone()]).expect("the earlier split leaves");
+    fixture.now += 61 * SECOND;
+    assert_eq!(fixture.follow(&[wide.clone(), narrow.clone()]), None);
+    assert!(fixture.has_proof(&wide) && fixture.has_proof(&narrow));
+}
+
+#[test]
+fn route_that_gets_the_paths_of_a_removed_one_has_no_proof_until_their_streams_have_ended() {
+    let mut fixture = Fixture::start(true);
+    let (wide, narrow) = (route("/a/", &[("a", 1)]), route("/a/b/", &[("b", 1)]));
+    fixture.follow(&[wide.clone(), narrow]);
+    assert!(fixture.has_proof(&wide));
+    fixture.now += 5 * SECOND;
+    fixture.follow(std::slice::from_ref(&wide));
+    assert!(!fixture.has_proof(&wide));
+    let mut last_write = fixture.now;
+    for _ in 0..200 {
+        fixture.now += SECOND;
+        if fixture.follow(std::slice::from_ref(&wide)).is_some() {
+            last_write = fixture.now;
+        }
+    }
+    assert!(fixture.has_proof(&wide));
+    assert!(fixture.now > last_write + 60 * SECOND, "the lists settle");
+}
+
 #[test]
 fn first_lists_of_a_fleet_that_has_run_before_are_no_proof() {
     let mut fixture = Fixture::start(false);
