streams: an unnamed attempt proves no service where its route has several

Cause: the service of a take-up is drawn from the attempt that began the stream. A caller that doesn't name it is led to any service of the route, where a single listed version counted as proof.

--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -342,9 +342,11 @@
     let snapshot = shared.snapshot.load();
     let recorder = other_recorder(shared, &snapshot, now);
     let chosen = stream_routes::destination(job);
+    // A caller that doesn't name the attempt that began its stream is led to any service of the route.
+    let is_chosen_alike = job.metadata.resumes.is_some() || job.route.services().count() <= 1;
     let query = |service: &&ServiceId| {
         let key = stream_key(job, service);
-        let destination = match **service == job.service {
+        let destination = match **service == job.service && is_chosen_alike {
             true => chosen,
             false => Destination { service: service_hash(service), ..Destination::default() },
         };
