streams: the splits of a route are listed with their services

Cause: after the weights of a route changed while all boxes were down, each stream of the route was refused, also those that the new weights lead to the same service: a list with the hashes of splits can only tell that there were several. Change: the list has the services and weights of each split. A stream that nobody knows goes on if all splits that its route had lead its caller to the same service; only streams that a split would have led elsewhere are announced and recorded. A split that another writer altered, or that is missing, makes the list unreadable.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -30,6 +30,7 @@
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::VersionHash;
 use crate::protocol::platform::Era;
+use crate::protocol::routing;
 
 /// Identifies a stream: the caller's attempt that began it, with its service and team.
 pub type StreamKey = u64;
@@ -37,7 +38,9 @@
 pub type ServiceHash = u64;
 /// Hash of a route's host and path prefix.
 pub type RouteHash = u64;
-/// Hash of the services of a route and their weights.
+/// The services of a route, with their weights.
+pub type Split = Vec<(ServiceHash, u32)>;
+/// Hash of a split.
 pub type SplitHash = u64;
 /// Hash of what a list in the store is about: a service with its versions, or a route with its splits.
 pub type SubjectHash = u64;
@@ -49,8 +52,8 @@
     pub service: ServiceHash,
     /// The route that led there.
     pub route: RouteHash,
-    /// The split by which the route led there.
-    pub split: SplitHash,
+    /// What the service is picked by.
+    pub point: u64,
 }
 
 /// Minimum duration of the longest stream that any route allows.
@@ -70,6 +73,14 @@
     rendezvous::mix(rendezvous::weight(attempt, service), rendezvous::weight(team, ""))
 }
 
+/// Hash of a split.
+pub fn split_hash(split: &Split) -> SplitHash {
+    let add = |hash, (service, weight): &(ServiceHash, u32)| {
+        rendezvous::mix(rendezvous::mix(hash, *service), u64::from(*weight))
+    };
+    split.iter().fold(0, add)
+}
+
 /// A box that may hold versions of streams.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BoxLocation<'a> {
@@ -164,6 +175,8 @@
     /// Keys by the time at which they were noted; a key may occur several times.
     noted: VecDeque<(Instant, StreamKey)>,
     subjects: HashMap<SubjectHash, Subject>,
+    /// The splits of routes that count or are listed.
+    splits: HashMap<SplitHash, Split>,
     /// Duration of the longest stream that a route allows, or allowed lately.
     longest_stream: Duration,
     /// Since when no route allows streams as long as that.
@@ -181,6 +194,7 @@
             entries: HashMap::new(),
             noted: VecDeque::new(),
             subjects: HashMap::new(),
+            splits: HashMap::new(),
             longest_stream: MIN_LONGEST_STREAM,
             shortened_at: None,
             era: None,
@@ -399,10 +413,12 @@
     }
 
     /// Whether the lists tell the version of streams that nobody knows.
-    pub fn has_proof(&self, destination: Destination) -> bool {
+    pub fn has_proof(&self, destination: Destination, now: Instant) -> bool {
         let Some((era, _)) = self.era else { return false };
-        let sole = |subject| self.list(subject).and_then(|list| list.sole_version(era));
-        sole(destination.service).is_some() && sole(destination.route) == Some(destination.split)
+        let versions = self.list(destination.service);
+        let splits = self.list(destination.route);
+        versions.is_some_and(|list| list.sole_version(era).is_some())
+            && splits.is_some_and(|list| self.is_sole_service(destination, (list, era), now))
     }
 
     /// The list that the store has for a service or route.
@@ -410,23 +426,54 @@
         self.subjects.get(&subject)?.list.as_ref()
     }
 
-    /// Whether several versions of the service, or splits of the route, count.
+    /// Whether several versions of the service count, or splits of the route that lead elsewhere.
     pub fn has_alternatives(&self, destination: Destination, now: Instant) -> bool {
-        let Destination { service, route, .. } = destination;
-        self.has_several_versions(service, now) || self.has_several_versions(route, now)
+        self.has_several_versions(destination.service, now)
+            || !self.counted_splits_agree(destination, now)
     }
 
-    /// Whether every stream of a route that is not known otherwise began by this split, by the list that
-    /// the store has now.
-    pub fn is_sole_split(
+    /// Whether a stream that is not known otherwise began at the service to which its caller is led now,
+    /// by the list of the route's splits that the store has. Requests don't wait for a split to be
+    /// listed, so those count as well that only this box knows.
+    pub fn is_sole_service(
         &self,
         destination: Destination,
         stored: (&VersionList, Era),
         now: Instant,
     ) -> bool {
-        // Requests don't wait for a new split to be listed.
-        let sole = self.sole_version(destination.route, stored, false, now);
-        sole == Some(destination.split)
+        let (list, era) = stored;
+        list.is_complete(era)
+            && list.versions.iter().all(|split| self.leads_to(*split, destination))
+            && self.counted_splits_agree(destination, now)
+    }
+
+    fn counted_splits_agree(&self, destination: Destination, now: Instant) -> bool {
+        let Some(known) = self.subjects.get(&destination.route) else { return true };
+        self.counted(known, now).all(|(split, _)| self.leads_to(split, destination))
+    }
+
+    fn leads_to(&self, split: SplitHash, destination: Destination) -> bool {
+        let services = self.splits.get(&split);
+        let picked = services.and_then(|services| routing::pick(services, destination.point));
+        picked == Some(&destination.service)
+    }
+
+    /// Records the services of a split. Returns its hash.
+    pub fn define_split(&mut self, split: Split) -> SplitHash {
+        let hash = split_hash(&split);
+        self.splits.insert(hash, split);
+        hash
+    }
+
+    /// The services of a split.
+    pub fn split(&self, hash: SplitHash) -> Option<&Split> {
+        self.splits.get(&hash)
+    }
+
+    /// Whether a version of a service, or a split of a route, counts.
+    pub fn is_counted(&self, subject: SubjectHash, version: VersionHash, now: Instant) -> bool {
+        let Some(known) = self.subjects.get(&subject) else { return false };
+        self.counted(known, now).any(|(counted, _)| counted == version)
     }
 
     /// Whether several versions of a service count.
@@ -505,7 +552,11 @@
                     || list.as_ref().is_some_and(|list| list.versions.contains(version))
             });
         }
-        self.subjects.retain(|_, known| !known.counted.is_empty() || known.list.is_some());
+        let subjects = &mut self.subjects;
+        subjects.retain(|_, known| !known.counted.is_empty() || known.list.is_some());
+        let is_used =
+            |split: &SplitHash| subjects.values().any(|known| known.counted.contains_key(split));
+        self.splits.retain(|split, _| is_used(split));
     }
 
     /// Number of streams that are kept.
@@ -550,7 +601,7 @@
     /// Routes of the queried streams, in the order of the services.
     #[prost(fixed64, repeated, tag = "9")]
     pub queried_routes: Vec<RouteHash>,
-    /// Splits of these routes, in their order.
+    /// What the services of these streams are picked by, in the same order.
     #[prost(fixed64, repeated, tag = "10")]
-    pub queried_splits: Vec<SplitHash>,
+    pub queried_points: Vec<u64>,
 }
--- a/lib/src/coordination/version_list.rs
+++ b/lib/src/coordination/version_list.rs
@@ -5,7 +5,7 @@
 //! If a single version is listed, and the list was complete all the time, that is the one.
 //!
 //! The splits of routes are listed in the same form. Streams don't wait for these lists, because a
-//! box that lacks the newest split in a list finds no proof in it.
+//! list tells the service of a stream only if the newest split leads there too.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -14,6 +14,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::stream_versions;
+use super::stream_versions::Split;
+use super::stream_versions::SplitHash;
 use crate::protocol::fleet::VersionHash;
 use crate::protocol::platform::Era;
 
@@ -72,16 +75,18 @@
 }
 
 /// The splits of all routes on which streams may be resumed, by host and path prefix.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteLists {
     /// A list for each route, with splits in place of versions.
     pub routes: BTreeMap<String, VersionList>,
+    /// The splits.
+    pub splits: BTreeMap<SplitHash, Split>,
 }
 
 impl RouteLists {
     /// The value to store.
     pub fn to_value(&self) -> Bytes {
-        Bytes::from(serde_json::to_vec(&self.routes).unwrap_or_default())
+        Bytes::from(serde_json::to_vec(self).unwrap_or_default())
     }
 }
 
@@ -89,12 +94,18 @@
     type Error = String;
 
     fn try_from(value: &[u8]) -> Result<RouteLists, String> {
-        let routes: BTreeMap<String, VersionList> =
-            serde_json::from_slice(value).map_err(|error| error.to_string())?;
-        if routes.len() > MAX_ROUTES {
+        let lists: RouteLists = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+        if lists.routes.len() > MAX_ROUTES {
             return Err("routes: too many".to_owned());
         }
-        routes.values().try_for_each(VersionList::check)?;
-        Ok(RouteLists { routes })
+        lists.routes.values().try_for_each(VersionList::check)?;
+        if lists.splits.iter().any(|(hash, split)| stream_versions::split_hash(split) != *hash) {
+            return Err("splits: one has another hash".to_owned());
+        }
+        let mut listed = lists.routes.values().flat_map(|list| &list.versions);
+        if listed.any(|split| !lists.splits.contains_key(split)) {
+            return Err("splits: one is missing".to_owned());
+        }
+        Ok(lists)
     }
 }
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -277,6 +277,11 @@
     metadata.resumes.as_deref().unwrap_or(&metadata.id)
 }
 
+/// What the service of a request is picked by.
+pub fn routing_point(attempt: &str) -> u64 {
+    rapidhash::v3::rapidhash_v3(attempt.as_bytes())
+}
+
 /// The service for a request. That of a resumable stream is the choice of the box that received the
 /// request from the caller, if the route still has it.
 fn pick_service(route: &Route, forward: &Forward, attempt: &str) -> Result<ServiceId, Failure> {
@@ -284,8 +289,7 @@
         forward.service == Some(stream_versions::service_hash(service)) && route.resumable
     };
     let chosen = route.services().find(is_chosen);
-    let routing_point = rapidhash::v3::rapidhash_v3(attempt.as_bytes());
-    let picked = chosen.or_else(|| route.pick_service(routing_point));
+    let picked = chosen.or_else(|| route.pick_service(routing_point(attempt)));
     picked.cloned().ok_or_else(|| Failure::new(ErrorKind::NoServer, "the route has no service"))
 }
 
--- a/lib/src/gateway/stream_directory.rs
+++ b/lib/src/gateway/stream_directory.rs
@@ -200,7 +200,7 @@
                     report.queried.insert(0, key);
                     report.queried_services.insert(0, destination.service);
                     report.queried_routes.insert(0, destination.route);
-                    report.queried_splits.insert(0, destination.split);
+                    report.queried_points.insert(0, destination.point);
                 }
                 false => report.queried.push(key),
             }
@@ -269,6 +269,6 @@
     Some(Destination {
         service: *report.queried_services.get(number)?,
         route: *report.queried_routes.get(number)?,
-        split: *report.queried_splits.get(number)?,
+        point: *report.queried_points.get(number)?,
     })
 }
--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -25,6 +25,7 @@
 use crate::coordination::presence;
 use crate::coordination::stream_batch::MAX_BATCH_STREAMS;
 use crate::coordination::stream_batch::StreamBatch;
+use crate::coordination::stream_versions::Split;
 use crate::coordination::stream_versions::StreamKey;
 use crate::coordination::stream_versions::SubjectHash;
 use crate::coordination::version_list::RouteLists;
@@ -87,6 +88,7 @@
 struct StoredStreams {
     /// Lists of services and of routes.
     lists: HashMap<SubjectHash, VersionList>,
+    splits: Vec<Split>,
     batches: Vec<StreamBatch>,
     era: Era,
 }
@@ -110,6 +112,7 @@
     for item in contents.items {
         if item.key == ROUTES {
             let lists = RouteLists::try_from(&item.value[..]).unwrap_or_default();
+            stored.splits = lists.splits.into_values().collect();
             let lists = lists.routes.into_iter();
             stored.lists.extend(lists.map(|(name, list)| (stream_routes::route_hash(&name), list)));
         } else if let Some(service) = store_keys::listed_service(&item.key) {
@@ -179,13 +182,16 @@
     let all_wait_for_list = all_record_streams(&shared.snapshot.load());
     let (count, mut found) = (lookups.len(), 0);
     let mut directory = lock(&shared.streams);
+    for split in &stored.splits {
+        directory.versions.define_split(split.clone());
+    }
     for lookup in lookups {
         let destination = lookup.destination;
         let list = |subject| stored.lists.get(&subject).map(|list| (list, stored.era));
         let (versions, splits) = (list(destination.service), list(destination.route));
         let version = directory.versions.look_up(lookup.key, now).or_else(|| {
             let known = &directory.versions;
-            known.is_sole_split(destination, splits?, now).then_some(())?;
+            known.is_sole_service(destination, splits?, now).then_some(())?;
             known.sole_version(destination.service, versions?, all_wait_for_list, now)
         });
         let is_listed = versions.is_some() && splits.is_some() || !destination.may_be_listed();
--- a/lib/src/gateway/stream_routes.rs
+++ b/lib/src/gateway/stream_routes.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
+use super::job;
 use super::job::Job;
 use super::shared::Shared;
 use super::shared::lock;
@@ -12,13 +13,13 @@
 use crate::coordination::rendezvous;
 use crate::coordination::stream_versions::Destination;
 use crate::coordination::stream_versions::RouteHash;
+use crate::coordination::stream_versions::Split;
 use crate::coordination::stream_versions::SplitHash;
 use crate::coordination::stream_versions::StreamVersions;
 use crate::coordination::version_list::RouteLists;
 use crate::coordination::version_list::VersionList;
 use crate::protocol::routing::Route;
 use crate::protocol::routing::Routing;
-use crate::protocol::routing::ServiceId;
 
 /// Host and path prefix of a route, as its list is named in the store.
 pub fn route_name(route: &Route) -> String {
@@ -31,19 +32,21 @@
     rendezvous::weight(name, "route")
 }
 
-/// Hash of the services of a route that get requests, and of their weights if there are several.
-pub fn split_hash(route: &Route) -> SplitHash {
-    let mut services = route.services.iter().filter(|(_, weight)| *weight > 0).peekable();
-    let first = services.next().or(route.services.first());
-    let Some((first, weight)) = first else { return 0 };
-    if services.peek().is_none() {
-        return stream_versions::service_hash(first);
+/// The services that get requests of a route.
+pub fn split(route: &Route) -> Split {
+    let weighted = route.services.iter().filter(|(_, weight)| *weight > 0);
+    let mut split: Split = weighted
+        .map(|(service, weight)| (stream_versions::service_hash(service), *weight))
+        .collect();
+    match &mut split[..] {
+        [] => {
+            let first = route.services.first();
+            split.extend(first.map(|(service, _)| (stream_versions::service_hash(service), 1)));
+        }
+        [(_, weight)] => *weight = 1,
+        _ => {}
     }
-    let add = |hash, (service, weight): (&ServiceId, u32)| {
-        rendezvous::mix(hash, rendezvous::weight(service, &weight.to_string()))
-    };
-    let others = services.map(|(service, weight)| (service, *weight));
-    others.fold(add(0, (first, *weight)), add)
+    split
 }
 
 /// Where a request goes.
@@ -51,27 +54,32 @@
     Destination {
         service: stream_versions::service_hash(&job.service),
         route: route_hash(&route_name(&job.route)),
-        split: split_hash(&job.route),
+        point: job::routing_point(job.first_attempt()),
     }
 }
 
 /// Records the splits of all routes, and that routes which only `listed` names have none. Returns the
-/// routes that have several now and had one before.
+/// routes that have a new one beside others.
 pub fn record_splits(
     versions: &mut StreamVersions,
     routing: &Routing,
     listed: &BTreeSet<String>,
     now: Instant,
 ) -> Vec<RouteHash> {
-    let splits: BTreeMap<String, SplitHash> =
-        routing.resumable_routes().map(|route| (route_name(route), split_hash(route))).collect();
+    let mut splits: BTreeMap<String, SplitHash> = BTreeMap::new();
+    for route in routing.resumable_routes() {
+        splits.insert(route_name(route), versions.define_split(split(route)));
+    }
     for (from, to) in moved_paths(&splits, listed) {
         versions.inherit_splits(route_hash(from), route_hash(to), now);
     }
     let mut changed = Vec::new();
     for name in splits.keys().chain(listed.iter().filter(|name| !splits.contains_key(*name))) {
         let route = route_hash(name);
-        if versions.record_versions(route, splits.get(name).copied().into_iter(), now) {
+        let split = splits.get(name).copied();
+        let is_new = split.is_some_and(|split| !versions.is_counted(route, split, now));
+        versions.record_versions(route, split.into_iter(), now);
+        if is_new && versions.has_several_versions(route, now) {
             changed.push(route);
         }
     }
@@ -102,6 +110,9 @@
     for name in directory.listed_routes.iter().filter(|name| !lists.routes.contains_key(*name)) {
         directory.versions.apply_list(route_hash(name), None, now);
     }
+    for split in lists.splits.into_values() {
+        directory.versions.define_split(split);
+    }
     directory.listed_routes = lists.routes.keys().cloned().collect();
     for (name, list) in lists.routes {
         directory.versions.apply_list(route_hash(&name), Some(list), now);
@@ -135,5 +146,8 @@
     let routes: BTreeMap<String, VersionList> = names.union(listed).filter_map(needed).collect();
     let is_written = routes.len() == listed.len()
         && routes.iter().all(|(name, list)| stored(name) == Some(list));
-    (!is_written).then_some(RouteLists { routes })
+    let hashes = routes.values().flat_map(|list| &list.versions);
+    let defined = hashes.filter_map(|hash| Some((*hash, versions.split(*hash)?.clone())));
+    let splits = defined.collect();
+    (!is_written).then_some(RouteLists { routes, splits })
 }
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -143,7 +143,7 @@
     let (has_alternatives, has_proof) = {
         let versions = &mut lock(&shared.streams).versions;
         versions.record_begin(key, destination, version, now);
-        (versions.has_alternatives(destination, now), versions.has_proof(destination))
+        (versions.has_alternatives(destination, now), versions.has_proof(destination, now))
     };
     let streams = [(key, version)];
     if has_alternatives {
@@ -342,8 +342,10 @@
     let snapshot = shared.snapshot.load();
     let recorder = other_recorder(shared, &snapshot, now);
     let chosen = stream_routes::destination(job);
-    // A caller that doesn't name the attempt that began its stream is led to any service of the route.
-    let is_chosen_alike = job.metadata.resumes.is_some() || job.route.services().count() <= 1;
+    // A caller that takes a stream up without naming the attempt that began it is led to any service of
+    // the route.
+    let is_unnamed = job.continues_stream() && job.metadata.resumes.is_none();
+    let is_chosen_alike = !is_unnamed || job.route.services().count() <= 1;
     let query = |service: &&ServiceId| {
         let key = stream_key(job, service);
         let destination = match **service == job.service && is_chosen_alike {
@@ -413,7 +415,7 @@
             begun_versions: take(&mut report.begun_versions),
             not_looked_up: take(&mut report.not_looked_up),
             queried_routes: take(&mut report.queried_routes),
-            queried_splits: take(&mut report.queried_splits),
+            queried_points: take(&mut report.queried_points),
         });
     }
     parts
--- a/lib/src/protocol/routing.rs
+++ b/lib/src/protocol/routing.rs
@@ -77,17 +77,23 @@
     /// Returns the service for a request. Each service gets a share of the values of `point` in
     /// proportion to its weight.
     pub fn pick_service(&self, point: u64) -> Option<&ServiceId> {
-        let total: u64 = self.services.iter().map(|(_, weight)| u64::from(*weight)).sum();
-        let mut remaining = point % total.max(1);
-        for (service, weight) in &self.services {
-            let weight = u64::from(*weight);
-            if remaining < weight {
-                return Some(service);
-            }
-            remaining -= weight;
+        pick(&self.services, point)
+    }
+}
+
+/// Picks one of several weighted alternatives. Each gets a share of the values of `point` in
+/// proportion to its weight.
+pub fn pick<T>(alternatives: &[(T, u32)], point: u64) -> Option<&T> {
+    let total: u64 = alternatives.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut remaining = point % total.max(1);
+    for (alternative, weight) in alternatives {
+        let weight = u64::from(*weight);
+        if remaining < weight {
+            return Some(alternative);
         }
-        self.services.first().map(|(service, _)| service)
+        remaining -= weight;
     }
+    alternatives.first().map(|(alternative, _)| alternative)
 }
 
 /// The properties of a service, apart from its servers.
--- a/lib/tests/test_stream_records.rs
+++ b/lib/tests/test_stream_records.rs
@@ -12,11 +12,10 @@
 
 const SERVICE: u64 = 7;
 const ROUTE: u64 = 8;
-const SPLIT: u64 = 9;
 const SECOND: Duration = Duration::from_secs(1);
 
 fn destination() -> Destination {
-    Destination { service: SERVICE, route: ROUTE, split: SPLIT }
+    Destination { service: SERVICE, route: ROUTE, point: 0 }
 }
 
 fn list(era: u64, versions: &[u64]) -> VersionList {
@@ -145,10 +144,11 @@
         versions.apply_list(SERVICE, Some(list(1, &[10])), now + SECOND);
         versions.record_versions(SERVICE, [10].into_iter(), now + SECOND);
         // The route's list is of the new era, so only that of the service can be the reason.
-        versions.apply_list(ROUTE, Some(list(2, &[SPLIT])), now + SECOND);
-        assert!(!versions.has_proof(destination()));
+        let split = versions.define_split(vec![(SERVICE, 1)]);
+        versions.apply_list(ROUTE, Some(list(2, &[split])), now + SECOND);
+        assert!(!versions.has_proof(destination(), now + SECOND));
         versions.apply_list(SERVICE, Some(list(2, &[10])), now + SECOND);
-        assert!(versions.has_proof(destination()));
+        assert!(versions.has_proof(destination(), now + SECOND));
         versions.apply_list(SERVICE, Some(list(1, &[10])), now + SECOND);
         assert_eq!(versions.list_to_write(SERVICE, true, now + 59 * SECOND), None);
         let later = now + 62 * SECOND;
--- a/lib/tests/test_stream_routes.rs
+++ b/lib/tests/test_stream_routes.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use copperweir_lib::coordination::stream_versions;
 use copperweir_lib::coordination::stream_versions::Destination;
 use copperweir_lib::coordination::stream_versions::StreamVersions;
 use copperweir_lib::coordination::version_list::RouteLists;
@@ -70,19 +71,27 @@
 
     /// Whether a stream that nobody knows began by the split that the route has now.
     fn has_proof(&self, route: &Route) -> bool {
+        self.has_proof_at(route, 0)
+    }
+
+    /// The same for a caller whose service is picked by this point.
+    fn has_proof_at(&self, route: &Route, point: u64) -> bool {
+        let service = route.pick_service(point).expect("a service");
         let destination = Destination {
-            service: 0,
+            service: copperweir_lib::gateway::stream_versions::service_hash(service),
             route: stream_routes::route_hash(&stream_routes::route_name(route)),
-            split: stream_routes::split_hash(route),
+            point,
         };
         let list = self.versions.list(destination.route);
-        list.is_some_and(|list| self.versions.is_sole_split(destination, (list, ERA), self.now))
+        list.is_some_and(|list| self.versions.is_sole_service(destination, (list, ERA), self.now))
     }
 }
 
 #[test]
 fn split_is_that_of_the_services_that_get_requests() {
-    let split = |services: &[(&str, u32)]| stream_routes::split_hash(&route("/a/", services));
+    let split = |services: &[(&str, u32)]| {
+        stream_versions::split_hash(&stream_routes::split(&route("/a/", services)))
+    };
     assert_eq!(split(&[("a", 1)]), split(&[("a", 5), ("b", 0)]));
     assert_eq!(split(&[("a", 1)]), split(&[("b", 0), ("a", 3)]));
     assert_ne!(split(&[("a", 1)]), split(&[("b", 1)]));
@@ -111,6 +120,21 @@
     assert!(fixture.has_proof(&after));
 }
 
+#[test]
+fn weights_that_change_leave_the_proof_for_streams_that_they_do_not_move() {
+    let mut fixture = Fixture::start(true);
+    let before = route("/a/", &[("a", 1), ("b", 1)]);
+    let after = route("/a/", &[("a", 3), ("b", 1)]);
+    fixture.follow(std::slice::from_ref(&before));
+    assert!((0..8).all(|point| fixture.has_proof_at(&before, point)));
+    fixture.now += SECOND;
+    fixture.follow(std::slice::from_ref(&after));
+    for point in 0..8 {
+        let is_moved = before.pick_service(point) != after.pick_service(point);
+        assert_eq!(fixture.has_proof_at(&after, point), !is_moved, "{point}");
+    }
+}
+
 #[test]
 fn new_route_has_proof_at_once_and_a_removed_one_is_forgotten() {
     let mut fixture = Fixture::start(true);
@@ -185,3 +209,16 @@
     let now = Instant::now();
     assert_eq!(stream_routes::lists_to_write(&versions, &routing, &listed, true, now), None);
 }
+
+#[test]
+fn lists_with_splits_that_are_missing_or_altered_are_unreadable() {
+    let mut fixture = Fixture::start(true);
+    let lists = fixture.follow(&[route("/a/", &[("a", 1), ("b", 1)])]).expect("lists");
+    let read = |lists: &RouteLists| RouteLists::try_from(&lists.to_value()[..]);
+    assert_eq!(read(&lists), Ok(lists.clone()));
+    let missing = RouteLists { splits: BTreeMap::new(), ..lists.clone() };
+    assert!(read(&missing).is_err());
+    let mut altered = lists;
+    altered.splits.values_mut().for_each(|split| split.truncate(1));
+    assert!(read(&altered).is_err());
+}
