start: only a store that lost nothing shows that a box or fleet is new

A box whose roster entry was absent counted as one that had never run. It got the whole share of resends at once, and its lists of versions were complete from the start. The entry is also absent after the store was restored from an older copy, or after another writer removed it; and a box with a new name is no sign that the fleet is new.

- A box counts as new only while the store is of its first era, and if it has neither a roster entry nor a record, which a killed box leaves behind for the time of its lease.
- A box writes its roster entry again if it is removed.
- A roster entry names the first incarnation of its box until the box starts again.
The first lists are complete only if all boxes of the roster run their first incarnation, in place of: if the box that writes them does.
- A list that lacks a version that still counts doesn't become complete.

In the unit tests `record_start(is_first)` is `record_fleet(is_new)`, with the same values; roster entries in test_cluster_state name no incarnation.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -168,9 +168,9 @@
     shortened_at: Option<Instant>,
     /// Era of the store in which this box's state was read, and since when it knows that era.
     era: Option<(Era, Instant)>,
-    /// Whether this box is the first of its name, so that the fleet has not begun streams before; `None`
-    /// if that is not known yet.
-    is_first_start: Option<bool>,
+    /// Whether the boxes that run are the first of the fleet, so that there are no streams of boxes
+    /// before them; `None` if that is not known yet.
+    is_new_fleet: Option<bool>,
 }
 
 impl Default for StreamVersions {
@@ -182,7 +182,7 @@
             longest_stream: MIN_LONGEST_STREAM,
             shortened_at: None,
             era: None,
-            is_first_start: None,
+            is_new_fleet: None,
         }
     }
 }
@@ -293,9 +293,9 @@
         self.era.is_some()
     }
 
-    /// Records whether no box has run under this box's name before.
-    pub fn record_start(&mut self, is_first: bool) {
-        self.is_first_start.get_or_insert(is_first);
+    /// Records whether the boxes that run are the first of the fleet.
+    pub fn record_fleet(&mut self, is_new: bool) {
+        self.is_new_fleet = Some(is_new);
     }
 
     /// Records the versions that the store lists for a service.
@@ -345,15 +345,21 @@
         if versions.is_empty() {
             return None;
         }
+        // A version that left counts, but isn't listed, if another writer has removed the list.
+        let is_missing = |(version, counted): (VersionHash, CountedVersion)| {
+            counted.was_listed && !versions.contains(&version)
+        };
+        let lacks_version = self.counted(known, now).any(is_missing);
         let Some(list) = &known.list else {
-            let complete = self.is_first_start? || self.has_known_era(now);
+            let complete = (self.is_new_fleet? || self.has_known_era(now)) && !lacks_version;
             return Some(VersionList { era, versions, complete });
         };
         // A list from before the store was restored may have lost versions that still have streams.
         let (era, complete) = match self.has_known_era(now) {
-            true => (era, true),
+            true => (era, list.is_complete(era) || !lacks_version),
             false => {
-                (list.era, list.complete || (self.is_first_start == Some(true) && list.era == era))
+                let is_new = self.is_new_fleet == Some(true) && list.era == era;
+                (list.era, list.complete || (is_new && !lacks_version))
             }
         };
         Some(VersionList { era, versions, complete })
--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -25,6 +25,7 @@
 use crate::coordination::upgrade::Role;
 use crate::coordination::upgrade::Versions;
 use crate::protocol::BoxId;
+use crate::protocol::Incarnation;
 use crate::protocol::RegionId;
 use crate::protocol::ServerId;
 use crate::protocol::adapter::Fact;
@@ -140,8 +141,9 @@
     /// Boxes of this region that sent datagrams to this one: hash of the name, time of the last
     /// one.
     senders: BTreeMap<u64, Instant>,
-    /// Region and name of each box that was ever started.
-    roster: BTreeSet<(RegionId, BoxId)>,
+    /// Region and name of each box that was ever started, with its incarnation if it was started
+    /// once.
+    roster: BTreeMap<(RegionId, BoxId), Option<Incarnation>>,
     /// Names of each known failure domain and its region.
     domains: HashMap<FailureDomainId, DomainNames>,
     store_recovered_at: Option<Instant>,
--- a/lib/src/gateway/cluster_state/boxes.rs
+++ b/lib/src/gateway/cluster_state/boxes.rs
@@ -5,6 +5,7 @@
 use super::ClusterState;
 use super::EXPIRED_BOX_RETENTION;
 use super::LocalContext;
+use crate::protocol::Incarnation;
 use crate::protocol::fleet::BoxRecord;
 
 impl ClusterState {
@@ -30,8 +31,23 @@
     }
 
     /// Applies the roster entry of a box, which remains after the box is gone.
-    pub fn apply_roster_entry(&mut self, region: &str, name: &str) {
-        self.roster.insert((region.to_owned(), name.to_owned()));
+    pub fn apply_roster_entry(
+        &mut self,
+        region: &str,
+        name: &str,
+        first_incarnation: Option<Incarnation>,
+    ) {
+        self.roster.insert((region.to_owned(), name.to_owned()), first_incarnation);
+    }
+
+    /// Whether every other box that was ever started still runs, and was started once. A fleet like
+    /// that has no streams of boxes that are gone.
+    pub fn is_new_fleet(&self, own_record: &BoxRecord) -> bool {
+        let mut others = self.roster.iter().filter(|((_, name), _)| *name != own_record.name);
+        others.all(|((_, name), first_incarnation)| {
+            let running = self.boxes.get(name).map(|record| record.incarnation);
+            running.is_some() && running == *first_incarnation
+        })
     }
 
     /// Number of boxes in all regions that share the limits.
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -110,6 +110,8 @@
     log_resends_at: Instant,
     /// Whether it is known how much this box may resend.
     knows_resends: bool,
+    /// Whether no box of this name has run before.
+    is_first_start: bool,
     /// Since when there has been a configuration.
     configured_since: Option<Instant>,
 }
@@ -148,6 +150,7 @@
             unreadable_keys: UnreadableKeys::default(),
             log_resends_at: clock::now() + RESEND_LOG_INTERVAL,
             knows_resends: false,
+            is_first_start: false,
             configured_since: None,
         }
     }
@@ -252,7 +255,7 @@
             Event::Reload => log::info!("event=reload settings=\"count from the next start\""),
             Event::FirstStart => {
                 lock(&self.shared.retries).assume_no_predecessor();
-                lock(&self.shared.streams).versions.record_start(true);
+                self.is_first_start = true;
                 self.record_history_known();
             }
             Event::Restart => self.record_history_known(),
@@ -412,6 +415,11 @@
         });
         self.shared.snapshot.store(Arc::clone(&snapshot));
         self.shared.forwarded_versions.notify_published();
+        if snapshot.has_started {
+            let is_new_fleet =
+                self.is_first_start && self.cluster_state.is_new_fleet(&self.own_record);
+            lock(&self.shared.streams).versions.record_fleet(is_new_fleet);
+        }
         stream_versions::record_versions(&self.shared, &snapshot, now);
         if !upgrading_servers.is_empty() {
             let counts =
--- a/lib/src/gateway/control/start.rs
+++ b/lib/src/gateway/control/start.rs
@@ -9,7 +9,6 @@
 use super::Event;
 use super::TICK_INTERVAL;
 use super::peer_sync::StartOutcome;
-use crate::gateway::shared::lock;
 use crate::protocol::adapter::Adapter;
 use crate::state::clock;
 use crate::transport::store;
@@ -64,7 +63,6 @@
     /// Records that this box knows how much it may resend, so that it may be ready.
     pub(super) fn record_history_known(&mut self) {
         if !std::mem::replace(&mut self.knows_resends, true) {
-            lock(&self.shared.streams).versions.record_start(false);
             self.publish();
         }
     }
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -381,6 +381,10 @@
                     lock(&self.shared.upgrades).remove_plan(service);
                 }
             }
+            Change::Removed(key) if key == store_keys::roster_key(&self.own_record) => {
+                self.remove_from_replica(&key);
+                self.rewrite_record("the store has removed its roster entry");
+            }
             Change::Removed(key) => match self.remove_from_replica(&key).strip_prefix(BOXES) {
                 Some(name) if name == self.own_record.name => {
                     self.rewrite_record("the store has removed it");
@@ -450,7 +454,8 @@
         if let Some((region, name)) =
             item.key.strip_prefix(ROSTER).and_then(|entry| entry.split_once('/'))
         {
-            self.cluster_state.apply_roster_entry(region, name);
+            let first_incarnation = store_keys::first_incarnation(&item.value);
+            self.cluster_state.apply_roster_entry(region, name, first_incarnation);
             return;
         }
         if let Some(name) = item.key.strip_prefix(BOXES) {
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -12,7 +12,7 @@
     StoreRecovered,
     /// This box's record is in the store.
     RecordWritten,
-    /// No box of this name has run before, according to the store.
+    /// No box of this name has run before, according to a store that was never restored.
     FirstStart,
     /// A box of this name may have run before.
     Restart,
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -11,6 +10,7 @@
 use super::event::Event;
 use super::store_keys;
 use crate::coordination::store_rollback::MAX_ROLLBACK_AGE;
+use crate::protocol::Incarnation;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::KeyWrite;
 use crate::protocol::adapter::NO_LEASE;
@@ -18,6 +18,7 @@
 use crate::protocol::adapter::StoreResponse;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::Era;
+use crate::protocol::platform::FIRST_ERA;
 use crate::protocol::platform::LeaseId;
 use crate::protocol::platform::PlatformError;
 use crate::protocol::platform::Revision;
@@ -77,6 +78,8 @@
     let mut in_roster = false;
     let mut announced = false;
     let mut is_first_write = true;
+    let mut first_incarnation: Option<Incarnation> = None;
+    let mut last_written: Option<BoxRecord> = None;
     let mut start_event: Option<Event> = None;
     loop {
         let era = store.newest_era();
@@ -109,9 +112,15 @@
                             (false, _) => None,
                         };
                         is_first_write = false;
+                        if is_first {
+                            first_incarnation = Some(newest.incarnation);
+                        }
+                        // A record that is to be written again unchanged was lost.
+                        let was_lost = last_written.as_ref() == Some(&newest);
+                        let roster_entry = (!in_roster || was_lost).then_some(first_incarnation);
                         match is_first {
                             true => Ok(()),
-                            false => write_record(&store, &newest, id, !in_roster).await,
+                            false => write_record(&store, &newest, id, roster_entry).await,
                         }
                     }
                     Err(error) => Err(error),
@@ -119,6 +128,7 @@
                 result.map(|()| {
                     written = true;
                     in_roster = true;
+                    last_written = Some(newest);
                 })
             }
             Some(Lease { id, .. }) => store.call(&Operation::Renew(id)).await.map(|_| ()),
@@ -199,18 +209,24 @@
     }
 }
 
-/// Writes the record if no box of this name is in the roster yet. Returns whether it was written; a
-/// response that is lost counts as not written. An error means that the call had no effect, so the
-/// next one may still be the first write.
+/// Writes the record if the store shows that no box of this name has run before. Returns whether it
+/// was written; a response that is lost counts as not written. An error means that the call had no
+/// effect, so the next one may still be the first write.
 async fn write_first_record<A: Adapter>(
     store: &store::Client<A>,
     record: &BoxRecord,
     lease: LeaseId,
 ) -> Result<bool, PlatformError> {
-    let expected = vec![(store_keys::roster_key(record), ABSENT)];
-    let writes = record_writes(record, lease, true);
+    // A store that was restored may have lost the entries of boxes.
+    if store.newest_era() > FIRST_ERA {
+        return Ok(false);
+    }
+    let (record_key, _) = store_keys::box_entry(record);
+    // The record outlives a box that is killed, also if another writer removes the roster entry.
+    let expected = vec![(store_keys::roster_key(record), ABSENT), (record_key, ABSENT)];
+    let writes = record_writes(record, lease, Some(Some(record.incarnation)));
     match store.call(&Operation::PutIf { expected, writes }).await {
-        Ok(_) => Ok(true),
+        Ok(_) => Ok(store.newest_era() <= FIRST_ERA),
         Err(
             error @ (PlatformError::Unreachable(_)
             | PlatformError::RateLimited
@@ -220,22 +236,27 @@
     }
 }
 
+/// Writes the record, and the box's roster entry with its first incarnation if there is one to write.
 async fn write_record<A: Adapter>(
     store: &store::Client<A>,
     record: &BoxRecord,
     lease: LeaseId,
-    add_to_roster: bool,
+    roster_entry: Option<Option<Incarnation>>,
 ) -> Result<(), PlatformError> {
-    store.call(&Operation::Put(record_writes(record, lease, add_to_roster))).await.map(|_| ())
+    store.call(&Operation::Put(record_writes(record, lease, roster_entry))).await.map(|_| ())
 }
 
-fn record_writes(record: &BoxRecord, lease: LeaseId, add_to_roster: bool) -> Vec<KeyWrite> {
+fn record_writes(
+    record: &BoxRecord,
+    lease: LeaseId,
+    roster_entry: Option<Option<Incarnation>>,
+) -> Vec<KeyWrite> {
     let (key, value) = store_keys::box_entry(record);
     let mut rows = vec![KeyWrite { key, value, lease }];
-    if add_to_roster {
+    if let Some(first_incarnation) = roster_entry {
         rows.push(KeyWrite {
             key: store_keys::roster_key(record),
-            value: Bytes::new(),
+            value: store_keys::roster_value(first_incarnation),
             lease: NO_LEASE,
         });
     }
--- a/lib/src/gateway/store_keys.rs
+++ b/lib/src/gateway/store_keys.rs
@@ -8,7 +8,7 @@
 /// Prefix of the records of running boxes.
 pub const BOXES: &str = "copperweir/boxes/";
 /// Prefix of the roster, which contains each box that was ever started. Its entries remain after a
-/// box is gone.
+/// box is gone. The entry of a box that was started once names its incarnation.
 pub const ROSTER: &str = "copperweir/roster/";
 /// Prefix of the verdicts on requests that are refused because servers crash when they run them.
 pub const QUARANTINE: &str = "copperweir/quarantine/";
@@ -52,6 +52,18 @@
     format!("{ROSTER}{}/{}", record.region, record.name)
 }
 
+/// The value of the roster entry of a box.
+pub fn roster_value(first_incarnation: Option<Incarnation>) -> Bytes {
+    let value = first_incarnation.map(|incarnation| format!("{incarnation:x}"));
+    Bytes::from(value.unwrap_or_default())
+}
+
+/// The incarnation of a box that was started once, by its roster entry; `None` if the box may have
+/// been started several times.
+pub fn first_incarnation(value: &[u8]) -> Option<Incarnation> {
+    Incarnation::from_str_radix(std::str::from_utf8(value).ok()?, 16).ok()
+}
+
 /// The key and value of a box's record.
 pub fn box_entry(record: &BoxRecord) -> (String, Bytes) {
     let value = serde_json::to_vec(record).unwrap_or_else(|error| {
--- a/lib/src/protocol/platform.rs
+++ b/lib/src/protocol/platform.rs
@@ -17,6 +17,8 @@
 /// The era of a store: a number that increases when the store is restored from an older copy and
 /// assigns revisions again. 0 for a store that does not report it.
 pub type Era = u64;
+/// Era of a store that was never restored.
+pub const FIRST_ERA: Era = 1;
 
 /// A position in the history of a store. Every position of a later era is newer than every position
 /// of an earlier one.
--- a/lib/tests/test_cluster_state.rs
+++ b/lib/tests/test_cluster_state.rs
@@ -80,9 +80,9 @@
     cluster_state.apply_box(own_record.clone());
     let sole_share = cold_share(&cluster_state, &own_record, true);
     for name in ["b1", "b2", "b3"] {
-        cluster_state.apply_roster_entry("r", name);
+        cluster_state.apply_roster_entry("r", name, None);
     }
-    cluster_state.apply_roster_entry("other", "b4");
+    cluster_state.apply_roster_entry("other", "b4", None);
     assert_eq!(
         cold_share(&cluster_state, &own_record, true),
         sole_share / 3,
@@ -96,6 +96,24 @@
     assert_eq!(cluster_state.fleet_size(&context(&own_record, true)), 4);
 }
 
+#[test]
+fn fleet_is_new_while_all_boxes_of_the_roster_run_their_first_time() {
+    let mut cluster_state = cluster_state();
+    let own_record = record("b1");
+    assert!(cluster_state.is_new_fleet(&own_record), "a fleet of one box");
+    cluster_state.apply_box(record("b2"));
+    cluster_state.apply_roster_entry("r", "b2", Some(1));
+    assert!(cluster_state.is_new_fleet(&own_record));
+    cluster_state.apply_roster_entry("r", "b3", Some(1));
+    assert!(!cluster_state.is_new_fleet(&own_record), "b3 has run and is gone");
+    cluster_state.apply_box(BoxRecord { incarnation: 2, ..record("b3") });
+    assert!(!cluster_state.is_new_fleet(&own_record), "b3 was started again");
+    cluster_state.apply_box(record("b3"));
+    assert!(cluster_state.is_new_fleet(&own_record));
+    cluster_state.apply_roster_entry("r", "b3", None);
+    assert!(!cluster_state.is_new_fleet(&own_record), "b3 may have been started several times");
+}
+
 #[test]
 fn expired_box_counts_until_its_retention_ends() {
     let mut cluster_state = cluster_state();
--- a/lib/tests/test_stream_records.rs
+++ b/lib/tests/test_stream_records.rs
@@ -39,7 +39,7 @@
     let now = Instant::now();
     let mut versions = started_in(1, now);
     assert_eq!(versions.list_to_write(SERVICE, true, now), None, "the start is not known");
-    versions.record_start(true);
+    versions.record_fleet(true);
     versions.record_versions(SERVICE, [10].into_iter(), now);
     assert_eq!(versions.listed_versions(SERVICE), None);
     assert_eq!(versions.list_to_write(SERVICE, true, now), Some(list(1, &[10])));
@@ -56,7 +56,7 @@
 fn first_list_of_a_fleet_that_has_run_before_is_no_proof() {
     let now = Instant::now();
     let mut versions = started_in(1, now);
-    versions.record_start(false);
+    versions.record_fleet(false);
     versions.record_versions(SERVICE, [20].into_iter(), now);
     let incomplete = VersionList { complete: false, ..list(1, &[20]) };
     assert_eq!(versions.list_to_write(SERVICE, true, now), Some(incomplete.clone()));
@@ -66,6 +66,27 @@
     assert_eq!(versions.list_to_write(SERVICE, true, now + 61 * SECOND), Some(list(1, &[20])));
 }
 
+/// Guards against a list that is lost, and written again without the versions that have just left.
+#[test]
+fn lost_list_is_no_proof_while_a_version_that_it_had_counts() {
+    let now = Instant::now();
+    for is_new_fleet in [false, true] {
+        let mut versions = started_in(1, now);
+        versions.record_fleet(is_new_fleet);
+        let left_at = now + 100 * SECOND;
+        versions.apply_list(SERVICE, Some(list(1, &[10, 20])), left_at);
+        versions.record_versions(SERVICE, [10, 20].into_iter(), left_at);
+        versions.record_versions(SERVICE, [20].into_iter(), left_at);
+        versions.apply_list(SERVICE, None, left_at);
+        let incomplete = VersionList { complete: false, ..list(1, &[20]) };
+        assert_eq!(versions.list_to_write(SERVICE, true, left_at), Some(incomplete.clone()));
+        versions.apply_list(SERVICE, Some(incomplete), left_at);
+        assert_eq!(versions.list_to_write(SERVICE, true, left_at + 59 * SECOND), None);
+        let ended_at = left_at + 61 * SECOND;
+        assert_eq!(versions.list_to_write(SERVICE, true, ended_at), Some(list(1, &[20])));
+    }
+}
+
 #[test]
 fn version_that_left_before_the_start_counts_until_its_streams_have_ended() {
     let now = Instant::now();
--- a/lib/tests/test_stream_routes.rs
+++ b/lib/tests/test_stream_routes.rs
@@ -46,7 +46,7 @@
         let now = Instant::now();
         let mut versions = StreamVersions::default();
         versions.record_state(ERA, now);
-        versions.record_start(is_first);
+        versions.record_fleet(is_first);
         Fixture { versions, stored: BTreeSet::new(), now }
     }
 
