upgrades: a version takes over only if it was compared with others

The counts of responses are in the memory of the boxes. After all boxes started anew in the last stage, in which only the target version serves, there was nothing to compare it with: no number of failures counted as a defect, and after 0.8 s the plan went on to "succeeded", upon which the platform stops the old servers.

Before, a version of which all requests fail, found bad by a judge that could not write it before all boxes ended (trial with the fixture of test_upgrade): 108 of 120 requests fail in each 0.3 s after the restart, "succeeded" after some 0.8 s.

Now a judge that has known a plan only since its last stage, and that no box tells of responses of the other versions, returns the plan to the second stage once. A good version takes over later by that stage and the last one.

--- a/lib/src/coordination/upgrade/plan.rs
+++ b/lib/src/coordination/upgrade/plan.rs
@@ -198,6 +198,9 @@
     pub responses: u64,
     /// What the responses say about the target version.
     pub finding: Finding,
+    /// Whether the target version has responses, and there are none of the other versions to compare
+    /// them with, because the boxes have started in the last stage.
+    pub is_uncompared: bool,
     /// Limits on the requests to a version that turns out bad.
     pub limits: Limits,
     /// Responses of all versions.
@@ -302,6 +305,13 @@
             let plan = Plan { canary_millionths: millionths, ..decision.plan };
             return Some(Decision { plan, reason });
         }
+        if plan.stage == Stage::Full
+            && self.is_uncompared
+            && self.other_servers > 0
+            && self.stage_age >= MIN_FULL + self.delay()
+        {
+            return self.change(plan, Stage::Ramp, "no other version to compare with");
+        }
         let due = match plan.stage {
             Stage::Canary if plan.returns > 0 => {
                 self.finding == Finding::Sound
@@ -390,10 +400,10 @@
                 retired.retain(|version| !self.other_versions.contains(version));
                 exclude(rejected, target);
             }
-            Stage::Canary => {
+            Stage::Canary | Stage::Ramp => {
                 plan.retired.retain(|version| !self.other_versions.contains(version));
             }
-            Stage::Ramp | Stage::Succeeded => {}
+            Stage::Succeeded => {}
         }
         Some(Decision { plan, reason })
     }
--- a/lib/src/coordination/upgrade/service.rs
+++ b/lib/src/coordination/upgrade/service.rs
@@ -35,6 +35,9 @@
     pub(super) stage_since: Option<Instant>,
     /// When this box learned of the plan's latest version.
     pub(super) plan_since: Option<Instant>,
+    /// Whether this box has known the plan only since its last stage, so that it may lack the
+    /// responses of the other versions.
+    pub(super) lacks_earlier_stages: bool,
     /// Plan in the store, as last read.
     pub(super) stored: Option<(PlanId, u32)>,
     /// Serial number of the plan that requests follow.
--- a/lib/src/coordination/upgrade/table.rs
+++ b/lib/src/coordination/upgrade/table.rs
@@ -132,6 +132,7 @@
             return;
         }
         let is_same_plan = known.is_some_and(|known| known.id == plan.id);
+        let known_stage = known.map(|known| known.stage);
         if !is_same_plan {
             upgrade.own_evidence = Evidence::default();
             upgrade.reports.clear();
@@ -140,7 +141,9 @@
             upgrade.is_halted = false;
             upgrade.held = 0;
         }
-        if !is_same_plan || known.is_some_and(|known| known.stage != plan.stage) {
+        upgrade.lacks_earlier_stages =
+            plan.stage == Stage::Full && (!is_same_plan || upgrade.lacks_earlier_stages);
+        if !is_same_plan || known_stage != Some(plan.stage) {
             upgrade.stage_since = Some(now);
         }
         upgrade.plan_since = Some(now);
@@ -312,7 +315,7 @@
         let others = servers.by_version.iter().filter(|(version, _)| Some(*version) != target);
         let mut evidence = upgrade.own_evidence.clone();
         upgrade.reports.values().for_each(|report| evidence.add(&report.evidence));
-        let responses = evidence.target_responses();
+        let (all_responses, responses) = (evidence.responses(), evidence.target_responses());
         let target_servers = target_servers.copied().unwrap_or(0);
         let stage_age = since(upgrade.stage_since);
         let fleet_serial = upgrade.reports.values().map(|report| report.serial).max().unwrap_or(0);
@@ -345,8 +348,11 @@
             other_versions: others.map(|(version, _)| version.clone()).collect(),
             responses,
             finding,
+            is_uncompared: upgrade.lacks_earlier_stages
+                && responses > 0
+                && all_responses == responses,
             limits: self.limits,
-            all_responses: evidence.responses(),
+            all_responses,
             is_drained: draining == 0 && upgrade.is_drained(boxes, now),
             is_region_unknown: !upgrade.is_drained(cut_off, now),
             rank,
