truncation: a response without chunks has no orderly end if its box ends

What callers saw: an HTTP/1.0 caller whose box was killed, or stopped and out of time, in the middle of a response got an orderly end of the connection, which is how a body without a length or chunks ends. The stream was told as complete before its last event, and the caller did not take it up.

Cause: the connection was set to be reset when the body reported an error. A killed process reports none, and neither does a connection that the end of a stop drops: the operating system closes both in order.

Change: the connection is set to be reset before the first byte of such a response, and no longer once the HTTP library shuts it down, which it does after all is flushed. A body that isn't read (the response to HEAD) doesn't count. This holds for `copperweir gateway` and `copperweir serve`, and for bodies other than streams.

--- a/lib/src/transport/activity.rs
+++ b/lib/src/transport/activity.rs
@@ -177,6 +177,10 @@
     fn reset_on_close(&self) {
         self.0.lock().stream.reset_on_close();
     }
+
+    fn end_on_close(&self) {
+        self.0.lock().stream.end_on_close();
+    }
 }
 
 impl AsyncRead for TrackedStream {
--- a/lib/src/transport/truncation.rs
+++ b/lib/src/transport/truncation.rs
@@ -1,7 +1,9 @@
 //! Responses whose end is the end of their connection.
 //!
 //! An HTTP/1.0 caller gets no chunks. It takes the orderly close of the connection for the end of a
-//! body without a length, so the connection of one that breaks off is reset.
+//! body without a length. So the connection is set to be reset when it closes, before the first byte
+//! of such a response, until the operating system has all of it. A killed process can't set this any
+//! more.
 
 use std::io::IoSlice;
 use std::pin::Pin;
@@ -16,6 +18,7 @@
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -25,6 +28,8 @@
 pub trait Reset {
     /// Makes the close of the connection a reset, which discards what the caller hasn't received.
     fn reset_on_close(&self);
+    /// Makes the close of the connection orderly again.
+    fn end_on_close(&self);
 }
 
 impl Reset for TcpStream {
@@ -32,9 +37,13 @@
         // The connection may have ended already.
         let _ = self.set_zero_linger();
     }
+
+    fn end_on_close(&self) {
+        let _ = SockRef::from(self).set_linger(None);
+    }
 }
 
-/// Whether a response on a connection broke off without the caller being able to tell.
+/// Whether a response on a connection is incomplete without the caller being able to tell.
 #[derive(Clone, Debug, Default)]
 pub struct Truncation(Arc<AtomicBool>);
 
@@ -42,23 +51,36 @@
     /// Watches the body of a response to a request of this version.
     pub fn watch<B: Body>(&self, body: B, version: Version) -> WatchedBody<B> {
         let is_unframed = version < Version::HTTP_11 && body.size_hint().exact().is_none();
-        WatchedBody { body, truncation: is_unframed.then(|| self.clone()) }
+        if is_unframed {
+            self.set(true);
+        }
+        WatchedBody { body, truncation: is_unframed.then(|| self.clone()), is_read: false }
     }
 
-    fn record(&self) {
-        self.0.store(true, Ordering::Release);
+    fn set(&self, is_incomplete: bool) {
+        self.0.store(is_incomplete, Ordering::Release);
     }
 
-    fn has_occurred(&self) -> bool {
+    fn is_possible(&self) -> bool {
         self.0.load(Ordering::Acquire)
     }
 }
 
-/// A body whose errors are recorded if its end is that of the connection.
+/// A body whose regular end is recorded if it is that of the connection.
 #[derive(Debug)]
 pub struct WatchedBody<B> {
     body: B,
     truncation: Option<Truncation>,
+    is_read: bool,
+}
+
+impl<B> Drop for WatchedBody<B> {
+    /// The response to a HEAD request is complete without its body, which isn't read then.
+    fn drop(&mut self) {
+        if let Some(truncation) = self.truncation.as_ref().filter(|_| !self.is_read) {
+            truncation.set(false);
+        }
+    }
 }
 
 impl<B: Body<Data = Bytes> + Unpin> Body for WatchedBody<B> {
@@ -69,9 +91,15 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        self.is_read = true;
         let polled = Pin::new(&mut self.body).poll_frame(context);
-        if let (Poll::Ready(Some(Err(_))), Some(truncation)) = (&polled, &self.truncation) {
-            truncation.record();
+        let has_ended = match &polled {
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Ok(_))) => self.body.is_end_stream(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => false,
+        };
+        if let Some(truncation) = self.truncation.as_ref().filter(|_| has_ended) {
+            truncation.set(false);
         }
         polled
     }
@@ -85,24 +113,24 @@
     }
 }
 
-/// A connection that is reset when it is dropped after a truncation.
+/// A connection that is reset if it closes within a response whose end is its own.
 #[derive(Debug)]
 pub struct ResettableStream<S: Reset> {
     stream: S,
     truncation: Truncation,
+    resets: bool,
 }
 
 impl<S: Reset> ResettableStream<S> {
     /// Wraps a connection.
     pub fn new(stream: S, truncation: Truncation) -> ResettableStream<S> {
-        ResettableStream { stream, truncation }
+        ResettableStream { stream, truncation, resets: false }
     }
-}
 
-impl<S: Reset> Drop for ResettableStream<S> {
-    fn drop(&mut self) {
-        if self.truncation.has_occurred() {
+    fn before_write(&mut self) {
+        if !self.resets && self.truncation.is_possible() {
             self.stream.reset_on_close();
+            self.resets = true;
         }
     }
 }
@@ -123,6 +151,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        self.before_write();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -131,6 +160,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
+        self.before_write();
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
@@ -145,10 +175,17 @@
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
+    /// The HTTP library shuts a connection down once all that it has written is flushed.
     fn poll_shutdown(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
+        if self.truncation.is_possible() {
+            return Poll::Ready(Ok(()));
+        }
+        if std::mem::take(&mut self.resets) {
+            self.stream.end_on_close();
+        }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
