--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod store_keys;
 pub mod stream;
 pub mod stream_directory;
+pub mod stream_lists;
 pub mod stream_records;
 pub mod stream_routes;
 pub mod stream_timing;
