streams: a new version that most servers have waits less for boxes that start

Cause: while boxes start in turn, or one is silent, a second version was listed only after ten seconds, as long as one server of a listed version served in each region. In a release beside a restart of the boxes all streams would have to begin at the few servers that are left. Change: it waits that long only while servers of the listed versions have half of the slots in each region, and else as long as callers take their streams up after a start, 2.5 s.

--- a/lib/src/coordination/version_list.rs
+++ b/lib/src/coordination/version_list.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -17,6 +18,7 @@
 use super::stream_versions;
 use super::stream_versions::Split;
 use super::stream_versions::SplitHash;
+use crate::protocol::RegionId;
 use crate::protocol::fleet::VersionHash;
 use crate::protocol::platform::Era;
 
@@ -74,6 +76,22 @@
     }
 }
 
+/// Share of the slots that servers of listed versions have, in the region in which they have the
+/// smallest one. `slots` are those of each version by region.
+pub fn min_listed_share(
+    slots: &HashMap<VersionHash, HashMap<RegionId, u64>>,
+    listed: &[VersionHash],
+) -> f64 {
+    let regions: BTreeSet<&RegionId> = slots.values().flat_map(HashMap::keys).collect();
+    let share = |region: &RegionId| {
+        let in_region = |version: &VersionHash| slots.get(version)?.get(region).copied();
+        let all: u64 = slots.keys().filter_map(in_region).sum();
+        let of_listed: u64 = listed.iter().filter_map(in_region).sum();
+        of_listed as f64 / all.max(1) as f64
+    };
+    regions.into_iter().map(share).min_by(f64::total_cmp).unwrap_or(0.0)
+}
+
 /// The splits of all routes on which streams may be resumed, by host and path prefix.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteLists {
--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -9,7 +9,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,9 +49,9 @@
 /// of the last one or two.
 const MAX_EARLIER_INCARNATIONS: usize = 4;
 
-/// The versions of the servers of each service, and the regions in which servers of a version may
-/// get requests.
-pub type SoftwareVersions = HashMap<ServiceId, HashMap<VersionHash, HashSet<RegionId>>>;
+/// The versions of the servers of each service, and the slots that may get requests, by the regions
+/// in which servers of a version may.
+pub type SoftwareVersions = HashMap<ServiceId, HashMap<VersionHash, HashMap<RegionId, u64>>>;
 
 /// Location of a server of any region.
 #[derive(Clone, Debug)]
--- a/lib/src/gateway/cluster_state/views.rs
+++ b/lib/src/gateway/cluster_state/views.rs
@@ -40,7 +40,7 @@
         usable_servers
     }
 
-    /// Versions of all known servers, and the regions in which they may get requests.
+    /// Versions of all known servers, and their slots in the regions in which they may get requests.
     pub fn software_versions(&self) -> SoftwareVersions {
         let mut versions = SoftwareVersions::default();
         for entry in self.servers.values().filter(|entry| self.is_named(&entry.server.service)) {
@@ -48,7 +48,7 @@
             let regions =
                 get_or_insert(&mut versions, &entry.server.service).entry(version).or_default();
             if let Some(names) = entry.names.as_ref().filter(|_| self.is_usable(entry)) {
-                regions.insert(names.region.to_string());
+                *get_or_insert(regions, &names.region) += u64::from(entry.server.slots);
             }
         }
         versions
--- a/lib/src/gateway/forwarding.rs
+++ b/lib/src/gateway/forwarding.rs
@@ -108,7 +108,7 @@
     let Some(version) = history.version else { return true };
     let versions = job.snapshot.software.get(&job.service);
     let regions = versions.and_then(|versions| versions.get(&version));
-    regions.is_some_and(|regions| regions.contains(region))
+    regions.is_some_and(|regions| regions.contains_key(region))
 }
 
 /// The boxes of a region that accept requests and reach servers of the service.
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -86,7 +86,8 @@
     pub slots: HashMap<ServiceId, HashMap<RegionId, u32>>,
     /// Servers of all regions that may get requests, by service.
     pub servers: HashMap<ServiceId, Vec<ServerLocation>>,
-    /// Versions of the servers of each service, and the regions in which they may get requests.
+    /// Versions of the servers of each service, and their slots in the regions in which they may get
+    /// requests.
     pub software: SoftwareVersions,
     /// Roles of the versions of services that are or were upgraded.
     pub versions: BTreeMap<ServiceId, Versions>,
--- a/lib/src/gateway/stream_lists.rs
+++ b/lib/src/gateway/stream_lists.rs
@@ -16,6 +16,7 @@
 use super::store_keys::ROUTES;
 use super::stream_routes;
 use super::stream_versions;
+use crate::coordination::version_list;
 use crate::protocol::BoxId;
 use crate::protocol::Incarnation;
 use crate::protocol::adapter::Adapter;
@@ -46,7 +47,8 @@
 /// serve. As long as a single version is listed, the streams that these boxes began before can go on
 /// at that one.
 const TAKE_UP_TIME: Duration = Duration::from_secs(2);
-/// Maximum delay of a second version because boxes start or don't respond.
+/// Maximum delay of a second version because boxes start or don't respond, while most of the service
+/// has listed versions.
 const MAX_LISTING_DELAY: Duration = Duration::from_secs(10);
 
 /// Writes lists for as long as the box runs.
@@ -73,10 +75,9 @@
         }
         let rank_delay = NEXT_WRITER_DELAY * rank(&shared, &snapshot) as u32;
         let is_due = |change: &ListChange| {
-            let delay = match (change.can_wait, is_settled) {
-                (false, _) => Duration::ZERO,
-                (true, true) => LISTING_DELAY,
-                (true, false) => MAX_LISTING_DELAY,
+            let delay = match is_settled {
+                true => change.max_delay.min(LISTING_DELAY),
+                false => change.max_delay,
             };
             now >= due_from[&change.key] + rank_delay + delay
         };
@@ -139,8 +140,8 @@
     summary: String,
     /// Revision that the key has; 0 if there is none.
     revision: Revision,
-    /// Whether servers of the listed versions serve, so that a new version can wait.
-    can_wait: bool,
+    /// How long the write may wait for boxes that start or don't respond.
+    max_delay: Duration,
 }
 
 fn list_changes<A: Adapter>(
@@ -162,7 +163,7 @@
         value: lists.to_value(),
         summary: format!("routes={}", lists.routes.len()),
         revision: revision(ROUTES),
-        can_wait: false,
+        max_delay: Duration::ZERO,
     }));
     for service in routing.streaming_services() {
         let hash = stream_versions::service_hash(service);
@@ -171,31 +172,31 @@
             let Some(list) = versions.list_to_write(hash, is_current, now) else { continue };
             (list, versions.listed_versions(hash))
         };
-        let can_wait = listed.is_some_and(|listed| {
-            list.versions.iter().any(|version| !listed.contains(version))
-                && is_served(snapshot, service, &listed)
-        });
+        let listed = listed.unwrap_or_default();
+        let max_delay = match list.versions.iter().any(|version| !listed.contains(version)) {
+            true => max_listing_delay(snapshot, service, &listed),
+            false => Duration::ZERO,
+        };
         let key = store_keys::versions_key(service);
         changes.push(ListChange {
             value: list.to_value(),
             summary: format!("versions={} complete={}", list.versions.len(), list.complete),
             revision: revision(&key),
-            can_wait,
+            max_delay,
             key,
         });
     }
     changes
 }
 
-/// Whether servers of these versions may get requests in each region in which the service has any.
-fn is_served(snapshot: &Snapshot, service: &str, versions: &[VersionHash]) -> bool {
-    let Some(software) = snapshot.software.get(service) else { return false };
-    let serves = |region| {
-        versions
-            .iter()
-            .any(|version| software.get(version).is_some_and(|regions| regions.contains(region)))
-    };
-    software.values().flatten().all(serves)
+/// How long a new version of a service may wait for boxes that start or don't respond.
+fn max_listing_delay(snapshot: &Snapshot, service: &str, listed: &[VersionHash]) -> Duration {
+    let Some(slots) = snapshot.software.get(service) else { return Duration::ZERO };
+    match version_list::min_listed_share(slots, listed) {
+        share if share >= 0.5 => MAX_LISTING_DELAY,
+        share if share > 0.0 => TAKE_UP_TIME + LISTING_DELAY,
+        _ => Duration::ZERO,
+    }
 }
 
 /// Number of boxes of this region that write lists before this one.
--- a/lib/tests/test_stream_records.rs
+++ b/lib/tests/test_stream_records.rs
@@ -1,5 +1,6 @@
 //! What the store keeps about streams: the versions of services, and batches of streams.
 
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -7,6 +8,7 @@
 use copperweir_lib::coordination::stream_batch::StreamBatch;
 use copperweir_lib::coordination::stream_versions::Destination;
 use copperweir_lib::coordination::stream_versions::StreamVersions;
+use copperweir_lib::coordination::version_list;
 use copperweir_lib::coordination::version_list::VersionList;
 use proptest::prelude::*;
 
@@ -235,3 +237,19 @@
         let _ = VersionList::try_from(&value[..]);
     }
 }
+
+#[test]
+fn share_of_listed_versions_is_that_of_the_region_with_the_fewest_servers_of_them() {
+    let regions = |slots: &[(&str, u64)]| {
+        slots.iter().map(|(region, slots)| ((*region).to_owned(), *slots)).collect()
+    };
+    let slots = HashMap::from([
+        (10, regions(&[("north", 6), ("south", 1)])),
+        (20, regions(&[("north", 2), ("south", 3)])),
+    ]);
+    assert_eq!(version_list::min_listed_share(&slots, &[10, 20]), 1.0);
+    assert_eq!(version_list::min_listed_share(&slots, &[10]), 0.25);
+    assert_eq!(version_list::min_listed_share(&slots, &[20]), 0.25);
+    assert_eq!(version_list::min_listed_share(&slots, &[30]), 0.0);
+    assert_eq!(version_list::min_listed_share(&HashMap::new(), &[10]), 0.0);
+}
