streams: a route that is back knows who had its paths meanwhile

Cause: a route that is removed stays listed for as long as its streams may run. Put back in that time it was not new, so it did not get the splits of the route that had its paths in between, and its own list counted as proof for the streams that began there.

Change: a box remembers which listed routes are not configured. One that is back takes over the splits of the next route with a shorter prefix, as a new one does; a route that is not configured hands nothing on, since its paths belong to others.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -166,6 +166,8 @@
     list: Option<VersionList>,
     /// Whether several versions counted at the last update.
     had_several: bool,
+    /// Whether the last update had none.
+    is_away: bool,
 }
 
 /// The streams whose version a box knows, and the versions of each service.
@@ -289,14 +291,21 @@
         for version in known.counted.values_mut() {
             version.gone_since.get_or_insert(now);
         }
+        known.is_away = true;
         for version in versions {
             known.counted.entry(version).or_default().gone_since = None;
+            known.is_away = false;
         }
         let has_several = self.has_several_versions(service, now);
         let known = self.subjects.entry(service).or_default();
         !std::mem::replace(&mut known.had_several, has_several) && has_several
     }
 
+    /// Whether a service had no servers, or a route was not configured, at the last update.
+    pub fn is_away(&self, subject: SubjectHash) -> bool {
+        self.subjects.get(&subject).is_some_and(|known| known.is_away)
+    }
+
     /// Records the era of the state that this box has read from the store.
     pub fn record_state(&mut self, era: Era, now: Instant) {
         if self.era.is_none_or(|(known, _)| known != era) {
--- a/lib/src/gateway/stream_routes.rs
+++ b/lib/src/gateway/stream_routes.rs
@@ -70,7 +70,7 @@
     for route in routing.resumable_routes() {
         splits.insert(route_name(route), versions.define_split(split(route)));
     }
-    for (from, to) in moved_paths(&splits, listed) {
+    for (from, to) in moved_paths(versions, &splits, listed) {
         versions.inherit_splits(route_hash(from), route_hash(to), now);
     }
     let mut changed = Vec::new();
@@ -87,14 +87,18 @@
 }
 
 /// Pairs of a listed route and a current one to which paths of the first belong now: because the
-/// second one is new and has a longer prefix, or because the first one was removed.
+/// second one is new, or back, and has a longer prefix, or because the first one was removed.
 fn moved_paths<'a>(
+    versions: &StreamVersions,
     current: &'a BTreeMap<String, SplitHash>,
     listed: &'a BTreeSet<String>,
 ) -> Vec<(&'a String, &'a String)> {
-    let new = current.keys().filter(|name| !listed.contains(*name));
+    let is_away = |name: &&String| versions.is_away(route_hash(name));
+    let new = current.keys().filter(|name| !listed.contains(*name) || is_away(name));
     let removed = listed.iter().filter(|name| !current.contains_key(*name));
-    let from_listed = new.filter_map(|name| Some((longest_prefix(listed.iter(), name)?, name)));
+    // A route that was away has handed its paths on.
+    let present = || listed.iter().filter(|name| !is_away(name));
+    let from_listed = new.filter_map(|name| Some((longest_prefix(present(), name)?, name)));
     let to_current = removed.filter_map(|name| Some((name, longest_prefix(current.keys(), name)?)));
     from_listed.chain(to_current).collect()
 }
--- a/lib/tests/test_stream_routes.rs
+++ b/lib/tests/test_stream_routes.rs
@@ -187,6 +187,45 @@
     assert!(fixture.now > last_write + 60 * SECOND, "the lists settle");
 }
 
+#[test]
+fn route_that_was_away_has_no_proof_until_streams_of_meanwhile_have_ended() {
+    let mut fixture = Fixture::start(true);
+    let (wide, narrow) = (route("/a/", &[("a", 1)]), route("/a/b/c/", &[("b", 1)]));
+    let between = route("/a/b/", &[("b", 1)]);
+    fixture.follow(&[wide.clone(), between, narrow.clone()]);
+    assert!(fixture.has_proof(&narrow));
+    for _ in 0..2 {
+        fixture.now += 5 * SECOND;
+        fixture.follow(std::slice::from_ref(&wide));
+    }
+    fixture.now += 5 * SECOND;
+    let lists = fixture.follow(&[wide.clone(), narrow.clone()]).expect("the splits are listed");
+    assert_eq!(lists.routes["h.example/a/b/c/"].versions.len(), 2);
+    fixture.now += 59 * SECOND;
+    fixture.follow(&[wide.clone(), narrow.clone()]);
+    assert!(!fixture.has_proof(&narrow));
+    for _ in 0..130 {
+        fixture.now += SECOND;
+        fixture.follow(&[wide.clone(), narrow.clone()]);
+    }
+    assert!(fixture.has_proof(&wide) && fixture.has_proof(&narrow));
+}
+
+#[test]
+fn route_with_a_longer_prefix_has_proof_after_a_start() {
+    let mut fixture = Fixture::start(true);
+    let routes = [route("/a/", &[("a", 1)]), route("/a/b/", &[("b", 1)])];
+    let lists = fixture.follow(&routes).expect("both are listed");
+    let mut started = Fixture::start(false);
+    started.stored = fixture.stored;
+    for (name, list) in lists.routes {
+        let route = stream_routes::route_hash(&name);
+        started.versions.apply_list(route, Some(list), started.now);
+    }
+    assert_eq!(started.follow(&routes), None);
+    assert!(routes.iter().all(|route| started.has_proof(route)));
+}
+
 #[test]
 fn first_lists_of_a_fleet_that_has_run_before_are_no_proof() {
     let mut fixture = Fixture::start(false);
