upgrades: an odd order or plan stops no version that is in use

Cause: whatever ended a plan excluded its target, also if the target was the only version of the service. An order for the version in use with too little time, one that was withdrawn, or a plan of another writer without an order left the service without servers.

Change: a plan that ends for another reason than a finding about its target does not exclude it while no server of another version is listed. A version that was rolled back serves if the service has no servers of another one, usable or not; those that are evacuated or leaving are expected back, so that a version found bad gets nothing meanwhile. The next plan keeps what serves in this way until its target takes over. Without that, a version on trial would get all requests at once.

--- a/lib/src/coordination/upgrade/mod.rs
+++ b/lib/src/coordination/upgrade/mod.rs
@@ -47,7 +47,8 @@
     /// No requests: the target version has taken over. It serves again if it is the only version
     /// that is left.
     Retired,
-    /// No requests: the version was rolled back.
+    /// No requests: the version was rolled back. It serves if the service has no servers of another
+    /// version, whether they are usable or not.
     Rejected,
 }
 
--- a/lib/src/coordination/upgrade/plan.rs
+++ b/lib/src/coordination/upgrade/plan.rs
@@ -194,6 +194,8 @@
     pub other_servers: usize,
     /// Versions of the other servers.
     pub other_versions: Vec<ServerVersion>,
+    /// Versions of listed servers besides the target version, also if none of them is usable.
+    pub listed_versions: Vec<ServerVersion>,
     /// Responses of the target version that were judged.
     pub responses: u64,
     /// What the responses say about the target version.
@@ -278,9 +280,16 @@
         }
         plan.retired.retain(|version| *version != order.target);
         plan.rejected.retain(|version| *version != order.target);
+        let rejected = &plan.rejected;
+        if self.listed_versions.iter().all(|version| rejected.contains(version)) {
+            // They are in use, as there are no others, and serve until the target takes over.
+            plan.rejected.retain(|version| !self.listed_versions.contains(version));
+        }
         if order.duration.is_zero() {
             plan.stage = Stage::RolledBack;
-            exclude(&mut plan.rejected, &order.target);
+            if !self.is_only_version() {
+                exclude(&mut plan.rejected, &order.target);
+            }
             return Some(Decision { plan, reason: "the order allows no time" });
         }
         Some(Decision { plan, reason: "ordered" })
@@ -367,6 +376,11 @@
         self.target_servers > 0 && self.target_servers as f64 >= needed
     }
 
+    /// Whether the target version is in use because the service has no other one.
+    fn is_only_version(&self) -> bool {
+        self.target_servers > 0 && self.listed_versions.is_empty()
+    }
+
     fn change(&self, plan: &Plan, stage: Stage, reason: &'static str) -> Option<Decision> {
         let returns = plan.returns + u32::from(plan.stage == Stage::Full && stage == Stage::Canary);
         let mut plan = Plan {
@@ -388,7 +402,10 @@
             Stage::RolledBack => {
                 let Plan { retired, rejected, target, .. } = &mut plan;
                 retired.retain(|version| !self.other_versions.contains(version));
-                exclude(rejected, target);
+                let is_bad = matches!(self.finding, Finding::Defect(_) | Finding::Slow(_));
+                if is_bad || !self.is_only_version() {
+                    exclude(rejected, target);
+                }
             }
             Stage::Canary => {
                 plan.retired.retain(|version| !self.other_versions.contains(version));
--- a/lib/src/coordination/upgrade/service.rs
+++ b/lib/src/coordination/upgrade/service.rs
@@ -117,6 +117,8 @@
                     };
                 }
                 Stage::Full | Stage::Succeeded => versions.promoted = Some(plan.target.clone()),
+                // The final plan says whether the version is excluded.
+                Stage::RolledBack if plan.stage.is_final() => {}
                 Stage::RolledBack => versions.rejected.push(plan.target.clone()),
             }
             versions.plan = self.running().map(|plan| (plan.id, plan.target.clone()));
--- a/lib/src/coordination/upgrade/table.rs
+++ b/lib/src/coordination/upgrade/table.rs
@@ -33,7 +33,7 @@
 /// The usable servers of a service by version, as one box sees them.
 #[derive(Clone, Debug, Default)]
 pub struct ServerCounts {
-    /// Number of usable servers of each version.
+    /// Number of usable servers of each version; 0 if none of its listed servers is usable.
     pub by_version: BTreeMap<ServerVersion, usize>,
 }
 
@@ -309,7 +309,8 @@
         let target = upgrade.target().cloned();
         let target = target.as_ref();
         let target_servers = target.and_then(|target| servers.by_version.get(target));
-        let others = servers.by_version.iter().filter(|(version, _)| Some(*version) != target);
+        let listed = servers.by_version.iter().filter(|(version, _)| Some(*version) != target);
+        let others = listed.clone().filter(|(_, count)| **count > 0);
         let mut evidence = upgrade.own_evidence.clone();
         upgrade.reports.values().for_each(|report| evidence.add(&report.evidence));
         let responses = evidence.target_responses();
@@ -343,6 +344,7 @@
             target_servers,
             other_servers: others.clone().map(|(_, count)| count).sum(),
             other_versions: others.map(|(version, _)| version.clone()).collect(),
+            listed_versions: listed.map(|(version, _)| version.clone()).collect(),
             responses,
             finding,
             limits: self.limits,
--- a/lib/src/gateway/cluster_state/views.rs
+++ b/lib/src/gateway/cluster_state/views.rs
@@ -102,24 +102,40 @@
             // A version that was replaced is known to work, so it comes before one on trial.
             let substitutes = [Role::Serving, Role::Retired, Role::Canary];
             let substitute = substitutes.into_iter().find(|role| roles.contains(role));
+            let substitute = substitute.or_else(|| self.rejected_substitute(&service));
             if let Some(role) = substitute.filter(|role| *role != Role::Serving) {
                 self.substitutes.insert(service, role);
             }
         }
     }
 
+    /// The role of versions that were rolled back, if the service has no others. Others whose servers
+    /// are evacuated or leaving are expected back, so that the versions that were found bad wait.
+    fn rejected_substitute(&self, service: &str) -> Option<Role> {
+        let mut listed = self.listed_servers(service);
+        listed.all(|entry| self.role(&entry.server) == Role::Rejected).then_some(Role::Rejected)
+    }
+
+    /// Servers of a service that are listed in a known failure domain.
+    fn listed_servers<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.servers.values().filter(move |entry| {
+            entry.server.service == service
+                && entry.names.is_some()
+                && !self.box_addresses.contains(&entry.server.address)
+        })
+    }
+
     /// The roles of a service's versions.
     pub fn versions(&self, service: &str) -> Option<&Versions> {
         self.versions.get(service)
     }
 
-    /// Usable servers of a service in all regions, by version and regardless of roles.
+    /// Servers of a service in all regions, by version and regardless of roles.
     pub fn count_servers(&self, service: &str) -> ServerCounts {
         let mut counts = ServerCounts::default();
-        for entry in self.servers.values().filter(|entry| self.accepts_requests(entry)) {
-            if entry.server.service == service {
-                *counts.by_version.entry(entry.server.version.clone()).or_default() += 1;
-            }
+        for entry in self.listed_servers(service) {
+            let count = counts.by_version.entry(entry.server.version.clone()).or_default();
+            *count += usize::from(self.accepts_requests(entry));
         }
         counts
     }
--- a/lib/tests/test_cluster_state.rs
+++ b/lib/tests/test_cluster_state.rs
@@ -8,6 +8,7 @@
 use std::time::SystemTime;
 
 use copperweir_lib::coordination::presence::box_hash;
+use copperweir_lib::coordination::upgrade::Versions;
 use copperweir_lib::gateway::cluster_state::ClusterState;
 use copperweir_lib::gateway::cluster_state::LocalContext;
 use copperweir_lib::protocol::adapter::Fact;
@@ -206,6 +207,23 @@
     );
 }
 
+/// Guards against a service that refuses all requests, because the only version that it has was
+/// rolled back, and against one found bad that serves during an evacuation of the others.
+#[test]
+fn version_that_was_rolled_back_serves_only_if_no_other_is_listed() {
+    let (mut cluster_state, now) = (cluster_state(), Instant::now());
+    cluster_state.apply(Fact::Server(server(Duration::ZERO)), 2, now);
+    let versions = Versions { rejected: vec!["v1".to_owned()], ..Versions::default() };
+    let versions = BTreeMap::from([("s".to_owned(), versions)]);
+    cluster_state.set_versions(versions.clone());
+    assert_eq!(cluster_state.usable_servers()["s"].len(), 1);
+    let mut other = server(Duration::ZERO);
+    (other.id, other.version, other.leaving) = ("i-2".to_owned(), "v0".to_owned(), true);
+    cluster_state.apply(Fact::Server(other), 3, now);
+    cluster_state.set_versions(versions);
+    assert!(cluster_state.usable_servers().is_empty());
+}
+
 #[test]
 fn older_configuration_is_rejected() {
     let mut cluster_state = cluster_state();
