placement: one answer at an address shows which of its names is there

Cause: each box tried every name at an address in turn. A refusal "another instance has the address" said nothing about the other names, and each took a resend, until there were none left.

Change: after such a refusal at an address that several servers name, the box asks the health path there which instance answers; a sealed response shows it as well. The other names count as absent until their entries change, the holder is gone or refused, or another one answers. While a usable server is known to be there, the refusal is no retry. Answers to earlier requests than the last known one don't count, and neither do they for entries that came later: a server that drains may end its requests after its successor at the address has begun.

--- a/lib/src/coordination/candidate.rs
+++ b/lib/src/coordination/candidate.rs
@@ -117,6 +117,10 @@
     /// Whether another instance has the address. The store may show the old record for some
     /// seconds.
     replaced: bool,
+    /// Whether another server that names the same address is known to be there.
+    absent: bool,
+    /// When the entry was last seen to change.
+    pub listed_since: Instant,
     /// Whether the server announced that it is leaving, which the store may not show yet.
     announced_leaving: bool,
     /// Requests in flight from this box.
@@ -175,6 +179,8 @@
             state,
             updated_in: 0,
             replaced: false,
+            absent: false,
+            listed_since: now,
             announced_leaving: false,
             in_flight: 0,
             prefill_tokens: 0.0,
@@ -220,7 +226,11 @@
     }
 
     /// Replaces the state, in the update with this number.
-    pub fn update(&mut self, state: ServerState, update: u64) {
+    pub fn update(&mut self, state: ServerState, update: u64, now: Instant) {
+        if state.server != self.state.server {
+            self.absent = false;
+            self.listed_since = now;
+        }
         if state.server.address != self.state.server.address {
             // What happened at the other address says nothing about the server.
             self.replaced = false;
@@ -234,7 +244,7 @@
 
     /// Whether the server may get requests at all.
     pub fn is_usable(&self) -> bool {
-        self.state.usable && !self.replaced && !self.announced_leaving
+        self.state.usable && !self.replaced && !self.absent && !self.announced_leaving
     }
 
     /// Whether the server may get requests in a role.
@@ -275,6 +285,17 @@
         self.replaced = true;
     }
 
+    /// Records that the server answered at its address.
+    pub fn mark_present(&mut self) {
+        self.replaced = false;
+        self.absent = false;
+    }
+
+    /// Sets whether another server that names the same address is known to be there.
+    pub fn set_absent(&mut self, is_absent: bool) {
+        self.absent = is_absent;
+    }
+
     /// Load from this box.
     pub fn own_load(&self) -> Load {
         Load { in_flight: self.in_flight, prefill_tokens: self.prefill_tokens as u32 }
--- a/lib/src/coordination/placement.rs
+++ b/lib/src/coordination/placement.rs
@@ -8,12 +8,14 @@
 
 mod blocked;
 mod cold;
+mod holders;
 mod paths;
 mod status;
 mod utilization;
 
 pub use self::blocked::Blocked;
 pub use self::cold::QueryTarget;
+use self::holders::Holders;
 pub use self::paths::PathTarget;
 
 use std::collections::BTreeMap;
@@ -193,6 +195,7 @@
     /// expire and return.
     rest_periods: RestPeriods,
     retry_spread: RetrySpread,
+    holders: Holders,
     /// Number of paths that were lost since a server last responded.
     losses_without_response: u32,
     /// When a server last responded.
@@ -215,6 +218,7 @@
             removed_at: BTreeMap::new(),
             rest_periods: RestPeriods::default(),
             retry_spread: RetrySpread::default(),
+            holders: Holders::default(),
             losses_without_response: 0,
             last_response_at: None,
         }
@@ -235,7 +239,7 @@
         for state in states {
             match self.servers.get_mut(&state.server.id) {
                 Some(candidate) if candidate.is_same_incarnation(&state) => {
-                    candidate.update(state, self.updates);
+                    candidate.update(state, self.updates, now);
                 }
                 earlier => {
                     // The state of the earlier incarnation does not apply to the new one, but the
@@ -261,6 +265,7 @@
             }
             is_listed
         });
+        self.update_holders();
     }
 
     /// Whether any server may get requests.
@@ -447,6 +452,7 @@
             let duration = now.saturating_duration_since(place.reserved_at);
             self.request_duration = self.request_duration.mul_f64(1.0 - DURATION_WEIGHT)
                 + duration.mul_f64(DURATION_WEIGHT);
+            self.record_holder(&place.server, place.address, place.reserved_at);
         }
         self.record_path(&place.server, outcome, now)
     }
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -78,6 +78,9 @@
     Unsent(Failure),
     /// The receiver refused the request; it did not run.
     Refused(Failure),
+    /// The server is not at its address; it is known which one is there, and that one may get the
+    /// request.
+    Misdirected(Failure),
     /// The server refused the request and asked this box for a rest period.
     RefusedWithRest(Failure),
     /// A brittle server refused the request; each further refusal may make another server fall over.
@@ -302,7 +305,13 @@
     match event {
         AttemptEvent::Replaced => {
             let message = "another instance has the address";
-            return SendOutcome::Refused(Failure::new(ErrorKind::NoServer, message));
+            let failure = Failure::new(ErrorKind::NoServer, message);
+            return match &reservation {
+                Some(reservation) if reservation.find_holder(job.deadline).await => {
+                    SendOutcome::Misdirected(failure)
+                }
+                _ => SendOutcome::Refused(failure),
+            };
         }
         AttemptEvent::Refused => {
             exchange.release_for(idle_time(metadata.keep_alive));
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -80,6 +80,7 @@
             }
             Ok(reply) => return Ok(reply),
             Err(StepError::Final(failure)) => failure,
+            Err(StepError::Misdirected) => continue,
             Err(StepError::Retry(failure)) => {
                 if may_continue(shared, job, history) {
                     continue;
@@ -103,9 +104,11 @@
     after_event: Option<u64>,
 ) -> Option<Reply<A>> {
     history.maybe_ran = true;
-    while take_retry(shared, job, history) {
+    let mut was_misdirected = false;
+    while std::mem::take(&mut was_misdirected) || take_retry(shared, job, history) {
         match send_once(shared, job, history, after_event).await {
             Ok(reply) => return Some(reply),
+            Err(StepError::Misdirected) => was_misdirected = true,
             Err(StepError::Retry(_)) => {}
             Err(StepError::Final(_)) => return None,
         }
@@ -117,6 +120,9 @@
 enum StepError {
     /// Another send may get a response.
     Retry(Failure),
+    /// Another instance has the address of the chosen server. The other names of that address count
+    /// as absent by now, so that the next send is no retry.
+    Misdirected,
     /// No other send would get a response.
     Final(Failure),
 }
@@ -175,6 +181,10 @@
             history.refused += 1;
             failure
         }
+        SendOutcome::Misdirected(failure) => {
+            decision_log::attempt_failed(job, history, peer, &failure);
+            return Err(StepError::Misdirected);
+        }
         SendOutcome::RefusedWithRest(failure) => {
             history.refused += 1;
             history.rest_refusals += 1;
--- a/lib/src/gateway/probe.rs
+++ b/lib/src/gateway/probe.rs
@@ -55,19 +55,50 @@
         };
         tokio::spawn(query.run(Arc::clone(&self.shared)));
     }
+
+    /// Finds out which server has the address of this place, after an answer that its own server has
+    /// not. Returns whether that server may get requests.
+    pub(super) async fn find_holder(&self, deadline: Instant) -> bool {
+        let Place { server, address, reserved_at, .. } = &self.place;
+        let shared = &self.shared;
+        let record = |state: &mut Service| {
+            let is_known = state.placement.record_absence(server, *address, *reserved_at);
+            (is_known, state.placement.holder_query(*address))
+        };
+        let target = match shared.with_service(&self.service, record) {
+            Some((false, Some(target))) => target,
+            Some((is_known, _)) => return is_known,
+            None => return false,
+        };
+        shared.counters.increment(Counter::Probes);
+        let asked_at = clock::now();
+        let response = timer::timeout_at(deadline, target.fetch(shared, server)).await;
+        let Ok(Some(response)) = response else { return false };
+        let metadata = shared.adapter.parse_response(response.status(), response.headers());
+        let Some(instance) = metadata.instance else { return false };
+        log::info!("event=server_replaced server={server} instance={instance:?}");
+        let record = |state: &mut Service| {
+            state.placement.record_holder(&instance, *address, asked_at);
+            state.placement.has_usable_holder(*address)
+        };
+        shared.with_service(&self.service, record).unwrap_or(false)
+    }
 }
 
 impl Query {
     /// Queries the server. If it has turned cold, the other boxes are notified at once.
     async fn run<A: Adapter>(self, shared: Arc<Shared<A>>) {
         shared.counters.increment(Counter::Probes);
-        let Some(response) = self.fetch(&shared).await else { return };
+        let Some(response) = self.target.fetch(&shared, &self.server).await else { return };
         let metadata = shared.adapter.parse_response(response.status(), response.headers());
         let Query { service, server, incarnation, sent_at, .. } = &self;
-        if metadata.instance.as_deref().is_some_and(|instance| instance != server) {
-            log::info!("event=server_replaced server={server} instance={:?}", metadata.instance);
+        if let Some(instance) = metadata.instance.as_ref().filter(|instance| *instance != server) {
+            log::info!("event=server_replaced server={server} instance={instance:?}");
             let address = self.target.address;
-            shared.with_service(service, |state| state.placement.mark_replaced(server, address));
+            shared.with_service(service, |state| {
+                state.placement.mark_replaced(server, address);
+                state.placement.record_holder(instance, address, *sent_at);
+            });
         } else {
             let server_ref = ServerRef {
                 server,
@@ -85,9 +116,15 @@
         }
         shared.with_service(service, |state| state.reported.notify_waiters());
     }
+}
 
-    async fn fetch<A: Adapter>(&self, shared: &Shared<A>) -> Option<http::Response<Bytes>> {
-        let QueryTarget { address, path } = &self.target;
+impl QueryTarget {
+    async fn fetch<A: Adapter>(
+        &self,
+        shared: &Shared<A>,
+        server: &str,
+    ) -> Option<http::Response<Bytes>> {
+        let QueryTarget { address, path } = self;
         let request = Request::get(path).header(header::HOST, address.to_string());
         let request = request
             .body(Full::default())
@@ -99,7 +136,7 @@
             Ok(Err(error)) => error.to_string(),
             Err(_) => "no answer in time".to_owned(),
         };
-        log::debug!("event=server_does_not_say server={} error=\"{error}\"", self.server);
+        log::debug!("event=server_does_not_say server={server} error=\"{error}\"");
         None
     }
 }
