store: a box's record that another writer replaces is written again

Cause: a readable record in place of a box's own stayed, and callers were led elsewhere. Only an unreadable one was written again, at once and as often as it came.

Change: any record under the box's own name that differs from its own is written again a second later, and at most once a second. The second covers the moments in which the store still shows an earlier record of this box. A record of another incarnation may be that of a process that was given the same name; it is replaced after 30 s, and never by a box that stops, so that two such processes don't write in turn.

--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -7,6 +7,7 @@
 
 mod join;
 mod peer_sync;
+mod record_repair;
 mod start;
 mod stop;
 mod store_sync;
@@ -21,6 +22,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use self::record_repair::RecordRepair;
 use super::cluster_state::ClusterState;
 use super::cluster_state::LocalContext;
 pub use super::event::Event;
@@ -106,6 +108,7 @@
     /// too early, if the key was removed, because removals come without their positions.
     decided_at: Position,
     unreadable_keys: UnreadableKeys,
+    record_repair: RecordRepair,
     /// When resends are logged next.
     log_resends_at: Instant,
     /// Whether it is known how much this box may resend.
@@ -146,6 +149,7 @@
             applied_position: Position::default(),
             decided_at: Position::default(),
             unreadable_keys: UnreadableKeys::default(),
+            record_repair: RecordRepair::default(),
             log_resends_at: clock::now() + RESEND_LOG_INTERVAL,
             knows_resends: false,
             configured_since: None,
@@ -275,6 +279,7 @@
     fn tick(&mut self) -> bool {
         let now = clock::now();
         self.log_resends(now);
+        self.repair_record(now);
         self.limit_history_wait(now);
         let startup_over = self.just_started && now >= self.started_at + STARTUP_PERIOD;
         let found_box = self.update_senders(now);
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -406,31 +406,6 @@
         key
     }
 
-    /// Writes this box's record again if a store that was restored from an older copy has an
-    /// outdated one.
-    fn rewrite_outdated_record(&mut self, record: &BoxRecord) {
-        if record.name == self.own_record.name
-            && *record != self.own_record
-            && self.cluster_state.is_settling(clock::now())
-        {
-            self.rewrite_record("the store shows an older one");
-        }
-    }
-
-    fn rewrite_record(&self, reason: &str) {
-        log::warn!("event=record_lost reason={reason:?}");
-        self.record_sender.send_replace(self.own_record.clone());
-    }
-
-    /// Logs a record that can't be read, and writes this box's record again if it was replaced by
-    /// one.
-    fn reject_record(&mut self, name: &str, item: &KeyValue, error: &str) {
-        self.unreadable_keys.record(&item.key, &item.value, error);
-        if name == self.own_record.name {
-            self.rewrite_record("the store shows an unreadable one");
-        }
-    }
-
     /// Records a change of configuration, evacuations or upgrades.
     fn record_decision(&mut self, revision: Revision) {
         let position = Position { era: self.applied_era, revision };
@@ -460,7 +435,7 @@
                 }
                 Ok(mut record) => {
                     record.clamp_weight();
-                    self.rewrite_outdated_record(&record);
+                    self.check_own_record(&record);
                     self.cluster_state.apply_box(record);
                 }
                 Err(error) => self.reject_record(name, &item, &error.to_string()),
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -232,7 +232,8 @@
             forwarded_versions: ForwardedVersions::default(),
             servers: backend::Client::new(SERVER_CONNECT_TIMEOUT, liveness::SERVER)
                 .with_routes(settings.server_routes.clone()),
-            peers: backend::Client::new(PEER_CONNECT_TIMEOUT, liveness::REMOTE),
+            peers: backend::Client::new(PEER_CONNECT_TIMEOUT, liveness::REMOTE)
+                .with_routes(settings.peer_routes.clone()),
             response_memory: Account::new(HELD_RESPONSE_BYTES),
             in_flight: AtomicUsize::new(0),
             open: OpenConnections::default(),
--- a/lib/src/gateway/settings.rs
+++ b/lib/src/gateway/settings.rs
@@ -71,4 +71,6 @@
     pub directory_ttl: Duration,
     /// Addresses to connect to instead of those of some servers.
     pub server_routes: BTreeMap<SocketAddr, SocketAddr>,
+    /// Addresses to connect to instead of those of some boxes.
+    pub peer_routes: BTreeMap<SocketAddr, SocketAddr>,
 }
