streams: queries and names of others displace no streams

Cause: a box kept the 200,000 latest notes of streams. Each query for a known stream was another note, and so was each stream that another box or a batch in the store named. One box that asked for one stream over and over, or named very many, displaced all others, those that began at the box included.

Change: streams that this box began and those that others named have limits of their own, 200,000 streams each instead of notes. A query keeps a stream longer once an eighth of the retention has passed.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -57,8 +57,11 @@
 const MIN_LONGEST_STREAM: Duration = Duration::from_secs(30);
 /// Maximum time from the end of a stream until its caller takes it up.
 const MAX_CALLER_PAUSE: Duration = Duration::from_secs(30);
-/// Maximum number of streams kept; the oldest are dropped first.
+/// Maximum number of streams kept that this box began, and of those that others named; the oldest of
+/// each kind are dropped first.
 const MAX_STREAMS: usize = 200_000;
+/// Part of the retention after which a query for a stream keeps it longer.
+const REFRESH_FRACTION: u32 = 8;
 /// Minimum number of holders of a stream, if there are so many boxes.
 const MIN_HOLDERS: usize = 3;
 /// Maximum number of holders of a stream.
@@ -135,6 +138,33 @@
     noted_at: Instant,
 }
 
+impl Entry {
+    fn kind(&self) -> Kind {
+        match self.began_for {
+            Some(_) => Kind::Own,
+            None => Kind::Named,
+        }
+    }
+}
+
+/// What told the version of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kind {
+    /// This box began the stream.
+    Own,
+    /// Another box or the store named it.
+    Named,
+}
+
+/// Streams of one kind by the time at which they were noted.
+#[derive(Debug, Default)]
+struct Notes {
+    /// A key occurs once for each time at which it was noted.
+    queue: VecDeque<(Instant, StreamKey)>,
+    /// Number of streams that are kept.
+    kept: usize,
+}
+
 /// A version of a service that counts.
 #[derive(Clone, Copy, Debug, Default)]
 struct CountedVersion {
@@ -159,8 +189,9 @@
 #[derive(Debug)]
 pub struct StreamVersions {
     entries: HashMap<StreamKey, Entry>,
-    /// Keys by the time at which they were noted; a key may occur several times.
-    noted: VecDeque<(Instant, StreamKey)>,
+    /// Kept apart, so that others can't displace the streams that began here.
+    own: Notes,
+    named: Notes,
     subjects: HashMap<SubjectHash, Subject>,
     /// Duration of the longest stream that a route allows, or allowed lately.
     longest_stream: Duration,
@@ -177,7 +208,8 @@
     fn default() -> StreamVersions {
         StreamVersions {
             entries: HashMap::new(),
-            noted: VecDeque::new(),
+            own: Notes::default(),
+            named: Notes::default(),
             subjects: HashMap::new(),
             longest_stream: MIN_LONGEST_STREAM,
             shortened_at: None,
@@ -232,17 +264,34 @@
     }
 
     fn insert(&mut self, key: StreamKey, entry: Entry) {
-        self.entries.insert(key, entry);
-        self.noted.push_back((entry.noted_at, key));
-        while self.noted.len() > MAX_STREAMS {
-            self.drop_oldest();
+        let kind = entry.kind();
+        let replaced = self.entries.insert(key, entry);
+        if let Some(replaced) = replaced {
+            self.notes_mut(replaced.kind()).kept -= 1;
+        }
+        let notes = self.notes_mut(kind);
+        notes.kept += 1;
+        if replaced.is_none_or(|known| (known.kind(), known.noted_at) != (kind, entry.noted_at)) {
+            notes.queue.push_back((entry.noted_at, key));
+        }
+        while self.notes_mut(kind).kept > MAX_STREAMS {
+            self.drop_oldest(kind);
+        }
+    }
+
+    fn notes_mut(&mut self, kind: Kind) -> &mut Notes {
+        match kind {
+            Kind::Own => &mut self.own,
+            Kind::Named => &mut self.named,
         }
     }
 
-    fn drop_oldest(&mut self) {
-        let Some((noted_at, key)) = self.noted.pop_front() else { return };
-        if self.entries.get(&key).is_some_and(|entry| entry.noted_at == noted_at) {
+    fn drop_oldest(&mut self, kind: Kind) {
+        let Some((noted_at, key)) = self.notes_mut(kind).queue.pop_front() else { return };
+        let is_last = |entry: &Entry| entry.kind() == kind && entry.noted_at == noted_at;
+        if self.entries.get(&key).is_some_and(is_last) {
             self.entries.remove(&key);
+            self.notes_mut(kind).kept -= 1;
         }
     }
 
@@ -257,7 +306,9 @@
     pub fn look_up(&mut self, key: StreamKey, now: Instant) -> Option<VersionHash> {
         let version = self.version(key, now)?;
         let entry = *self.entries.get(&key)?;
-        self.insert(key, Entry { noted_at: now, ..entry });
+        if now >= entry.noted_at + self.retention() / REFRESH_FRACTION {
+            self.insert(key, Entry { noted_at: now, ..entry });
+        }
         Some(version)
     }
 
@@ -474,8 +525,11 @@
     /// Drops what is no longer kept.
     pub fn expire(&mut self, now: Instant) {
         let retention = self.retention();
-        while self.noted.front().is_some_and(|(noted_at, _)| now >= *noted_at + retention) {
-            self.drop_oldest();
+        for kind in [Kind::Own, Kind::Named] {
+            let is_over = |(noted_at, _): &(Instant, StreamKey)| now >= *noted_at + retention;
+            while self.notes_mut(kind).queue.front().is_some_and(is_over) {
+                self.drop_oldest(kind);
+            }
         }
         for Subject { counted, list, .. } in self.subjects.values_mut() {
             // What is still listed would be counted anew with the next state.
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -122,3 +122,27 @@
     versions.expire(later);
     assert!(versions.has_several_versions(SERVICE, later));
 }
+
+/// Guards against streams that are refused, because a box asks for another one over and over.
+#[test]
+fn queries_for_known_streams_displace_no_others() {
+    let (mut versions, now) = (StreamVersions::default(), Instant::now());
+    versions.record_begin(1, destination(), 10, now);
+    versions.record_announcement(2, 20, now);
+    for _ in 0..300_000 {
+        assert_eq!(versions.look_up(2, now), Some(20));
+    }
+    assert_eq!((versions.version(1, now), versions.version(2, now)), (Some(10), Some(20)));
+}
+
+/// Guards against streams that are refused, because another box or writer names very many.
+#[test]
+fn streams_that_others_name_displace_none_that_began_here() {
+    let (mut versions, now) = (StreamVersions::default(), Instant::now());
+    versions.record_begin(1, destination(), 10, now);
+    for key in 2..400_000 {
+        versions.record_announcement(key, 20, now);
+    }
+    assert_eq!(versions.version(1, now), Some(10));
+    assert!(versions.len() < 300_000, "{}", versions.len());
+}
