quota: restarts don't cancel a team's debt

A request that is larger than what remains of a team's limit is admitted and leaves a debt. A box that starts doesn't know what it, or others, admitted before, and its account was in no debt, so each start admitted one such request anew.

Now a box that may have run before admits a request only once its cost has accrued since the start; after a minute, longer than any window, all debts count as paid off. What the incarnations of a box admit adds up to what one would that ran all the time. A request waits longer than the start takes only if it costs more than the limit allows in that time.

In test_quota, `lower_limit_applies_at_once_and_debt_is_paid_off` is about a box that has not run before, and says so now; what it asserts is unchanged.

--- a/lib/src/coordination/quota.rs
+++ b/lib/src/coordination/quota.rs
@@ -144,6 +144,8 @@
 #[derive(Debug)]
 pub struct Quotas {
     started_at: Instant,
+    /// Whether the box may have admitted requests before it started.
+    has_predecessor: bool,
     tolerance: Tolerance,
     fleet: FleetSize,
     accounts: HashMap<TeamHash, Account>,
@@ -157,6 +159,7 @@
     pub fn new(tolerance: Tolerance, started_at: Instant) -> Quotas {
         Quotas {
             started_at,
+            has_predecessor: true,
             tolerance,
             fleet: FleetSize { boxes: 1, rounds: 1 },
             accounts: HashMap::new(),
@@ -165,6 +168,11 @@
         }
     }
 
+    /// Records that the box has not run before, so that no team is in debt for what it admitted.
+    pub fn assume_no_predecessor(&mut self) {
+        self.has_predecessor = false;
+    }
+
     fn account(&mut self, team: TeamHash) -> &mut Account {
         let (started_at, share) = (self.started_at, 1.0 / self.fleet.boxes.max(1) as f64);
         self.accounts.entry(team).or_insert_with(|| Account::new(started_at, share))
@@ -178,10 +186,13 @@
         cost: f64,
         now: Instant,
     ) -> Result<(), Refusal> {
+        let counted_for = now.saturating_duration_since(self.started_at);
+        let is_debt_known = !self.has_predecessor || counted_for >= UNREACHABLE_RETENTION;
         let params = AdmitParams {
             debt: self.tolerance.slack * MAX_DEBT_SHARE,
             dither: self.tolerance.dither,
             starting_up: now < self.started_at + STARTUP_PERIOD,
+            counted_for: (!is_debt_known).then_some(counted_for),
         };
         self.account(team).admit(limit, cost, params, now)
     }
--- a/lib/src/coordination/quota/account.rs
+++ b/lib/src/coordination/quota/account.rs
@@ -29,6 +29,9 @@
     pub dither: f64,
     /// Whether the box started only recently.
     pub starting_up: bool,
+    /// Time for which the box is known to have counted what it admits; `None` if that is longer than
+    /// a debt lasts.
+    pub counted_for: Option<Duration>,
 }
 
 /// Why a request was refused.
@@ -129,7 +132,7 @@
         params: AdmitParams,
         now: Instant,
     ) -> Result<(), Refusal> {
-        let AdmitParams { debt, dither, starting_up } = params;
+        let AdmitParams { debt, dither, starting_up, counted_for } = params;
         if self.limit.is_none() && cost > limit.burst * self.share {
             self.own_remaining = -dither * cost;
         }
@@ -142,11 +145,16 @@
         let over_limit = starting_up || self.total_demand > rate;
         let keep_to_share = over_limit && self.remaining < limit.burst * reachable_share;
         let remaining = self.remaining + debt * reachable_share;
-        if remaining > 0.0 && (!keep_to_share || self.own_remaining >= 0.0) {
+        // A box that was started again doesn't know the debt that it had. What each of its
+        // incarnations admits has therefore accrued since the start of that incarnation.
+        let accrued = counted_for.map(|counted_for| limit.rate * counted_for.as_secs_f64());
+        let not_accrued = accrued.map_or(0.0, |accrued| (cost - accrued).max(0.0));
+        let is_accrued = not_accrued == 0.0;
+        if is_accrued && remaining > 0.0 && (!keep_to_share || self.own_remaining >= 0.0) {
             self.charge(cost, now);
             return Ok(());
         }
-        let missing = (-remaining).max(0.0) / rate;
+        let missing = (-remaining).max(not_accrued) / rate;
         let own_rate = (limit.rate * self.share).max(1.0);
         let own_missing =
             if keep_to_share { (-self.own_remaining).max(0.0) / own_rate } else { 0.0 };
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -255,6 +255,7 @@
             Event::Reload => log::info!("event=reload settings=\"count from the next start\""),
             Event::FirstStart => {
                 lock(&self.shared.retries).assume_no_predecessor();
+                lock(&self.shared.quotas).assume_no_predecessor();
                 self.is_first_start = true;
                 self.record_history_known();
             }
--- a/lib/tests/test_quota.rs
+++ b/lib/tests/test_quota.rs
@@ -284,10 +284,22 @@
     }
 }
 
+#[test]
+fn box_that_was_started_again_admits_what_has_accrued_since() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut quotas = Quotas::new(Tolerance { slack: 0.0, dither: 0.0 }, start);
+    let refused = quotas.admit(TEAM, limit(100.0), 1100.0, at(10)).unwrap_err();
+    assert_eq!(refused.retry_after, Duration::from_secs(1));
+    assert!(quotas.admit(TEAM, limit(100.0), 1100.0, at(11)).is_ok());
+    assert!(quotas.admit(TEAM, limit(100.0), 9000.0, at(61)).is_ok(), "earlier debts are paid off");
+}
+
 #[test]
 fn lower_limit_applies_at_once_and_debt_is_paid_off() {
     let start = Instant::now();
     let mut quotas = Quotas::new(Tolerance { slack: 0.0, dither: 0.0 }, start);
+    quotas.assume_no_predecessor();
     let now = start + Duration::from_secs(10);
     assert!(quotas.admit(TEAM, limit(1000.0), 900.0, now).is_ok());
     let lower = limit(100.0);
