--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -26,6 +26,7 @@
 use std::time::Instant;
 
 use super::rendezvous;
+use super::version_list::MAX_VERSIONS;
 use super::version_list::VersionList;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::VersionHash;
@@ -52,8 +53,9 @@
     pub service: ServiceHash,
     /// The route that led there.
     pub route: RouteHash,
-    /// What the service is picked by.
-    pub point: u64,
+    /// What the service is picked by; `None` if the caller doesn't name the attempt that began the
+    /// stream, and any service of the route may run it.
+    pub point: Option<u64>,
 }
 
 /// Minimum duration of the longest stream that any route allows.
@@ -62,7 +64,7 @@
 const MAX_CALLER_PAUSE: Duration = Duration::from_secs(30);
 /// Maximum number of streams kept that this box began, and of those that others named; the oldest of
 /// each kind are dropped first.
-const MAX_STREAMS: usize = 200_000;
+pub const MAX_STREAMS: usize = 200_000;
 /// Part of the retention after which a query for a stream keeps it longer.
 const REFRESH_FRACTION: u32 = 8;
 /// Minimum number of holders of a stream, if there are so many boxes.
@@ -183,8 +185,8 @@
     gone_since: Option<Instant>,
     /// Whether the store has listed it, so that streams may have begun at it.
     was_listed: bool,
-    /// Whether streams may have begun at it before it was listed.
-    is_inherited: bool,
+    /// Whether streams may have begun at it, though it was never listed.
+    began_unlisted: bool,
 }
 
 /// The versions of a service, or the splits of a route.
@@ -352,6 +354,11 @@
         !std::mem::replace(&mut known.had_several, has_several) && has_several
     }
 
+    /// Whether anything of a service or route counts or is listed.
+    pub fn is_known(&self, subject: SubjectHash, now: Instant) -> bool {
+        self.count_versions(subject, now) > 0 || self.list(subject).is_some()
+    }
+
     /// Whether a service had no servers, or a route was not configured, at the last update.
     pub fn is_away(&self, subject: SubjectHash) -> bool {
         self.subjects.get(&subject).is_some_and(|known| known.is_away)
@@ -364,9 +371,9 @@
         }
     }
 
-    /// Whether this box has read a state from the store.
-    pub fn knows_era(&self) -> bool {
-        self.era.is_some()
+    /// The era of the state that this box has read from the store.
+    pub fn era(&self) -> Option<Era> {
+        self.era.map(|(era, _)| era)
     }
 
     /// Records whether the boxes that run are the first of the fleet.
@@ -381,25 +388,46 @@
             let gone = CountedVersion { gone_since: Some(now), ..CountedVersion::default() };
             let counted = known.counted.entry(*version).or_insert(gone);
             counted.was_listed = true;
-            counted.is_inherited = false;
+            counted.began_unlisted = false;
         }
         known.list = list;
     }
 
+    /// Records the split of a route; `None` if it isn't configured. Returns whether it was another one,
+    /// or none, at the last call. Requests don't wait for a split to be listed.
+    pub fn record_split(
+        &mut self,
+        route: RouteHash,
+        split: Option<SplitHash>,
+        now: Instant,
+    ) -> bool {
+        let known = self.subjects.entry(route).or_default();
+        let new = CountedVersion { began_unlisted: true, ..CountedVersion::default() };
+        let is_new = split.is_some_and(|split| {
+            let is_counted = known.counted.contains_key(&split);
+            let counted = known.counted.entry(split).or_insert(new);
+            !is_counted || counted.gone_since.is_some()
+        });
+        self.record_versions(route, split.into_iter(), now);
+        is_new
+    }
+
     /// Counts the splits of a route for another one too, to which its paths belong now. Streams that
-    /// began under the first are resumed under the second.
-    pub fn inherit_splits(&mut self, from: RouteHash, to: RouteHash, now: Instant) {
-        let Some(earlier) = self.subjects.get(&from) else { return };
+    /// began under the first are resumed under the second. Returns whether one of them is new there.
+    pub fn inherit_splits(&mut self, from: RouteHash, to: RouteHash, now: Instant) -> bool {
+        let Some(earlier) = self.subjects.get(&from) else { return false };
         let splits: Vec<SplitHash> = self.counted(earlier, now).map(|(split, _)| split).collect();
         let gone = CountedVersion {
             gone_since: Some(now),
-            is_inherited: true,
+            began_unlisted: true,
             ..CountedVersion::default()
         };
         let later = self.subjects.entry(to).or_default();
+        let count_before = later.counted.len();
         for split in splits {
             later.counted.entry(split).or_insert(gone);
         }
+        later.counted.len() > count_before
     }
 
     /// The list that the store should have for a service, if it has another one. Only a box whose
@@ -427,13 +455,17 @@
         let is_listed = |version: &VersionHash| {
             known.list.as_ref().is_some_and(|list| list.versions.contains(version))
         };
-        // A version without servers is never added: boxes that count it for different times would
-        // add and remove it in turn.
+        // What is gone isn't added again once it was listed: boxes that count it for different times
+        // would add and remove it in turn.
         let counted = self.counted(known, now);
         let kept = counted.filter(|(version, counted)| {
-            counted.gone_since.is_none() || counted.is_inherited || is_listed(version)
+            counted.gone_since.is_none() || counted.began_unlisted || is_listed(version)
         });
         let mut versions: BTreeSet<VersionHash> = kept.map(|(version, _)| version).collect();
+        if versions.len() > MAX_VERSIONS {
+            versions.retain(|version| known.counted[version].gone_since.is_none());
+            return Some(VersionList { era, versions, complete: false });
+        }
         if let Some(list) = known.list.as_ref().filter(|_| !is_current) {
             versions.extend(&list.versions);
         }
@@ -513,14 +545,33 @@
             && self.counted_splits_agree(destination, now)
     }
 
+    /// Whether this box knows nothing against a version that another box has by the lists.
+    pub fn may_be_sole(
+        &self,
+        destination: Destination,
+        version: VersionHash,
+        now: Instant,
+    ) -> bool {
+        let known = self.subjects.get(&destination.service);
+        let is_other = |(other, counted): (VersionHash, CountedVersion)| {
+            other != version && counted.was_listed
+        };
+        let has_other = known.is_some_and(|known| self.counted(known, now).any(is_other));
+        !has_other && self.counted_splits_agree(destination, now)
+    }
+
     fn counted_splits_agree(&self, destination: Destination, now: Instant) -> bool {
         let Some(known) = self.subjects.get(&destination.route) else { return true };
         self.counted(known, now).all(|(split, _)| self.leads_to(split, destination))
     }
 
     fn leads_to(&self, split: SplitHash, destination: Destination) -> bool {
-        let services = self.splits.get(&split);
-        let picked = services.and_then(|services| routing::pick(services, destination.point));
+        let Some(services) = self.splits.get(&split) else { return false };
+        let picked = match (destination.point, &services[..]) {
+            (Some(point), services) => routing::pick(services, point),
+            (None, [(only, _)]) => Some(only),
+            (None, _) => None,
+        };
         picked == Some(&destination.service)
     }
 
@@ -536,12 +587,6 @@
         self.splits.get(&hash)
     }
 
-    /// Whether a version of a service, or a split of a route, counts.
-    pub fn is_counted(&self, subject: SubjectHash, version: VersionHash, now: Instant) -> bool {
-        let Some(known) = self.subjects.get(&subject) else { return false };
-        self.counted(known, now).any(|(counted, _)| counted == version)
-    }
-
     /// Whether several versions of a service count.
     pub fn has_several_versions(&self, service: ServiceHash, now: Instant) -> bool {
         self.count_versions(service, now) > 1
@@ -639,6 +684,9 @@
     }
 }
 
+/// Stands for a service that is not picked by the attempt that began the stream.
+pub const NO_POINT: u64 = u64::MAX;
+
 /// Announcements of stream versions, queries for them and responses to queries.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct StreamReport {
@@ -670,7 +718,14 @@
     /// Routes of the queried streams, in the order of the services.
     #[prost(fixed64, repeated, tag = "9")]
     pub queried_routes: Vec<RouteHash>,
-    /// What the services of these streams are picked by, in the same order.
+    /// What the services of these streams are picked by, in the same order; [`NO_POINT`] if nothing is
+    /// known.
     #[prost(fixed64, repeated, tag = "10")]
     pub queried_points: Vec<u64>,
+    /// Queried streams whose versions the sender has by the lists in the store only.
+    #[prost(fixed64, repeated, tag = "11")]
+    pub proved: Vec<StreamKey>,
+    /// Versions of these streams, in their order.
+    #[prost(fixed64, repeated, tag = "12")]
+    pub proved_versions: Vec<VersionHash>,
 }
--- a/lib/src/coordination/version_list.rs
+++ b/lib/src/coordination/version_list.rs
@@ -23,7 +23,7 @@
 use crate::protocol::platform::Era;
 
 /// Maximum number of versions in a list.
-const MAX_VERSIONS: usize = 256;
+pub const MAX_VERSIONS: usize = 256;
 /// Maximum number of routes with lists.
 const MAX_ROUTES: usize = 4096;
 
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -364,7 +364,6 @@
             Change::Removed(key) if key.starts_with(VERSIONS) => {
                 self.remove_from_replica(&key);
                 if let Some(service) = store_keys::listed_service(&key) {
-                    let service = stream_versions::service_hash(service);
                     lock(&self.shared.streams).versions.apply_list(service, None, now);
                 }
             }
@@ -458,7 +457,6 @@
             let list = VersionList::try_from(&item.value[..]).inspect_err(|error| {
                 self.unreadable_keys.record(&item.key, &item.value, error);
             });
-            let service = stream_versions::service_hash(service);
             lock(&self.shared.streams).versions.apply_list(service, list.ok(), clock::now());
             return;
         }
--- a/lib/src/gateway/store_keys.rs
+++ b/lib/src/gateway/store_keys.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use super::stream_versions;
+use crate::coordination::stream_versions::ServiceHash;
 use crate::protocol::Incarnation;
 use crate::protocol::fleet::BoxRecord;
 
@@ -22,19 +24,31 @@
 pub const STREAMS: &str = "copperweir/streams/";
 /// Prefix of the versions of services.
 pub const VERSIONS: &str = "copperweir/streams/versions/";
+/// Maximum length of a service's name in a key.
+const MAX_SERVICE_NAME: usize = 128;
+/// Begins the hash of a longer name.
+const HASH_MARK: char = '#';
 /// Key of the splits of all routes on which streams may be resumed.
 pub const ROUTES: &str = "copperweir/streams/routes";
 /// Prefix of batches of streams. Boxes don't keep these entries in their copies of the store.
 const BATCHES: &str = "copperweir/streams/batches/";
 
-/// The key of the versions of a service.
+/// The key of the versions of a service. The store takes only short keys, so that a long name is
+/// replaced by its hash.
 pub fn versions_key(service: &str) -> String {
-    format!("{VERSIONS}{service}")
+    match service.len() {
+        0..=MAX_SERVICE_NAME => format!("{VERSIONS}{service}"),
+        _ => format!("{VERSIONS}{HASH_MARK}{:x}", stream_versions::service_hash(service)),
+    }
 }
 
 /// The service whose versions a key lists.
-pub fn listed_service(key: &str) -> Option<&str> {
-    key.strip_prefix(VERSIONS)
+pub fn listed_service(key: &str) -> Option<ServiceHash> {
+    let name = key.strip_prefix(VERSIONS)?;
+    match name.strip_prefix(HASH_MARK) {
+        Some(hash) => ServiceHash::from_str_radix(hash, 16).ok(),
+        None => Some(stream_versions::service_hash(name)),
+    }
 }
 
 /// One of the keys under which an incarnation of a box writes batches of streams.
--- a/lib/src/gateway/stream_directory.rs
+++ b/lib/src/gateway/stream_directory.rs
@@ -12,10 +12,12 @@
 use crate::coordination::presence;
 use crate::coordination::stream_versions::BoxLocation;
 use crate::coordination::stream_versions::Destination;
+use crate::coordination::stream_versions::NO_POINT;
 use crate::coordination::stream_versions::StreamKey;
 use crate::coordination::stream_versions::StreamReport;
 use crate::coordination::stream_versions::StreamVersions;
 use crate::protocol::fleet::VersionHash;
+use crate::protocol::platform::Era;
 
 /// Maximum number of streams that wait to be written to the store; the oldest are dropped first.
 const MAX_UNWRITTEN: usize = 20_000;
@@ -38,6 +40,23 @@
     }
 }
 
+/// The version of a stream, by a read of the store.
+#[derive(Clone, Copy, Debug)]
+pub enum StoredVersion {
+    /// A batch has the stream.
+    Recorded(VersionHash),
+    /// By the lists, no other version is possible.
+    Proved(VersionHash),
+}
+
+impl StoredVersion {
+    fn version(self) -> VersionHash {
+        match self {
+            StoredVersion::Recorded(version) | StoredVersion::Proved(version) => version,
+        }
+    }
+}
+
 /// A stream to look up in the store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreLookup {
@@ -56,8 +75,8 @@
 pub struct StreamDirectory {
     /// The versions of streams and services.
     pub versions: StreamVersions,
-    /// Names of the routes whose splits the store lists.
-    pub listed_routes: BTreeSet<String>,
+    /// Names of the routes whose splits the store lists, or that were configured lately.
+    pub route_names: BTreeSet<String>,
     lookups: HashMap<StreamKey, Lookup>,
     pub(super) outbox: HashMap<SocketAddr, StreamReport>,
     /// Streams that began here and that the recorder has not been sent.
@@ -67,6 +86,8 @@
     store_lookups: Vec<StoreLookup>,
     /// Whether the state from the store was too old to rely on when this was last checked.
     pub(super) was_aging: bool,
+    /// Era of the store when this was last checked.
+    pub(super) last_era: Option<Era>,
 }
 
 impl StreamDirectory {
@@ -138,13 +159,21 @@
     pub fn finish_store_lookup(
         &mut self,
         lookup: StoreLookup,
-        version: Option<VersionHash>,
+        found: Option<StoredVersion>,
         own_hash: u64,
     ) {
-        match lookup.asked_by {
-            Some(asked_by) => self.respond(asked_by, lookup.key, version),
-            None => match version {
-                Some(_) => self.finish_lookup(lookup.key, version),
+        match (lookup.asked_by, found) {
+            // The box that asked may know of more versions, and must not tell others.
+            (Some(asked_by), Some(StoredVersion::Proved(version))) => {
+                let response = self.outbox.entry(asked_by).or_default();
+                response.proved.push(lookup.key);
+                response.proved_versions.push(version);
+            }
+            (Some(asked_by), found) => {
+                self.respond(asked_by, lookup.key, found.map(StoredVersion::version));
+            }
+            (None, found) => match found {
+                Some(found) => self.finish_lookup(lookup.key, Some(found.version())),
                 None => self.record_unknown(lookup.key, own_hash),
             },
         }
@@ -200,7 +229,7 @@
                     report.queried.insert(0, key);
                     report.queried_services.insert(0, destination.service);
                     report.queried_routes.insert(0, destination.route);
-                    report.queried_points.insert(0, destination.point);
+                    report.queried_points.insert(0, destination.point.unwrap_or(NO_POINT));
                 }
                 false => report.queried.push(key),
             }
@@ -258,6 +287,13 @@
         for key in &report.not_looked_up {
             self.query_store(*key, own_hash);
         }
+        for (key, version) in report.proved.iter().zip(&report.proved_versions) {
+            let Some(lookup) = self.lookups.get(key) else { continue };
+            match self.versions.may_be_sole(lookup.destination, *version, now) {
+                true => self.finish_lookup(*key, Some(*version)),
+                false => self.record_unknown(*key, sender),
+            }
+        }
         for key in report.unknown.iter().chain(&report.not_looked_up) {
             self.record_unknown(*key, sender);
         }
@@ -269,6 +305,6 @@
     Some(Destination {
         service: *report.queried_services.get(number)?,
         route: *report.queried_routes.get(number)?,
-        point: *report.queried_points.get(number)?,
+        point: Some(*report.queried_points.get(number)?).filter(|point| *point != NO_POINT),
     })
 }
--- a/lib/src/gateway/stream_lists.rs
+++ b/lib/src/gateway/stream_lists.rs
@@ -3,6 +3,7 @@
 //! The recorder of a region writes a list first; the next boxes of the region follow if it doesn't.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -38,6 +39,8 @@
 const NEXT_WRITER_DELAY: Duration = Duration::from_millis(400);
 /// Time after a write until a list is written again if it is still not as it should be.
 const WRITE_PAUSE: Duration = Duration::from_millis(400);
+/// The same if writes fail again and again.
+const MAX_WRITE_PAUSE: Duration = Duration::from_secs(10);
 /// Maximum number of lists in one write.
 const MAX_LISTS_PER_CALL: usize = 16;
 /// Delay after which a second version is listed if servers of the listed ones serve: by then the
@@ -54,7 +57,7 @@
 /// Writes lists for as long as the box runs.
 pub async fn write_lists<A: Adapter>(shared: Arc<Shared<A>>, store: store::Client<A>) {
     // Keys of the lists that are to be written, with the time from which the first box may.
-    let mut due_from: HashMap<String, Instant> = HashMap::new();
+    let mut due_from: HashMap<String, Due> = HashMap::new();
     let mut starts = BoxStarts::default();
     loop {
         match due_from.is_empty() {
@@ -70,8 +73,13 @@
         let is_settled = starts.are_over(now) && all_are_heard(&shared, &snapshot, now);
         let changes = list_changes(&shared, &snapshot, now);
         due_from.retain(|key, _| changes.iter().any(|change| change.key == *key));
-        for change in &changes {
-            due_from.entry(change.key.clone()).or_insert(now);
+        for ListChange { key, revision, .. } in &changes {
+            let new = Due { from: now, pause: WRITE_PAUSE, revision: *revision };
+            let due = due_from.entry(key.clone()).or_insert(new);
+            // The list was written since.
+            if due.revision != *revision {
+                *due = Due { from: now + WRITE_PAUSE, ..new };
+            }
         }
         let rank_delay = NEXT_WRITER_DELAY * rank(&shared, &snapshot) as u32;
         let is_due = |change: &ListChange| {
@@ -79,26 +87,50 @@
                 true => change.max_delay.min(LISTING_DELAY),
                 false => change.max_delay,
             };
-            now >= due_from[&change.key] + rank_delay + delay
+            now >= due_from[&change.key].from + rank_delay + delay
         };
         let due: Vec<ListChange> =
             changes.into_iter().filter(is_due).take(MAX_LISTS_PER_CALL).collect();
         if due.is_empty() {
             continue;
         }
-        if let Err(PlatformError::Conflict(_)) = write_changes(&store, &due).await {
-            // One of several lists has changed meanwhile. Those that fail again are due again.
-            for change in due.chunks(1).filter(|_| due.len() > 1) {
-                let _ = write_changes(&store, change).await;
+        let mut failed: HashSet<String> = HashSet::new();
+        match write_changes(&store, &due).await {
+            Ok(()) => {}
+            // One of several lists has changed meanwhile, or the store doesn't take it.
+            Err(PlatformError::Conflict(_) | PlatformError::Malformed(_)) if due.len() > 1 => {
+                for change in due.chunks(1) {
+                    if write_changes(&store, change).await.is_err() {
+                        failed.insert(change[0].key.clone());
+                    }
+                }
             }
+            Err(_) => failed.extend(due.iter().map(|change| change.key.clone())),
         }
         // The watch returns what has been written, here or by another box.
         for change in due {
-            due_from.insert(change.key, clock::now() + WRITE_PAUSE);
+            let last = due_from.get(&change.key).map_or(WRITE_PAUSE, |due| due.pause);
+            let pause = match failed.contains(&change.key) {
+                true => (last * 2).min(MAX_WRITE_PAUSE),
+                false => WRITE_PAUSE,
+            };
+            let due = Due { from: clock::now() + pause, pause, revision: change.revision };
+            due_from.insert(change.key, due);
         }
     }
 }
 
+/// When a list is written.
+#[derive(Clone, Copy, Debug)]
+struct Due {
+    /// From when the first box of the region may write it.
+    from: Instant,
+    /// Pause after the last write.
+    pause: Duration,
+    /// Revision of the key at that time.
+    revision: Revision,
+}
+
 /// When the boxes of the fleet, and this one, were started last.
 #[derive(Debug, Default)]
 struct BoxStarts {
@@ -155,8 +187,8 @@
     let mut changes: Vec<ListChange> = Vec::new();
     let lists = {
         let directory = lock(&shared.streams);
-        let listed = &directory.listed_routes;
-        stream_routes::lists_to_write(&directory.versions, routing, listed, is_current, now)
+        let names = &directory.route_names;
+        stream_routes::lists_to_write(&directory.versions, names, is_current, now)
     };
     changes.extend(lists.map(|lists| ListChange {
         key: ROUTES.to_owned(),
@@ -165,10 +197,15 @@
         revision: revision(ROUTES),
         max_delay: Duration::ZERO,
     }));
-    for service in routing.streaming_services() {
+    let streaming = routing.streaming_services();
+    for service in routing.services.keys() {
         let hash = stream_versions::service_hash(service);
         let (list, listed) = {
             let versions = &lock(&shared.streams).versions;
+            // Routes with streams may move back to a service that has a list.
+            if !streaming.contains(service) && versions.list(hash).is_none() {
+                continue;
+            }
             let Some(list) = versions.list_to_write(hash, is_current, now) else { continue };
             (list, versions.listed_versions(hash))
         };
--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -6,6 +6,7 @@
 //! then is not missed. While the store doesn't respond, a stream that no box knows stays unknown.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,12 +19,14 @@
 use super::store_keys::ROUTES;
 use super::store_keys::STREAMS;
 use super::stream_directory::StoreLookup;
+use super::stream_directory::StoredVersion;
 use super::stream_lists;
 use super::stream_routes;
 use super::stream_versions;
 use crate::coordination::presence;
 use crate::coordination::stream_batch::MAX_BATCH_STREAMS;
 use crate::coordination::stream_batch::StreamBatch;
+use crate::coordination::stream_versions::MAX_STREAMS;
 use crate::coordination::stream_versions::Split;
 use crate::coordination::stream_versions::StreamKey;
 use crate::coordination::stream_versions::SubjectHash;
@@ -93,7 +96,7 @@
             stored.lists.extend(lists.map(|(name, list)| (stream_routes::route_hash(&name), list)));
         } else if let Some(service) = store_keys::listed_service(&item.key) {
             if let Ok(list) = VersionList::try_from(&item.value[..]) {
-                stored.lists.insert(stream_versions::service_hash(service), list);
+                stored.lists.insert(service, list);
             }
         } else if let Ok(batch) = StreamBatch::try_from(&item.value[..]) {
             stored.batches.push(batch);
@@ -151,9 +154,19 @@
     own_hash: u64,
 ) {
     let now = clock::now();
+    let queried: HashSet<StreamKey> = lookups.iter().map(|lookup| lookup.key).collect();
+    let stream_count: usize = stored.batches.iter().map(|batch| batch.streams.len()).sum();
     // Requests need the lock, too.
     for batch in &stored.batches {
-        stream_versions::apply_batch(shared, batch);
+        match stream_count <= MAX_STREAMS {
+            true => stream_versions::apply_batch(shared, batch),
+            // A box doesn't keep the streams of a large fleet.
+            false => {
+                let streams = batch.streams.iter().copied();
+                let streams = streams.filter(|(key, _)| queried.contains(key)).collect();
+                stream_versions::apply_batch(shared, &StreamBatch { streams });
+            }
+        }
     }
     let all_wait_for_list = all_record_streams(&shared.snapshot.load());
     let (count, mut found) = (lookups.len(), 0);
@@ -165,10 +178,13 @@
         let destination = lookup.destination;
         let list = |subject| stored.lists.get(&subject).map(|list| (list, stored.era));
         let (versions, splits) = (list(destination.service), list(destination.route));
-        let version = directory.versions.look_up(lookup.key, now).or_else(|| {
+        let recorded = directory.versions.look_up(lookup.key, now).map(StoredVersion::Recorded);
+        let version = recorded.or_else(|| {
             let known = &directory.versions;
             known.is_sole_service(destination, splits?, now).then_some(())?;
-            known.sole_version(destination.service, versions?, all_wait_for_list, now)
+            let sole =
+                known.sole_version(destination.service, versions?, all_wait_for_list, now)?;
+            Some(StoredVersion::Proved(sole))
         });
         let is_listed = versions.is_some() && splits.is_some() || !destination.may_be_listed();
         if !is_listed && version.is_none() && lookup.reads_without_list < MAX_READS_WITHOUT_LIST {
--- a/lib/src/gateway/stream_routes.rs
+++ b/lib/src/gateway/stream_routes.rs
@@ -51,56 +51,62 @@
 
 /// Where a request goes.
 pub fn destination(job: &Job) -> Destination {
+    let is_unnamed = job.continues_stream() && job.metadata.resumes.is_none();
     Destination {
         service: stream_versions::service_hash(&job.service),
         route: route_hash(&route_name(&job.route)),
-        point: job::routing_point(job.first_attempt()),
+        point: (!is_unnamed).then(|| job::routing_point(job.first_attempt())),
     }
 }
 
-/// Records the splits of all routes, and that routes which only `listed` names have none. Returns the
-/// routes that have a new one beside others.
+/// Records the splits of all routes. `names` are those of routes that the store lists or that were
+/// configured lately. Returns the routes that have another split than before, beside earlier ones.
 pub fn record_splits(
     versions: &mut StreamVersions,
     routing: &Routing,
-    listed: &BTreeSet<String>,
+    names: &mut BTreeSet<String>,
     now: Instant,
-) -> Vec<RouteHash> {
+) -> BTreeSet<RouteHash> {
     let mut splits: BTreeMap<String, SplitHash> = BTreeMap::new();
     for route in routing.resumable_routes() {
         splits.insert(route_name(route), versions.define_split(split(route)));
     }
-    for (from, to) in moved_paths(versions, &splits, listed) {
-        versions.inherit_splits(route_hash(from), route_hash(to), now);
+    let mut changed = BTreeSet::new();
+    for (from, to) in moved_paths(versions, &splits, names, now) {
+        if versions.inherit_splits(route_hash(from), route_hash(to), now) {
+            changed.insert(route_hash(to));
+        }
     }
-    let mut changed = Vec::new();
-    for name in splits.keys().chain(listed.iter().filter(|name| !splits.contains_key(*name))) {
+    names.extend(splits.keys().cloned());
+    for name in names.iter() {
         let route = route_hash(name);
-        let split = splits.get(name).copied();
-        let is_new = split.is_some_and(|split| !versions.is_counted(route, split, now));
-        versions.record_versions(route, split.into_iter(), now);
-        if is_new && versions.has_several_versions(route, now) {
-            changed.push(route);
+        if versions.record_split(route, splits.get(name).copied(), now) {
+            changed.insert(route);
         }
     }
+    names.retain(|name| versions.is_known(route_hash(name), now));
+    changed.retain(|route| versions.has_several_versions(*route, now));
     changed
 }
 
-/// Pairs of a listed route and a current one to which paths of the first belong now: because the
+/// Pairs of a known route and a current one to which paths of the first belong now: because the
 /// second one is new, or back, and has a longer prefix, or because the first one was removed.
 fn moved_paths<'a>(
     versions: &StreamVersions,
     current: &'a BTreeMap<String, SplitHash>,
-    listed: &'a BTreeSet<String>,
+    names: &'a BTreeSet<String>,
+    now: Instant,
 ) -> Vec<(&'a String, &'a String)> {
     let is_away = |name: &&String| versions.is_away(route_hash(name));
-    let new = current.keys().filter(|name| !listed.contains(*name) || is_away(name));
-    let removed = listed.iter().filter(|name| !current.contains_key(*name));
+    let new = current.keys().filter(|name| !names.contains(*name) || is_away(name));
+    let removed = names.iter().filter(|name| !current.contains_key(*name));
     // A route that was away has handed its paths on.
-    let present = || listed.iter().filter(|name| !is_away(name));
-    let from_listed = new.filter_map(|name| Some((longest_prefix(present(), name)?, name)));
+    let may_have_streams =
+        |name: &&String| !is_away(name) && versions.count_versions(route_hash(name), now) > 0;
+    let present = || names.iter().filter(may_have_streams);
+    let from_known = new.filter_map(|name| Some((longest_prefix(present(), name)?, name)));
     let to_current = removed.filter_map(|name| Some((name, longest_prefix(current.keys(), name)?)));
-    from_listed.chain(to_current).collect()
+    from_known.chain(to_current).collect()
 }
 
 /// The longest name that begins another one.
@@ -111,13 +117,13 @@
 /// Records the lists that the store has.
 pub fn apply_lists<A>(shared: &Shared<A>, lists: RouteLists, now: Instant) {
     let directory = &mut *lock(&shared.streams);
-    for name in directory.listed_routes.iter().filter(|name| !lists.routes.contains_key(*name)) {
+    for name in directory.route_names.iter().filter(|name| !lists.routes.contains_key(*name)) {
         directory.versions.apply_list(route_hash(name), None, now);
     }
     for split in lists.splits.into_values() {
         directory.versions.define_split(split);
     }
-    directory.listed_routes = lists.routes.keys().cloned().collect();
+    directory.route_names.extend(lists.routes.keys().cloned());
     for (name, list) in lists.routes {
         directory.versions.apply_list(route_hash(&name), Some(list), now);
     }
@@ -126,20 +132,15 @@
 /// The lists that the store should have, if it has others.
 pub fn lists_to_write(
     versions: &StreamVersions,
-    routing: &Routing,
-    listed: &BTreeSet<String>,
+    names: &BTreeSet<String>,
     is_current: bool,
     now: Instant,
 ) -> Option<RouteLists> {
-    if !versions.knows_era() {
-        return None;
-    }
-    let names: BTreeSet<String> =
-        routing.resumable_routes().map(|route| route_name(route)).collect();
+    versions.era()?;
     let stored = |name: &String| versions.list(route_hash(name));
     // A route that complete lists don't name is new, so it has no earlier streams.
-    let complete_lists: Vec<&VersionList> =
-        listed.iter().filter_map(stored).filter(|list| list.complete).collect();
+    let listed: Vec<&VersionList> = names.iter().filter_map(stored).collect();
+    let complete_lists: Vec<&&VersionList> = listed.iter().filter(|list| list.complete).collect();
     let needed = |name: &String| {
         let mut list = versions.needed_list(route_hash(name), is_current, now)?;
         if stored(name).is_none() {
@@ -147,7 +148,7 @@
         }
         Some((name.clone(), list))
     };
-    let routes: BTreeMap<String, VersionList> = names.union(listed).filter_map(needed).collect();
+    let routes: BTreeMap<String, VersionList> = names.iter().filter_map(needed).collect();
     let is_written = routes.len() == listed.len()
         && routes.iter().all(|(name, list)| stored(name) == Some(list));
     let hashes = routes.values().flat_map(|list| &list.versions);
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -41,8 +41,8 @@
 use crate::state::counters::Counter;
 use crate::transport::timer;
 
-/// Maximum number of streams of each kind in a datagram, at 80 bytes for one of each.
-const MAX_STREAMS_PER_REPORT: usize = 80;
+/// Maximum number of streams of each kind in a datagram, at 96 bytes for one of each.
+const MAX_STREAMS_PER_REPORT: usize = 70;
 /// Maximum wait for other boxes: a round trip between distant regions, or a read of the store by the
 /// recorder. After that, this box reads the store itself.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
@@ -52,6 +52,7 @@
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Ranks the boxes of a region to find its recorder.
 const RECORDER_KEY: &str = "streams";
+
 /// What told the version of a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
@@ -189,9 +190,13 @@
         if let Some(routing) = &snapshot.routing {
             known.set_longest_stream(routing.longest_stream(), now);
             known.record_state(snapshot.state.position.era, now);
-            let listed = &directory.listed_routes;
-            for route in stream_routes::record_splits(known, routing, listed, now) {
-                streams.extend(known.own_streams(route, now));
+            let names = &mut directory.route_names;
+            let changed = stream_routes::record_splits(known, routing, names, now);
+            if !changed.is_empty() {
+                let running = known.running_streams(now);
+                let moved =
+                    running.filter(|(destination, ..)| changed.contains(&destination.route));
+                streams.extend(moved.map(|(_, key, version)| (key, version)));
             }
         }
         for (service, versions) in &snapshot.software {
@@ -209,15 +214,18 @@
 }
 
 /// Announces the running streams of this box when its state from the store gets too old to tell
-/// whether there is a second version.
+/// whether there is a second version, or the store came back from an older copy.
 pub fn tick<A: Adapter>(shared: &Shared<A>, now: Instant) {
     let is_aging = lock(&shared.freshness).is_aging(now);
     let streams: Vec<(StreamKey, VersionHash)> = {
         let mut directory = lock(&shared.streams);
         directory.expire(now);
         let was_aging = std::mem::replace(&mut directory.was_aging, is_aging);
+        let era = directory.versions.era();
+        let last_era = std::mem::replace(&mut directory.last_era, era);
+        let has_lost_proof = (is_aging && !was_aging) || (last_era.is_some() && last_era != era);
         let running = directory.versions.running_streams(now);
-        running.filter(|_| is_aging && !was_aging).map(|(_, key, version)| (key, version)).collect()
+        running.filter(|_| has_lost_proof).map(|(_, key, version)| (key, version)).collect()
     };
     if !streams.is_empty() {
         announce(shared, &shared.snapshot.load(), &streams);
@@ -248,12 +256,12 @@
     job: &Job,
 ) -> Result<Option<(ServiceId, VersionHash)>, Failure> {
     if job.origin == Origin::Peer {
-        let Some(version) = job.forward.version else { return Ok(None) };
-        let service = service_hash(&job.service);
-        if job.forward.service.is_some_and(|expected| expected != service) {
-            let message = "the route no longer has the service that began the stream";
+        let chosen = job.forward.service.filter(|_| job.route.resumable);
+        if chosen.is_some_and(|chosen| chosen != service_hash(&job.service)) {
+            let message = "the route no longer has the service that the request was sent for";
             return Err(Failure::new(ErrorKind::NoServer, message));
         }
+        let Some(version) = job.forward.version else { return Ok(None) };
         return Ok(Some((job.service.clone(), version)));
     }
     if !job.continues_stream() {
@@ -342,13 +350,9 @@
     let snapshot = shared.snapshot.load();
     let recorder = other_recorder(shared, &snapshot, now);
     let chosen = stream_routes::destination(job);
-    // A caller that takes a stream up without naming the attempt that began it is led to any service of
-    // the route.
-    let is_unnamed = job.continues_stream() && job.metadata.resumes.is_none();
-    let is_chosen_alike = !is_unnamed || job.route.services().count() <= 1;
     let query = |service: &&ServiceId| {
         let key = stream_key(job, service);
-        let destination = match **service == job.service && is_chosen_alike {
+        let destination = match **service == job.service {
             true => chosen,
             false => Destination { service: service_hash(service), ..Destination::default() },
         };
@@ -416,6 +420,8 @@
             not_looked_up: take(&mut report.not_looked_up),
             queried_routes: take(&mut report.queried_routes),
             queried_points: take(&mut report.queried_points),
+            proved: take(&mut report.proved),
+            proved_versions: take(&mut report.proved_versions),
         });
     }
     parts
--- a/lib/tests/test_stream_records.rs
+++ b/lib/tests/test_stream_records.rs
@@ -17,7 +17,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 fn destination() -> Destination {
-    Destination { service: SERVICE, route: ROUTE, point: 0 }
+    Destination { service: SERVICE, route: ROUTE, point: Some(0) }
 }
 
 fn list(era: u64, versions: &[u64]) -> VersionList {
--- a/lib/tests/test_stream_routes.rs
+++ b/lib/tests/test_stream_routes.rs
@@ -9,6 +9,7 @@
 use copperweir_lib::coordination::stream_versions::Destination;
 use copperweir_lib::coordination::stream_versions::StreamVersions;
 use copperweir_lib::coordination::version_list::RouteLists;
+use copperweir_lib::gateway::store_keys;
 use copperweir_lib::gateway::stream_routes;
 use copperweir_lib::protocol::routing::Limits;
 use copperweir_lib::protocol::routing::Repeatability;
@@ -38,7 +39,9 @@
 /// A box and the lists in the store.
 struct Fixture {
     versions: StreamVersions,
-    stored: BTreeSet<String>,
+    names: BTreeSet<String>,
+    /// Routes whose streams are to be announced since the last configuration.
+    changed: BTreeSet<u64>,
     now: Instant,
 }
 
@@ -48,35 +51,54 @@
         let mut versions = StreamVersions::default();
         versions.record_state(ERA, now);
         versions.record_fleet(is_first);
-        Fixture { versions, stored: BTreeSet::new(), now }
+        Fixture { versions, names: BTreeSet::new(), changed: BTreeSet::new(), now }
     }
 
     /// Follows a configuration with these routes, and writes the lists. Returns what was written.
     fn follow(&mut self, routes: &[Route]) -> Option<RouteLists> {
+        self.record(routes);
+        let lists = stream_routes::lists_to_write(&self.versions, &self.names, true, self.now)?;
+        self.apply(&lists);
+        Some(lists)
+    }
+
+    /// Follows a configuration without writing the lists.
+    fn record(&mut self, routes: &[Route]) {
         let routing = Routing::new(1, routes.to_vec(), BTreeMap::new(), Limits::default());
-        stream_routes::record_splits(&mut self.versions, &routing, &self.stored, self.now);
+        self.changed =
+            stream_routes::record_splits(&mut self.versions, &routing, &mut self.names, self.now);
         self.versions.expire(self.now);
-        let lists =
-            stream_routes::lists_to_write(&self.versions, &routing, &self.stored, true, self.now)?;
-        for name in self.stored.iter().filter(|name| !lists.routes.contains_key(*name)) {
+    }
+
+    /// Reads the lists from the store.
+    fn apply(&mut self, lists: &RouteLists) {
+        for name in self.names.iter().filter(|name| !lists.routes.contains_key(*name)) {
             self.versions.apply_list(stream_routes::route_hash(name), None, self.now);
         }
-        self.stored = lists.routes.keys().cloned().collect();
+        for split in lists.splits.values() {
+            self.versions.define_split(split.clone());
+        }
+        self.names.extend(lists.routes.keys().cloned());
         for (name, list) in &lists.routes {
             let list = Some(list.clone());
             self.versions.apply_list(stream_routes::route_hash(name), list, self.now);
         }
-        Some(lists)
+    }
+
+    /// Whether the streams of a route are to be announced since the last configuration.
+    fn has_changed(&self, route: &Route) -> bool {
+        self.changed.contains(&stream_routes::route_hash(&stream_routes::route_name(route)))
     }
 
     /// Whether a stream that nobody knows began by the split that the route has now.
     fn has_proof(&self, route: &Route) -> bool {
-        self.has_proof_at(route, 0)
+        self.has_proof_at(route, Some(0))
     }
 
-    /// The same for a caller whose service is picked by this point.
-    fn has_proof_at(&self, route: &Route, point: u64) -> bool {
-        let service = route.pick_service(point).expect("a service");
+    /// The same for a caller whose service is picked by this point; `None` if it doesn't name the
+    /// attempt that began its stream.
+    fn has_proof_at(&self, route: &Route, point: Option<u64>) -> bool {
+        let service = route.pick_service(point.unwrap_or_default()).expect("a service");
         let destination = Destination {
             service: copperweir_lib::gateway::stream_versions::service_hash(service),
             route: stream_routes::route_hash(&stream_routes::route_name(route)),
@@ -126,12 +148,12 @@
     let before = route("/a/", &[("a", 1), ("b", 1)]);
     let after = route("/a/", &[("a", 3), ("b", 1)]);
     fixture.follow(std::slice::from_ref(&before));
-    assert!((0..8).all(|point| fixture.has_proof_at(&before, point)));
+    assert!((0..8).all(|point| fixture.has_proof_at(&before, Some(point))));
     fixture.now += SECOND;
     fixture.follow(std::slice::from_ref(&after));
     for point in 0..8 {
         let is_moved = before.pick_service(point) != after.pick_service(point);
-        assert_eq!(fixture.has_proof_at(&after, point), !is_moved, "{point}");
+        assert_eq!(fixture.has_proof_at(&after, Some(point)), !is_moved, "{point}");
     }
 }
 
@@ -217,7 +239,7 @@
     let routes = [route("/a/", &[("a", 1)]), route("/a/b/", &[("b", 1)])];
     let lists = fixture.follow(&routes).expect("both are listed");
     let mut started = Fixture::start(false);
-    started.stored = fixture.stored;
+    started.names = fixture.names;
     for (name, list) in lists.routes {
         let route = stream_routes::route_hash(&name);
         started.versions.apply_list(route, Some(list), started.now);
@@ -242,11 +264,10 @@
 
 #[test]
 fn lists_are_not_removed_by_a_box_that_has_read_no_state() {
-    let routing = Routing::new(1, Vec::new(), BTreeMap::new(), Limits::default());
-    let listed = BTreeSet::from(["h.example/a/".to_owned()]);
+    let names = BTreeSet::from(["h.example/a/".to_owned()]);
     let versions = StreamVersions::default();
     let now = Instant::now();
-    assert_eq!(stream_routes::lists_to_write(&versions, &routing, &listed, true, now), None);
+    assert_eq!(stream_routes::lists_to_write(&versions, &names, true, now), None);
 }
 
 #[test]
@@ -261,3 +282,74 @@
     altered.splits.values_mut().for_each(|split| split.truncate(1));
     assert!(read(&altered).is_err());
 }
+
+#[test]
+fn caller_that_names_no_attempt_has_proof_only_if_all_splits_have_one_service() {
+    let mut fixture = Fixture::start(true);
+    let both = route("/a/", &[("a", 1), ("b", 1)]);
+    let one = route("/a/", &[("b", 1)]);
+    fixture.follow(std::slice::from_ref(&both));
+    assert!(!fixture.has_proof_at(&both, None));
+    fixture.now += SECOND;
+    fixture.follow(std::slice::from_ref(&one));
+    assert!(!fixture.has_proof_at(&one, None));
+    for _ in 0..130 {
+        fixture.now += SECOND;
+        fixture.follow(std::slice::from_ref(&one));
+    }
+    assert!(fixture.has_proof_at(&one, None));
+}
+
+#[test]
+fn split_that_is_gone_before_it_was_listed_counts() {
+    let mut fixture = Fixture::start(true);
+    let (first, second) = (route("/a/", &[("a", 1)]), route("/a/", &[("b", 1)]));
+    fixture.follow(std::slice::from_ref(&first));
+    fixture.record(std::slice::from_ref(&second));
+    let lists = fixture.follow(std::slice::from_ref(&first)).expect("both are listed");
+    assert_eq!(lists.routes["h.example/a/"].versions.len(), 2);
+    assert!(!fixture.has_proof(&first));
+}
+
+#[test]
+fn route_that_is_removed_before_it_was_listed_hands_its_split_on() {
+    let mut fixture = Fixture::start(true);
+    let (wide, narrow) = (route("/a/", &[("a", 1)]), route("/a/b/", &[("b", 1)]));
+    fixture.follow(std::slice::from_ref(&wide));
+    fixture.record(&[wide.clone(), narrow]);
+    fixture.follow(std::slice::from_ref(&wide)).expect("the split of the removed route is listed");
+    assert!(!fixture.has_proof(&wide));
+    assert!(fixture.has_changed(&wide));
+    for _ in 0..200 {
+        fixture.now += SECOND;
+        fixture.follow(std::slice::from_ref(&wide));
+    }
+    assert!(fixture.has_proof(&wide));
+    assert_eq!(fixture.names.len(), 1);
+}
+
+#[test]
+fn streams_are_announced_though_the_list_came_with_the_configuration() {
+    let (first, second) = (route("/a/", &[("a", 1)]), route("/a/", &[("b", 1)]));
+    let (mut writer, mut reader) = (Fixture::start(true), Fixture::start(true));
+    let lists = writer.follow(std::slice::from_ref(&first)).expect("a list");
+    reader.record(std::slice::from_ref(&first));
+    reader.apply(&lists);
+    assert!(!reader.has_changed(&first));
+    let lists = writer.follow(std::slice::from_ref(&second)).expect("both are listed");
+    reader.apply(&lists);
+    reader.record(std::slice::from_ref(&second));
+    assert!(reader.has_changed(&second));
+    reader.record(std::slice::from_ref(&second));
+    assert!(!reader.has_changed(&second), "once");
+}
+
+#[test]
+fn keys_of_services_with_long_names_are_short() {
+    for name in ["engine", &"long".repeat(100)] {
+        let key = store_keys::versions_key(name);
+        assert!(key.len() <= 200);
+        let service = copperweir_lib::gateway::stream_versions::service_hash(name);
+        assert_eq!(store_keys::listed_service(&key), Some(service));
+    }
+}
