store: an era that the store does not have is denied by it

Cause: the newest era that a box or a seed had told was kept for good. Once it was larger than that of the store, a box took each response of the store for an outdated one.

Change: a response to a call that was sent after an era was told, and that has an older one, denies that era: the store would have been in it by then. The freshness of the state follows the same era instead of a maximum of its own.

--- a/lib/src/coordination/freshness.rs
+++ b/lib/src/coordination/freshness.rs
@@ -124,11 +124,17 @@
 }
 
 impl Freshness {
-    /// Records an era of the store.
-    pub fn observe_era(&mut self, era: Era) {
+    /// Records an era of the store that another box reports.
+    fn observe_era(&mut self, era: Era) {
         self.newest_era = self.newest_era.max(era);
     }
 
+    /// Sets the newest era of the store. It is lower than before if the store has denied one that
+    /// was reported.
+    pub fn set_newest_era(&mut self, era: Era) {
+        self.newest_era = era;
+    }
+
     /// Whether the store was restored from an older copy after this state was read.
     pub fn is_superseded(&self) -> bool {
         self.version.position.era < self.newest_era
--- a/lib/src/gateway/box_reports.rs
+++ b/lib/src/gateway/box_reports.rs
@@ -219,7 +219,7 @@
     };
     shared.eras.observe(position.era, from);
     let mut freshness = lock(&shared.freshness);
-    freshness.observe_era(shared.eras.get());
+    freshness.set_newest_era(shared.eras.get());
     if freshness.record_peer(&state_report, now) {
         shared.peer_ahead.notify_one();
     }
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -232,7 +232,7 @@
     /// its revision.
     pub(super) fn is_superseded(&self) -> bool {
         let mut freshness = lock(&self.shared.freshness);
-        freshness.observe_era(self.store.newest_era());
+        freshness.set_newest_era(self.store.newest_era());
         freshness.is_superseded()
     }
 
--- a/lib/src/transport/store.rs
+++ b/lib/src/transport/store.rs
@@ -3,8 +3,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -50,21 +51,45 @@
 
 /// The newest era that the store or another box has reported.
 #[derive(Clone, Debug, Default)]
-pub struct NewestEra(Arc<AtomicU64>);
+pub struct NewestEra(Arc<Mutex<ObservedEra>>);
+
+/// An era, and when it was first reported.
+#[derive(Clone, Copy, Debug, Default)]
+struct ObservedEra {
+    era: Era,
+    observed_at: Option<Instant>,
+}
 
 impl NewestEra {
     /// Returns the newest era so far; 0 if none was reported.
     pub fn get(&self) -> Era {
-        self.0.load(Ordering::Acquire)
+        self.lock().era
     }
 
-    /// Records an era reported by the store or the box at this address.
+    /// Records an era reported by the box at this address.
     pub fn observe(&self, era: Era, by: SocketAddr) {
-        let before = self.0.fetch_max(era, Ordering::AcqRel);
-        if before < era {
-            log::info!("event=store_era era={era} before={before} by={by}");
+        let mut observed = self.lock();
+        if observed.era < era {
+            log::info!("event=store_era era={era} before={} by={by}", observed.era);
+            *observed = ObservedEra { era, observed_at: Some(clock::now()) };
         }
     }
+
+    /// Records the era in a response of the store at this address to a call that was sent at
+    /// `asked_at`. A newer era that was reported before then does not exist: the store would have
+    /// been in it by then.
+    fn observe_response(&self, era: Era, asked_at: Instant, by: SocketAddr) {
+        self.observe(era, by);
+        let mut observed = self.lock();
+        if observed.era > era && observed.observed_at.is_some_and(|at| at < asked_at) {
+            log::warn!("event=store_era_denied era={era} before={} by={by}", observed.era);
+            *observed = ObservedEra { era, observed_at: Some(asked_at) };
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ObservedEra> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// A response of the store, and the era that it belongs to.
@@ -139,7 +164,7 @@
         let response = fetch_response(&self.http, self.address, call, timeout).await?;
         let era = self.codec.era(response.headers());
         if let Some(era) = era {
-            self.newest_era.observe(era, self.address);
+            self.newest_era.observe_response(era, asked_at, self.address);
         }
         let (status, body) = check_status(response)?;
         let response = self.codec.decode(operation, status, &body)?;
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -263,7 +263,7 @@
     let now = start + 10 * SECOND;
     let mut freshness = Freshness::default();
     confirmed_by_store(&mut freshness, version_in(1, 9), start);
-    freshness.observe_era(2);
+    freshness.set_newest_era(2);
     assert!(freshness.is_superseded());
     freshness.record_peer(&peer(1, version_in(1, 9), Duration::ZERO), now);
     assert_eq!(freshness.age(now), Some(10 * SECOND));
