backend: no response is taken that its request can't have caused

A server that responds twice to one request made the second response that of the next request on the connection. The runtime learns of bytes some time after they arrived, so an idle connection looked idle while a response or its end was already there. At `copperweir serve`, where responses were not compared by an id, callers got a 200 with the answer to another request; at the gateway, requests that may be repeated ended with 502.

- The socket itself is asked immediately before a request is written to a connection that was idle.
If anything has arrived, the request is certain not to be sent and uses another connection.
- Connections to a server that sent bytes on an idle one, or the answer to another request, are not reused for a minute.
A 408 that announces the end of an idle connection doesn't count.
- At `copperweir serve`, a response that names another request in `copperweir-response-to` is not relayed.
Servers may leave the header out.
- A request that is sent again uses a new connection.

--- a/lib/src/daemon/dispatch.rs
+++ b/lib/src/daemon/dispatch.rs
@@ -251,13 +251,16 @@
         Ok(backend_request) => backend_request,
         Err(failure) => return AttemptOutcome::NotRun(failure),
     };
+    // On a reused connection, remains of an earlier response could be taken for that of this
+    // request. One that is sent again should not fail for the same reason twice.
+    let new_connection = !request.repeatable || request.may_have_been_sent();
     let sent_at = clock::now();
     if let Err(failure) = request.record_send(sent_at) {
         return AttemptOutcome::NotRun(failure);
     }
     shared.counters.increment(Counter::Attempts);
     let execution = Execution::begin(shared, request, &slot, sent_at);
-    let exchange = shared.backend.send(slot.address, backend_request, !request.repeatable);
+    let exchange = shared.backend.send(slot.address, backend_request, new_connection);
     let response = match timer::timeout_at(request.deadline, exchange).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -275,6 +278,13 @@
             );
         }
     };
+    if names_other_request(&response, &request.incoming.id) {
+        response.body().record_surplus();
+        slot.set_outcome(Outcome::Failed);
+        let message = format!("{} sent the answer to another request", slot.server);
+        let failure = Failure::new(ErrorKind::BackendFailed, message);
+        return AttemptOutcome::MayHaveRun(failure.with_executed(Executed::Unknown));
+    }
     if server_reports_not_run(&response) {
         request.undo_send();
         let message = format!("{} refused the request", slot.server);
@@ -317,6 +327,13 @@
     }
 }
 
+/// Whether the response states that it belongs to another request. A server that responds twice to
+/// one request may do so while the next one is under way on the same connection.
+fn names_other_request(response: &Response<PooledBody>, id: &str) -> bool {
+    let named = response.headers().get(caller::RESPONSE_TO_HEADER);
+    named.is_some_and(|named| named.as_bytes() != id.as_bytes())
+}
+
 /// Whether the backend server states that it did not execute the request.
 fn server_reports_not_run(response: &Response<PooledBody>) -> bool {
     let status = response.status();
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -92,12 +92,10 @@
     job: &Job,
     mut reservation: Reservation<A>,
     last_event: Option<u64>,
+    new_connection: bool,
 ) -> SendOutcome<A> {
     let request = job.for_server(&shared.adapter, &reservation.place.server, last_event);
     shared.counters.increment(Counter::Attempts);
-    // A request that may run only once uses a new connection. On a reused one, remains of an
-    // earlier response could be taken for its response.
-    let new_connection = !job.route.repeatable();
     let address = reservation.place.address;
     let server = reservation.place.server.clone();
     let response =
@@ -274,6 +272,7 @@
         SendOutcome::MaybeRan(Failure::new(kind, message).with_executed(Executed::Unknown))
     };
     if metadata.id.as_deref() != Some(job.metadata.id.as_str()) {
+        exchange.record_surplus();
         let message = "the answer is that of another request";
         return maybe_ran(
             &mut reservation,
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -151,7 +151,11 @@
             history.tried.push(reservation.place.server.clone());
             let state = lock(&shared.freshness).summary(clock::now());
             decision_log::placed(job, history, &reservation.place, after_event, state);
-            attempt::to_server(shared, job, *reservation, after_event).await
+            // A request that may run only once uses a new connection. On a reused one, remains of
+            // an earlier response could be taken for its response. One that is sent again should
+            // not fail for the same reason twice.
+            let new_connection = !job.route.repeatable() || history.maybe_ran;
+            attempt::to_server(shared, job, *reservation, after_event, new_connection).await
         }
         Target::Peer(address, reason) => {
             let boxes =
--- a/lib/src/protocol/caller.rs
+++ b/lib/src/protocol/caller.rs
@@ -32,6 +32,8 @@
 pub const NOT_REPEATABLE_HEADER: &str = "copperweir-not-repeatable";
 /// The request ID, in responses.
 pub const REQUEST_ID_HEADER: &str = "copperweir-request-id";
+/// The request ID that the response of a backend server belongs to. Servers may leave it out.
+pub const RESPONSE_TO_HEADER: &str = "copperweir-response-to";
 /// The region that executed the request, in responses.
 pub const REGION_HEADER: &str = "copperweir-region";
 /// The box that sent the response.
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -5,6 +5,10 @@
 //! that was never written, so the client knows for certain when a request was not sent. A request
 //! that must be executed at most once uses a new connection, so that nothing left over from an
 //! earlier response can be mistaken for its own.
+//!
+//! A connection on which anything arrives while it is idle is not used again. If these are bytes,
+//! the server may send a second response later as well, when it can't be told from that of the next
+//! request. Connections to such a server are not reused for a while.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -51,6 +55,8 @@
 /// The longest time that an idle connection is kept for reuse. Servers that close connections
 /// earlier announce it, and in most cases the close is noticed before the next use.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(60);
+/// The time for which connections are not reused after their server has sent bytes on an idle one.
+const SURPLUS_PERIOD: Duration = Duration::from_secs(60);
 /// The longest wait for a connection to be established.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -92,8 +98,38 @@
 }
 
 type Sender = SendRequest<Full<Bytes>>;
-/// The idle connections, by thread and address.
-type IdleConnections = Arc<Mutex<HashMap<(usize, SocketAddr), Vec<Connection>>>>;
+type IdleConnections = Arc<Mutex<Idle>>;
+
+/// The connections that are kept for reuse.
+#[derive(Default)]
+struct Idle {
+    /// The connections, by thread and address.
+    connections: HashMap<(usize, SocketAddr), Vec<Connection>>,
+    /// The servers whose connections are not reused, and until when.
+    surplus_until: HashMap<SocketAddr, Instant>,
+}
+
+impl Idle {
+    fn record_surplus(&mut self, address: SocketAddr, now: Instant) {
+        self.surplus_until.retain(|_, until| now < *until);
+        self.surplus_until.insert(address, now + SURPLUS_PERIOD);
+    }
+
+    /// Returns the connections of this thread to a server that may be reused, and closes the others.
+    fn reusable(&mut self, address: SocketAddr, now: Instant) -> Option<&mut Vec<Connection>> {
+        let key = (traffic_thread::index(), address);
+        let connections = self.connections.get(&key)?;
+        if connections.iter().any(|connection| connection.meter.has_surplus()) {
+            self.record_surplus(address, now);
+        }
+        let has_surplus = self.surplus_until.get(&address).is_some_and(|until| now < *until);
+        let connections = self.connections.get_mut(&key)?;
+        connections.retain(|connection| {
+            !has_surplus && !connection.sender.is_closed() && now < connection.reusable_until
+        });
+        Some(connections)
+    }
+}
 
 /// An open connection. It is closed immediately when it is dropped, which tells the server that
 /// the response is no longer needed.
@@ -107,12 +143,13 @@
 
 impl Connection {
     /// Sends a request and waits for the head of the response, which must be complete in time once
-    /// it has begun.
+    /// it has begun. With `was_idle`, the request is sent only if nothing has arrived before.
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        was_idle: bool,
     ) -> Result<Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>, AttemptError> {
-        self.meter.begin();
+        self.meter.begin(was_idle);
         tokio::select! {
             biased;
             result = self.sender.try_send_request(request) => Ok(result),
@@ -188,6 +225,15 @@
         }
     }
 
+    /// Records that the response is not that of the request, so that connections to the server are
+    /// not reused for a while.
+    pub fn record_surplus(&self) {
+        if let Some((_, address, idle)) = &self.connection {
+            let mut idle = idle.lock().unwrap_or_else(PoisonError::into_inner);
+            idle.record_surplus(*address, clock::now());
+        }
+    }
+
     /// Returns the connection to the pool. Call this only after the body was read completely.
     pub fn release(&mut self) {
         self.release_for(MAX_IDLE_TIME);
@@ -199,6 +245,7 @@
         if !self.reuse || connection.sender.is_closed() {
             return;
         }
+        connection.meter.end();
         connection.reusable_until = clock::now() + idle_time.min(MAX_IDLE_TIME);
         store_idle(&idle, address, connection);
     }
@@ -207,7 +254,7 @@
 /// Stores a connection for the next request of this thread.
 fn store_idle(idle: &IdleConnections, address: SocketAddr, connection: Connection) {
     let mut idle = idle.lock().unwrap_or_else(PoisonError::into_inner);
-    let connections = idle.entry((traffic_thread::index(), address)).or_default();
+    let connections = idle.connections.entry((traffic_thread::index(), address)).or_default();
     if connections.len() < MAX_IDLE_PER_SERVER {
         connections.push(connection);
     }
@@ -253,7 +300,7 @@
     pub async fn send_if(
         &self,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         fresh: bool,
         permit: &mut impl Permit,
     ) -> Result<Response<PooledBody>, AttemptError> {
@@ -268,19 +315,25 @@
                 store_idle(&self.idle, address, connection);
                 return Err(AttemptError::Withheld);
             }
-            match connection.exchange(request).await? {
+            match connection.exchange(request.clone(), true).await? {
                 Ok(response) => return Ok(self.wrap_response(response, connection, address, true)),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(no_response(&error.into_error())),
-                },
+                Err(mut error) => {
+                    let is_unsent =
+                        error.take_message().is_some() || connection.meter.has_refused();
+                    if !is_unsent {
+                        return Err(no_response(&error.into_error()));
+                    }
+                    if connection.meter.has_surplus() {
+                        self.record_surplus(address);
+                    }
+                }
             }
         }
         let mut connection = self.connect(address).await?;
         if !permit.granted().await {
             return Err(AttemptError::Withheld);
         }
-        match connection.exchange(request).await? {
+        match connection.exchange(request, false).await? {
             Ok(response) => Ok(self.wrap_response(response, connection, address, !fresh)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -309,25 +362,28 @@
     /// connections that may no longer be reused.
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(&(traffic_thread::index(), address))?;
-        let now = clock::now();
-        connections
-            .retain(|connection| !connection.sender.is_closed() && now < connection.reusable_until);
+        let connections = idle.reusable(address, clock::now())?;
         let ready = connections.iter().rposition(|connection| connection.sender.is_ready());
         let index = ready.or(connections.len().checked_sub(1))?;
         Some(connections.swap_remove(index))
     }
 
+    fn record_surplus(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.record_surplus(address, clock::now());
+    }
+
     /// Returns the number of idle connections of this thread to a server.
     pub fn idle_count(&self, address: SocketAddr) -> usize {
         let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.get(&(traffic_thread::index(), address)).map_or(0, Vec::len)
+        idle.connections.get(&(traffic_thread::index(), address)).map_or(0, Vec::len)
     }
 
     /// Closes the idle connections to servers for which `keep` is false.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|(_, address), _| keep(address));
+        idle.connections.retain(|(_, address), _| keep(address));
+        idle.surplus_until.retain(|address, _| keep(address));
     }
 
     /// Opens a connection and keeps it for the next request.
--- a/lib/src/transport/meter.rs
+++ b/lib/src/transport/meter.rs
@@ -3,8 +3,13 @@
 //! The HTTP library parses heads within the task of the connection, passes over interim responses
 //! and buffers what it has read, so that a client doesn't see how much arrives. [`Metered`] counts
 //! below it, and ends the connection with an error beyond the bounds.
+//!
+//! It also keeps responses apart from requests that they can't belong to. The runtime learns of
+//! bytes some time after they have arrived, so the socket itself is asked immediately before a
+//! request is written to a connection that was idle.
 
 use std::io;
+use std::io::Read;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -16,9 +21,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use super::timer;
@@ -57,6 +64,17 @@
     }
 }
 
+/// Bytes or the end of a connection arrived before the request that was to be written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the server used or closed the connection while it was idle")]
+struct NotIdle;
+
+impl From<NotIdle> for io::Error {
+    fn from(error: NotIdle) -> io::Error {
+        io::Error::new(io::ErrorKind::InvalidData, error)
+    }
+}
+
 /// The part of a head that has been read.
 #[derive(Default)]
 struct HeadScanner {
@@ -128,7 +146,23 @@
     }
 }
 
+/// Use of a connection by requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Use {
+    /// No request is under way.
+    Idle,
+    /// A request is to be written to a connection that was idle.
+    Unwritten,
+    /// A request is under way.
+    Busy,
+    /// A request was not written, since the connection was no longer idle.
+    Refused,
+}
+
 struct State {
+    usage: Use,
+    /// Whether bytes arrived that no request had asked for.
+    has_surplus: bool,
     /// Set while a head is awaited.
     head: Option<HeadScanner>,
     /// Bytes read after the head.
@@ -140,6 +174,11 @@
 }
 
 impl State {
+    /// Records bytes that arrived while no request was under way.
+    fn record_surplus(&mut self, bytes: &[u8]) {
+        self.has_surplus |= !bytes.is_empty() && !is_idle_timeout(bytes);
+    }
+
     fn record(&mut self, bytes: &[u8]) -> Result<(), Exceeded> {
         let mut body_bytes = bytes.len();
         if let Some(head) = &mut self.head {
@@ -168,20 +207,43 @@
 impl Meter {
     /// Creates a meter without bounds; [`Meter::begin`] sets those on a head.
     pub fn new() -> Meter {
-        let state =
-            State { head: None, body_bytes: 0, max_body_bytes: u64::MAX, max_part_bytes: u64::MAX };
+        let state = State {
+            usage: Use::Idle,
+            has_surplus: false,
+            head: None,
+            body_bytes: 0,
+            max_body_bytes: u64::MAX,
+            max_part_bytes: u64::MAX,
+        };
         Meter(Arc::new(Shared { state: Mutex::new(state), head_began: Notify::new() }))
     }
 
-    /// Begins a response. Its head is bounded, and its body isn't yet.
-    pub fn begin(&self) {
+    /// Begins an exchange. The head of the response is bounded, and its body isn't yet. With
+    /// `was_idle`, the request is refused if anything has arrived before it is written.
+    pub fn begin(&self, was_idle: bool) {
         let mut state = self.lock();
+        state.usage = if was_idle { Use::Unwritten } else { Use::Busy };
         state.head = Some(HeadScanner::default());
         state.body_bytes = 0;
         state.max_body_bytes = u64::MAX;
         state.max_part_bytes = u64::MAX;
     }
 
+    /// Ends an exchange whose response was read completely.
+    pub fn end(&self) {
+        self.lock().usage = Use::Idle;
+    }
+
+    /// Whether the last request was not written, since the connection was no longer idle.
+    pub fn has_refused(&self) -> bool {
+        self.lock().usage == Use::Refused
+    }
+
+    /// Whether the server sent bytes that no request had asked for.
+    pub fn has_surplus(&self) -> bool {
+        self.lock().has_surplus
+    }
+
     /// Bounds the number of bytes of the body and its framing.
     pub fn limit_body(&self, max_bytes: u64) {
         self.lock().max_body_bytes = max_bytes;
@@ -223,6 +285,14 @@
 
     fn record(&self, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.lock();
+        match state.usage {
+            Use::Idle => state.record_surplus(bytes),
+            Use::Unwritten => {
+                state.record_surplus(bytes);
+                state.usage = Use::Refused;
+            }
+            Use::Busy | Use::Refused => {}
+        }
         let result = state.record(bytes);
         let is_head_incomplete = state.head.is_some();
         drop(state);
@@ -243,20 +313,48 @@
     }
 }
 
+/// Whether bytes begin the response by which servers may announce that they close an idle
+/// connection.
+fn is_idle_timeout(bytes: &[u8]) -> bool {
+    bytes.starts_with(b"HTTP/1.") && bytes.get(STATUS_START..STATUS_BYTES) == Some(b"408")
+}
+
 /// A connection whose read bytes are counted.
-pub struct Metered<S> {
-    stream: S,
+pub struct Metered {
+    stream: TcpStream,
     meter: Meter,
 }
 
-impl<S> Metered<S> {
+impl Metered {
     /// Counts the bytes that are read from `stream`.
-    pub fn new(stream: S, meter: Meter) -> Metered<S> {
+    pub fn new(stream: TcpStream, meter: Meter) -> Metered {
         Metered { stream, meter }
     }
+
+    /// Fails if bytes or the end of the connection arrived before the request.
+    fn check_idle(&self) -> io::Result<()> {
+        let mut state = self.meter.lock();
+        match state.usage {
+            Use::Idle | Use::Busy => return Ok(()),
+            Use::Refused => return Err(NotIdle.into()),
+            Use::Unwritten => {}
+        }
+        // The runtime can't tell of what it has not been told of yet.
+        let mut bytes = [0; STATUS_BYTES];
+        match (&*SockRef::from(&self.stream)).read(&mut bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock && !state.has_surplus => {
+                state.usage = Use::Busy;
+                return Ok(());
+            }
+            Ok(len) => state.record_surplus(&bytes[..len]),
+            Err(_) => {}
+        }
+        state.usage = Use::Refused;
+        Err(NotIdle.into())
+    }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
+impl AsyncRead for Metered {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -268,12 +366,13 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for Metered<S> {
+impl AsyncWrite for Metered {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_idle()?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -290,6 +389,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check_idle()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
--- a/lib/tests/test_cut_heads.rs
+++ b/lib/tests/test_cut_heads.rs
@@ -8,14 +8,18 @@
 use common::Fleet;
 use common::Plan;
 use common::REGIONS;
+use common::eventually;
+use copperweir_standin::cut::Action;
 use copperweir_standin::cut::CutServers;
 use copperweir_standin::cut::End;
+use copperweir_standin::cut::Script;
 use copperweir_standin::cut::Shape;
 use copperweir_standin::cut_play::Play;
 use copperweir_standin::cut_play::Tally;
 use copperweir_standin::cut_play::cuts;
 use copperweir_standin::cut_play::is_plain;
 use copperweir_standin::cut_play::sample;
+use http::Method;
 use serde_json::json;
 
 /// Number of servers, so that few are ejected for their cuts.
@@ -35,9 +39,13 @@
 impl Fixture {
     /// Boxes in `regions` regions. The servers are in the last one.
     fn start(test_id: u8, regions: usize, cuts_once: bool) -> Fixture {
+        Fixture::with_servers(SERVERS, test_id, regions, cuts_once)
+    }
+
+    fn with_servers(count: u16, test_id: u8, regions: usize, cuts_once: bool) -> Fixture {
         let plan = Plan { regions, ..Plan::new(test_id) };
         let fleet = Fleet::start(plan);
-        let addresses: Vec<SocketAddr> = (0..SERVERS)
+        let addresses: Vec<SocketAddr> = (0..count)
             .map(|number| {
                 let mut address = plan.service_address(regions - 1);
                 address.set_port(9100 + number);
@@ -62,6 +70,13 @@
             json!({"servers": services, "not_repeatable": not_repeatable});
         fleet.apply("main", &configuration).expect("more services");
         fleet.wait_for_version(2);
+        // The first box may not know yet that the servers can be reached.
+        let address = plan.callers_address(0, 0);
+        eventually("services and engines are reached", || {
+            [(SAFE, ""), (COMPLETION, COMPLETION_BODY)].iter().all(|(path, body)| {
+                fleet.send(address, Method::POST, path, &[], body).status == 200
+            })
+        });
         Fixture { fleet, servers: servers.expect("the servers start") }
     }
 
@@ -125,3 +140,24 @@
     let callers = Play { protocol: "HTTP/1.0", ..fixture.callers("old", ONCE) };
     fixture.run(callers, is_plain, &ENDS, 7);
 }
+
+/// Guards against a second response to one request that is taken for that of the next request.
+#[test]
+fn surplus_response_reaches_no_caller() {
+    // Few servers, so that their connections are used again at once.
+    let fixture = Fixture::with_servers(4, 95, 1, false);
+    for is_late in [false, true] {
+        let shapes = Shape::ALL.into_iter().filter(|shape| !shape.ends_with_connection());
+        let scripts = shapes.map(|shape| Script { shape, action: Action::Surplus { is_late } });
+        let scripts: Vec<Script> = scripts.flat_map(|script| [script; 20]).collect();
+        let (events, bodies): (Vec<_>, Vec<_>) =
+            scripts.into_iter().partition(|script| script.shape.is_stream());
+        for (path, scripts) in [(SAFE, &bodies), (ONCE, &bodies), (COMPLETION, &events)] {
+            let callers = fixture.callers(if is_late { "late" } else { "surplus" }, path);
+            let callers = Play { has_late_surplus: is_late, ..callers };
+            let tally = fixture.fleet.runtime.block_on(callers.run(scripts.clone()));
+            let faults = &tally.faults[..tally.faults.len().min(12)];
+            assert!(faults.is_empty(), "{}: {faults:#?}", tally.faults.len());
+        }
+    }
+}
--- a/standin/src/cut.rs
+++ b/standin/src/cut.rs
@@ -26,6 +26,9 @@
 pub const SCRIPT: &str = "x-script";
 /// The ID of a request, which each response repeats.
 pub const ID: &str = "x-copperweir-attempt-id";
+/// The ID that a box gives a request, and the header in which responses repeat it.
+const BOX_ID: &str = "copperweir-request-id";
+const RESPONSE_TO: &str = "copperweir-response-to";
 /// The body of responses to requests without a script, which an engine's queries of its load and of
 /// its models accept.
 const ENGINE_BODY: &str =
@@ -309,7 +312,10 @@
         };
         let is_first = state.executed().insert(id.clone());
         let last_event = request.header("last-event-id").and_then(|id| id.parse().ok());
-        let (head, rest) = script.shape.response(&id, last_event.unwrap_or(0));
+        let (mut head, rest) = script.shape.response(&id, last_event.unwrap_or(0));
+        if !matches!(script.action, Action::Cut(..)) {
+            name_request(&mut head, &request);
+        }
         let mut bytes = (head + &rest).into_bytes();
         match script.action {
             Action::Cut(..) if state.cuts_once && !is_first => {
@@ -317,7 +323,8 @@
             }
             Action::Whole => write(&mut stream, script.shape, &bytes).await?,
             Action::Surplus { is_late } => {
-                let (head, rest) = Shape::Length.response("surplus", 0);
+                let (mut head, rest) = Shape::Length.response("surplus", 0);
+                name_request(&mut head, &request);
                 let surplus = head + &rest.to_uppercase();
                 if is_late {
                     write(&mut stream, script.shape, &bytes).await?;
@@ -344,6 +351,13 @@
     Ok(())
 }
 
+/// Adds the ID that the box gave the request to the head of a response.
+fn name_request(head: &mut String, request: &Message) {
+    if let Some(id) = request.header(BOX_ID) {
+        head.insert_str(head.len() - 2, &format!("{RESPONSE_TO}: {id}\r\n"));
+    }
+}
+
 async fn write(stream: &mut TcpStream, shape: Shape, bytes: &[u8]) -> std::io::Result<()> {
     if shape != Shape::Segments {
         return stream.write_all(bytes).await;
