backend: a change of the protocol that nobody asked for is a failure

A 101 of a server was relayed to the caller, at the gateway and at `copperweir serve`, and the caller's connection was another protocol from there on. No request that a box sends asks for that, so such a response is now an invalid one.

--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -24,6 +24,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body::Body;
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -150,12 +151,19 @@
         was_idle: bool,
     ) -> Result<Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>, AttemptError> {
         self.meter.begin(was_idle);
-        tokio::select! {
+        let result = tokio::select! {
             biased;
-            result = self.sender.try_send_request(request) => Ok(result),
+            result = self.sender.try_send_request(request) => result,
             () = self.meter.head_overdue() => {
-                Err(AttemptError::Invalid(Exceeded::HeadTime.to_string()))
+                return Err(AttemptError::Invalid(Exceeded::HeadTime.to_string()));
             }
+        };
+        match result {
+            // Requests never ask for it.
+            Ok(response) if response.status() == StatusCode::SWITCHING_PROTOCOLS => {
+                Err(AttemptError::Invalid("the server changed the protocol".to_owned()))
+            }
+            result => Ok(result),
         }
     }
 }
--- a/lib/tests/test_cut_heads.rs
+++ b/lib/tests/test_cut_heads.rs
@@ -12,6 +12,9 @@
 use copperweir_standin::cut::Action;
 use copperweir_standin::cut::CutServers;
 use copperweir_standin::cut::End;
+use copperweir_standin::cut::ID;
+use copperweir_standin::cut::RawCaller;
+use copperweir_standin::cut::SCRIPT;
 use copperweir_standin::cut::Script;
 use copperweir_standin::cut::Shape;
 use copperweir_standin::cut_play::Play;
@@ -20,6 +23,7 @@
 use copperweir_standin::cut_play::is_plain;
 use copperweir_standin::cut_play::sample;
 use http::Method;
+use serde_json::Value;
 use serde_json::json;
 
 /// Number of servers, so that few are ejected for their cuts.
@@ -34,6 +38,7 @@
 struct Fixture {
     fleet: Fleet,
     servers: CutServers,
+    configuration: Value,
 }
 
 impl Fixture {
@@ -77,7 +82,7 @@
                 fleet.send(address, Method::POST, path, &[], body).status == 200
             })
         });
-        Fixture { fleet, servers: servers.expect("the servers start") }
+        Fixture { fleet, servers: servers.expect("the servers start"), configuration }
     }
 
     fn callers(&self, name: &'static str, path: &'static str) -> Play {
@@ -161,3 +166,89 @@
         }
     }
 }
+
+#[test]
+fn response_of_a_server_that_falls_silent_is_never_told_as_whole() {
+    let mut fixture = Fixture::start(99, 1, false);
+    fixture.configuration["limits"]["stream_idle_ms"] = json!(500);
+    fixture.fleet.apply("main", &fixture.configuration).expect("a shorter limit");
+    fixture.fleet.wait_for_version(3);
+    let silent = [End::Silence];
+    fixture.run(fixture.callers("silent", ONCE), is_plain, &silent, 17);
+    fixture.run(fixture.callers("silent", COMPLETION), Shape::is_stream, &silent, 13);
+}
+
+#[test]
+fn response_to_a_request_with_a_key_is_never_told_as_whole_after_a_cut() {
+    let fixture = Fixture::start(100, 1, false);
+    let callers = Play { key_header: Some("idempotency-key"), ..fixture.callers("keyed", ONCE) };
+    fixture.run(callers, is_plain, &ENDS, 13);
+}
+
+/// The server speaks another protocol from there on, which nobody relays.
+#[test]
+fn change_of_the_protocol_reaches_no_caller() {
+    let fixture = Fixture::start(101, 1, false);
+    for path in [ONCE, SAFE, COMPLETION] {
+        let callers = fixture.callers("switch", path);
+        let request = callers.request("switch", Script::whole(Shape::Switch));
+        let received = fixture.fleet.block_on(async {
+            let mut caller = RawCaller::connect(callers.address).await.expect("a connection");
+            caller.exchange(&request).await
+        });
+        assert_eq!(received.status, 502, "{path}: {received:?}");
+    }
+}
+
+/// Ends the only box of the other region, or the path to it, while servers there are silent in the
+/// middle of their responses.
+fn end_in_the_middle(test_id: u8, end: fn(&mut Fleet)) {
+    let Fixture { mut fleet, servers, .. } = Fixture::start(test_id, 2, false);
+    let address = fleet.plan.callers_address(0, 0);
+    let scripts = sample(cuts(|_| true, &[End::Silence]), 61);
+    let callers: Vec<_> = scripts
+        .into_iter()
+        .enumerate()
+        .map(|(number, script)| {
+            let (path, body) = match script.shape.is_stream() {
+                true => (COMPLETION, COMPLETION_BODY),
+                false => (ONCE, ""),
+            };
+            let id = format!("{number:i>32}");
+            let request = format!(
+                "{} {path} HTTP/1.1\r\nhost: h.example\r\n{ID}: {id}\r\n{SCRIPT}: {script}\r\n\
+                 copperweir-timeout-ms: 20000\r\ncontent-length: {}\r\n\r\n{body}",
+                script.shape.method(),
+                body.len()
+            );
+            let caller = fleet.runtime.spawn(async move {
+                let mut caller = RawCaller::connect(address).await.expect("a connection");
+                caller.exchange(&request).await
+            });
+            (id, script, caller)
+        })
+        .collect();
+    eventually("requests have arrived or were refused", || {
+        callers.iter().all(|(id, _, caller)| caller.is_finished() || servers.has_executed(id))
+    });
+    end(&mut fleet);
+    let mut executed = 0;
+    for (id, script, caller) in callers {
+        let received = fleet.block_on(caller).expect("no panic");
+        let was_executed = servers.has_executed(&id);
+        executed += usize::from(was_executed);
+        let is_explicit = received.status == 502 || received.status == 503 && !was_executed;
+        assert!(!received.is_complete || is_explicit, "{script}: {received:?}");
+    }
+    assert!(executed > 0);
+}
+
+#[test]
+fn response_of_a_box_that_is_killed_is_never_told_as_whole() {
+    end_in_the_middle(96, |fleet| fleet.kill_box(1, 0));
+}
+
+#[test]
+fn response_over_a_path_that_breaks_is_never_told_as_whole() {
+    end_in_the_middle(97, |fleet| fleet.set_region_partitioned(1, true));
+}
--- a/standin/src/cut.rs
+++ b/standin/src/cut.rs
@@ -65,10 +65,12 @@
     EventLength,
     /// A stream of events that ends with its connection.
     EventUnsized,
+    /// A change of the protocol, which nobody asked for.
+    Switch,
 }
 
 impl Shape {
-    /// All shapes.
+    /// All shapes that may be whole responses.
     pub const ALL: [Shape; 11] = [
         Shape::Length,
         Shape::Chunked,
@@ -101,7 +103,7 @@
     /// The body that a caller gets.
     pub fn body(self) -> &'static str {
         match self {
-            Shape::NoContent | Shape::HeadOnly => "",
+            Shape::NoContent | Shape::HeadOnly | Shape::Switch => "",
             _ if self.is_stream() => EVENTS,
             _ => BODY,
         }
@@ -120,7 +122,11 @@
             _ if self.is_stream() => EVENTS.split_inclusive("\n\n").skip(last_event).collect(),
             _ => self.body().to_owned(),
         };
-        let status = if self == Shape::NoContent { "204 No Content" } else { "200 OK" };
+        let status = match self {
+            Shape::NoContent => "204 No Content",
+            Shape::Switch => "101 Switching Protocols",
+            _ => "200 OK",
+        };
         let content_type = if self.is_stream() { "text/event-stream" } else { "text/plain" };
         let framing = match self {
             Shape::Chunked | Shape::Trailers | Shape::EventChunks => {
@@ -128,6 +134,7 @@
             }
             Shape::HeadOnly => format!("content-length: {}\r\n", BODY.len()),
             Shape::NoContent => String::new(),
+            Shape::Switch => "connection: upgrade\r\nupgrade: other\r\n".to_owned(),
             _ if self.ends_with_connection() => "connection: close\r\n".to_owned(),
             _ => format!("content-length: {}\r\n", body.len()),
         };
@@ -217,7 +224,8 @@
     fn from_str(text: &str) -> Result<Script, UnknownScript> {
         let fields: Vec<&str> = text.split_whitespace().collect();
         let (shape, rest) = fields.split_first().ok_or(UnknownScript)?;
-        let shape = Shape::ALL.into_iter().find(|other| format!("{other:?}") == *shape);
+        let mut shapes = Shape::ALL.into_iter().chain([Shape::Switch]);
+        let shape = shapes.find(|other| format!("{other:?}") == *shape);
         let action = match rest {
             ["whole"] => Action::Whole,
             ["cut", bytes, end] => {
@@ -516,7 +524,7 @@
         let is_last = head.header("connection").is_some_and(|value| value == "close")
             || head.first_line.starts_with("HTTP/1.0")
                 && head.header("connection").is_none_or(|value| value != "keep-alive");
-        let has_body = !is_head && !matches!(received.status, 204 | 304);
+        let has_body = !is_head && !matches!(received.status, 100..=199 | 204 | 304);
         let is_chunked = head.header("transfer-encoding").is_some();
         let is_framed = is_chunked || head.length().is_some() || !has_body;
         if !has_body {
--- a/standin/src/cut_play.rs
+++ b/standin/src/cut_play.rs
@@ -131,7 +131,8 @@
         }
     }
 
-    fn request(&self, id: &str, script: Script) -> String {
+    /// The text of a request.
+    pub fn request(&self, id: &str, script: Script) -> String {
         let deadline = match script.action {
             Action::Cut(_, End::Silence) => SILENT_DEADLINE_MS,
             _ => DEADLINE_MS,
