--- a/lib/tests/test_once.rs
+++ b/lib/tests/test_once.rs
@@ -231,3 +231,19 @@
         assert_eq!(fleet.run_count(&id), 1, "{id}");
     }
 }
+
+/// Guards against a claim that is taken for absent because the store lost it.
+#[test]
+fn claim_lost_by_the_store_is_no_proof() {
+    let mut plan = Plan::new(98);
+    plan.boxes = 2;
+    let fleet = Fleet::start(plan);
+    fleet.wait_for_members();
+    let backup = fleet.platform.back_up();
+    let headers = [("idempotency-key", "bare")];
+    let first = fleet.submit_filing(plan.callers_address(0, 0), &headers, "f1");
+    assert_eq!(first.status, StatusCode::CREATED, "{first:?}");
+    fleet.platform.restore(backup);
+    let again = fleet.submit_filing(plan.callers_address(0, 1), &headers, "f1");
+    assert_eq!(fleet.run_count("f1"), 1, "{again:?}");
+}
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -81,6 +81,13 @@
     watches: u64,
 }
 
+/// A copy of the keys of a platform.
+#[derive(Clone)]
+pub struct Backup {
+    revision: u64,
+    keys: BTreeMap<String, StoredValue>,
+}
+
 /// A platform; clones share their state.
 #[derive(Clone, Default)]
 pub struct Platform {
@@ -128,6 +135,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies the keys, for [`Platform::restore`].
+    pub fn back_up(&self) -> Backup {
+        let state = self.lock();
+        Backup { revision: state.revision, keys: state.keys.clone() }
+    }
+
+    /// Replaces the keys by an older copy. Revisions since then are assigned again.
+    pub fn restore(&self, backup: Backup) {
+        let mut state = self.lock();
+        state.revision = backup.revision;
+        state.keys = backup.keys;
+        state.previous.clear();
+    }
+
     /// Numbers of reads, writes and watches so far.
     pub fn call_counts(&self) -> (u64, u64, u64) {
         let state = self.lock();
