streams: a box with a new name does not make a list complete after an older build

What callers saw: after boxes of an older build had ended, and boxes of this one had started under other names, a stream of a version that had left meanwhile was answered 200 and whole, with the rest from another version. The same after a list of versions had been removed.

Cause: the first list of a fleet is complete, since no streams can have begun before it. A box took the fleet for new if no box of its own name had run before. It also made an incomplete list of another box complete for that reason.

Change: a box whose first build waits for the list says so in its entry of the roster, which was empty before and is ignored by older builds. The first list is complete only if all entries say so, and if no list was removed while this box ran. An incomplete list becomes complete after a retention, by any box, and not before. A restart no longer writes the entry again if it is there. Price: in a fleet with boxes of an older build, streams that no box knows are refused for the first retention (a minute) after the start of the first boxes of this one.

--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -168,9 +168,10 @@
     shortened_at: Option<Instant>,
     /// Era of the store in which this box's state was read, and since when it knows that era.
     era: Option<(Era, Instant)>,
-    /// Whether this box is the first of its name, so that the fleet has not begun streams before; `None`
-    /// if that is not known yet.
+    /// Whether this box is the first of its name; `None` if that is not known yet.
     is_first_start: Option<bool>,
+    /// Whether streams may have begun at versions that were never listed, or whose list was removed.
+    has_unlisted: bool,
 }
 
 impl Default for StreamVersions {
@@ -183,6 +184,7 @@
             shortened_at: None,
             era: None,
             is_first_start: None,
+            has_unlisted: false,
         }
     }
 }
@@ -298,6 +300,11 @@
         self.is_first_start.get_or_insert(is_first);
     }
 
+    /// Records whether the fleet has or had boxes that begin streams at versions that are not listed.
+    pub fn record_unlisted(&mut self, has_unlisted: bool) {
+        self.has_unlisted |= has_unlisted;
+    }
+
     /// Records the versions that the store lists for a service.
     pub fn apply_list(&mut self, service: ServiceHash, list: Option<VersionList>, now: Instant) {
         let known = self.subjects.entry(service).or_default();
@@ -305,6 +312,7 @@
             let gone = CountedVersion { gone_since: Some(now), was_listed: true };
             known.counted.entry(*version).or_insert(gone).was_listed = true;
         }
+        self.has_unlisted |= known.list.is_some() && list.is_none();
         known.list = list;
     }
 
@@ -346,15 +354,14 @@
             return None;
         }
         let Some(list) = &known.list else {
-            let complete = self.is_first_start? || self.has_known_era(now);
+            let is_new = self.is_first_start? && !self.has_unlisted;
+            let complete = is_new || self.has_known_era(now);
             return Some(VersionList { era, versions, complete });
         };
         // A list from before the store was restored may have lost versions that still have streams.
         let (era, complete) = match self.has_known_era(now) {
             true => (era, true),
-            false => {
-                (list.era, list.complete || (self.is_first_start == Some(true) && list.era == era))
-            }
+            false => (list.era, list.complete),
         };
         Some(VersionList { era, versions, complete })
     }
--- a/lib/src/gateway/cluster_state.rs
+++ b/lib/src/gateway/cluster_state.rs
@@ -140,8 +140,9 @@
     /// Boxes of this region that sent datagrams to this one: hash of the name, time of the last
     /// one.
     senders: BTreeMap<u64, Instant>,
-    /// Region and name of each box that was ever started.
-    roster: BTreeSet<(RegionId, BoxId)>,
+    /// Region and name of each box that was ever started, with whether its first build begins streams
+    /// only at listed versions.
+    roster: BTreeMap<(RegionId, BoxId), bool>,
     /// Names of each known failure domain and its region.
     domains: HashMap<FailureDomainId, DomainNames>,
     store_recovered_at: Option<Instant>,
--- a/lib/src/gateway/cluster_state/boxes.rs
+++ b/lib/src/gateway/cluster_state/boxes.rs
@@ -5,6 +5,7 @@
 use super::ClusterState;
 use super::EXPIRED_BOX_RETENTION;
 use super::LocalContext;
+use crate::gateway::store_keys::LISTING_BUILD;
 use crate::protocol::fleet::BoxRecord;
 
 impl ClusterState {
@@ -30,8 +31,13 @@
     }
 
     /// Applies the roster entry of a box, which remains after the box is gone.
-    pub fn apply_roster_entry(&mut self, region: &str, name: &str) {
-        self.roster.insert((region.to_owned(), name.to_owned()));
+    pub fn apply_roster_entry(&mut self, region: &str, name: &str, value: &[u8]) {
+        self.roster.insert((region.to_owned(), name.to_owned()), value == LISTING_BUILD);
+    }
+
+    /// Whether a box may have begun streams at versions that were never listed.
+    pub fn may_have_unlisted_streams(&self) -> bool {
+        self.roster.values().any(|begins_as_listed| !begins_as_listed)
     }
 
     /// Number of boxes in all regions that share the limits.
--- a/lib/src/gateway/cluster_state/views.rs
+++ b/lib/src/gateway/cluster_state/views.rs
@@ -144,7 +144,7 @@
         names.push(&own_record.name);
         if context.just_started {
             let roster_entries =
-                self.roster.iter().filter(|(region, _)| *region == own_record.region);
+                self.roster.keys().filter(|(region, _)| *region == own_record.region);
             names.extend(roster_entries.map(|(_, name)| name.as_str()));
         }
         let named_hashes = names.into_iter().map(presence::box_hash);
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -412,6 +412,8 @@
         });
         self.shared.snapshot.store(Arc::clone(&snapshot));
         self.shared.forwarded_versions.notify_published();
+        let has_unlisted = self.cluster_state.may_have_unlisted_streams();
+        lock(&self.shared.streams).versions.record_unlisted(has_unlisted);
         stream_versions::record_versions(&self.shared, &snapshot, now);
         if !upgrading_servers.is_empty() {
             let counts =
--- a/lib/src/gateway/control/store_sync.rs
+++ b/lib/src/gateway/control/store_sync.rs
@@ -450,7 +450,7 @@
         if let Some((region, name)) =
             item.key.strip_prefix(ROSTER).and_then(|entry| entry.split_once('/'))
         {
-            self.cluster_state.apply_roster_entry(region, name);
+            self.cluster_state.apply_roster_entry(region, name, &item.value);
             return;
         }
         if let Some(name) = item.key.strip_prefix(BOXES) {
--- a/lib/src/gateway/lease.rs
+++ b/lib/src/gateway/lease.rs
@@ -10,6 +10,7 @@
 
 use super::event::Event;
 use super::store_keys;
+use super::store_keys::LISTING_BUILD;
 use crate::coordination::store_rollback::MAX_ROLLBACK_AGE;
 use crate::protocol::adapter::Adapter;
 use crate::protocol::adapter::KeyWrite;
@@ -75,6 +76,7 @@
     let mut retry_pause = store::RETRY_DELAY;
     let mut written = false;
     let mut in_roster = false;
+    let mut roster_entry = Bytes::new();
     let mut announced = false;
     let mut is_first_write = true;
     let mut start_event: Option<Event> = None;
@@ -98,21 +100,23 @@
             Some(Lease { id, .. }) if !written || record.has_changed().unwrap_or(false) => {
                 let newest = record.borrow_and_update().clone();
                 let first_write = match is_first_write {
-                    true => write_first_record(&store, &newest, id).await,
-                    false => Ok(false),
+                    true => write_first_record(&store, &newest, id).await.map(Some),
+                    false => Ok(None),
                 };
                 let result = match first_write {
-                    Ok(is_first) => {
-                        start_event = match (is_first_write, is_first) {
-                            (true, true) => Some(Event::FirstStart),
-                            (true, false) => Some(Event::Restart),
-                            (false, _) => None,
-                        };
+                    Ok(Some(FirstWrite::Written)) => {
+                        start_event = Some(Event::FirstStart);
                         is_first_write = false;
-                        match is_first {
-                            true => Ok(()),
-                            false => write_record(&store, &newest, id, !in_roster).await,
-                        }
+                        roster_entry = Bytes::from_static(LISTING_BUILD);
+                        Ok(())
+                    }
+                    Ok(outcome) => {
+                        start_event = outcome.is_some().then_some(Event::Restart);
+                        is_first_write = false;
+                        // The entry tells what the first build of this name was.
+                        in_roster |= outcome == Some(FirstWrite::Exists);
+                        let entry = (!in_roster).then_some(&roster_entry);
+                        write_record(&store, &newest, id, entry).await
                     }
                     Err(error) => Err(error),
                 };
@@ -199,24 +203,35 @@
     }
 }
 
-/// Writes the record if no box of this name is in the roster yet. Returns whether it was written; a
-/// response that is lost counts as not written. An error means that the call had no effect, so the
+/// The outcome of the first write of a box's record.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FirstWrite {
+    /// The record was written.
+    Written,
+    /// The roster has a box of this name, so nothing was written.
+    Exists,
+    /// The response was lost.
+    Unknown,
+}
+
+/// Writes the record if no box of this name is in the roster yet. An error means that the call had no effect, so the
 /// next one may still be the first write.
 async fn write_first_record<A: Adapter>(
     store: &store::Client<A>,
     record: &BoxRecord,
     lease: LeaseId,
-) -> Result<bool, PlatformError> {
+) -> Result<FirstWrite, PlatformError> {
     let expected = vec![(store_keys::roster_key(record), ABSENT)];
-    let writes = record_writes(record, lease, true);
+    let writes = record_writes(record, lease, Some(&Bytes::from_static(LISTING_BUILD)));
     match store.call(&Operation::PutIf { expected, writes }).await {
-        Ok(_) => Ok(true),
+        Ok(_) => Ok(FirstWrite::Written),
+        Err(PlatformError::Conflict(_)) => Ok(FirstWrite::Exists),
         Err(
             error @ (PlatformError::Unreachable(_)
             | PlatformError::RateLimited
             | PlatformError::LeaseExpired),
         ) => Err(error),
-        Err(_) => Ok(false),
+        Err(_) => Ok(FirstWrite::Unknown),
     }
 }
 
@@ -224,20 +239,22 @@
     store: &store::Client<A>,
     record: &BoxRecord,
     lease: LeaseId,
-    add_to_roster: bool,
+    roster_entry: Option<&Bytes>,
 ) -> Result<(), PlatformError> {
-    store.call(&Operation::Put(record_writes(record, lease, add_to_roster))).await.map(|_| ())
+    store.call(&Operation::Put(record_writes(record, lease, roster_entry))).await.map(|_| ())
 }
 
-fn record_writes(record: &BoxRecord, lease: LeaseId, add_to_roster: bool) -> Vec<KeyWrite> {
+fn record_writes(
+    record: &BoxRecord,
+    lease: LeaseId,
+    roster_entry: Option<&Bytes>,
+) -> Vec<KeyWrite> {
     let (key, value) = store_keys::box_entry(record);
     let mut rows = vec![KeyWrite { key, value, lease }];
-    if add_to_roster {
-        rows.push(KeyWrite {
-            key: store_keys::roster_key(record),
-            value: Bytes::new(),
-            lease: NO_LEASE,
-        });
-    }
+    rows.extend(roster_entry.map(|value| KeyWrite {
+        key: store_keys::roster_key(record),
+        value: value.clone(),
+        lease: NO_LEASE,
+    }));
     rows
 }
--- a/lib/src/gateway/store_keys.rs
+++ b/lib/src/gateway/store_keys.rs
@@ -10,6 +10,9 @@
 /// Prefix of the roster, which contains each box that was ever started. Its entries remain after a
 /// box is gone.
 pub const ROSTER: &str = "copperweir/roster/";
+/// Entry of the roster for a box whose first build begins streams only at listed versions. Older builds
+/// write an empty one.
+pub const LISTING_BUILD: &[u8] = b"lists";
 /// Prefix of the verdicts on requests that are refused because servers crash when they run them.
 pub const QUARANTINE: &str = "copperweir/quarantine/";
 /// Prefix of the request rates that servers asked for.
--- a/lib/tests/test_cluster_state.rs
+++ b/lib/tests/test_cluster_state.rs
@@ -10,6 +10,7 @@
 use copperweir_lib::coordination::presence::box_hash;
 use copperweir_lib::gateway::cluster_state::ClusterState;
 use copperweir_lib::gateway::cluster_state::LocalContext;
+use copperweir_lib::gateway::store_keys::LISTING_BUILD;
 use copperweir_lib::protocol::adapter::Fact;
 use copperweir_lib::protocol::adapter::Subject;
 use copperweir_lib::protocol::fleet::BoxRecord;
@@ -80,9 +81,11 @@
     cluster_state.apply_box(own_record.clone());
     let sole_share = cold_share(&cluster_state, &own_record, true);
     for name in ["b1", "b2", "b3"] {
-        cluster_state.apply_roster_entry("r", name);
+        cluster_state.apply_roster_entry("r", name, LISTING_BUILD);
     }
-    cluster_state.apply_roster_entry("other", "b4");
+    assert!(!cluster_state.may_have_unlisted_streams());
+    cluster_state.apply_roster_entry("other", "b4", b"");
+    assert!(cluster_state.may_have_unlisted_streams());
     assert_eq!(
         cold_share(&cluster_state, &own_record, true),
         sole_share / 3,
--- a/lib/tests/test_stream_records.rs
+++ b/lib/tests/test_stream_records.rs
@@ -66,6 +66,42 @@
     assert_eq!(versions.list_to_write(SERVICE, true, now + 61 * SECOND), Some(list(1, &[20])));
 }
 
+#[test]
+fn first_list_is_no_proof_if_streams_began_at_versions_that_were_not_listed() {
+    let now = Instant::now();
+    let mut versions = started_in(1, now);
+    versions.record_unlisted(true);
+    versions.record_start(true);
+    versions.record_versions(SERVICE, [20].into_iter(), now);
+    let incomplete = VersionList { complete: false, ..list(1, &[20]) };
+    assert_eq!(versions.list_to_write(SERVICE, true, now), Some(incomplete));
+    assert_eq!(versions.list_to_write(SERVICE, true, now + 61 * SECOND), Some(list(1, &[20])));
+}
+
+#[test]
+fn list_that_was_removed_is_no_proof_again_at_once() {
+    let now = Instant::now();
+    let mut versions = started_in(1, now);
+    versions.record_start(true);
+    versions.record_versions(SERVICE, [20].into_iter(), now);
+    versions.apply_list(SERVICE, Some(list(1, &[10, 20])), now);
+    versions.apply_list(SERVICE, None, now);
+    let incomplete = VersionList { complete: false, ..list(1, &[20]) };
+    assert_eq!(versions.list_to_write(SERVICE, true, now), Some(incomplete));
+}
+
+/// A box that starts later doesn't know what an incomplete list lacks.
+#[test]
+fn incomplete_list_is_not_completed_by_another_box_that_starts() {
+    let now = Instant::now();
+    let mut versions = started_in(1, now);
+    versions.record_start(true);
+    versions.record_versions(SERVICE, [20].into_iter(), now);
+    let incomplete = VersionList { complete: false, ..list(1, &[20]) };
+    versions.apply_list(SERVICE, Some(incomplete), now);
+    assert_eq!(versions.list_to_write(SERVICE, true, now), None);
+}
+
 #[test]
 fn version_that_left_before_the_start_counts_until_its_streams_have_ended() {
     let now = Instant::now();
