--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -484,10 +484,8 @@
         // A list from before the store was restored may have lost versions that still have streams.
         let (era, complete) = match self.has_known_era(now) {
             true => (era, list.is_complete(era) || !lacks_version),
-            false => {
-                let is_new = self.is_new_fleet == Some(true) && list.era == era;
-                (list.era, list.complete || (is_new && !lacks_version))
-            }
+            // A box that started later doesn't know what an incomplete list lacks.
+            false => (list.era, list.complete),
         };
         Some(VersionList { era, versions, complete })
     }
--- a/lib/tests/test_stream_records.rs
+++ b/lib/tests/test_stream_records.rs
@@ -88,6 +88,17 @@
     }
 }
 
+#[test]
+fn incomplete_list_is_not_completed_by_another_box_that_starts() {
+    let now = Instant::now();
+    let mut versions = started_in(1, now);
+    versions.record_fleet(true);
+    versions.record_versions(SERVICE, [20].into_iter(), now);
+    let incomplete = VersionList { complete: false, ..list(1, &[20]) };
+    versions.apply_list(SERVICE, Some(incomplete), now);
+    assert_eq!(versions.list_to_write(SERVICE, true, now), None);
+}
+
 #[test]
 fn version_that_left_before_the_start_counts_until_its_streams_have_ended() {
     let now = Instant::now();
