streams: a box looks up streams that are forwarded without a version

Boxes of this build never send such a forward.

Change: a forwarded request that continues a stream, without a version, is looked up as that of a caller is; an unknown one is refused as not run.

Measured: stream_that_a_box_forwards_without_a_version_is_not_joined fails before (200, run at the other service) and passes now; test_stream_services 14 of 14, test_stream_versions 10, test_stream_restarts 9, test_forwarded_versions 5, test_stream_order 17.

--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -247,8 +247,10 @@
     shared: &Arc<Shared<A>>,
     job: &Job,
 ) -> Result<Option<(ServiceId, VersionHash)>, Failure> {
-    if job.origin == Origin::Peer {
-        let Some(version) = job.forward.version else { return Ok(None) };
+    // Boxes of older builds forward streams whose version they don't know.
+    if job.origin == Origin::Peer
+        && let Some(version) = job.forward.version
+    {
         let service = service_hash(&job.service);
         if job.forward.service.is_some_and(|expected| expected != service) {
             let message = "the route no longer has the service that began the stream";
