--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -261,8 +261,10 @@
             let message = "the route no longer has the service that the request was sent for";
             return Err(Failure::new(ErrorKind::NoServer, message));
         }
-        let Some(version) = job.forward.version else { return Ok(None) };
-        return Ok(Some((job.service.clone(), version)));
+        // Boxes of older builds forward streams whose version they don't know.
+        if let Some(version) = job.forward.version {
+            return Ok(Some((job.service.clone(), version)));
+        }
     }
     if !job.continues_stream() {
         return Ok(None);
