serve: an entry of the platform's list that can't be read hides no others

Cause: the list of boxes and servers was read as a whole, so that one entry with an unknown state, a number for a name or deep nesting hid which servers leave, and the other boxes.

Change: each entry is read apart; those that can't be read are logged.

Before: entry_that_cannot_be_read_hides_no_others ... FAILED 10 of 10: ["{}", "null", "5", "1e400", ...] After: ok. test_regions (11) and test_odd_documents (4) pass.

--- a/lib/src/transport/platform.rs
+++ b/lib/src/transport/platform.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
+use serde_json::value::RawValue;
 
 use super::backend::Client;
 use super::store;
@@ -101,6 +102,10 @@
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    parse(body)
+}
+
+fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(body).map_err(|error| PlatformError::Malformed(error.to_string()))
 }
 
@@ -161,6 +166,13 @@
 impl BoxList for Platform {
     async fn list(&self) -> Result<Vec<BoxListEntry>, PlatformError> {
         let (_, body) = self.call(Call::new(Method::GET, "/boxes".to_owned())).await?;
-        decode(&body)
+        let entries: Vec<&RawValue> = parse(&body)?;
+        let read = |entry: &&RawValue| {
+            let log = |error: &serde_json::Error| {
+                log::warn!("event=list_entry_unreadable error=\"{error}\"");
+            };
+            serde_json::from_str(entry.get()).inspect_err(log).ok()
+        };
+        Ok(entries.iter().filter_map(read).collect())
     }
 }
