streams: the events before a break are written before the stream is broken off

What callers saw: where a server broke off right after an event, and the stream could not go on, the caller sometimes did not get that event. It was not told as whole, so nothing was lost for a caller that takes the stream up.

Cause: the event and the error reached the task of the connection together, and the HTTP library drops what it has not written when a body fails. Change: the relay lets the task of the connection run before it reports the error.

--- a/lib/src/gateway/relay.rs
+++ b/lib/src/gateway/relay.rs
@@ -83,7 +83,12 @@
         // The send fails if the caller is already gone.
         let _ = match result {
             Ok(()) => caller_sender.send(None).await,
-            Err(cut) => caller_sender.send(Some(Err(cut))).await,
+            Err(cut) => {
+                // The HTTP library drops what it has not written when a body fails. The task of the
+                // connection writes the last events first.
+                tokio::task::yield_now().await;
+                caller_sender.send(Some(Err(cut))).await
+            }
         };
         drop(self.in_flight_guard);
     }
