streams: holders, reports and the table of streams in modules of their own

Moved as they were: the choice of holders, the wire format of reports, and the bounded table of the streams that a box knows.

--- a/lib/benches/stream_versions.rs
+++ b/lib/benches/stream_versions.rs
@@ -10,10 +10,10 @@
 use bytes::Bytes;
 use copperweir_lib::coordination::loads::BoxReport;
 use copperweir_lib::coordination::stream_batch::StreamBatch;
-use copperweir_lib::coordination::stream_versions::BoxLocation;
-use copperweir_lib::coordination::stream_versions::StreamReport;
+use copperweir_lib::coordination::stream_holders::BoxLocation;
+use copperweir_lib::coordination::stream_holders::holders;
+use copperweir_lib::coordination::stream_report::StreamReport;
 use copperweir_lib::coordination::stream_versions::StreamVersions;
-use copperweir_lib::coordination::stream_versions::holders;
 use prost::Message;
 
 const STREAMS: u64 = 2000;
--- a/lib/src/coordination/loads.rs
+++ b/lib/src/coordination/loads.rs
@@ -13,7 +13,7 @@
 use super::quarantine::wire;
 use super::quota::BoxUsage;
 use super::quota::RegionUsage;
-use super::stream_versions::StreamReport;
+use super::stream_report::StreamReport;
 use super::throttle::wire::ThrottleReport;
 use super::unlisted::NeighborRecord;
 use super::upgrade::wire::UpgradeHold;
--- a/lib/src/coordination/stream_versions.rs
+++ b/lib/src/coordination/stream_versions.rs
@@ -17,18 +17,16 @@
 //! lead the caller elsewhere. The splits of each route are kept, counted and listed like the versions
 //! of a service: what a version is to a service, a split is to a route.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use super::rendezvous;
+use super::stream_table::Entry;
+use super::stream_table::StreamTable;
 use super::version_list::MAX_VERSIONS;
 use super::version_list::VersionList;
-use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::VersionHash;
 use crate::protocol::platform::Era;
 use crate::protocol::routing;
@@ -62,15 +60,8 @@
 const MIN_LONGEST_STREAM: Duration = Duration::from_secs(30);
 /// Maximum time from the end of a stream until its caller takes it up.
 const MAX_CALLER_PAUSE: Duration = Duration::from_secs(30);
-/// Maximum number of streams kept that this box began, and of those that others named; the oldest of
-/// each kind are dropped first.
-pub const MAX_STREAMS: usize = 200_000;
 /// Part of the retention after which a query for a stream keeps it longer.
 const REFRESH_FRACTION: u32 = 8;
-/// Minimum number of holders of a stream, if there are so many boxes.
-const MIN_HOLDERS: usize = 3;
-/// Maximum number of holders of a stream.
-const MAX_HOLDERS: usize = 4;
 
 /// Key of the stream that an attempt of a caller began. Attempts of another service or team have
 /// other keys, so a caller can't find out whether they exist.
@@ -86,30 +77,6 @@
     split.iter().fold(0, add)
 }
 
-/// A box that may hold versions of streams.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct BoxLocation<'a> {
-    /// Its name.
-    pub name: &'a str,
-    /// Its region.
-    pub region: &'a str,
-    /// Its failure domain.
-    pub failure_domain: &'a str,
-    /// Its address for other boxes.
-    pub address: SocketAddr,
-}
-
-impl<'a> From<&'a BoxRecord> for BoxLocation<'a> {
-    fn from(record: &'a BoxRecord) -> BoxLocation<'a> {
-        BoxLocation {
-            name: &record.name,
-            region: &record.region,
-            failure_domain: &record.failure_domain,
-            address: record.peers,
-        }
-    }
-}
-
 impl Destination {
     /// Whether lists can tell the version of a stream that runs there. They can't for a service that
     /// the split would not choose.
@@ -118,66 +85,6 @@
     }
 }
 
-/// The boxes that hold the version of a stream: one in each region, so that one of them is near, and
-/// others if there are few regions, in different failure domains if possible.
-pub fn holders<'a>(
-    key: StreamKey,
-    boxes: impl Iterator<Item = BoxLocation<'a>>,
-) -> Vec<BoxLocation<'a>> {
-    let weight =
-        |location: &BoxLocation<'_>| rendezvous::mix(rendezvous::weight(location.name, ""), key);
-    let mut ranked: Vec<(u64, BoxLocation<'a>)> =
-        boxes.map(|location| (weight(&location), location)).collect();
-    ranked.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
-    let mut chosen: Vec<BoxLocation<'a>> = Vec::with_capacity(MAX_HOLDERS);
-    let mut choose = |count: usize, is_new: fn(&BoxLocation<'_>, &BoxLocation<'_>) -> bool| {
-        for (_, location) in &ranked {
-            if chosen.len() < count && chosen.iter().all(|other| is_new(location, other)) {
-                chosen.push(*location);
-            }
-        }
-    };
-    choose(MAX_HOLDERS, |location, other| location.region != other.region);
-    choose(MIN_HOLDERS, |location, other| location.failure_domain != other.failure_domain);
-    choose(MIN_HOLDERS, |location, other| location.name != other.name);
-    chosen
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Entry {
-    version: VersionHash,
-    /// Where it runs, if this box began the stream.
-    began_for: Option<Destination>,
-    noted_at: Instant,
-}
-
-impl Entry {
-    fn kind(&self) -> Kind {
-        match self.began_for {
-            Some(_) => Kind::Own,
-            None => Kind::Named,
-        }
-    }
-}
-
-/// What told the version of a stream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Kind {
-    /// This box began the stream.
-    Own,
-    /// Another box or the store named it.
-    Named,
-}
-
-/// Streams of one kind by the time at which they were noted.
-#[derive(Debug, Default)]
-struct Notes {
-    /// A key occurs once for each time at which it was noted.
-    queue: VecDeque<(Instant, StreamKey)>,
-    /// Number of streams that are kept.
-    kept: usize,
-}
-
 /// A version of a service that counts.
 #[derive(Clone, Copy, Debug, Default)]
 struct CountedVersion {
@@ -205,10 +112,7 @@
 /// The streams whose version a box knows, and the versions of each service.
 #[derive(Debug)]
 pub struct StreamVersions {
-    entries: HashMap<StreamKey, Entry>,
-    /// Kept apart, so that others can't displace the streams that began here.
-    own: Notes,
-    named: Notes,
+    streams: StreamTable,
     subjects: HashMap<SubjectHash, Subject>,
     /// The splits of routes that count or are listed.
     splits: HashMap<SplitHash, Split>,
@@ -226,9 +130,7 @@
 impl Default for StreamVersions {
     fn default() -> StreamVersions {
         StreamVersions {
-            entries: HashMap::new(),
-            own: Notes::default(),
-            named: Notes::default(),
+            streams: StreamTable::default(),
             subjects: HashMap::new(),
             splits: HashMap::new(),
             longest_stream: MIN_LONGEST_STREAM,
@@ -272,52 +174,20 @@
         version: VersionHash,
         now: Instant,
     ) {
-        self.insert(key, Entry { version, began_for: Some(destination), noted_at: now });
+        self.streams.insert(key, Entry { version, began_for: Some(destination), noted_at: now });
     }
 
     /// Records the version that another box or the store tells. A version that is known already
     /// stays.
     pub fn record_announcement(&mut self, key: StreamKey, version: VersionHash, now: Instant) {
         if self.version(key, now).is_none() {
-            self.insert(key, Entry { version, began_for: None, noted_at: now });
-        }
-    }
-
-    fn insert(&mut self, key: StreamKey, entry: Entry) {
-        let kind = entry.kind();
-        let replaced = self.entries.insert(key, entry);
-        if let Some(replaced) = replaced {
-            self.notes_mut(replaced.kind()).kept -= 1;
-        }
-        let notes = self.notes_mut(kind);
-        notes.kept += 1;
-        if replaced.is_none_or(|known| (known.kind(), known.noted_at) != (kind, entry.noted_at)) {
-            notes.queue.push_back((entry.noted_at, key));
-        }
-        while self.notes_mut(kind).kept > MAX_STREAMS {
-            self.drop_oldest(kind);
-        }
-    }
-
-    fn notes_mut(&mut self, kind: Kind) -> &mut Notes {
-        match kind {
-            Kind::Own => &mut self.own,
-            Kind::Named => &mut self.named,
-        }
-    }
-
-    fn drop_oldest(&mut self, kind: Kind) {
-        let Some((noted_at, key)) = self.notes_mut(kind).queue.pop_front() else { return };
-        let is_last = |entry: &Entry| entry.kind() == kind && entry.noted_at == noted_at;
-        if self.entries.get(&key).is_some_and(is_last) {
-            self.entries.remove(&key);
-            self.notes_mut(kind).kept -= 1;
+            self.streams.insert(key, Entry { version, began_for: None, noted_at: now });
         }
     }
 
     /// The version at which a stream began, if this box knows it.
     pub fn version(&self, key: StreamKey, now: Instant) -> Option<VersionHash> {
-        let entry = self.entries.get(&key)?;
+        let entry = self.streams.get(key)?;
         (now < entry.noted_at + self.retention()).then_some(entry.version)
     }
 
@@ -325,9 +195,9 @@
     /// because the caller may repeat its request.
     pub fn look_up(&mut self, key: StreamKey, now: Instant) -> Option<VersionHash> {
         let version = self.version(key, now)?;
-        let entry = *self.entries.get(&key)?;
+        let entry = self.streams.get(key)?;
         if now >= entry.noted_at + self.retention() / REFRESH_FRACTION {
-            self.insert(key, Entry { noted_at: now, ..entry });
+            self.streams.insert(key, Entry { noted_at: now, ..entry });
         }
         Some(version)
     }
@@ -644,19 +514,14 @@
     ) -> impl Iterator<Item = (Destination, StreamKey, VersionHash)> {
         let longest_stream = self.longest_stream;
         let may_run = move |entry: &Entry| now < entry.noted_at + longest_stream;
-        let entries = self.entries.iter().filter(move |(_, entry)| may_run(entry));
-        entries.filter_map(|(key, entry)| Some((entry.began_for?, *key, entry.version)))
+        let entries = self.streams.iter().filter(move |(_, entry)| may_run(entry));
+        entries.filter_map(|(key, entry)| Some((entry.began_for?, key, entry.version)))
     }
 
     /// Drops what is no longer kept.
     pub fn expire(&mut self, now: Instant) {
         let retention = self.retention();
-        for kind in [Kind::Own, Kind::Named] {
-            let is_over = |(noted_at, _): &(Instant, StreamKey)| now >= *noted_at + retention;
-            while self.notes_mut(kind).queue.front().is_some_and(is_over) {
-                self.drop_oldest(kind);
-            }
-        }
+        self.streams.expire(retention, now);
         for Subject { counted, list, .. } in self.subjects.values_mut() {
             // What is still listed would be counted anew with the next state.
             counted.retain(|version, CountedVersion { gone_since, .. }| {
@@ -673,57 +538,11 @@
 
     /// Number of streams that are kept.
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.streams.len()
     }
 
     /// Whether no stream is kept.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.streams.is_empty()
     }
 }
-
-/// Stands for a service that is not picked by the attempt that began the stream.
-pub const NO_POINT: u64 = u64::MAX;
-
-/// Announcements of stream versions, queries for them and responses to queries.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct StreamReport {
-    /// Streams whose versions are announced.
-    #[prost(fixed64, repeated, tag = "1")]
-    pub announced: Vec<StreamKey>,
-    /// Versions of these streams, in their order.
-    #[prost(fixed64, repeated, tag = "2")]
-    pub versions: Vec<VersionHash>,
-    /// Streams whose versions are queried.
-    #[prost(fixed64, repeated, tag = "3")]
-    pub queried: Vec<StreamKey>,
-    /// Queried streams that the sender doesn't know.
-    #[prost(fixed64, repeated, tag = "4")]
-    pub unknown: Vec<StreamKey>,
-    /// Services of the queried streams, in their order, if the receiver is to look them up in the
-    /// store.
-    #[prost(fixed64, repeated, tag = "5")]
-    pub queried_services: Vec<ServiceHash>,
-    /// Streams that the receiver is to write to the store.
-    #[prost(fixed64, repeated, tag = "6")]
-    pub begun: Vec<StreamKey>,
-    /// Versions of these streams, in their order.
-    #[prost(fixed64, repeated, tag = "7")]
-    pub begun_versions: Vec<VersionHash>,
-    /// Queried streams that the sender could not look up in the store.
-    #[prost(fixed64, repeated, tag = "8")]
-    pub not_looked_up: Vec<StreamKey>,
-    /// Routes of the queried streams, in the order of the services.
-    #[prost(fixed64, repeated, tag = "9")]
-    pub queried_routes: Vec<RouteHash>,
-    /// What the services of these streams are picked by, in the same order; [`NO_POINT`] if nothing is
-    /// known.
-    #[prost(fixed64, repeated, tag = "10")]
-    pub queried_points: Vec<u64>,
-    /// Queried streams whose versions the sender has by the lists in the store only.
-    #[prost(fixed64, repeated, tag = "11")]
-    pub proved: Vec<StreamKey>,
-    /// Versions of these streams, in their order.
-    #[prost(fixed64, repeated, tag = "12")]
-    pub proved_versions: Vec<VersionHash>,
-}
--- a/lib/src/gateway/stream_directory.rs
+++ b/lib/src/gateway/stream_directory.rs
@@ -10,11 +10,11 @@
 use tokio::sync::oneshot;
 
 use crate::coordination::presence;
-use crate::coordination::stream_versions::BoxLocation;
+use crate::coordination::stream_holders::BoxLocation;
+use crate::coordination::stream_report::NO_POINT;
+use crate::coordination::stream_report::StreamReport;
 use crate::coordination::stream_versions::Destination;
-use crate::coordination::stream_versions::NO_POINT;
 use crate::coordination::stream_versions::StreamKey;
-use crate::coordination::stream_versions::StreamReport;
 use crate::coordination::stream_versions::StreamVersions;
 use crate::protocol::fleet::VersionHash;
 use crate::protocol::platform::Era;
--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -26,7 +26,7 @@
 use crate::coordination::presence;
 use crate::coordination::stream_batch::MAX_BATCH_STREAMS;
 use crate::coordination::stream_batch::StreamBatch;
-use crate::coordination::stream_versions::MAX_STREAMS;
+use crate::coordination::stream_table::MAX_STREAMS;
 use crate::coordination::stream_versions::Split;
 use crate::coordination::stream_versions::StreamKey;
 use crate::coordination::stream_versions::SubjectHash;
--- a/lib/src/gateway/stream_versions.rs
+++ b/lib/src/gateway/stream_versions.rs
@@ -25,12 +25,13 @@
 use crate::coordination::presence;
 use crate::coordination::rendezvous;
 use crate::coordination::stream_batch::StreamBatch;
+use crate::coordination::stream_holders;
+use crate::coordination::stream_holders::BoxLocation;
+use crate::coordination::stream_report::StreamReport;
 use crate::coordination::stream_versions;
-use crate::coordination::stream_versions::BoxLocation;
 use crate::coordination::stream_versions::Destination;
 use crate::coordination::stream_versions::ServiceHash;
 use crate::coordination::stream_versions::StreamKey;
-use crate::coordination::stream_versions::StreamReport;
 use crate::error::ErrorKind;
 use crate::error::Failure;
 use crate::protocol::adapter::Adapter;
@@ -87,7 +88,7 @@
         address: settings.listen.peers,
     };
     let others = snapshot.boxes.iter().map(BoxLocation::from);
-    let mut holders = stream_versions::holders(key, others.chain([own]));
+    let mut holders = stream_holders::holders(key, others.chain([own]));
     holders.retain(|holder| holder.name != own.name);
     holders
 }
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use copperweir_lib::coordination::stream_versions::BoxLocation;
+use copperweir_lib::coordination::stream_holders::BoxLocation;
+use copperweir_lib::coordination::stream_holders::holders;
 use copperweir_lib::coordination::stream_versions::Destination;
 use copperweir_lib::coordination::stream_versions::StreamVersions;
-use copperweir_lib::coordination::stream_versions::holders;
 use copperweir_lib::coordination::stream_versions::stream_key;
 use proptest::prelude::*;
 
