liveness: a peer that does not read is not a dead path

What callers saw: a server answered before it had read a long body, as the protocol allows, and read on later. After 1.2 s the box closed the caller's connection in the middle of the answer. A server that read nothing for 3 s got its requests cut with 502, and the next two requests got 503, "this box can't reach the backend servers", while the server accepted connections.

Cause: TCP_USER_TIMEOUT bounds more than unacknowledged data. The kernel also ends a connection whose peer acknowledges every probe but has had no room for that long. The error is ETIMEDOUT, which the gateway takes for a lost path, so that the server is out of use until a probe has connected. Connections to boxes and to the store (2 s) and of callers (10 s) have the same property.

Change: while written data may be unacknowledged, the connection reads its TCP_INFO four times within the bound. A stall in which the peer's host answers moves the bound; one without an answer doesn't, so a dead path shows as before. A host answers at most one probe in 500 ms, so a single unanswered probe within a stall proves nothing. An orderly close leaves the rest to the kernel's own bounds, since nobody moves the bound any more.

--- a/lib/src/transport/activity.rs
+++ b/lib/src/transport/activity.rs
@@ -27,8 +27,8 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
+use super::liveness;
 use super::truncation::Reset;
 use crate::state::clock;
 
@@ -88,7 +88,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    stream: TcpStream,
+    stream: liveness::Stream,
     phase: Phase,
     /// Whether the request in progress has arrived completely.
     is_request_whole: bool,
@@ -119,7 +119,7 @@
 
 impl Activity {
     /// Tracks a connection that was just accepted.
-    pub fn new(stream: TcpStream) -> Activity {
+    pub fn new(stream: liveness::Stream) -> Activity {
         Activity(Arc::new(Mutex::new(Inner {
             stream,
             phase: Phase::Silent(clock::now()),
@@ -161,7 +161,12 @@
     /// Sends bytes at once, without waiting. Only for a connection that has nothing else to send.
     pub fn send_now(&self, bytes: &[u8]) {
         // The caller may be gone, or reads nothing.
-        let _ = self.lock().stream.try_write(bytes);
+        let _ = self.lock().stream.get_ref().try_write(bytes);
+    }
+
+    /// Prepares the close of a connection whose caller may not have read everything.
+    pub fn leave_to_system(&self) {
+        self.lock().stream.leave_to_system();
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -492,9 +492,8 @@
         .await
         .map_err(|_| format!("{address} did not accept in time"))?
         .map_err(|error| format!("{address}: {error}"))?;
-    liveness.apply(&stream);
     let meter = Meter::new();
-    let stream = Metered::new(stream, meter.clone());
+    let stream = Metered::new(liveness::Stream::new(stream, liveness), meter.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(bounds::READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/lib/src/transport/http1.rs
+++ b/lib/src/transport/http1.rs
@@ -93,9 +93,8 @@
             );
             return;
         };
-        liveness::CALLER.apply(&stream);
         let connection = serve_connection(
-            stream,
+            liveness::Stream::new(stream, liveness::CALLER),
             address.ip(),
             limits.clone(),
             handler.clone(),
@@ -146,7 +145,7 @@
 
 /// Serves one connection to its end.
 async fn serve_connection<H, F, B>(
-    stream: TcpStream,
+    stream: liveness::Stream,
     client: IpAddr,
     current_limits: impl Fn() -> ConnectionLimits + Send + 'static,
     handler: H,
@@ -225,6 +224,7 @@
                 if matches!(phase, Phase::Head(_)) {
                     activity.send_now(HEAD_TIMEOUT_RESPONSE);
                 }
+                activity.leave_to_system();
                 return;
             }
         }
--- a/lib/src/transport/listen.rs
+++ b/lib/src/transport/listen.rs
@@ -117,10 +117,12 @@
         let Some(stream) = stream else { break };
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else { continue };
         let Ok(stream) = TcpStream::from_std(stream) else { continue };
-        liveness::CALLER.apply(&stream);
         let handler = handler.clone();
         let truncation = Truncation::default();
-        let stream = ResettableStream::new(stream, truncation.clone());
+        let stream = ResettableStream::new(
+            liveness::Stream::new(stream, liveness::CALLER),
+            truncation.clone(),
+        );
         let service = service_fn(move |request: Request<Incoming>| {
             let (version, truncation) = (request.version(), truncation.clone());
             let response = handler(request);
--- a/lib/src/transport/liveness.rs
+++ b/lib/src/transport/liveness.rs
@@ -2,11 +2,16 @@
 //!
 //! An open connection may stop passing data without a reset. Two bounds of the operating system find
 //! this out, whatever the peer's process does: keep-alive probes on an idle connection, and a bound
-//! on the time for which sent data remains unacknowledged. A process that stalls doesn't exceed
-//! them, because its host continues to acknowledge data.
+//! on the time for which sent data remains unacknowledged. The bound on unacknowledged data also
+//! decides when keep-alive gives up, whatever the number of its probes. So a dead path shows after at
+//! most [`Liveness::max_detection`].
 //!
-//! The bound on unacknowledged data also decides when keep-alive gives up, whatever the number of
-//! its probes. So a dead path shows after at most [`Liveness::max_detection`].
+//! A process that stalls must not exceed the bounds, because its host continues to acknowledge data.
+//! But once its buffer is full, the operating system applies the bound to data that it hasn't sent.
+//! [`Stream`] therefore moves the bound for as long as the peer's host answers.
+
+mod stream;
+pub mod window;
 
 use std::time::Duration;
 
@@ -14,6 +19,8 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 
+pub use self::stream::Stream;
+
 /// Bounds on one kind of connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Liveness {
--- a/lib/src/transport/meter.rs
+++ b/lib/src/transport/meter.rs
@@ -25,9 +25,9 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::liveness;
 use super::timer;
 use crate::protocol::bounds::HEAD_TIMEOUT;
 use crate::protocol::bounds::HEAD_TIMEOUT_GRACE;
@@ -321,13 +321,13 @@
 
 /// A connection whose read bytes are counted.
 pub struct Metered {
-    stream: TcpStream,
+    stream: liveness::Stream,
     meter: Meter,
 }
 
 impl Metered {
     /// Counts the bytes that are read from `stream`.
-    pub fn new(stream: TcpStream, meter: Meter) -> Metered {
+    pub fn new(stream: liveness::Stream, meter: Meter) -> Metered {
         Metered { stream, meter }
     }
 
--- a/lib/src/transport/peer.rs
+++ b/lib/src/transport/peer.rs
@@ -177,8 +177,7 @@
     };
     let incoming = ReceiverStream::new(accepted).map(|stream| {
         let stream = TcpStream::from_std(stream)?;
-        liveness::REMOTE.apply(&stream);
-        Ok::<_, std::io::Error>(stream)
+        Ok::<_, std::io::Error>(liveness::Stream::new(stream, liveness::REMOTE))
     });
     let server = tonic::transport::Server::builder().add_service(service);
     if let Err(error) = server.serve_with_incoming_shutdown(incoming, shut_down).await {
--- a/lib/src/transport/timer.rs
+++ b/lib/src/transport/timer.rs
@@ -7,12 +7,16 @@
 //! towards a wait, so waits that have expired meanwhile end when the machine resumes.
 
 use std::future::Future;
+use std::pin::Pin;
 use std::pin::pin;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio::time::Sleep;
 
 use crate::state::clock;
 
@@ -122,6 +126,28 @@
     sleep_until(clock::now() + time).await;
 }
 
+/// A wait that its owner polls and sets again. It ignores suspensions, so it suits checks of state
+/// that a suspension doesn't change.
+#[derive(Debug)]
+pub struct Alarm(Pin<Box<Sleep>>);
+
+impl Alarm {
+    /// Waits for a duration from now on.
+    pub fn new(time: Duration) -> Alarm {
+        Alarm(Box::pin(tokio::time::sleep(time)))
+    }
+
+    /// Waits for a duration from now on, whether the last wait has ended or not.
+    pub fn reset(&mut self, time: Duration) {
+        self.0.as_mut().reset(tokio::time::Instant::now() + time);
+    }
+
+    /// Whether the wait is over.
+    pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        self.0.as_mut().poll(context)
+    }
+}
+
 /// An error for a wait that reached its timeout.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("not done in time")]
--- a/lib/src/transport/truncation.rs
+++ b/lib/src/transport/truncation.rs
@@ -22,7 +22,8 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
+
+use super::liveness;
 
 /// A stream whose close can be made a reset.
 pub trait Reset {
@@ -32,10 +33,10 @@
     fn end_on_close(&self);
 }
 
-impl Reset for TcpStream {
+impl Reset for liveness::Stream {
     fn reset_on_close(&self) {
         // The connection may have ended already.
-        let _ = self.set_zero_linger();
+        let _ = self.get_ref().set_zero_linger();
     }
 
     fn end_on_close(&self) {
