http1: open connections follow changes of the limits

What callers saw: the operator raised maxHeaderBytes, and open connections went on to return 431 for heads that new connections may send, if that head was the first request after the change. A lowered limit never reached an open connection, nor did a changed idleTimeoutMs: a caller that rested for less than a raised time-out found its connection closed.

Cause: the HTTP library takes its limits when a connection is accepted. A raised limit on heads only closed the connection after its next response.

Change: a change of the limits wakes the open connections. Each one that has no request in progress is handed back by the library with the bytes it has read, and served anew. During a request this waits for the response, and the next head stays unread until then. A request's body is tracked, so that the rest of a body is never taken for a head; where that isn't known, the connection is closed. The ports for boxes take the same way.

--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -420,6 +420,10 @@
             has_started: self.cluster_state.routing.is_some() && self.knows_resends,
         });
         self.shared.snapshot.store(Arc::clone(&snapshot));
+        let limits = snapshot.routing.as_ref().map(|routing| routing.limits).unwrap_or_default();
+        self.shared
+            .limits
+            .send_if_modified(|published| std::mem::replace(published, limits) != limits);
         self.shared.forwarded_versions.notify_published();
         if snapshot.has_started {
             let is_new_fleet =
--- a/lib/src/gateway/directory.rs
+++ b/lib/src/gateway/directory.rs
@@ -10,7 +10,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use hyper::body::Incoming;
 
 use super::shared::Shared;
 use super::shared::Snapshot;
@@ -23,6 +22,7 @@
 use crate::protocol::adapter::DirectoryQuery;
 use crate::protocol::fleet::BoxRecord;
 use crate::state::clock;
+use crate::transport::activity::RequestBody;
 use crate::transport::body::NonRelayBody;
 use crate::transport::body::ResponseBody;
 
@@ -38,7 +38,7 @@
 /// Handles a request on the readiness port.
 pub async fn handle_readiness<A: Adapter>(
     shared: Arc<Shared<A>>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<NonRelayBody> {
     if !shared.adapter.is_readiness_check(request.method(), request.uri()) {
         return empty_response(StatusCode::NOT_FOUND);
@@ -52,7 +52,7 @@
 pub async fn handle<A: Adapter>(
     shared: Arc<Shared<A>>,
     own_record: Arc<BoxRecord>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<NonRelayBody> {
     let Some(query) = shared.adapter.parse_directory_query(request.method(), request.uri()) else {
         return empty_response(StatusCode::NOT_FOUND);
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -7,7 +7,6 @@
 use http::Request;
 use http::Response;
 use http::header;
-use hyper::body::Incoming;
 
 use super::attempt::Payload;
 use super::attempt::Reply;
@@ -38,6 +37,7 @@
 use crate::state::clock;
 use crate::state::counters::Counter;
 use crate::state::latency::Timing;
+use crate::transport::activity::RequestBody;
 use crate::transport::body::NonRelayBody;
 use crate::transport::body::ResponseBody;
 use crate::transport::timer;
@@ -50,7 +50,7 @@
 pub async fn handle<A: Adapter>(
     shared: Arc<Shared<A>>,
     origin: Origin,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<NonRelayBody> {
     let in_flight_guard = shared.track_request();
     shared.counters.increment(match origin {
@@ -71,7 +71,7 @@
 async fn process<A: Adapter>(
     shared: &Arc<Shared<A>>,
     origin: Origin,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     in_flight_guard: InFlightGuard<A>,
 ) -> Response<NonRelayBody> {
     let mut history = RequestHistory::default();
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -16,7 +16,6 @@
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 
 use super::forwarded_versions;
 pub use super::forwarded_versions::FORWARDED_HEADER;
@@ -45,6 +44,7 @@
 use crate::protocol::team::KeyDigest;
 use crate::protocol::team::Team;
 use crate::state::clock;
+use crate::transport::activity::RequestBody;
 use crate::transport::http1;
 use crate::transport::timer;
 
@@ -125,7 +125,7 @@
         shared: &Shared<A>,
         origin: Origin,
         mut metadata: RequestMetadata,
-        request: Request<Incoming>,
+        request: Request<RequestBody>,
     ) -> Result<Job, Failure> {
         let arrived = clock::now();
         let (head, body) = request.into_parts();
@@ -334,7 +334,11 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes, Failure> {
+async fn read_body(
+    body: RequestBody,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Failure> {
     let read = Limited::new(body, max_bytes).collect();
     match timer::timeout_at(deadline, read).await {
         Err(_) => Err(Failure::new(ErrorKind::BodyTimeout, "the body did not arrive in time")),
--- a/lib/src/gateway/metrics.rs
+++ b/lib/src/gateway/metrics.rs
@@ -8,7 +8,6 @@
 use http::Request;
 use http::Response;
 use http::header;
-use hyper::body::Incoming;
 
 use super::shared::Shared;
 use super::shared::lock;
@@ -16,13 +15,14 @@
 use crate::protocol::adapter::Adapter;
 use crate::state::clock;
 use crate::state::counters::Counter;
+use crate::transport::activity::RequestBody;
 use crate::transport::body::NonRelayBody;
 use crate::transport::body::ResponseBody;
 
 /// Handles a request on the metrics port, whatever its path.
 pub async fn handle<A: Adapter>(
     shared: Arc<Shared<A>>,
-    _request: Request<Incoming>,
+    _request: Request<RequestBody>,
 ) -> Response<NonRelayBody> {
     let mut response = Response::new(ResponseBody::buffered(render(&shared)));
     let text = HeaderValue::from_static("text/plain; charset=utf-8");
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -92,13 +92,14 @@
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::fleet::FailureDomainId;
 use crate::protocol::platform::Position;
+use crate::protocol::routing::Limits;
 use crate::state::clock;
 use crate::state::counters::Counters;
 use crate::state::latency::Latencies;
 use crate::transport::activity::OpenConnections;
 use crate::transport::backend;
 use crate::transport::http1;
-use crate::transport::http1::ConnectionLimits;
+use crate::transport::http1::limits;
 use crate::transport::listen::Shutdown;
 use crate::transport::liveness;
 use crate::transport::memory::Account;
@@ -239,6 +240,7 @@
             in_flight: AtomicUsize::new(0),
             open: OpenConnections::default(),
             closing_since: watch::Sender::new(None),
+            limits: watch::Sender::new(Limits::default()),
             counters,
             latencies,
             settings,
@@ -386,8 +388,7 @@
         return;
     };
     let max_connections = |share: f64| (shared.settings.socket_descriptors as f64 * share) as usize;
-    let state = Arc::clone(&shared);
-    let connection_limits = move || caller_limits(&state);
+    let limits = |derive| limits::Watch::new(shared.limits.subscribe(), derive);
     let state = Arc::clone(&shared);
     let handle_caller = move |request| ingress::handle(Arc::clone(&state), Origin::Caller, request);
     let state = Arc::clone(&shared);
@@ -401,14 +402,6 @@
     let handle_metrics = move |request| metrics::handle(Arc::clone(&state), request);
     let state = Arc::clone(&shared);
     let handle_handover = move |request| state_transfer::handle(Arc::clone(&state), request);
-    let state = Arc::clone(&shared);
-    let small_port_limits = move || ConnectionLimits {
-        max_header_bytes: 8 << 10,
-        idle_timeout: Duration::from_secs(60),
-        ..caller_limits(&state)
-    };
-    let state = Arc::clone(&shared);
-    let peer_connection_limits = move || peer_limits(&state);
     // A box that stops waits for the connections that requests may arrive on, and only briefly for
     // those of the platform's checks and of boxes that ask for the state, which ask another box.
     let open = || shared.open.clone();
@@ -418,7 +411,7 @@
             callers,
             max_connections(CALLER_DESCRIPTOR_SHARE),
             open(),
-            connection_limits,
+            limits(limits::Connection::from),
             handle_caller,
             stop.clone()
         ),
@@ -426,7 +419,7 @@
             peers,
             max_connections(PEER_DESCRIPTOR_SHARE),
             open(),
-            peer_connection_limits,
+            limits(peer_limits),
             handle_peer,
             stop.clone()
         ),
@@ -434,7 +427,7 @@
             ready,
             SMALL_PORT_CONNECTIONS,
             uncounted(),
-            small_port_limits.clone(),
+            limits(small_port_limits),
             handle_ready,
             stop.clone()
         ),
@@ -442,7 +435,7 @@
             directory,
             max_connections(DIRECTORY_DESCRIPTOR_SHARE),
             open(),
-            small_port_limits.clone(),
+            limits(small_port_limits),
             handle_directory,
             stop.clone()
         ),
@@ -450,7 +443,7 @@
             handover,
             max_connections(HANDOVER_DESCRIPTOR_SHARE),
             uncounted(),
-            small_port_limits.clone(),
+            limits(small_port_limits),
             handle_handover,
             stop.clone()
         ),
@@ -458,31 +451,28 @@
             metrics,
             SMALL_PORT_CONNECTIONS,
             uncounted(),
-            small_port_limits,
+            limits(small_port_limits),
             handle_metrics,
             stop
         ),
     );
 }
 
-/// The limits on callers' connections in the current configuration.
-fn caller_limits<A: Adapter>(shared: &Shared<A>) -> ConnectionLimits {
-    let limits = shared.snapshot.load().routing.as_ref().map(|routing| routing.limits);
-    let limits = limits.unwrap_or_default();
-    ConnectionLimits {
-        max_header_bytes: limits.max_header_bytes,
-        idle_timeout: limits.idle_timeout,
-        header_timeout: limits.header_timeout,
+/// The limits on connections of other boxes. These have checked the heads of their callers' requests.
+fn peer_limits(limits: Limits) -> limits::Connection {
+    limits::Connection {
+        max_header_bytes: limits.max_header_bytes.max(MIN_PEER_HEAD_BYTES) + FORWARD_HEAD_BYTES,
+        idle_timeout: Duration::from_secs(60),
+        ..limits.into()
     }
 }
 
-/// The limits on connections of other boxes. These have checked the heads of their callers' requests.
-fn peer_limits<A: Adapter>(shared: &Shared<A>) -> ConnectionLimits {
-    let limits = caller_limits(shared);
-    ConnectionLimits {
-        max_header_bytes: limits.max_header_bytes.max(MIN_PEER_HEAD_BYTES) + FORWARD_HEAD_BYTES,
+/// The limits on connections for small requests without a body.
+fn small_port_limits(limits: Limits) -> limits::Connection {
+    limits::Connection {
+        max_header_bytes: 8 << 10,
         idle_timeout: Duration::from_secs(60),
-        ..limits
+        ..limits.into()
     }
 }
 
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -56,6 +56,7 @@
 use crate::protocol::adapter::KeyValue;
 use crate::protocol::fleet::BoxRecord;
 use crate::protocol::platform::Position;
+use crate::protocol::routing::Limits;
 use crate::protocol::routing::Routing;
 use crate::protocol::routing::ServiceId;
 use crate::state::clock;
@@ -236,6 +237,8 @@
     pub open: OpenConnections,
     /// Since when the ports of this box are closed because it is leaving.
     pub closing_since: watch::Sender<Option<Instant>>,
+    /// The limits of the routing configuration, which open connections follow.
+    pub limits: watch::Sender<Limits>,
     /// Event counters.
     pub counters: Arc<Counters>,
     /// Latency histograms.
--- a/lib/src/gateway/state_transfer.rs
+++ b/lib/src/gateway/state_transfer.rs
@@ -27,7 +27,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use prost::Message;
 use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
@@ -46,6 +45,7 @@
 use crate::protocol::bounds::MAX_QUERY_BYTES;
 use crate::protocol::platform::Position;
 use crate::state::clock;
+use crate::transport::activity::RequestBody;
 use crate::transport::backend;
 use crate::transport::body::NonRelayBody;
 use crate::transport::body::ResponseBody;
@@ -235,7 +235,7 @@
 /// Handles the state query of another box.
 pub async fn handle<A: Adapter>(
     shared: Arc<Shared<A>>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<NonRelayBody> {
     if let Some(response) = identity::respond(&shared, &request) {
         return response;
@@ -258,7 +258,7 @@
 }
 
 /// Reads a query. An empty body is the query of a box that has no state.
-async fn read_query(body: Incoming) -> Option<StateQuery> {
+async fn read_query(body: RequestBody) -> Option<StateQuery> {
     let body = Limited::new(body, MAX_QUERY_BYTES).collect().await;
     let body = body.inspect_err(|error| log::info!("event=question_broken error=\"{error}\""));
     StateQuery::decode(body.ok()?.to_bytes()).ok()
--- a/lib/src/gateway/state_transfer/identity.rs
+++ b/lib/src/gateway/state_transfer/identity.rs
@@ -7,7 +7,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use prost::Message;
 
 use super::PEER_TIMEOUT;
@@ -21,6 +20,7 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::with_port;
 use crate::protocol::platform::Position;
+use crate::transport::activity::RequestBody;
 use crate::transport::backend;
 use crate::transport::body::NonRelayBody;
 use crate::transport::body::ResponseBody;
@@ -49,7 +49,7 @@
 /// The response to a query for the identity of this box; `None` if `request` is none.
 pub(super) fn respond<A>(
     shared: &Shared<A>,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Option<Response<NonRelayBody>> {
     request.headers().get(IDENTITY_QUERY)?;
     let mut response = Response::new(ResponseBody::buffered(Bytes::new()));
--- a/lib/src/protocol/routing.rs
+++ b/lib/src/protocol/routing.rs
@@ -114,7 +114,7 @@
 }
 
 /// Limits on what callers may send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
     /// Maximum size of a request head.
     pub max_header_bytes: usize,
--- a/lib/src/transport/activity.rs
+++ b/lib/src/transport/activity.rs
@@ -20,9 +20,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::Request;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use hyper::body::Incoming;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -60,6 +62,15 @@
     }
 }
 
+/// What is known of a connection without a request in progress.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rest {
+    /// What arrives next is the next request, or the rest of its head.
+    BetweenRequests,
+    /// The last request may not have arrived completely.
+    Unknown,
+}
+
 /// Activity of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -94,9 +105,26 @@
     is_request_whole: bool,
     /// Whether a part of the next request has arrived during the one in progress.
     has_next: bool,
+    /// Whether nothing more is read once the request in progress has been responded to.
+    holds_next: bool,
+    /// Bytes that were read and given back.
+    unread: Bytes,
 }
 
 impl Inner {
+    fn poll_read(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        if self.unread.is_empty() {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        }
+        let len = self.unread.len().min(buffer.remaining());
+        buffer.put_slice(&self.unread.split_to(len));
+        Poll::Ready(Ok(()))
+    }
+
     fn record_read(&mut self) {
         match self.phase {
             Phase::Silent(_) | Phase::Idle => self.phase = Phase::Head(clock::now()),
@@ -123,8 +151,10 @@
         Activity(Arc::new(Mutex::new(Inner {
             stream,
             phase: Phase::Silent(clock::now()),
-            is_request_whole: false,
+            is_request_whole: true,
             has_next: false,
+            holds_next: false,
+            unread: Bytes::new(),
         })))
     }
 
@@ -138,12 +168,37 @@
         self.lock().phase
     }
 
-    /// Records a complete request head. `is_whole` is set if the request has no body.
-    pub fn begin_request(&self, is_whole: bool) {
+    /// Records a complete request head, and wraps the request's body to find out when it has
+    /// arrived.
+    pub fn begin_request(&self, request: Request<Incoming>) -> Request<RequestBody> {
         let mut inner = self.lock();
         inner.phase = Phase::Request;
-        inner.is_request_whole = is_whole;
+        inner.is_request_whole = request.body().is_end_stream();
         inner.has_next = false;
+        drop(inner);
+        request.map(|body| RequestBody { body, activity: self.clone() })
+    }
+
+    /// Whether the connection is between two requests; `None` while one is in progress.
+    pub fn rest(&self) -> Option<Rest> {
+        let inner = self.lock();
+        match inner.phase {
+            Phase::Request | Phase::Flushing => None,
+            Phase::Silent(_) | Phase::Head(_) | Phase::Idle if inner.is_request_whole => {
+                Some(Rest::BetweenRequests)
+            }
+            Phase::Silent(_) | Phase::Head(_) | Phase::Idle => Some(Rest::Unknown),
+        }
+    }
+
+    /// Sets whether the next request stays unread.
+    pub fn hold_next_request(&self, holds_next: bool) {
+        self.lock().holds_next = holds_next;
+    }
+
+    /// Gives back bytes, which are read again before others.
+    pub fn unread(&self, bytes: Bytes) {
+        self.lock().unread = bytes;
     }
 
     /// Wraps the response's body to find out when it ends.
@@ -155,7 +210,8 @@
     pub fn has_unread(&self) -> bool {
         let inner = self.lock();
         let mut byte = [MaybeUninit::uninit()];
-        SockRef::from(&inner.stream).peek(&mut byte).is_ok_and(|length| length > 0)
+        !inner.unread.is_empty()
+            || SockRef::from(&inner.stream).peek(&mut byte).is_ok_and(|length| length > 0)
     }
 
     /// Sends bytes at once, without waiting. Only for a connection that has nothing else to send.
@@ -195,8 +251,11 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let mut inner = self.0.lock();
+        if inner.holds_next && inner.phase == Phase::Idle {
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
-        let result = Pin::new(&mut inner.stream).poll_read(context, buffer);
+        let result = inner.poll_read(context, buffer);
         if buffer.filled().len() > before {
             inner.record_read();
         }
@@ -240,6 +299,42 @@
     }
 }
 
+/// A request's body, whose end is recorded.
+#[derive(Debug)]
+pub struct RequestBody {
+    body: Incoming,
+    activity: Activity,
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        let has_ended = match &polled {
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Ok(_))) => self.body.is_end_stream(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => false,
+        };
+        if has_ended {
+            self.activity.lock().is_request_whole = true;
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 #[derive(Debug)]
 struct BodyEnd(Activity);
 
--- a/lib/tests/test_slow_readers.rs
+++ b/lib/tests/test_slow_readers.rs
@@ -3,19 +3,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use copperweir_lib::protocol::routing::Limits;
 use copperweir_lib::transport::activity::OpenConnections;
+use copperweir_lib::transport::activity::RequestBody;
 use copperweir_lib::transport::backend;
 use copperweir_lib::transport::body::NonRelayBody;
 use copperweir_lib::transport::body::ResponseBody;
 use copperweir_lib::transport::http1;
-use copperweir_lib::transport::http1::ConnectionLimits;
+use copperweir_lib::transport::http1::limits;
 use copperweir_lib::transport::listen::Shutdown;
 use copperweir_lib::transport::liveness;
 use copperweir_lib::transport::liveness::Liveness;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -102,11 +103,11 @@
     }
 }
 
-const LIMITS: ConnectionLimits = ConnectionLimits {
-    max_header_bytes: 16_384,
-    idle_timeout: Duration::from_secs(10),
-    header_timeout: Duration::from_secs(10),
-};
+fn limits() -> limits::Watch {
+    let timeout = Duration::from_secs(10);
+    let limits = Limits { idle_timeout: timeout, header_timeout: timeout, ..Limits::default() };
+    limits::Watch::new(watch::channel(limits).1, limits::Connection::from)
+}
 
 fn large_response() -> Response<NonRelayBody> {
     Response::new(ResponseBody::buffered(Bytes::from(vec![b'r'; BODY_BYTES])))
@@ -118,9 +119,9 @@
     let listener = listen();
     let address = listener.local_addr().expect("an address");
     let (_stop, stopping) = watch::channel(Shutdown::No);
-    let handler = |_: Request<Incoming>| std::future::ready(large_response());
+    let handler = |_: Request<RequestBody>| std::future::ready(large_response());
     let open = OpenConnections::default();
-    tokio::spawn(http1::serve(listener, 10, open, || LIMITS, handler, stopping));
+    tokio::spawn(http1::serve(listener, 10, open, limits(), handler, stopping));
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_recv_buffer_size(WINDOW_BYTES).expect("an option");
     let mut stream: TcpStream = socket.connect(address).await.expect("a connection");
--- a/lib/tests/test_truncation.rs
+++ b/lib/tests/test_truncation.rs
@@ -3,15 +3,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use copperweir_lib::protocol::routing::Limits;
 use copperweir_lib::transport::activity::OpenConnections;
+use copperweir_lib::transport::activity::RequestBody;
 use copperweir_lib::transport::body::NonRelayBody;
 use copperweir_lib::transport::body::ResponseBody;
 use copperweir_lib::transport::http1;
-use copperweir_lib::transport::http1::ConnectionLimits;
+use copperweir_lib::transport::http1::limits;
 use copperweir_lib::transport::listen::Shutdown;
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -29,11 +30,11 @@
     Never,
 }
 
-const LIMITS: ConnectionLimits = ConnectionLimits {
-    max_header_bytes: 16_384,
-    idle_timeout: Duration::from_secs(10),
-    header_timeout: Duration::from_secs(10),
-};
+fn limits() -> limits::Watch {
+    let timeout = Duration::from_secs(10);
+    let limits = Limits { idle_timeout: timeout, header_timeout: timeout, ..Limits::default() };
+    limits::Watch::new(watch::channel(limits).1, limits::Connection::from)
+}
 
 fn respond(end: End) -> Response<NonRelayBody> {
     let (sender, parts) = mpsc::channel(2);
@@ -56,9 +57,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let (stop, stopping) = watch::channel(Shutdown::No);
-    let handler = move |_: Request<Incoming>| std::future::ready(respond(end));
+    let handler = move |_: Request<RequestBody>| std::future::ready(respond(end));
     let open = OpenConnections::default();
-    tokio::spawn(http1::serve(listener, 10, open, || LIMITS, handler, stopping));
+    tokio::spawn(http1::serve(listener, 10, open, limits(), handler, stopping));
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     stream.write_all(request.as_bytes()).await.expect("a request");
     let mut received = Vec::new();
