backend: a status outside of 200 to 599 is no answer

What callers saw: a faulty server's response with the status 600, 777 or 999 was passed on with its body, near the server and over another box.

Cause: the HTTP library accepts any three digits from 100 on, and interim responses apart nothing looked at the number.

Change: the client for servers, boxes and the store treats a response with such a status as an invalid answer: 502, may have run, and its connection isn't used again. Other forms (000, 99, four digits, signs, letters) were rejected by the library before, and stay in the test.

Evidence: odd_status_is_never_told_as_an_answer and response_with_an_odd_status_is_never_told fail on with the status 600, and pass now (HTTP/1.1 and 1.0, with and without a length, streams, near and over another box).

--- a/lib/src/transport/backend.rs
+++ b/lib/src/transport/backend.rs
@@ -15,6 +15,7 @@
 use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -58,6 +59,8 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(60);
 /// The time for which connections are not reused after their server has sent bytes on an idle one.
 const SURPLUS_PERIOD: Duration = Duration::from_secs(60);
+/// Status codes that end an exchange.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// The longest wait for a connection to be established.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -163,6 +166,11 @@
             Ok(response) if response.status() == StatusCode::SWITCHING_PROTOCOLS => {
                 Err(AttemptError::Invalid("the server changed the protocol".to_owned()))
             }
+            // The library accepts any three digits.
+            Ok(response) if !FINAL_STATUSES.contains(&response.status().as_u16()) => {
+                let message = format!("{} is not the status of a response", response.status());
+                Err(AttemptError::Invalid(message))
+            }
             result => Ok(result),
         }
     }
