stream: incomplete events share the memory of held responses

What callers saw: nothing yet; found by the report of another operator, whose machine ran out of memory. 300 streams at once, whose servers send a first event without an end, made a box grow by 162 MB. Each event was bounded to 256 KB, but their sum by the number of connections alone. Boxes have 120 to 260 MB.

Change: an incomplete event of over 16 KB reserves memory in the account of held responses (6 MB), and nothing more is read while there is no room. After 1 s without room the stream is broken off. Sound events are far below 16 KB or complete within milliseconds, which frees their room.

--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -340,7 +340,8 @@
             Some(reservation) => Some(reservation.place.version),
             None => peer_response::version(&head.headers),
         };
-        let stream = Stream::new(exchange, reservation, idle, version);
+        let stream =
+            Stream::new(exchange, shared.response_memory.clone(), reservation, idle, version);
         // Only a stream that continues after an event may have no more of them. Without framing, a
         // server that stopped before the first event looks like the end of an empty stream.
         let may_be_empty = last_event.is_some_and(|id| id > 0) && is_framed(&head.headers);
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -6,18 +6,25 @@
 
 use super::shared::Reservation;
 use crate::protocol::adapter::Adapter;
+use crate::protocol::bounds::HOLD_TIMEOUT;
 use crate::protocol::bounds::MAX_CHUNKS;
 use crate::protocol::bounds::MAX_EVENT_WIRE_BYTES;
+use crate::protocol::bounds::UNCOUNTED_BODY_BYTES;
 use crate::protocol::events::Splitter;
 use crate::protocol::fleet::VersionHash;
 use crate::transport::backend::PooledBody;
 use crate::transport::body::BodyError;
+use crate::transport::memory::Account;
+use crate::transport::memory::Reserved;
 
 /// Reads the events of a stream.
 pub struct Stream<A: Adapter> {
     exchange: PooledBody,
     reservation: Option<Reservation<A>>,
     splitter: Splitter,
+    memory: Account,
+    /// Memory of the incomplete event.
+    reserved: Option<Reserved>,
     /// Events that were read when waiting for the first one.
     buffered_events: Option<Bytes>,
     idle_time: Duration,
@@ -26,9 +33,10 @@
 
 impl<A: Adapter> Stream<A> {
     /// Creates a stream of a server of `version`, which a box of an older build doesn't report. The
-    /// connection may be idle for `idle_time` afterwards.
+    /// connection may be idle for `idle_time` afterwards. Incomplete events count in `memory`.
     pub fn new(
         exchange: PooledBody,
+        memory: Account,
         reservation: Option<Reservation<A>>,
         idle_time: Duration,
         version: Option<VersionHash>,
@@ -38,6 +46,8 @@
             exchange,
             reservation,
             splitter: Splitter::default(),
+            memory,
+            reserved: None,
             buffered_events: None,
             idle_time,
             version,
@@ -80,6 +90,25 @@
         self.reservation.as_ref().map(|reservation| reservation.place.server.as_str())
     }
 
+    /// Reserves memory for the incomplete event. While there is none, nothing more is read.
+    async fn reserve_incomplete(&mut self) -> Result<(), BodyError> {
+        let len = self.splitter.incomplete_len();
+        let counted = len.saturating_sub(UNCOUNTED_BODY_BYTES);
+        let missing = counted.saturating_sub(self.reserved.as_ref().map_or(0, Reserved::bytes));
+        if missing == 0 {
+            return Ok(());
+        }
+        let Some(more) = self.memory.reserve(missing, HOLD_TIMEOUT).await else {
+            let message = format!("no room for an event of over {len} bytes");
+            return Err(BodyError::TooLong(message));
+        };
+        match &mut self.reserved {
+            Some(reserved) => reserved.merge(more),
+            None => self.reserved = Some(more),
+        }
+        Ok(())
+    }
+
     async fn read(&mut self) -> Result<Option<Bytes>, BodyError> {
         let mut chunks = 0;
         while let Some(bytes) = self.exchange.read().await? {
@@ -87,8 +116,10 @@
                 self.splitter.push(bytes).map_err(|error| BodyError::TooLong(error.to_string()))?;
             if events.is_some() {
                 self.exchange.limit_next(MAX_EVENT_WIRE_BYTES);
+                self.reserved = None;
                 return Ok(events);
             }
+            self.reserve_incomplete().await?;
             chunks += 1;
             if chunks > MAX_CHUNKS {
                 return Err(BodyError::TooLong(format!("an event has over {MAX_CHUNKS} chunks")));
--- a/lib/src/protocol/bounds.rs
+++ b/lib/src/protocol/bounds.rs
@@ -47,11 +47,11 @@
 /// without optimization.
 pub const MAX_CHUNKS: usize = 4096;
 
-/// Maximum number of bytes of all whole responses that a box holds at the same time. The smallest
-/// boxes have 120 MB, and 20 faulty responses may add at most 16 MB with the buffers of their
+/// Maximum number of bytes of all whole responses and incomplete events that a box holds at the same
+/// time. The smallest boxes have 120 MB, and 20 faulty responses may add at most 16 MB with the buffers of their
 /// connections.
 pub const HELD_RESPONSE_BYTES: usize = 6 << 20;
-/// Size in bytes up to which a body isn't counted in [`HELD_RESPONSE_BYTES`]: as large as the
+/// Size in bytes up to which a body or an incomplete event isn't counted in [`HELD_RESPONSE_BYTES`]: as large as the
 /// buffers of its connection.
 pub const UNCOUNTED_BODY_BYTES: usize = 16 << 10;
 /// Maximum wait for room in [`HELD_RESPONSE_BYTES`]. After it, a body is relayed as it arrives.
--- a/lib/src/protocol/events.rs
+++ b/lib/src/protocol/events.rs
@@ -61,6 +61,11 @@
         self.incomplete.is_empty()
     }
 
+    /// Number of bytes of the incomplete event.
+    pub fn incomplete_len(&self) -> usize {
+        self.incomplete.len()
+    }
+
     /// Discards an incomplete event, so that another response can continue the stream after the
     /// last complete event.
     pub fn discard_incomplete(&mut self) {
--- a/lib/src/transport/memory.rs
+++ b/lib/src/transport/memory.rs
@@ -1,6 +1,7 @@
-//! The common account of the memory of responses that are held as a whole.
+//! The common account of the memory of responses that are held as a whole, and of incomplete events.
 //!
-//! The bytes of a response are counted until the last part of them has been written to the caller.
+//! The bytes of a response are counted until the last part of them has been written to the caller,
+//! those of an event until it is complete.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,6 +48,16 @@
 }
 
 impl Reserved {
+    /// Number of bytes that are reserved.
+    pub fn bytes(&self) -> usize {
+        self.0.num_permits() * UNIT_BYTES
+    }
+
+    /// Adds another reservation of the same account.
+    pub fn merge(&mut self, other: Reserved) {
+        self.0.merge(other.0);
+    }
+
     /// Releases all but `bytes`.
     pub fn shrink(&mut self, bytes: usize) {
         let excess = self.0.num_permits().saturating_sub(units(bytes) as usize);
