stop: nothing is passed on from 2.9 s after the signal

What callers saw: in a planned stop in calm, requests whose last byte came 3.02 to 3.2 s after SIGTERM were passed on, and those with long work were cut at 7.1 s, among them requests that must not be repeated. Callers may expect a response to all that they send 3 s after the signal or later.

Cause: the moment of refusal counted from the tick that closes the ports: 2.5 s, up to 0.2 s until the tick, and 0.5 s for the last connections. It was looked at once, when a request had become complete. What then waited for a server or was sent again was passed on at any time.

Change: the moment counts from the signal (2.9 s), as the traffic threads see it, so a control thread that waits for the store doesn't move it; it is looked at before each send. The ports close at 2.5 s without the wait for a tick. A refusal is 503, not run, at once.

--- a/lib/src/coordination/drain.rs
+++ b/lib/src/coordination/drain.rs
@@ -14,13 +14,18 @@
 
 use statig::prelude::*;
 
-/// How long a closing box still accepts requests. A caller whose connection was accepted last sends
-/// its request a round trip later.
-const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Whether a box that closed its ports at a time refuses a request that becomes complete now.
-pub fn refuses_requests(closing_since: Option<Instant>, now: Instant) -> bool {
-    closing_since.is_some_and(|since| now.saturating_duration_since(since) >= LAST_REQUEST_TIMEOUT)
+/// How long a leaving box still accepts new connections, because callers may still be directed to
+/// it for a while. After that, connections are refused and callers go to another box at once.
+pub const GRACE: Duration = Duration::from_millis(2500);
+/// How long a closing box still passes requests on. A caller whose connection was accepted last sends
+/// its request a round trip later. Together with [`GRACE`] it stays below 3 s after the stop request,
+/// after which callers may expect a response to all that was passed on.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Whether a box that was asked to stop at a time passes nothing more on. This counts from the
+/// request itself, as the box may notice the end of its grace late.
+pub fn refuses_requests(stop_requested_at: Option<Instant>, now: Instant) -> bool {
+    stop_requested_at.is_some_and(|at| now >= at + GRACE + LAST_REQUEST_TIMEOUT)
 }
 
 /// Time limits of a shutdown.
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -73,10 +73,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval of the lines about resends in the log.
 const RESEND_LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// How long a leaving box still accepts new connections, because callers may still be directed to
-/// it for a while. After that, connections are refused and callers go to another box at once.
-const STOP_GRACE: Duration = Duration::from_millis(2500);
-
 /// State of the control thread.
 pub struct Control<A: Adapter> {
     shared: Arc<Shared<A>>,
@@ -128,7 +124,7 @@
         own_record: BoxRecord,
         stop: watch::Sender<Shutdown>,
     ) -> Control<A> {
-        let timeouts = drain::Timeouts { grace: STOP_GRACE, limit: shared.settings.stop_limit };
+        let timeouts = drain::Timeouts { grace: drain::GRACE, limit: shared.settings.stop_limit };
         let (record_sender, _) = watch::channel(own_record.clone());
         Control {
             shared,
@@ -176,7 +172,8 @@
             self.store.clone(),
             self.own_record.clone(),
         ));
-        let stop_limit = self.shared.settings.stop_limit;
+        let shared = Arc::clone(&self.shared);
+        let stop_limit = shared.settings.stop_limit;
         let (event_sender, mut control_events) = super::events();
         let run = async {
             if self.load_initial_state(&mut control_events).await {
@@ -186,7 +183,7 @@
         tokio::select! {
             biased;
             () = run => {}
-            () = stop::forward_events(&mut events, event_sender, stop_limit) => {}
+            () = stop::forward_events(&mut events, event_sender, &shared.stop_requested_at, stop_limit) => {}
         }
         self.end(lease_task).await
     }
@@ -256,6 +253,9 @@
     fn handle_event(&mut self, event: Event) {
         match event {
             Event::Stop => self.begin_stop(),
+            Event::GraceOver => {
+                self.update_drain(clock::now());
+            }
             Event::Reload => log::info!("event=reload settings=\"count from the next start\""),
             Event::FirstStart => {
                 lock(&self.shared.retries).assume_no_predecessor();
--- a/lib/src/gateway/control/stop.rs
+++ b/lib/src/gateway/control/stop.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::Control;
@@ -25,7 +26,8 @@
 impl<A: Adapter> Control<A> {
     pub(super) fn begin_stop(&mut self) {
         let before = self.drain.stage();
-        let stage = self.drain.handle(drain::Event::Stop(clock::now()));
+        let requested_at = self.shared.stop_requested_at.borrow().unwrap_or_else(clock::now);
+        let stage = self.drain.handle(drain::Event::Stop(requested_at));
         if stage != before {
             log::info!("event=stop_requested stage={stage:?}");
             self.own_record.leaving = true;
@@ -87,6 +89,7 @@
 pub(super) async fn forward_events(
     events: &mut mpsc::Receiver<Event>,
     control: mpsc::Sender<Event>,
+    stop_requested_at: &watch::Sender<Option<Instant>>,
     stop_limit: Duration,
 ) {
     // Sending fails if the loop has ended, and then nothing is left to do.
@@ -94,18 +97,27 @@
         let _ = control.send(event).await;
     };
     while let Some(event) = events.recv().await {
-        let limit_at = clock::now() + stop_limit;
+        let now = clock::now();
+        let limit_at = now + stop_limit;
         if event != Event::Stop {
             forward(event).await;
             continue;
         }
+        stop_requested_at.send_replace(Some(now));
+        let end_grace = async {
+            timer::sleep_until(now + drain::GRACE).await;
+            forward(Event::GraceOver).await;
+        };
         let forward_rest = async {
-            forward(event).await;
             while let Some(event) = events.recv().await {
                 forward(event).await;
             }
         };
-        let _ = timer::timeout_at(limit_at, forward_rest).await;
+        let forward_all = async {
+            forward(event).await;
+            tokio::join!(end_grace, forward_rest);
+        };
+        let _ = timer::timeout_at(limit_at, forward_all).await;
         timer::sleep_until(limit_at).await;
         return;
     }
--- a/lib/src/gateway/dispatch.rs
+++ b/lib/src/gateway/dispatch.rs
@@ -28,6 +28,7 @@
 use super::throttle;
 use super::upgrade;
 use super::upgrade::TrackedSend;
+use crate::coordination::drain;
 use crate::coordination::placement::Blocked;
 use crate::coordination::placement::Eligible;
 use crate::coordination::placement::PlacementRequest;
@@ -48,6 +49,9 @@
 /// Delay after which a caller is asked to retry if all servers are leaving. Their replacements need
 /// longer than this to start.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
+/// When a caller may retry a request that a leaving box refuses. Other boxes serve it at once; the
+/// smallest delay that the header can state and that isn't zero.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
 /// Minimum time left for a send to be worthwhile.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -57,7 +61,17 @@
     Peer(std::net::SocketAddr, ForwardReason),
 }
 
-/// Dispatches a request until there is a response or a failure.
+/// Refuses a request if this box is leaving and passes nothing more on.
+pub fn admit<A>(shared: &Shared<A>) -> Result<(), Failure> {
+    if drain::refuses_requests(*shared.stop_requested_at.borrow(), clock::now()) {
+        let failure = Failure::new(ErrorKind::Leaving, "the box is leaving");
+        return Err(failure.with_retry_after(LEAVING_RETRY_AFTER));
+    }
+    Ok(())
+}
+
+/// Dispatches a request until there is a response or a failure. A box that is leaving may learn that
+/// while the request waits or is to be sent again; then it isn't passed on either.
 pub async fn dispatch<A: Adapter>(
     shared: &Arc<Shared<A>>,
     job: &mut Job,
@@ -73,7 +87,11 @@
     // A server error, kept while another server is tried.
     let mut failed_reply: Option<Reply<A>> = None;
     loop {
-        let failure = match send_once(shared, job, history, after_event).await {
+        let sent = match admit(shared) {
+            Ok(()) => send_once(shared, job, history, after_event).await,
+            Err(failure) => Err(StepError::Final(failure)),
+        };
+        let failure = match sent {
             Ok(reply) if is_retryable_failure(&reply, job) && take_retry(shared, job, history) => {
                 failed_reply = Some(reply);
                 continue;
--- a/lib/src/gateway/event.rs
+++ b/lib/src/gateway/event.rs
@@ -6,6 +6,8 @@
 pub enum Event {
     /// The operator requests a stop. A second request ends the process at once.
     Stop,
+    /// The grace of a stop is over.
+    GraceOver,
     /// The settings may have changed.
     Reload,
     /// The store responds again after an outage.
--- a/lib/src/gateway/ingress.rs
+++ b/lib/src/gateway/ingress.rs
@@ -1,7 +1,6 @@
 //! Handles requests of callers and of other boxes, from the head to the response.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::HeaderValue;
 use http::Request;
@@ -27,7 +26,6 @@
 use super::shared::Shared;
 use super::stream_timing::StreamTiming;
 use super::stream_versions;
-use crate::coordination::drain;
 use crate::coordination::drain::Stage;
 use crate::error::ErrorKind;
 use crate::error::Executed;
@@ -42,10 +40,6 @@
 use crate::transport::body::ResponseBody;
 use crate::transport::timer;
 
-/// When a caller may retry a request that a leaving box refuses. Other boxes serve it at once; the
-/// smallest delay that the header can state and that isn't zero.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
-
 /// Handles a request.
 pub async fn handle<A: Adapter>(
     shared: Arc<Shared<A>>,
@@ -91,14 +85,12 @@
         }
     };
     let mut job = match job {
-        Ok(job) if refuses_requests(shared) => {
-            let failure = Failure::new(ErrorKind::Leaving, "the box is leaving")
-                .with_retry_after(LEAVING_RETRY_AFTER);
-            return failure_response(shared, &id, Some(&job), &history, &failure);
-        }
         Ok(job) => job,
         Err(failure) => return failure_response(shared, &id, None, &history, &failure),
     };
+    if let Err(failure) = dispatch::admit(shared) {
+        return failure_response(shared, &id, Some(&job), &history, &failure);
+    }
     if let Err(failure) = quarantine::admit(shared, &job) {
         return failure_response(shared, &id, Some(&job), &history, &failure);
     }
@@ -164,12 +156,6 @@
     response
 }
 
-/// Whether this box refuses new requests because it is leaving. A request counts as new until its
-/// body is complete.
-fn refuses_requests<A>(shared: &Shared<A>) -> bool {
-    drain::refuses_requests(*shared.closing_since.borrow(), clock::now())
-}
-
 /// Waits until a leaving box reads no more of a request: as long after it closed its ports as a
 /// request head may take.
 async fn read_limit<A>(shared: &Shared<A>) {
--- a/lib/src/gateway/mod.rs
+++ b/lib/src/gateway/mod.rs
@@ -239,6 +239,7 @@
             response_memory: Account::new(HELD_RESPONSE_BYTES),
             in_flight: AtomicUsize::new(0),
             open: OpenConnections::default(),
+            stop_requested_at: watch::Sender::new(None),
             closing_since: watch::Sender::new(None),
             limits: watch::Sender::new(Limits::default()),
             counters,
--- a/lib/src/gateway/shared.rs
+++ b/lib/src/gateway/shared.rs
@@ -235,6 +235,8 @@
     pub in_flight: AtomicUsize,
     /// Open connections of callers and of other boxes.
     pub open: OpenConnections,
+    /// When this box was asked to stop.
+    pub stop_requested_at: watch::Sender<Option<Instant>>,
     /// Since when the ports of this box are closed because it is leaving.
     pub closing_since: watch::Sender<Option<Instant>>,
     /// The limits of the routing configuration, which open connections follow.
