--- a/cli/tests/streams/mod.rs
+++ b/cli/tests/streams/mod.rs
@@ -70,8 +70,22 @@
 
     /// Sends SIGTERM. The process ends by itself.
     pub fn stop(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Suspends the process.
+    pub fn suspend(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Resumes a suspended process.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
         let id = self.child.as_ref().expect("a process").id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+        assert!(Command::new("kill").args([signal, &id]).status().expect("kill").success());
     }
 
     /// Waits until a stopped process has ended.
