streams: those that go on come before new requests

Where a region has none of the version left, the box refused at once (54 times "the backend servers leave"), though other regions had some: it forwards nothing that has less time left than forwards take, and those of new requests took seconds.

Change: a stream that goes on has the rank of the most urgent route of its team at the servers. The time that forwards take is kept apart for streams that go on.

--- a/lib/src/coordination/urgency.rs
+++ b/lib/src/coordination/urgency.rs
@@ -9,6 +9,12 @@
 /// Number of route ranks within one team rank; three team ranks fit.
 const RANKS_PER_TEAM_RANK: u8 = 3;
 
+/// Rank of a request that continues a stream, given the rank of its team: as the most urgent route of
+/// the team. Its caller has waited before, and few servers may be left that can continue the stream.
+pub fn continued_rank(team: Option<u8>) -> u8 {
+    rank(team, 0)
+}
+
 /// Rank of a request, given the rank of its route and, if it has one, of its team.
 pub fn rank(team: Option<u8>, route: u8) -> u8 {
     let rank = match team {
--- a/lib/src/gateway/attempt.rs
+++ b/lib/src/gateway/attempt.rs
@@ -28,6 +28,7 @@
 use super::stream::Stream;
 use crate::coordination::attempt::AttemptEvent;
 use crate::coordination::attempt::AttemptReport;
+use crate::coordination::forwards::Kind;
 use crate::coordination::presence;
 use crate::coordination::rendezvous;
 use crate::error::ErrorKind;
@@ -140,6 +141,7 @@
 /// Counts a forward as under way until it is dropped.
 struct UnderWay<'a, A> {
     shared: &'a Shared<A>,
+    kind: Kind,
     bytes: usize,
     sent_at: Instant,
 }
@@ -148,7 +150,8 @@
     fn new(shared: &'a Shared<A>, job: &Job) -> UnderWay<'a, A> {
         let bytes = job.body_bytes();
         lock(&shared.forwards).begin(bytes);
-        UnderWay { shared, bytes, sent_at: clock::now() }
+        let kind = Kind::of(job.continues_stream());
+        UnderWay { shared, kind, bytes, sent_at: clock::now() }
     }
 }
 
@@ -156,7 +159,7 @@
     fn drop(&mut self) {
         let now = clock::now();
         let time = now.saturating_duration_since(self.sent_at);
-        lock(&self.shared.forwards).finish(self.bytes, time, now);
+        lock(&self.shared.forwards).finish(self.kind, self.bytes, time, now);
     }
 }
 
--- a/lib/src/gateway/forwarding.rs
+++ b/lib/src/gateway/forwarding.rs
@@ -18,6 +18,7 @@
 use super::room;
 use super::shared::Shared;
 use super::shared::lock;
+use crate::coordination::forwards::Kind;
 use crate::coordination::presence;
 use crate::coordination::reachability;
 use crate::coordination::regions::Utilization;
@@ -84,7 +85,8 @@
 /// Whether the links between boxes have room for the request, and a response would be in time.
 pub fn may_forward<A: Adapter>(shared: &Shared<A>, job: &Job) -> bool {
     let now = clock::now();
-    lock(&shared.forwards).admits(job.body_bytes(), job.time_left(now), now)
+    let kind = Kind::of(job.continues_stream());
+    lock(&shared.forwards).admits(kind, job.body_bytes(), job.time_left(now), now)
 }
 
 /// Whether this is the first send of a caller's request.
--- a/lib/src/gateway/job.rs
+++ b/lib/src/gateway/job.rs
@@ -175,9 +175,12 @@
     }
 
     /// Priority for the engines; 0 is the most urgent.
-    pub fn priority(&self) -> u8 {
+    pub fn priority(&self, continues_stream: bool) -> u8 {
         let team_priority = self.team.as_ref().and_then(|team| team.priority);
-        urgency::rank(team_priority, self.route.priority)
+        match continues_stream {
+            true => urgency::continued_rank(team_priority),
+            false => urgency::rank(team_priority, self.route.priority),
+        }
     }
 
     /// Length of the body, bytes.
@@ -226,7 +229,7 @@
         let outbound = OutboundMetadata {
             time_left: self.time_left(clock::now()),
             instance,
-            priority: self.priority(),
+            priority: self.priority(last_event.is_some_and(|id| id > 0)),
             last_event,
             team: self.team.as_ref().map(|team| team.name.as_str()),
         };
