streams: recorders write at most every 0.1 s

Cause: a stream is in a batch of the store 50 ms of collection, up to 250 ms since the last write, and the write after its first event. 19 of 20 unknown streams had one or two events.

--- a/lib/src/gateway/stream_records.rs
+++ b/lib/src/gateway/stream_records.rs
@@ -50,7 +50,7 @@
 /// The same for each box of the fleet, so that the datagrams to a recorder don't grow with it.
 const COLLECTION_TIME_PER_BOX: Duration = Duration::from_micros(200);
 /// Minimum time from one write of a recorder to the next.
-const MIN_WRITE_GAP: Duration = Duration::from_millis(250);
+const MIN_WRITE_GAP: Duration = Duration::from_millis(100);
 /// Number of streams from which on a key takes no more, at 8 bytes each.
 const MAX_KEY_STREAMS: usize = 512;
 /// Maximum time to live of a lease, by the rules of the store.
