serve: a server whose responses broke off at once is probed, too

Cause: serve took three responses of one server that broke off within 40 ms for its crash, without a look at its port. Servers that cut responses and run on counted as crashed, and after three of them the content of the requests was quarantined. The gateway looks.

Change: serve looks as well, for as long as it does after a single interruption. Only a port that refuses connections is a crash.

--- a/lib/src/daemon/quarantine.rs
+++ b/lib/src/daemon/quarantine.rs
@@ -1,8 +1,7 @@
 //! Quarantines requests that crash every server that executes them.
 //!
 //! Executions are recorded from the send until the end of the response. A connection that breaks
-//! off may mean that the server has crashed; a probe of its port decides, unless several broke off
-//! at once. Boxes report crashes and verdicts to each other in heartbeats.
+//! off may mean that the server has crashed; a probe of its port decides. Boxes report crashes and verdicts to each other in heartbeats.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -215,21 +214,17 @@
             interrupted_at: now,
         };
         let mut tables = lock(&self.shared.quarantine.tables);
-        let next_step = match tables.interrupted.record(self.incarnation, interrupted, now) {
-            NextStep::Confirm => {
-                NextStep::ServerCrashed(tables.interrupted.record_crash(self.incarnation, now))
-            }
-            next_step => next_step,
-        };
+        let next_step = tables.interrupted.record(self.incarnation, interrupted, now);
         drop(tables);
         match next_step {
-            NextStep::AwaitProbe | NextStep::Confirm => {}
-            NextStep::Probe => {
+            NextStep::AwaitProbe => {}
+            NextStep::Probe | NextStep::Confirm => {
                 let probe = check_for_crash(
                     Arc::clone(&self.shared),
                     self.server.clone(),
                     self.address,
                     self.incarnation,
+                    next_step == NextStep::Confirm,
                 );
                 tokio::spawn(probe);
             }
@@ -247,15 +242,21 @@
     }
 }
 
-/// Checks whether a server still accepts connections.
+/// Checks whether a server still accepts connections. A server that does runs on, however many of its
+/// responses broke off at once. `confirms` is set for the check that decides about such a server.
 async fn check_for_crash(
     shared: Arc<SharedState>,
     server: ServerId,
     address: std::net::SocketAddr,
     incarnation: ServerIncarnation,
+    confirms: bool,
 ) {
     if !server_crash::has_crashed(&shared.backend, address).await {
-        lock(&shared.quarantine.tables).interrupted.forget(incarnation);
+        let interrupted = &mut lock(&shared.quarantine.tables).interrupted;
+        match confirms {
+            true => interrupted.dismiss(incarnation),
+            false => interrupted.forget(incarnation),
+        }
         return;
     }
     let requests =
--- a/lib/tests/test_cut_heads.rs
+++ b/lib/tests/test_cut_heads.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use common::Fleet;
 use common::Plan;
@@ -146,6 +147,35 @@
     fixture.run(callers, is_plain, &ENDS, 7);
 }
 
+/// Guards against servers that count as crashed, and a content that is quarantined for it, because
+/// several of their responses broke off at once.
+#[test]
+fn content_of_servers_that_cut_responses_and_run_on_is_not_refused() {
+    // Half of them are services.
+    let fixture = Fixture::with_servers(20, 102, 1, true);
+    let callers = fixture.callers("at-once", ONCE);
+    let send = |number: usize, script: Script| {
+        let request = callers.request(&format!("{number:a>32}"), script);
+        let address = callers.address;
+        fixture.fleet.runtime.spawn(async move {
+            let mut caller = RawCaller::connect(address).await.expect("a connection");
+            caller.exchange(&request).await
+        })
+    };
+    let cut = Script { shape: Shape::Length, action: Action::Cut(40, End::Close) };
+    for round in 0..10 {
+        let sent: Vec<_> = (0..30).map(|number| send(100 * round + number, cut)).collect();
+        for response in sent {
+            fixture.fleet.block_on(response).expect("no panic");
+        }
+    }
+    // A box decides about a content some time after the last end of a server.
+    std::thread::sleep(Duration::from_millis(500));
+    let sound = fixture.fleet.block_on(send(2000, Script::whole(Shape::Length)));
+    let text = format!("{:?}", sound.expect("no panic"));
+    assert!(!text.contains("quarantined") && !text.contains("servers ended under"), "{text}");
+}
+
 /// Guards against a second response to one request that is taken for that of the next request.
 #[test]
 fn surplus_response_reaches_no_caller() {
