--- a/lib/src/coordination/forwards.rs
+++ b/lib/src/coordination/forwards.rs
@@ -69,11 +69,11 @@
     /// Whether a request with a body of `bytes` may be forwarded if it has `time_left`. A single
     /// forward may have any size.
     pub fn admits(&self, kind: Kind, bytes: usize, time_left: Duration, now: Instant) -> bool {
-        let has_room = self.bytes == 0 || self.bytes + bytes <= MAX_BYTES;
         let mean_time = match kind {
             Kind::New => &self.new,
             Kind::Continued => &self.continued,
         };
+        let has_room = self.bytes == 0 || self.bytes + bytes <= MAX_BYTES;
         has_room && mean_time.expected(now).mul_f64(TIME_FACTOR) <= time_left
     }
 
--- a/lib/src/gateway/control.rs
+++ b/lib/src/gateway/control.rs
@@ -73,6 +73,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval of the lines about resends in the log.
 const RESEND_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// State of the control thread.
 pub struct Control<A: Adapter> {
     shared: Arc<Shared<A>>,
@@ -175,6 +176,8 @@
         let shared = Arc::clone(&self.shared);
         let stop_limit = shared.settings.stop_limit;
         let (event_sender, mut control_events) = super::events();
+        let run_events =
+            stop::forward_events(&mut events, event_sender, &shared.stop_requested_at, stop_limit);
         let run = async {
             if self.load_initial_state(&mut control_events).await {
                 self.run_sync(&mut control_events).await;
@@ -183,7 +186,7 @@
         tokio::select! {
             biased;
             () = run => {}
-            () = stop::forward_events(&mut events, event_sender, &shared.stop_requested_at, stop_limit) => {}
+            () = run_events => {}
         }
         self.end(lease_task).await
     }
--- a/lib/src/transport/http1.rs
+++ b/lib/src/transport/http1.rs
@@ -33,6 +33,7 @@
 
 /// The delay after a failed accept, which gives time for file descriptors to be freed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// The IP address of the client. [`serve`] adds it to the extensions of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientIp(pub IpAddr);
